--- /dev/null
+++ b/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/ConfigParser.java
@@ -0,0 +1,265 @@
+package org.wigeonwharf.config;
+
+import io.vavr.control.Either;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.regex.Pattern;
+import org.jspecify.annotations.Nullable;
+import org.wigeonwharf.model.AccountId;
+import org.wigeonwharf.model.Addresses;
+import org.wigeonwharf.model.ClassId;
+import org.wigeonwharf.model.FailureDomain;
+import org.wigeonwharf.model.ServerId;
+import org.wigeonwharf.model.ServiceId;
+import org.wigeonwharf.model.Tier;
+
+/** A ConfigParser checks settings files and turns them into a typed configuration. */
+public final class ConfigParser {
+  private static final Duration MAX_DURATION = Duration.ofHours(24);
+  private static final Duration DEFAULT_TARGET = Duration.ofSeconds(5);
+  private static final Duration DEFAULT_GAP = Duration.ofMillis(200);
+  private static final Duration DEFAULT_DEADLINE = Duration.ofSeconds(30);
+  private static final int DEFAULT_SHARD_SIZE = 32;
+  private static final int DEFAULT_WAITING = 1_000;
+  private static final int DEFAULT_CLASS_WAITING = 1;
+  private static final int DEFAULT_TOKENS = 200;
+  private static final int DEFAULT_SLOTS = 4;
+  private static final int MAX_WAITING = 100_000;
+  private static final int MAX_SLOTS = 10_000;
+  private static final int MAX_RANK = 15;
+  private static final int MAX_TOKENS = 1_000_000;
+  private static final double DEFAULT_SHARE = 0.02;
+  private static final double MAX_SHARE_SUM = 0.9;
+  private static final double MIN_WEIGHT = 0.001;
+  private static final double MAX_WEIGHT = 1_000;
+  private static final Pattern SHA256 = Pattern.compile("[0-9a-f]{64}");
+  private static final String SERVER_IN = "in";
+  private static final String SERVER_LEAVING = "leaving";
+
+  private final List<Fault> faults = new ArrayList<>();
+  private final Map<String, Tier> tiers = new LinkedHashMap<>();
+  private final Map<ClassId, ClassSpec> classes = new LinkedHashMap<>();
+  private final Map<ServiceId, ServiceSpec> services = new LinkedHashMap<>();
+  private final Map<AccountId, AccountSpec> accounts = new LinkedHashMap<>();
+
+  private ConfigParser() {}
+
+  /**
+   * Merges and checks files.
+   *
+   * @param files in merge order
+   * @return the configuration, or every fault found
+   */
+  public static Either<List<Fault>, PublishedConfig> parse(List<SettingsFile> files) {
+    return MergedSettings.merge(files).flatMap(m -> new ConfigParser().read(m));
+  }
+
+  private Either<List<Fault>, PublishedConfig> read(MergedSettings settings) {
+    SectionReader root = SectionReader.root(settings, faults);
+    root.sections("tiers").forEach(this::readTier);
+    root.sections("classes").forEach(this::readClass);
+    root.sections("services").forEach(this::readService);
+    root.sections("accounts").forEach(this::readAccount);
+    root.finish();
+    checkShares(root);
+    if (!faults.isEmpty()) {
+      return Either.left(List.copyOf(faults));
+    }
+    return Either.right(new PublishedConfig(tiers, classes, services, accounts));
+  }
+
+  private void readTier(String name, SectionReader s) {
+    int rank = s.integer("rank", 0, 0, MAX_RANK);
+    if (!s.has("rank")) {
+      s.fault("rank", "is required");
+    }
+    for (Tier t : tiers.values()) {
+      if (t.rank() == rank) {
+        s.fault("rank", "tier '" + t.name() + "' has the same rank");
+      }
+    }
+    tiers.put(name, new Tier(name, rank));
+    s.finish();
+  }
+
+  private void readClass(String name, SectionReader s) {
+    String tierName = s.requireText("tier");
+    Tier tier = tiers.get(tierName);
+    if (tier == null && !tierName.isEmpty()) {
+      s.fault("tier", "no tier is named '" + tierName + "'");
+    }
+    ClassId id = new ClassId(name);
+    classes.put(
+        id,
+        new ClassSpec(
+            id,
+            tier == null ? new Tier("none", 0) : tier,
+            s.duration("first_token_target", DEFAULT_TARGET, MAX_DURATION),
+            s.duration("token_gap_target", DEFAULT_GAP, MAX_DURATION),
+            s.duration("deadline", DEFAULT_DEADLINE, MAX_DURATION),
+            s.decimal("share", DEFAULT_SHARE, 0, MAX_SHARE_SUM),
+            s.integer("waiting_places", DEFAULT_CLASS_WAITING, 1, MAX_WAITING),
+            s.integer("estimated_tokens", DEFAULT_TOKENS, 1, MAX_TOKENS),
+            s.flag("spill", false)));
+    s.finish();
+  }
+
+  private void checkShares(SectionReader root) {
+    double sum = classes.values().stream().mapToDouble(ClassSpec::share).sum();
+    if (sum > MAX_SHARE_SUM) {
+      root.fault("classes", "the shares add up to " + sum + ", at most " + MAX_SHARE_SUM);
+    }
+  }
+
+  private void readService(String name, SectionReader s) {
+    ServiceId id = new ServiceId(name);
+    ServiceKind kind = readKind(s);
+    Map<ServerId, BackendServer> servers = new LinkedHashMap<>();
+    s.sections("servers").forEach((n, r) -> servers.put(new ServerId(n), readServer(id, n, r)));
+    List<PathRule> paths = new ArrayList<>();
+    s.sections("paths").forEach((n, r) -> paths.add(readPath(n, r)));
+    services.put(
+        id,
+        new ServiceSpec(
+            id,
+            kind,
+            s.integer("shard_size", DEFAULT_SHARD_SIZE, 1, MAX_SLOTS),
+            Set.copyOf(s.integers("not_started_statuses", 400, 599)),
+            s.flag("resumable", false),
+            s.integer("waiting_places", DEFAULT_WAITING, 1, MAX_WAITING),
+            List.copyOf(paths),
+            servers));
+    s.finish();
+  }
+
+  private static ServiceKind readKind(SectionReader s) {
+    String text = s.requireText("kind");
+    for (ServiceKind k : ServiceKind.values()) {
+      if (k.name().toLowerCase(Locale.ROOT).equals(text)) {
+        return k;
+      }
+    }
+    if (!text.isEmpty()) {
+      s.fault("kind", "expected \"model\" or \"plain\", got \"" + text + "\"");
+    }
+    return ServiceKind.PLAIN;
+  }
+
+  private static BackendServer readServer(ServiceId service, String name, SectionReader s) {
+    InetSocketAddress address = readAddress(s);
+    String domain = s.requireText("domain");
+    String state = s.text("state", SERVER_IN);
+    if (!state.equals(SERVER_IN) && !state.equals(SERVER_LEAVING)) {
+      s.fault("state", "expected \"in\" or \"leaving\", got \"" + state + "\"");
+    }
+    BackendServer server =
+        new BackendServer(
+            new ServerId(name),
+            service,
+            new FailureDomain(domain.isBlank() ? "none" : domain),
+            address,
+            s.integer("slots", DEFAULT_SLOTS, 1, MAX_SLOTS),
+            state.equals(SERVER_LEAVING));
+    s.finish();
+    return server;
+  }
+
+  private static InetSocketAddress readAddress(SectionReader s) {
+    String text = s.requireText("address");
+    if (!text.isBlank()) {
+      try {
+        return Addresses.parse(text);
+      } catch (IllegalArgumentException e) {
+        s.fault("address", String.valueOf(e.getMessage()));
+      }
+    }
+    return InetSocketAddress.createUnresolved("none", 0);
+  }
+
+  private PathRule readPath(String name, SectionReader s) {
+    String prefix = s.text("prefix", "/");
+    if (!prefix.startsWith("/")) {
+      s.fault("prefix", "expected a path that starts with '/'");
+    }
+    PathRule rule =
+        new PathRule(
+            name,
+            new LinkedHashSet<>(s.texts("methods")),
+            prefix,
+            s.has("class") ? classReference(s, "class", s.requireText("class")) : null,
+            s.flag("repeatable", true));
+    s.finish();
+    return rule;
+  }
+
+  private @Nullable ClassId classReference(SectionReader s, String key, String name) {
+    if (name.isBlank()) {
+      return null;
+    }
+    ClassId id = new ClassId(name);
+    if (!classes.containsKey(id)) {
+      s.fault(key, "no class is named '" + name + "'");
+    }
+    return id;
+  }
+
+  private void readAccount(String name, SectionReader s) {
+    AccountId id = new AccountId(name);
+    Set<ClassId> allowed = new LinkedHashSet<>();
+    for (String c : s.texts("classes")) {
+      ClassId ref = classReference(s, "classes", c);
+      if (ref != null) {
+        allowed.add(ref);
+      }
+    }
+    ClassId defaultClass = classReference(s, "default_class", s.requireText("default_class"));
+    if (defaultClass != null && !allowed.contains(defaultClass)) {
+      s.fault("default_class", "is not among the account's classes");
+    }
+    accounts.put(
+        id,
+        new AccountSpec(
+            id,
+            readTokenHashes(s),
+            allowed,
+            defaultClass == null ? new ClassId("none") : defaultClass,
+            s.flag("repeatable", true),
+            s.decimal("weight", 1, MIN_WEIGHT, MAX_WEIGHT),
+            readLimits(s.section("limits"))));
+    s.finish();
+  }
+
+  private Set<String> readTokenHashes(SectionReader s) {
+    Set<String> hashes = new LinkedHashSet<>();
+    Map<String, AccountId> taken = new HashMap<>();
+    accounts.values().forEach(a -> a.tokenHashes().forEach(h -> taken.put(h, a.id())));
+    for (String h : s.texts("token_sha256")) {
+      if (!SHA256.matcher(h).matches()) {
+        s.fault("token_sha256", "expected 64 lower-case hex digits");
+      } else if (taken.containsKey(h)) {
+        s.fault("token_sha256", "client account '" + taken.get(h) + "' has the same token");
+      }
+      hashes.add(h);
+    }
+    return hashes;
+  }
+
+  private static AccountLimits readLimits(SectionReader s) {
+    double max = AccountLimits.MAX_RATE;
+    AccountLimits limits =
+        new AccountLimits(
+            s.decimal("requests_per_second", max, 0, max),
+            s.decimal("tokens_per_second", max, 0, max),
+            s.integer("concurrent", AccountLimits.MAX_CONCURRENT, 0, AccountLimits.MAX_CONCURRENT));
+    s.finish();
+    return limits;
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/SectionReader.java
@@ -0,0 +1,358 @@
+package org.wigeonwharf.config;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A SectionReader takes typed values out of one settings table and collects every fault.
+ *
+ * <p>A getter that finds a fault notes it and returns the default, so that one pass reports all
+ * faults. {@link #finish()} reports the keys that no getter asked for.
+ */
+public final class SectionReader {
+  private static final Pattern DURATION = Pattern.compile("([0-9]{1,9})(ms|s|m|h)");
+  private static final int MAX_HINT_DISTANCE = 3;
+
+  private final MergedSettings settings;
+  private final ObjectNode table;
+  private final String path;
+  private final List<Fault> faults;
+  private final Set<String> known = new LinkedHashSet<>();
+
+  private SectionReader(
+      MergedSettings settings, ObjectNode table, String path, List<Fault> faults) {
+    this.settings = settings;
+    this.table = table;
+    this.path = path;
+    this.faults = faults;
+  }
+
+  /**
+   * Starts reading at the root table.
+   *
+   * @param settings the merged settings
+   * @param faults receives every fault found
+   * @return a reader of the root
+   */
+  public static SectionReader root(MergedSettings settings, List<Fault> faults) {
+    return new SectionReader(settings, settings.root(), "", faults);
+  }
+
+  /**
+   * Notes a fault of one key.
+   *
+   * @param key the key within this section
+   * @param reason what is wrong
+   */
+  public void fault(String key, String reason) {
+    String full = fullKey(key);
+    faults.add(new Fault(settings.fileOf(full), full, reason));
+  }
+
+  /**
+   * Tells whether a key is set.
+   *
+   * @param key the key within this section
+   * @return true if some file sets it
+   */
+  public boolean has(String key) {
+    known.add(key);
+    return table.has(key);
+  }
+
+  /**
+   * Reads a table of sections, such as one per backend server.
+   *
+   * @param key the key within this section
+   * @return one reader for each named section, in the order first set
+   */
+  public Map<String, SectionReader> sections(String key) {
+    Map<String, SectionReader> result = new LinkedHashMap<>();
+    JsonNode node = take(key);
+    if (node == null) {
+      return result;
+    }
+    if (!(node instanceof ObjectNode o)) {
+      fault(key, "expected a table");
+      return result;
+    }
+    for (Map.Entry<String, JsonNode> e : o.properties()) {
+      String child = fullKey(key) + MergedSettings.SEPARATOR + e.getKey();
+      if (e.getValue() instanceof ObjectNode t && !e.getKey().isBlank()) {
+        result.put(e.getKey(), new SectionReader(settings, t, child, faults));
+      } else {
+        faults.add(new Fault(settings.fileOf(child), child, "expected a named table"));
+      }
+    }
+    return result;
+  }
+
+  /**
+   * Reads one sub-table; an absent one reads as empty.
+   *
+   * @param key the key within this section
+   * @return its reader
+   */
+  public SectionReader section(String key) {
+    JsonNode node = take(key);
+    if (node != null && !node.isObject()) {
+      fault(key, "expected a table");
+    }
+    ObjectNode t = node instanceof ObjectNode o ? o : JsonNodeFactory.instance.objectNode();
+    return new SectionReader(settings, t, fullKey(key), faults);
+  }
+
+  /**
+   * Reads a text that must be set.
+   *
+   * @param key the key within this section
+   * @return the text, or "" with a fault noted
+   */
+  public String requireText(String key) {
+    String s = text(key, "");
+    if (!table.has(key)) {
+      fault(key, "is required");
+    } else if (s.isBlank() && table.get(key).isTextual()) {
+      fault(key, "is blank");
+    }
+    return s;
+  }
+
+  /**
+   * Reads an optional text.
+   *
+   * @param key the key within this section
+   * @param absent the value if unset
+   * @return the text
+   */
+  public String text(String key, String absent) {
+    JsonNode node = take(key);
+    if (node == null) {
+      return absent;
+    }
+    if (!node.isTextual()) {
+      fault(key, "expected a text in quotes, got " + node);
+      return absent;
+    }
+    return node.textValue();
+  }
+
+  /**
+   * Reads a truth value.
+   *
+   * @param key the key within this section
+   * @param absent the value if unset
+   * @return the value
+   */
+  public boolean flag(String key, boolean absent) {
+    JsonNode node = take(key);
+    if (node == null) {
+      return absent;
+    }
+    if (!node.isBoolean()) {
+      fault(key, "expected true or false, got " + node);
+      return absent;
+    }
+    return node.booleanValue();
+  }
+
+  /**
+   * Reads a whole number.
+   *
+   * @param key the key within this section
+   * @param absent the value if unset
+   * @param min smallest accepted
+   * @param max largest accepted
+   * @return the number
+   */
+  public int integer(String key, int absent, int min, int max) {
+    JsonNode node = take(key);
+    if (node == null) {
+      return absent;
+    }
+    if (!node.isIntegralNumber()) {
+      fault(key, "expected a whole number, got " + node);
+      return absent;
+    }
+    if (!node.canConvertToInt() || node.intValue() < min || node.intValue() > max) {
+      fault(key, "expected a number from " + min + " to " + max + ", got " + node);
+      return absent;
+    }
+    return node.intValue();
+  }
+
+  /**
+   * Reads a number.
+   *
+   * @param key the key within this section
+   * @param absent the value if unset
+   * @param min smallest accepted
+   * @param max largest accepted
+   * @return the number
+   */
+  public double decimal(String key, double absent, double min, double max) {
+    JsonNode node = take(key);
+    if (node == null) {
+      return absent;
+    }
+    if (!node.isNumber()) {
+      fault(key, "expected a number, got " + node);
+      return absent;
+    }
+    double d = node.doubleValue();
+    if (!(d >= min && d <= max)) {
+      fault(key, "expected a number from " + min + " to " + max + ", got " + node);
+      return absent;
+    }
+    return d;
+  }
+
+  /**
+   * Reads a duration such as {@code "780ms"}, {@code "2s"}, {@code "5m"} or {@code "1h"}.
+   *
+   * @param key the key within this section
+   * @param absent the value if unset
+   * @param max longest accepted
+   * @return the duration, above zero unless absent
+   */
+  public Duration duration(String key, Duration absent, Duration max) {
+    JsonNode node = take(key);
+    if (node == null) {
+      return absent;
+    }
+    Matcher m = DURATION.matcher(node.isTextual() ? node.textValue() : "");
+    if (!m.matches()) {
+      fault(key, "expected a duration like \"780ms\", \"2s\", \"5m\" or \"1h\", got " + node);
+      return absent;
+    }
+    Duration d = unit(m.group(2)).multipliedBy(Long.parseLong(m.group(1)));
+    if (d.isZero() || d.compareTo(max) > 0) {
+      fault(key, "expected a duration above zero and at most " + max.toMillis() + "ms");
+      return absent;
+    }
+    return d;
+  }
+
+  private static Duration unit(String unit) {
+    return switch (unit) {
+      case "ms" -> Duration.ofMillis(1);
+      case "s" -> Duration.ofSeconds(1);
+      case "m" -> Duration.ofMinutes(1);
+      default -> Duration.ofHours(1);
+    };
+  }
+
+  /**
+   * Reads a list of texts.
+   *
+   * @param key the key within this section
+   * @return the texts; empty if unset
+   */
+  public List<String> texts(String key) {
+    List<String> result = new ArrayList<>();
+    JsonNode node = take(key);
+    if (node == null) {
+      return result;
+    }
+    if (!node.isArray()) {
+      fault(key, "expected a list of texts, got " + node);
+      return result;
+    }
+    for (JsonNode n : node) {
+      if (n.isTextual() && !n.textValue().isBlank()) {
+        result.add(n.textValue());
+      } else {
+        fault(key, "expected a list of texts, found " + n);
+      }
+    }
+    return result;
+  }
+
+  /**
+   * Reads a list of whole numbers.
+   *
+   * @param key the key within this section
+   * @param min smallest accepted
+   * @param max largest accepted
+   * @return the numbers; empty if unset
+   */
+  public List<Integer> integers(String key, int min, int max) {
+    List<Integer> result = new ArrayList<>();
+    JsonNode node = take(key);
+    if (node == null) {
+      return result;
+    }
+    if (!node.isArray()) {
+      fault(key, "expected a list of numbers, got " + node);
+      return result;
+    }
+    for (JsonNode n : node) {
+      if (n.isInt() && n.intValue() >= min && n.intValue() <= max) {
+        result.add(n.intValue());
+      } else {
+        fault(key, "expected numbers from " + min + " to " + max + ", found " + n);
+      }
+    }
+    return result;
+  }
+
+  /** Reports every key that no getter asked for, with a hint for a misspelt one. */
+  public void finish() {
+    for (String key : (Iterable<String>) table::fieldNames) {
+      if (!known.contains(key)) {
+        String hint = nearest(key);
+        fault(key, hint == null ? "unknown key" : "unknown key; did you mean '" + hint + "'?");
+      }
+    }
+  }
+
+  private @Nullable JsonNode take(String key) {
+    known.add(key);
+    return table.get(key);
+  }
+
+  private String fullKey(String key) {
+    return path.isEmpty() ? key : path + MergedSettings.SEPARATOR + key;
+  }
+
+  private @Nullable String nearest(String key) {
+    String best = null;
+    int bestDistance = MAX_HINT_DISTANCE + 1;
+    for (String k : known) {
+      int d = distance(key, k);
+      if (d < bestDistance) {
+        best = k;
+        bestDistance = d;
+      }
+    }
+    return best;
+  }
+
+  private static int distance(String a, String b) {
+    int[] row = new int[b.length() + 1];
+    for (int j = 0; j <= b.length(); j++) {
+      row[j] = j;
+    }
+    for (int i = 1; i <= a.length(); i++) {
+      int diagonal = row[0];
+      row[0] = i;
+      for (int j = 1; j <= b.length(); j++) {
+        int substitution = diagonal + (a.charAt(i - 1) == b.charAt(j - 1) ? 0 : 1);
+        diagonal = row[j];
+        row[j] = Math.min(substitution, 1 + Math.min(row[j], row[j - 1]));
+      }
+    }
+    return row[b.length()];
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/internal/HttpConfigSource.java
@@ -0,0 +1,53 @@
+package org.wigeonwharf.config.internal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.wigeonwharf.config.ConfigSource;
+import org.wigeonwharf.config.SettingsFile;
+import org.wigeonwharf.config.SettingsFolder;
+import org.wigeonwharf.platform.PlatformClient;
+
+/** An HttpConfigSource reads the platform's configuration service by long polls. */
+public final class HttpConfigSource implements ConfigSource {
+  private static final Duration SLACK = Duration.ofSeconds(2);
+
+  private final PlatformClient platform;
+
+  /**
+   * Creates a source.
+   *
+   * @param platform the configuration service
+   */
+  public HttpConfigSource(PlatformClient platform) {
+    this.platform = platform;
+  }
+
+  @Override
+  public Optional<Publish> watch(long heldRevision, Duration wait)
+      throws IOException, InterruptedException {
+    String path = "/v1/config?after=%d&wait_ms=%d".formatted(heldRevision, wait.toMillis());
+    Optional<JsonNode> document = platform.get(path, wait.plus(SLACK));
+    return document.isEmpty() ? Optional.empty() : Optional.of(parse(document.get()));
+  }
+
+  private static Publish parse(JsonNode root) throws IOException {
+    JsonNode revision = root.path("revision");
+    JsonNode list = root.path("files");
+    if (!revision.isIntegralNumber() || !list.isArray()) {
+      throw new IOException("the platform's answer is not a publish");
+    }
+    List<SettingsFile> files = new ArrayList<>();
+    for (JsonNode f : list) {
+      if (!f.path("name").isTextual() || !f.path("content").isTextual()) {
+        throw new IOException("the platform's answer has a broken file");
+      }
+      files.add(new SettingsFile(f.get("name").textValue(), f.get("content").textValue()));
+    }
+    files.sort(SettingsFolder.ORDER);
+    return new Publish(revision.longValue(), files);
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/internal/package-info.java
@@ -0,0 +1,5 @@
+/** Internals of the configuration slice. */
+@NullMarked
+package org.wigeonwharf.config.internal;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.wigeonwharf.ctl/src/main/java/org/wigeonwharf/ctl/Report.java
@@ -0,0 +1,58 @@
+package org.wigeonwharf.ctl;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Map;
+import org.wigeonwharf.config.Fault;
+
+/** A Report prints results for people, or as JSON for programs. */
+final class Report {
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private final PrintStream out;
+  private final PrintStream err;
+  private final boolean json;
+
+  Report(PrintStream out, PrintStream err, boolean json) {
+    this.out = out;
+    this.err = err;
+    this.json = json;
+  }
+
+  /** Prints faults and returns the exit code for them. */
+  int faults(List<Fault> faults) {
+    if (json) {
+      printJson(
+          Map.of(
+              "ok",
+              false,
+              "faults",
+              faults.stream()
+                  .map(f -> Map.of("file", f.file(), "place", f.place(), "reason", f.reason()))
+                  .toList()));
+    } else {
+      faults.forEach(f -> err.println(f));
+    }
+    return Main.EXIT_FAILURE;
+  }
+
+  /** Prints a result; the lines are for people, the value for programs. */
+  int result(List<String> lines, Object value) {
+    if (json) {
+      printJson(value);
+    } else {
+      lines.forEach(out::println);
+    }
+    return Main.EXIT_OK;
+  }
+
+  private void printJson(Object value) {
+    try {
+      out.println(JSON.writeValueAsString(value));
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("plain values always have a JSON form", e);
+    }
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.ctl/src/main/java/org/wigeonwharf/ctl/package-info.java
@@ -0,0 +1,5 @@
+/** The wigeonctl binary: checks settings folders and shows the state of routers. */
+@NullMarked
+package org.wigeonwharf.ctl;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.wigeonwharf.membership/src/main/java/org/wigeonwharf/membership/Rendezvous.java
@@ -0,0 +1,63 @@
+package org.wigeonwharf.membership;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.wigeonwharf.model.NodeId;
+
+/**
+ * Rendezvous spreads keys over nodes so that a node's coming or going moves only its own share.
+ *
+ * <p>Every process computes the same choice from the same set of nodes.
+ */
+public final class Rendezvous {
+  private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+  private static final long FNV_PRIME = 0x100000001b3L;
+
+  private Rendezvous() {}
+
+  /**
+   * Chooses the node of a key.
+   *
+   * @param key the key
+   * @param nodes the live nodes
+   * @return the choice, or empty if there are no nodes
+   */
+  public static Optional<NodeId> choose(String key, Collection<NodeId> nodes) {
+    return nodes.stream().max(order(key));
+  }
+
+  /**
+   * Ranks the nodes for a key.
+   *
+   * @param key the key
+   * @param nodes the live nodes
+   * @param count most nodes to return
+   * @return the first choices, best first
+   */
+  public static List<NodeId> rank(String key, Collection<NodeId> nodes, int count) {
+    return nodes.stream().sorted(order(key).reversed()).limit(count).toList();
+  }
+
+  private static Comparator<NodeId> order(String key) {
+    return Comparator.comparingLong((NodeId n) -> weight(key, n.name()))
+        .thenComparing(Comparator.naturalOrder());
+  }
+
+  private static long weight(String key, String node) {
+    long h = FNV_OFFSET;
+    for (byte b : (key + "|" + node).getBytes(StandardCharsets.UTF_8)) {
+      h = (h ^ (b & 0xff)) * FNV_PRIME;
+    }
+    return mix(h);
+  }
+
+  private static long mix(long h) {
+    long x = h;
+    x = (x ^ (x >>> 33)) * 0xff51afd7ed558ccdL;
+    x = (x ^ (x >>> 33)) * 0xc4ceb9fe1a85ec53L;
+    return x ^ (x >>> 33);
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.membership/src/main/java/org/wigeonwharf/membership/internal/HttpVmListSource.java
@@ -0,0 +1,56 @@
+package org.wigeonwharf.membership.internal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.wigeonwharf.membership.EntryVm;
+import org.wigeonwharf.membership.VmListSource;
+import org.wigeonwharf.model.Addresses;
+import org.wigeonwharf.model.FailureDomain;
+import org.wigeonwharf.platform.PlatformClient;
+
+/** An HttpVmListSource reads the VM list over HTTP. */
+public final class HttpVmListSource implements VmListSource {
+  private static final Duration TIMEOUT = Duration.ofSeconds(2);
+  private static final String PATH = "/v1/vms";
+  private static final String LEAVING = "leaving";
+
+  private final PlatformClient platform;
+
+  /**
+   * Creates a source.
+   *
+   * @param platform the VM list's service
+   */
+  public HttpVmListSource(PlatformClient platform) {
+    this.platform = platform;
+  }
+
+  @Override
+  public List<EntryVm> read() throws IOException, InterruptedException {
+    JsonNode list =
+        platform.get(PATH, TIMEOUT).orElseThrow(() -> new IOException("no VM list")).path("vms");
+    if (!list.isArray()) {
+      throw new IOException("the platform's answer is not a VM list");
+    }
+    List<EntryVm> vms = new ArrayList<>();
+    for (JsonNode row : list) {
+      vms.add(parse(row));
+    }
+    return vms;
+  }
+
+  private static EntryVm parse(JsonNode row) throws IOException {
+    try {
+      return new EntryVm(
+          row.path("name").asText(),
+          new FailureDomain(row.path("domain").asText()),
+          Addresses.parse(row.path("peer").asText()),
+          row.path("state").asText().equals(LEAVING));
+    } catch (IllegalArgumentException e) {
+      throw new IOException("the VM list has a broken row", e);
+    }
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.membership/src/main/java/org/wigeonwharf/membership/package-info.java
@@ -0,0 +1,5 @@
+/** Live entry VMs, heartbeats and rendezvous hashing. */
+@NullMarked
+package org.wigeonwharf.membership;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.wigeonwharf.model/src/main/java/org/wigeonwharf/model/Names.java
@@ -0,0 +1,12 @@
+package org.wigeonwharf.model;
+
+/** Names checks the spelling shared by all identifiers. */
+final class Names {
+  private Names() {}
+
+  static void requireName(String value, String what) {
+    if (value.isBlank()) {
+      throw new IllegalArgumentException("the name of a " + what + " is blank");
+    }
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.model/src/main/java/org/wigeonwharf/model/NodeId.java
@@ -0,0 +1,28 @@
+package org.wigeonwharf.model;
+
+/**
+ * A NodeId names one incarnation of a router process on an entry VM.
+ *
+ * <p>A process that restarts on the same entry VM has the same name and a new incarnation, so that
+ * messages, leases and idempotency keys of the old process never count as the new one's.
+ *
+ * @param name the entry VM's name
+ * @param incarnation a random positive number drawn when the process starts
+ */
+public record NodeId(String name, long incarnation) implements Comparable<NodeId> {
+  /** Checks the name. */
+  public NodeId {
+    Names.requireName(name, "entry VM");
+  }
+
+  @Override
+  public int compareTo(NodeId other) {
+    int c = name.compareTo(other.name);
+    return c != 0 ? c : Long.compare(incarnation, other.incarnation);
+  }
+
+  @Override
+  public String toString() {
+    return name + "#" + Long.toHexString(incarnation);
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.model/src/main/java/org/wigeonwharf/model/package-info.java
@@ -0,0 +1,5 @@
+/** Shared vocabulary: identifiers, tiers, verdicts and the clock. */
+@NullMarked
+package org.wigeonwharf.model;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.wigeonwharf.peer/src/main/java/org/wigeonwharf/peer/internal/Links.java
@@ -0,0 +1,81 @@
+package org.wigeonwharf.peer.internal;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.channel.Channel;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.jspecify.annotations.Nullable;
+import org.wigeonwharf.model.NodeId;
+import org.wigeonwharf.peer.Peer;
+import org.wigeonwharf.peer.PeerHandler;
+import org.wigeonwharf.peer.PeerListener;
+import org.wigeonwharf.peer.Topic;
+
+/** Links keeps the open connections of each peer, newest first. */
+final class Links {
+  private final Map<Topic, PeerHandler> handlers = new EnumMap<>(Topic.class);
+  private final List<PeerListener> listeners = new CopyOnWriteArrayList<>();
+  private final Map<NodeId, Deque<Channel>> channels = new HashMap<>();
+  private final Map<NodeId, Peer> peers = new HashMap<>();
+
+  void handle(Topic topic, PeerHandler handler) {
+    handlers.put(topic, handler);
+  }
+
+  void listen(PeerListener listener) {
+    listeners.add(listener);
+  }
+
+  void opened(Peer peer, Channel channel) {
+    synchronized (this) {
+      Deque<Channel> open = channels.computeIfAbsent(peer.node(), n -> new ArrayDeque<>());
+      open.addFirst(channel);
+      peers.put(peer.node(), peer);
+      if (open.size() > 1) {
+        return;
+      }
+    }
+    listeners.forEach(l -> l.peerUp(peer));
+  }
+
+  void closed(Peer peer, Channel channel) {
+    synchronized (this) {
+      Deque<Channel> open = channels.get(peer.node());
+      if (open == null || !open.remove(channel) || !open.isEmpty()) {
+        return;
+      }
+      channels.remove(peer.node());
+      peers.remove(peer.node());
+    }
+    listeners.forEach(l -> l.peerDown(peer));
+  }
+
+  synchronized @Nullable Channel find(NodeId node) {
+    Deque<Channel> open = channels.get(node);
+    return open == null ? null : open.peekFirst();
+  }
+
+  synchronized boolean isConnectedTo(InetSocketAddress address) {
+    return peers.values().stream().anyMatch(p -> p.address().equals(address));
+  }
+
+  synchronized Collection<Peer> peers() {
+    return new ArrayList<>(peers.values());
+  }
+
+  void dispatch(Peer from, int topicNumber, byte[] body) throws InvalidProtocolBufferException {
+    Topic topic = Topic.fromNumber(topicNumber);
+    PeerHandler handler = topic == null ? null : handlers.get(topic);
+    if (handler != null) {
+      handler.received(from, body);
+    }
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.peer/src/main/java/org/wigeonwharf/peer/internal/PeerChannelHandler.java
@@ -0,0 +1,160 @@
+package org.wigeonwharf.peer.internal;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.wigeonwharf.model.Addresses;
+import org.wigeonwharf.model.FailureDomain;
+import org.wigeonwharf.model.NodeId;
+import org.wigeonwharf.peer.FleetSecret;
+import org.wigeonwharf.peer.Peer;
+import org.wigeonwharf.peer.wire.Frame;
+import org.wigeonwharf.peer.wire.Hello;
+import org.wigeonwharf.peer.wire.Packet;
+import org.wigeonwharf.peer.wire.Proof;
+
+/** Authenticates one connection, then passes its packets on. */
+final class PeerChannelHandler extends SimpleChannelInboundHandler<Frame> {
+  private static final Logger LOG = LoggerFactory.getLogger(PeerChannelHandler.class);
+  private static final int NONCE_BYTES = 16;
+  private static final byte[] DIALER = {1};
+  private static final byte[] ACCEPTOR = {2};
+  private static final SecureRandom RANDOM = new SecureRandom();
+
+  private final Links links;
+  private final Peer self;
+  private final FleetSecret secret;
+  private final boolean dialed;
+
+  private @Nullable Hello ownHello;
+  private @Nullable Hello otherHello;
+  private @Nullable Peer peer;
+
+  PeerChannelHandler(Links links, Peer self, FleetSecret secret, boolean dialed) {
+    this.links = links;
+    this.self = self;
+    this.secret = secret;
+    this.dialed = dialed;
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext ctx) {
+    byte[] nonce = new byte[NONCE_BYTES];
+    RANDOM.nextBytes(nonce);
+    Hello hello =
+        Hello.newBuilder()
+            .setNodeName(self.node().name())
+            .setIncarnation(self.node().incarnation())
+            .setFailureDomain(self.domain().value())
+            .setPeerAddress(Addresses.format(self.address()))
+            .setNonce(ByteString.copyFrom(nonce))
+            .build();
+    ownHello = hello;
+    ctx.writeAndFlush(Frame.newBuilder().setHello(hello).build());
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext ctx, Frame frame) {
+    switch (frame.getKindCase()) {
+      case HELLO -> receiveHello(ctx, frame.getHello());
+      case PROOF -> receiveProof(ctx, frame.getProof());
+      case PACKET -> receivePacket(ctx, frame.getPacket());
+      default -> reject(ctx, "empty frame");
+    }
+  }
+
+  private void receiveHello(ChannelHandlerContext ctx, Hello hello) {
+    if (otherHello != null || ownHello == null) {
+      reject(ctx, "second hello");
+      return;
+    }
+    if (hello.getNonce().size() != NONCE_BYTES) {
+      reject(ctx, "bad nonce");
+      return;
+    }
+    otherHello = hello;
+    byte[] mac = secret.sign(hello.getNonce().toByteArray(), role(dialed), ownHello.toByteArray());
+    ctx.writeAndFlush(
+        Frame.newBuilder().setProof(Proof.newBuilder().setMac(ByteString.copyFrom(mac))).build());
+  }
+
+  private void receiveProof(ChannelHandlerContext ctx, Proof proof) {
+    if (otherHello == null || ownHello == null || peer != null) {
+      reject(ctx, "proof out of order");
+      return;
+    }
+    boolean known =
+        secret.verify(
+            proof.getMac().toByteArray(),
+            ownHello.getNonce().toByteArray(),
+            role(!dialed),
+            otherHello.toByteArray());
+    if (!known) {
+      reject(ctx, "wrong fleet secret");
+      return;
+    }
+    Peer p = toPeer(otherHello);
+    if (p == null) {
+      reject(ctx, "bad hello");
+      return;
+    }
+    peer = p;
+    links.opened(p, ctx.channel());
+  }
+
+  private static @Nullable Peer toPeer(Hello hello) {
+    try {
+      InetSocketAddress address = Addresses.parse(hello.getPeerAddress());
+      return new Peer(
+          new NodeId(hello.getNodeName(), hello.getIncarnation()),
+          new FailureDomain(hello.getFailureDomain()),
+          address);
+    } catch (IllegalArgumentException e) {
+      return null;
+    }
+  }
+
+  private void receivePacket(ChannelHandlerContext ctx, Packet packet) {
+    if (peer == null) {
+      reject(ctx, "packet before proof");
+      return;
+    }
+    try {
+      links.dispatch(peer, packet.getTopic(), packet.getBody().toByteArray());
+    } catch (InvalidProtocolBufferException e) {
+      reject(ctx, "unreadable packet");
+    }
+  }
+
+  private void reject(ChannelHandlerContext ctx, String reason) {
+    LOG.atWarn()
+        .addKeyValue("event", "peer.rejected")
+        .addKeyValue("remote", String.valueOf(ctx.channel().remoteAddress()))
+        .addKeyValue("reason", reason)
+        .log("peer connection rejected");
+    ctx.close();
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    if (peer != null) {
+      links.closed(peer, ctx.channel());
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    LOG.atDebug().setCause(cause).addKeyValue("event", "peer.failed").log("connection failed");
+    ctx.close();
+  }
+
+  private static byte[] role(boolean dialer) {
+    return dialer ? DIALER : ACCEPTOR;
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/RelayHeaders.java
@@ -0,0 +1,27 @@
+package org.wigeonwharf.relay;
+
+/** RelayHeaders names the HTTP headers that the router reads and writes. */
+public final class RelayHeaders {
+  /** Response: the request's id, for logs and support. */
+  public static final String REQUEST_ID = "Wigeonwharf-Request-Id";
+
+  /** Request: the wanted service class. Response: the class used. */
+  public static final String SERVICE_CLASS = "Wigeonwharf-Class";
+
+  /** Request: the wanted model service. */
+  public static final String SERVICE = "Wigeonwharf-Service";
+
+  /** Request: {@code false} marks work that must run at most once. */
+  public static final String REPEATABLE = "Wigeonwharf-Repeatable";
+
+  /** Response: the backend server that answered. */
+  public static final String SERVER = "Wigeonwharf-Server";
+
+  /** Response: whether the request may have run. */
+  public static final String VERDICT = "Wigeonwharf-Verdict";
+
+  /** Request: a key issued by a router, for safe retries of unrepeatable work. */
+  public static final String IDEMPOTENCY_KEY = "Idempotency-Key";
+
+  private RelayHeaders() {}
+}
--- /dev/null
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/RequestClassifier.java
@@ -0,0 +1,148 @@
+package org.wigeonwharf.relay;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.wigeonwharf.config.AccountSpec;
+import org.wigeonwharf.config.ClassSpec;
+import org.wigeonwharf.config.PathRule;
+import org.wigeonwharf.config.PublishedConfig;
+import org.wigeonwharf.config.ServiceKind;
+import org.wigeonwharf.config.ServiceSpec;
+import org.wigeonwharf.model.ClassId;
+import org.wigeonwharf.model.ServiceId;
+
+/**
+ * A RequestClassifier finds a request's account, service, class and repeatability.
+ *
+ * <p>The class comes from the header, else the first matching path rule, else the account. A
+ * request is repeatable only if neither the header, nor the path rule, nor (where both are silent)
+ * the account says otherwise: no header can make work repeatable that the operators marked
+ * unrepeatable.
+ */
+public final class RequestClassifier {
+  /** Path of chat completions, for model services. */
+  public static final String CHAT_PATH = "/v1/chat/completions";
+
+  /** Start of the paths of named services. */
+  public static final String SERVICES_PREFIX = "/v1/services/";
+
+  private static final int NAME_AND_REST = 2;
+
+  private final PublishedConfig config;
+  private final CallerAuthenticator authenticator;
+
+  /**
+   * A Head is the part of a caller's request that classification needs.
+   *
+   * @param method the HTTP method, upper case
+   * @param path the decoded path
+   * @param query the raw query, or null
+   * @param authorization the Authorization header, or null
+   * @param service the service header, or null
+   * @param serviceClass the class header, or null
+   * @param repeatable the repeatability header, or null
+   */
+  public record Head(
+      String method,
+      String path,
+      @Nullable String query,
+      @Nullable String authorization,
+      @Nullable String service,
+      @Nullable String serviceClass,
+      @Nullable String repeatable) {}
+
+  /**
+   * Creates a classifier for one configuration.
+   *
+   * @param config the configuration in force
+   */
+  public RequestClassifier(PublishedConfig config) {
+    this.config = config;
+    this.authenticator = new CallerAuthenticator(config);
+  }
+
+  /**
+   * Classifies a request.
+   *
+   * @param head the request's head
+   * @return its traits, or the problem to answer with
+   */
+  public Either<Problem, RequestTraits> classify(Head head) {
+    Optional<AccountSpec> account = authenticator.authenticate(head.authorization());
+    if (account.isEmpty()) {
+      return problem(401, "unauthenticated", "The bearer token is missing or unknown.");
+    }
+    if (head.path().equals(CHAT_PATH)) {
+      return chatService(head)
+          .flatMap(s -> traits(head, account.get(), s, withQuery(CHAT_PATH, head), CHAT_PATH));
+    }
+    if (head.path().startsWith(SERVICES_PREFIX)) {
+      String[] parts = head.path().substring(SERVICES_PREFIX.length()).split("/", NAME_AND_REST);
+      String rest = parts.length < NAME_AND_REST ? "/" : "/" + parts[1];
+      return service(parts[0])
+          .flatMap(s -> traits(head, account.get(), s, withQuery(rest, head), rest));
+    }
+    return problem(404, "unknown-path", "No such path.");
+  }
+
+  private static String withQuery(String path, Head head) {
+    return head.query() == null ? path : path + "?" + head.query();
+  }
+
+  private Either<Problem, ServiceSpec> chatService(Head head) {
+    if (!head.method().equals("POST")) {
+      return problem(405, "method", "Chat completions take POST.");
+    }
+    if (head.service() != null) {
+      return service(head.service());
+    }
+    List<ServiceSpec> models =
+        config.services().values().stream().filter(s -> s.kind() == ServiceKind.MODEL).toList();
+    if (models.size() == 1) {
+      return Either.right(models.get(0));
+    }
+    return problem(400, "service", "Name the service in the " + RelayHeaders.SERVICE + " header.");
+  }
+
+  private Either<Problem, ServiceSpec> service(String name) {
+    ServiceSpec s = name.isBlank() ? null : config.services().get(new ServiceId(name));
+    return s == null ? problem(404, "unknown-service", "No such service.") : Either.right(s);
+  }
+
+  private Either<Problem, RequestTraits> traits(
+      Head head, AccountSpec account, ServiceSpec service, String backendPath, String rulePath) {
+    Optional<PathRule> rule =
+        service.paths().stream().filter(p -> p.matches(head.method(), rulePath)).findFirst();
+    ClassId wanted = wantedClass(head, rule, account);
+    ClassSpec spec = config.classes().get(wanted);
+    if (spec == null) {
+      return problem(400, "unknown-class", "No such service class.");
+    }
+    if (!account.classes().contains(wanted)) {
+      return problem(403, "class-not-allowed", "The client account may not use this class.");
+    }
+    String header = head.repeatable();
+    if (header != null && !header.equals("true") && !header.equals("false")) {
+      return problem(400, "repeatable", RelayHeaders.REPEATABLE + " takes true or false.");
+    }
+    boolean byHeader = header == null || header.equals("true");
+    boolean byRule = rule.map(PathRule::repeatable).orElse(true);
+    boolean byAccount = header != null || rule.isPresent() || account.repeatable();
+    return Either.right(
+        new RequestTraits(account, service, spec, backendPath, byHeader && byRule && byAccount));
+  }
+
+  private static ClassId wantedClass(Head head, Optional<PathRule> rule, AccountSpec account) {
+    if (head.serviceClass() != null && !head.serviceClass().isBlank()) {
+      return new ClassId(head.serviceClass());
+    }
+    ClassId byRule = rule.map(PathRule::serviceClass).orElse(null);
+    return byRule != null ? byRule : account.defaultClass();
+  }
+
+  private static <T> Either<Problem, T> problem(int status, String reason, String detail) {
+    return Either.left(Problem.badRequest(status, reason, detail));
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/AnswerPump.java
@@ -0,0 +1,79 @@
+package org.wigeonwharf.relay.internal;
+
+import java.nio.ByteBuffer;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.Callback;
+
+/**
+ * An AnswerPump copies an answer's content to the caller, one chunk at a time.
+ *
+ * <p>It reads the next chunk only after the caller's connection took the last one, so that a slow
+ * caller holds back its own stream and no memory piles up.
+ */
+final class AnswerPump {
+  /** Hears the chunks and the end of the copy. */
+  interface Listener {
+    /** A chunk with content is about to be forwarded; the buffer must not be consumed. */
+    void chunk(ByteBuffer content);
+
+    /** All content came and framing says that it is whole; nothing was yet ended at the caller. */
+    void complete();
+
+    /** The backend server's content broke off. */
+    void upstreamFailed(Throwable cause);
+
+    /** The caller's connection failed. */
+    void callerFailed(Throwable cause);
+  }
+
+  private final Content.Source source;
+  private final Response caller;
+  private final Listener listener;
+
+  AnswerPump(Content.Source source, Response caller, Listener listener) {
+    this.source = source;
+    this.caller = caller;
+    this.listener = listener;
+  }
+
+  void pump() {
+    Content.Chunk chunk = source.read();
+    if (chunk == null) {
+      source.demand(this::pump);
+      return;
+    }
+    if (Content.Chunk.isFailure(chunk)) {
+      listener.upstreamFailed(chunk.getFailure());
+      return;
+    }
+    ByteBuffer content = chunk.getByteBuffer();
+    boolean last = chunk.isLast();
+    if (!BufferUtil.hasContent(content)) {
+      chunk.release();
+      advance(last);
+      return;
+    }
+    listener.chunk(content.asReadOnlyBuffer());
+    caller.write(false, content, Callback.from(() -> wrote(chunk, last), t -> failed(chunk, t)));
+  }
+
+  private void wrote(Content.Chunk chunk, boolean last) {
+    chunk.release();
+    advance(last);
+  }
+
+  private void failed(Content.Chunk chunk, Throwable cause) {
+    chunk.release();
+    listener.callerFailed(cause);
+  }
+
+  private void advance(boolean last) {
+    if (last) {
+      listener.complete();
+    } else {
+      source.demand(this::pump);
+    }
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/CallerExchange.java
@@ -0,0 +1,80 @@
+package org.wigeonwharf.relay.internal;
+
+import java.nio.ByteBuffer;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.wigeonwharf.model.RequestId;
+import org.wigeonwharf.model.Verdict;
+import org.wigeonwharf.relay.Problem;
+import org.wigeonwharf.relay.RelayHeaders;
+
+/**
+ * A CallerExchange is the caller's side of one request: its HTTP request, response and callback.
+ */
+final class CallerExchange {
+  private static final long MILLIS_PER_SECOND = 1_000;
+
+  private final Request request;
+  private final Response response;
+  private final Callback callback;
+  private final RequestId id;
+
+  CallerExchange(Request request, Response response, Callback callback, RequestId id) {
+    this.request = request;
+    this.response = response;
+    this.callback = callback;
+    this.id = id;
+  }
+
+  RequestId id() {
+    return id;
+  }
+
+  Request request() {
+    return request;
+  }
+
+  Response response() {
+    return response;
+  }
+
+  Callback callback() {
+    return callback;
+  }
+
+  /** Copies an answer's head, without the fields that belong to the backend connection. */
+  void head(int status, HttpFields fields, String serviceClass, String server) {
+    response.setStatus(status);
+    for (HttpField f : fields) {
+      if (!HopByHop.contains(f)) {
+        response.getHeaders().add(f);
+      }
+    }
+    HttpField length = fields.getField(HttpHeader.CONTENT_LENGTH);
+    if (length != null) {
+      response.getHeaders().put(length);
+    }
+    response.getHeaders().put(RelayHeaders.REQUEST_ID, id.toString());
+    response.getHeaders().put(RelayHeaders.SERVICE_CLASS, serviceClass);
+    response.getHeaders().put(RelayHeaders.SERVER, server);
+    response.getHeaders().put(RelayHeaders.VERDICT, Verdict.RAN.wireName());
+  }
+
+  /** Answers with a problem; only possible while nothing was sent. */
+  void problem(Problem p) {
+    response.reset();
+    response.setStatus(p.status());
+    response.getHeaders().put(HttpHeader.CONTENT_TYPE, Problem.MEDIA_TYPE);
+    response.getHeaders().put(RelayHeaders.REQUEST_ID, id.toString());
+    response.getHeaders().put(RelayHeaders.VERDICT, p.verdict().wireName());
+    if (p.retryAfterMillis() > 0) {
+      long seconds = (p.retryAfterMillis() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
+      response.getHeaders().put(HttpHeader.RETRY_AFTER, Long.toString(seconds));
+    }
+    response.write(true, ByteBuffer.wrap(p.toJson(id.toString())), callback);
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.router.test/src/test/java/org/wigeonwharf/router/DemoProcessTest.java
@@ -0,0 +1,36 @@
+package org.wigeonwharf.router;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.wigeonwharf.standin.fleet.DemoFleet;
+import org.wigeonwharf.standin.fleet.Fleet;
+
+class DemoProcessTest {
+  private static final Path CONFIG = Path.of("..", "demo", "config");
+
+  @Test
+  void streamedQuestionIsServedFromEndToEndBySeparateProcesses() throws Exception {
+    try (DemoFleet demo = new DemoFleet(CONFIG)) {
+      HttpResponse<String> r = ask(demo.callers("vm3"));
+      assertEquals(200, r.statusCode(), r.body());
+      assertEquals("ran", r.headers().firstValue("Wigeonwharf-Verdict").orElse(""));
+      assertTrue(r.body().endsWith("data: [DONE]\n\n"), r.body());
+    }
+  }
+
+  private static HttpResponse<String> ask(InetSocketAddress router) throws Exception {
+    HttpRequest request =
+        HttpRequest.newBuilder(Fleet.uri(router, "/v1/chat/completions"))
+            .header("Authorization", "Bearer demo-theatre-royal")
+            .POST(HttpRequest.BodyPublishers.ofString("{\"max_tokens\":5,\"stream\":true}"))
+            .build();
+    return HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString());
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.router/src/gen/java/org/wigeonwharf/router/DaggerRouterComponent.java
@@ -0,0 +1,120 @@
+package org.wigeonwharf.router;
+
+import com.codahale.metrics.MetricRegistry;
+import dagger.internal.DaggerGenerated;
+import dagger.internal.DoubleCheck;
+import dagger.internal.InstanceFactory;
+import dagger.internal.Preconditions;
+import dagger.internal.Provider;
+import javax.annotation.processing.Generated;
+import org.eclipse.jetty.client.HttpClient;
+import org.wigeonwharf.config.ConfigService;
+import org.wigeonwharf.config.ConfigSource;
+import org.wigeonwharf.config.ConfigStore;
+import org.wigeonwharf.membership.MembershipService;
+import org.wigeonwharf.membership.VmListSource;
+import org.wigeonwharf.model.Clock;
+import org.wigeonwharf.model.NodeId;
+import org.wigeonwharf.peer.PeerTransport;
+import org.wigeonwharf.relay.RelayService;
+import org.wigeonwharf.router.internal.OperatorService;
+import org.wigeonwharf.router.internal.StateDump;
+import org.wigeonwharf.schedule.ScheduleService;
+
+@DaggerGenerated
+@Generated(
+    value = "dagger.internal.codegen.ComponentProcessor",
+    comments = "https://dagger.dev"
+)
+@SuppressWarnings({
+    "unchecked",
+    "rawtypes",
+    "KotlinInternal",
+    "KotlinInternalInJava",
+    "cast",
+    "deprecation",
+    "nullness:initialization.field.uninitialized"
+})
+public final class DaggerRouterComponent {
+  private DaggerRouterComponent() {
+  }
+
+  public static RouterComponent.Factory factory() {
+    return new Factory();
+  }
+
+  private static final class Factory implements RouterComponent.Factory {
+    @Override
+    public RouterComponent create(RouterSettings settings) {
+      Preconditions.checkNotNull(settings);
+      return new RouterComponentImpl(settings);
+    }
+  }
+
+  private static final class RouterComponentImpl implements RouterComponent {
+    private final RouterComponentImpl routerComponentImpl = this;
+
+    Provider<RouterSettings> settingsProvider;
+
+    Provider<HttpClient> platformHttpProvider;
+
+    Provider<NodeId> nodeIdProvider;
+
+    Provider<PeerTransport> transportProvider;
+
+    Provider<ConfigStore> configStoreProvider;
+
+    Provider<ConfigSource> configSourceProvider;
+
+    Provider<Clock> clockProvider;
+
+    Provider<ConfigService> configServiceProvider;
+
+    Provider<VmListSource> vmListSourceProvider;
+
+    Provider<MembershipService> membershipProvider;
+
+    Provider<ScheduleService> scheduleProvider;
+
+    Provider<RelayService> relayProvider;
+
+    Provider<StateDump> stateDumpProvider;
+
+    Provider<MetricRegistry> metricsProvider;
+
+    Provider<OperatorService> operatorProvider;
+
+    Provider<Router> routerProvider;
+
+    RouterComponentImpl(RouterSettings settingsParam) {
+
+      initialize(settingsParam);
+
+    }
+
+    @SuppressWarnings("unchecked")
+    private void initialize(final RouterSettings settingsParam) {
+      this.settingsProvider = InstanceFactory.create(settingsParam);
+      this.platformHttpProvider = DoubleCheck.provider(RouterModule_PlatformHttpFactory.create());
+      this.nodeIdProvider = DoubleCheck.provider(RouterModule_NodeIdFactory.create(settingsProvider));
+      this.transportProvider = DoubleCheck.provider(RouterModule_TransportFactory.create(settingsProvider, nodeIdProvider));
+      this.configStoreProvider = DoubleCheck.provider(RouterModule_ConfigStoreFactory.create());
+      this.configSourceProvider = DoubleCheck.provider(RouterModule_ConfigSourceFactory.create(settingsProvider, platformHttpProvider));
+      this.clockProvider = DoubleCheck.provider(RouterModule_ClockFactory.create());
+      this.configServiceProvider = DoubleCheck.provider(RouterModule_ConfigServiceFactory.create(configStoreProvider, configSourceProvider, clockProvider));
+      this.vmListSourceProvider = DoubleCheck.provider(RouterModule_VmListSourceFactory.create(settingsProvider, platformHttpProvider));
+      this.membershipProvider = DoubleCheck.provider(RouterModule_MembershipFactory.create(transportProvider, vmListSourceProvider, configStoreProvider, configServiceProvider, clockProvider));
+      this.scheduleProvider = DoubleCheck.provider(RouterModule_ScheduleFactory.create(nodeIdProvider, transportProvider, membershipProvider, configStoreProvider, clockProvider));
+      this.relayProvider = DoubleCheck.provider(RouterModule_RelayFactory.create(settingsProvider, nodeIdProvider, configStoreProvider, scheduleProvider, clockProvider));
+      this.stateDumpProvider = DoubleCheck.provider(RouterModule_StateDumpFactory.create(nodeIdProvider, settingsProvider, configStoreProvider, configServiceProvider, membershipProvider, scheduleProvider, relayProvider));
+      this.metricsProvider = DoubleCheck.provider(RouterModule_MetricsFactory.create());
+      this.operatorProvider = DoubleCheck.provider(RouterModule_OperatorFactory.create(settingsProvider, stateDumpProvider, metricsProvider));
+      this.routerProvider = DoubleCheck.provider(RouterModule_RouterFactory.create(settingsProvider, platformHttpProvider, transportProvider, configStoreProvider, configServiceProvider, membershipProvider, scheduleProvider, relayProvider, operatorProvider));
+    }
+
+    @Override
+    public Router router() {
+      return routerProvider.get();
+    }
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.router/src/gen/java/org/wigeonwharf/router/RouterModule_RouterFactory.java
@@ -0,0 +1,89 @@
+package org.wigeonwharf.router;
+
+import dagger.internal.DaggerGenerated;
+import dagger.internal.Factory;
+import dagger.internal.Preconditions;
+import dagger.internal.Provider;
+import dagger.internal.QualifierMetadata;
+import dagger.internal.ScopeMetadata;
+import javax.annotation.processing.Generated;
+import org.eclipse.jetty.client.HttpClient;
+import org.wigeonwharf.config.ConfigService;
+import org.wigeonwharf.config.ConfigStore;
+import org.wigeonwharf.membership.MembershipService;
+import org.wigeonwharf.peer.PeerTransport;
+import org.wigeonwharf.relay.RelayService;
+import org.wigeonwharf.router.internal.OperatorService;
+import org.wigeonwharf.schedule.ScheduleService;
+
+@ScopeMetadata("jakarta.inject.Singleton")
+@QualifierMetadata("jakarta.inject.Named")
+@DaggerGenerated
+@Generated(
+    value = "dagger.internal.codegen.ComponentProcessor",
+    comments = "https://dagger.dev"
+)
+@SuppressWarnings({
+    "unchecked",
+    "rawtypes",
+    "KotlinInternal",
+    "KotlinInternalInJava",
+    "cast",
+    "deprecation",
+    "nullness:initialization.field.uninitialized"
+})
+public final class RouterModule_RouterFactory implements Factory<Router> {
+  private final Provider<RouterSettings> settingsProvider;
+
+  private final Provider<HttpClient> platformHttpProvider;
+
+  private final Provider<PeerTransport> transportProvider;
+
+  private final Provider<ConfigStore> storeProvider;
+
+  private final Provider<ConfigService> configProvider;
+
+  private final Provider<MembershipService> membershipProvider;
+
+  private final Provider<ScheduleService> scheduleProvider;
+
+  private final Provider<RelayService> relayProvider;
+
+  private final Provider<OperatorService> operatorProvider;
+
+  private RouterModule_RouterFactory(Provider<RouterSettings> settingsProvider,
+      Provider<HttpClient> platformHttpProvider, Provider<PeerTransport> transportProvider,
+      Provider<ConfigStore> storeProvider, Provider<ConfigService> configProvider,
+      Provider<MembershipService> membershipProvider, Provider<ScheduleService> scheduleProvider,
+      Provider<RelayService> relayProvider, Provider<OperatorService> operatorProvider) {
+    this.settingsProvider = settingsProvider;
+    this.platformHttpProvider = platformHttpProvider;
+    this.transportProvider = transportProvider;
+    this.storeProvider = storeProvider;
+    this.configProvider = configProvider;
+    this.membershipProvider = membershipProvider;
+    this.scheduleProvider = scheduleProvider;
+    this.relayProvider = relayProvider;
+    this.operatorProvider = operatorProvider;
+  }
+
+  @Override
+  public Router get() {
+    return router(settingsProvider.get(), platformHttpProvider.get(), transportProvider.get(), storeProvider.get(), configProvider.get(), membershipProvider.get(), scheduleProvider.get(), relayProvider.get(), operatorProvider.get());
+  }
+
+  public static RouterModule_RouterFactory create(Provider<RouterSettings> settingsProvider,
+      Provider<HttpClient> platformHttpProvider, Provider<PeerTransport> transportProvider,
+      Provider<ConfigStore> storeProvider, Provider<ConfigService> configProvider,
+      Provider<MembershipService> membershipProvider, Provider<ScheduleService> scheduleProvider,
+      Provider<RelayService> relayProvider, Provider<OperatorService> operatorProvider) {
+    return new RouterModule_RouterFactory(settingsProvider, platformHttpProvider, transportProvider, storeProvider, configProvider, membershipProvider, scheduleProvider, relayProvider, operatorProvider);
+  }
+
+  public static Router router(RouterSettings settings, HttpClient platformHttp,
+      PeerTransport transport, ConfigStore store, ConfigService config,
+      MembershipService membership, ScheduleService schedule, RelayService relay,
+      OperatorService operator) {
+    return Preconditions.checkNotNullFromProvides(RouterModule.router(settings, platformHttp, transport, store, config, membership, schedule, relay, operator));
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/Main.java
@@ -0,0 +1,122 @@
+package org.wigeonwharf.router;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.apache.commons.cli.help.HelpFormatter;
+import org.apache.commons.cli.help.TextHelpAppendable;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.wigeonwharf.config.Fault;
+
+/** Main is the command line of the wigeonwharf binary. */
+public final class Main {
+  private static final int EXIT_OK = 0;
+  private static final int EXIT_FAILURE = 1;
+  private static final int EXIT_USAGE = 2;
+  private static final Logger LOG = LoggerFactory.getLogger(Main.class);
+
+  private Main() {}
+
+  /**
+   * Runs a router until the process is told to end.
+   *
+   * @param args the command line
+   */
+  public static void main(String[] args) {
+    System.exit(run(args, System.out, System.err));
+  }
+
+  static int run(String[] args, PrintStream out, PrintStream err) {
+    Options options = options();
+    CommandLine line;
+    try {
+      line = new DefaultParser().parse(options, args);
+    } catch (ParseException e) {
+      err.println("wigeonwharf: " + e.getMessage());
+      return EXIT_USAGE;
+    }
+    if (line.hasOption("help")) {
+      return printHelp(options, out);
+    }
+    if (line.hasOption("version")) {
+      out.println("wigeonwharf " + version());
+      return EXIT_OK;
+    }
+    String file = line.getOptionValue("settings");
+    if (file == null || !line.getArgList().isEmpty()) {
+      err.println("wigeonwharf: --settings FILE is required; see --help");
+      return EXIT_USAGE;
+    }
+    return serve(Path.of(file), err);
+  }
+
+  private static Options options() {
+    return new Options()
+        .addOption(
+            Option.builder()
+                .longOpt("settings")
+                .hasArg()
+                .argName("FILE")
+                .desc("process settings (TOML)")
+                .get())
+        .addOption(Option.builder().longOpt("help").desc("print this help").get())
+        .addOption(Option.builder().longOpt("version").desc("print the version").get());
+  }
+
+  private static int printHelp(Options options, PrintStream out) {
+    try {
+      StringBuilder text = new StringBuilder();
+      var formatter =
+          HelpFormatter.builder()
+              .setShowSince(false)
+              .setHelpAppendable(new TextHelpAppendable(text))
+              .get();
+      formatter.printHelp("wigeonwharf --settings FILE", "Runs one router.", options, "", false);
+      out.print(text);
+      return EXIT_OK;
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private static String version() {
+    @Nullable String v = Main.class.getPackage().getImplementationVersion();
+    return v == null ? "development" : v;
+  }
+
+  private static int serve(Path file, PrintStream err) {
+    Either<List<Fault>, RouterSettings> settings = RouterSettings.read(file);
+    if (settings.isLeft()) {
+      settings.getLeft().forEach(f -> err.println(f));
+      return EXIT_FAILURE;
+    }
+    Router router = DaggerRouterComponent.factory().create(settings.get()).router();
+    CountDownLatch ended = new CountDownLatch(1);
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(router, ended), "shutdown"));
+    try {
+      router.start();
+      ended.await();
+      return EXIT_OK;
+    } catch (Exception e) {
+      LOG.atError().setCause(e).addKeyValue("event", "router.start.failed").log("can't start");
+      err.println("wigeonwharf: can't start: " + e.getMessage());
+      return EXIT_FAILURE;
+    }
+  }
+
+  private static void stop(Router router, CountDownLatch ended) {
+    router.stop();
+    ended.countDown();
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/RouterModule.java
@@ -0,0 +1,159 @@
+package org.wigeonwharf.router;
+
+import com.codahale.metrics.MetricRegistry;
+import dagger.Module;
+import dagger.Provides;
+import jakarta.inject.Named;
+import jakarta.inject.Singleton;
+import java.security.SecureRandom;
+import org.eclipse.jetty.client.HttpClient;
+import org.wigeonwharf.config.ConfigService;
+import org.wigeonwharf.config.ConfigSource;
+import org.wigeonwharf.config.ConfigStore;
+import org.wigeonwharf.config.internal.HttpConfigSource;
+import org.wigeonwharf.membership.MembershipService;
+import org.wigeonwharf.membership.VmListSource;
+import org.wigeonwharf.membership.internal.HttpVmListSource;
+import org.wigeonwharf.model.Clock;
+import org.wigeonwharf.model.NodeId;
+import org.wigeonwharf.peer.PeerTransport;
+import org.wigeonwharf.peer.internal.NettyPeerTransport;
+import org.wigeonwharf.platform.PlatformClient;
+import org.wigeonwharf.relay.RelayService;
+import org.wigeonwharf.router.internal.OperatorService;
+import org.wigeonwharf.router.internal.StateDump;
+import org.wigeonwharf.schedule.ScheduleService;
+
+/** A RouterModule tells Dagger how each part of a router is constructed. */
+@Module
+public final class RouterModule {
+  private static final String PLATFORM = "platform";
+
+  private RouterModule() {}
+
+  @Provides
+  @Singleton
+  static Clock clock() {
+    return Clock.system();
+  }
+
+  @Provides
+  @Singleton
+  static MetricRegistry metrics() {
+    return new MetricRegistry();
+  }
+
+  @Provides
+  @Singleton
+  static NodeId nodeId(RouterSettings settings) {
+    return new NodeId(settings.name(), new SecureRandom().nextLong(1, Long.MAX_VALUE));
+  }
+
+  @Provides
+  @Singleton
+  static PeerTransport transport(RouterSettings settings, NodeId self) {
+    return new NettyPeerTransport(
+        self, settings.domain(), settings.peerAddress(), settings.secret());
+  }
+
+  @Provides
+  @Singleton
+  @Named(PLATFORM)
+  static HttpClient platformHttp() {
+    return new HttpClient();
+  }
+
+  @Provides
+  @Singleton
+  static ConfigSource configSource(RouterSettings settings, @Named(PLATFORM) HttpClient http) {
+    return new HttpConfigSource(new PlatformClient(http, settings.configAddress()));
+  }
+
+  @Provides
+  @Singleton
+  static VmListSource vmListSource(RouterSettings settings, @Named(PLATFORM) HttpClient http) {
+    return new HttpVmListSource(new PlatformClient(http, settings.vmListAddress()));
+  }
+
+  @Provides
+  @Singleton
+  static ConfigStore configStore() {
+    return new ConfigStore();
+  }
+
+  @Provides
+  @Singleton
+  static ConfigService configService(ConfigStore store, ConfigSource source, Clock clock) {
+    return new ConfigService(store, source, clock);
+  }
+
+  @Provides
+  @Singleton
+  static MembershipService membership(
+      PeerTransport transport,
+      VmListSource vms,
+      ConfigStore store,
+      ConfigService config,
+      Clock clock) {
+    return new MembershipService(
+        transport, vms, () -> store.current().revision(), config::platformContactAgeMillis, clock);
+  }
+
+  @Provides
+  @Singleton
+  static ScheduleService schedule(
+      NodeId self,
+      PeerTransport transport,
+      MembershipService membership,
+      ConfigStore store,
+      Clock clock) {
+    return new ScheduleService(self, transport, membership, store, clock);
+  }
+
+  @Provides
+  @Singleton
+  static RelayService relay(
+      RouterSettings settings,
+      NodeId self,
+      ConfigStore store,
+      ScheduleService schedule,
+      Clock clock) {
+    return new RelayService(
+        self, settings.domain(), settings.callerAddress(), store, schedule, clock);
+  }
+
+  @Provides
+  @Singleton
+  static StateDump stateDump(
+      NodeId self,
+      RouterSettings settings,
+      ConfigStore store,
+      ConfigService config,
+      MembershipService membership,
+      ScheduleService schedule,
+      RelayService relay) {
+    return new StateDump(self, settings.domain(), store, config, membership, schedule, relay);
+  }
+
+  @Provides
+  @Singleton
+  static OperatorService operator(RouterSettings settings, StateDump dump, MetricRegistry metrics) {
+    return new OperatorService(settings.operatorAddress(), dump, metrics);
+  }
+
+  @Provides
+  @Singleton
+  static Router router(
+      RouterSettings settings,
+      @Named(PLATFORM) HttpClient platformHttp,
+      PeerTransport transport,
+      ConfigStore store,
+      ConfigService config,
+      MembershipService membership,
+      ScheduleService schedule,
+      RelayService relay,
+      OperatorService operator) {
+    return new Router(
+        settings, platformHttp, transport, store, config, membership, schedule, relay, operator);
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/RouterSettings.java
@@ -0,0 +1,109 @@
+package org.wigeonwharf.router;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.MalformedInputException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.wigeonwharf.config.Fault;
+import org.wigeonwharf.config.MergedSettings;
+import org.wigeonwharf.config.SectionReader;
+import org.wigeonwharf.config.SettingsFile;
+import org.wigeonwharf.model.Addresses;
+import org.wigeonwharf.model.FailureDomain;
+import org.wigeonwharf.peer.FleetSecret;
+
+/**
+ * RouterSettings are the process settings of one router.
+ *
+ * @param name the entry VM's name
+ * @param domain the failure domain it runs in
+ * @param callerAddress where callers connect
+ * @param peerAddress where other routers connect
+ * @param operatorAddress where operators read state
+ * @param configAddress the platform's configuration service
+ * @param vmListAddress the platform's VM list
+ * @param secret proves that a process belongs to the fleet
+ */
+public record RouterSettings(
+    String name,
+    FailureDomain domain,
+    InetSocketAddress callerAddress,
+    InetSocketAddress peerAddress,
+    InetSocketAddress operatorAddress,
+    InetSocketAddress configAddress,
+    InetSocketAddress vmListAddress,
+    FleetSecret secret) {
+  private static final String UNSET = "-";
+  private static final String UNSET_SECRET = "unset-unset-unset-unset";
+
+  /**
+   * Reads and checks a settings file.
+   *
+   * @param file the TOML file
+   * @return the settings, or every fault found
+   */
+  public static Either<List<Fault>, RouterSettings> read(Path file) {
+    String name = String.valueOf(file.getFileName());
+    try {
+      String text = Files.readString(file);
+      return MergedSettings.merge(List.of(new SettingsFile(name, text)))
+          .flatMap(RouterSettings::check);
+    } catch (MalformedInputException e) {
+      return Either.left(List.of(new Fault(name, UNSET, "is not UTF-8")));
+    } catch (IOException e) {
+      return Either.left(List.of(new Fault(name, UNSET, "can't be read: " + e.getMessage())));
+    }
+  }
+
+  private static Either<List<Fault>, RouterSettings> check(MergedSettings merged) {
+    List<Fault> faults = new ArrayList<>();
+    SectionReader root = SectionReader.root(merged, faults);
+    final String name = root.requireText("name");
+    final String domain = root.requireText("failure_domain");
+    SectionReader listen = root.section("listen");
+    final InetSocketAddress callers = address(listen, "callers");
+    final InetSocketAddress peers = address(listen, "peers");
+    final InetSocketAddress operators = address(listen, "operators");
+    listen.finish();
+    SectionReader platform = root.section("platform");
+    final InetSocketAddress config = address(platform, "configuration");
+    final InetSocketAddress vms = address(platform, "vm_list");
+    platform.finish();
+    FleetSecret secret = secret(root);
+    root.finish();
+    if (!faults.isEmpty()) {
+      return Either.left(faults);
+    }
+    return Either.right(
+        new RouterSettings(
+            name, new FailureDomain(domain), callers, peers, operators, config, vms, secret));
+  }
+
+  private static InetSocketAddress address(SectionReader section, String key) {
+    String text = section.requireText(key);
+    try {
+      return Addresses.parse(text);
+    } catch (IllegalArgumentException e) {
+      if (!text.isBlank()) {
+        section.fault(key, String.valueOf(e.getMessage()));
+      }
+      return new InetSocketAddress(0);
+    }
+  }
+
+  private static FleetSecret secret(SectionReader root) {
+    String text = root.requireText("fleet_secret");
+    try {
+      return new FleetSecret(text);
+    } catch (IllegalArgumentException e) {
+      if (!text.isBlank()) {
+        root.fault("fleet_secret", String.valueOf(e.getMessage()));
+      }
+      return new FleetSecret(UNSET_SECRET);
+    }
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/internal/OperatorService.java
@@ -0,0 +1,113 @@
+package org.wigeonwharf.router.internal;
+
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.json.MetricsModule;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+
+/** An OperatorService answers health, readiness, metrics and dump requests on its own address. */
+public final class OperatorService {
+  private static final int THREADS = 8;
+  private static final String JSON = "application/json";
+
+  private final InetSocketAddress bindAddress;
+  private final StateDump dump;
+  private final MetricRegistry metrics;
+  private final Server server = new Server(new QueuedThreadPool(THREADS));
+  private final ServerConnector connector = new ServerConnector(server, 1, 1);
+  private final ObjectMapper json =
+      new ObjectMapper()
+          .registerModule(new MetricsModule(TimeUnit.SECONDS, TimeUnit.MILLISECONDS, false));
+
+  /**
+   * Creates a service that is not yet bound.
+   *
+   * @param bindAddress where operators connect; port 0 lets the system choose
+   * @param dump the state to show
+   * @param metrics the metrics to show
+   */
+  public OperatorService(InetSocketAddress bindAddress, StateDump dump, MetricRegistry metrics) {
+    this.bindAddress = bindAddress;
+    this.dump = dump;
+    this.metrics = metrics;
+  }
+
+  /**
+   * Binds and begins to answer.
+   *
+   * @param ready tells whether this process should get new work
+   * @throws Exception if the address can't be bound
+   */
+  public void start(BooleanSupplier ready) throws Exception {
+    connector.setHost(bindAddress.getAddress().getHostAddress());
+    connector.setPort(bindAddress.getPort());
+    server.addConnector(connector);
+    server.setHandler(new Pages(ready));
+    server.start();
+  }
+
+  /** Stops answering. */
+  public void stop() {
+    try {
+      server.stop();
+    } catch (Exception e) {
+      throw new IllegalStateException("the operator address did not close cleanly", e);
+    }
+  }
+
+  /**
+   * Returns where operators connect.
+   *
+   * @return the bound address
+   */
+  public InetSocketAddress address() {
+    return new InetSocketAddress(bindAddress.getAddress(), connector.getLocalPort());
+  }
+
+  private final class Pages extends Handler.Abstract {
+    private final BooleanSupplier ready;
+
+    Pages(BooleanSupplier ready) {
+      this.ready = ready;
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) throws Exception {
+      switch (Request.getPathInContext(request)) {
+        case "/healthz" -> write(response, callback, HttpStatus.OK_200, Map.of("status", "ok"));
+        case "/readyz" -> writeReady(response, callback);
+        case "/metrics" -> write(response, callback, HttpStatus.OK_200, metrics);
+        case "/dump" -> write(response, callback, HttpStatus.OK_200, dump.gather());
+        default ->
+            write(response, callback, HttpStatus.NOT_FOUND_404, Map.of("status", "no such page"));
+      }
+      return true;
+    }
+
+    private void writeReady(Response response, Callback callback) throws Exception {
+      boolean r = ready.getAsBoolean();
+      int status = r ? HttpStatus.OK_200 : HttpStatus.SERVICE_UNAVAILABLE_503;
+      write(response, callback, status, Map.of("ready", r));
+    }
+
+    private void write(Response response, Callback callback, int status, Object body)
+        throws Exception {
+      response.setStatus(status);
+      response.getHeaders().put(HttpHeader.CONTENT_TYPE, JSON);
+      response.write(true, ByteBuffer.wrap(json.writeValueAsBytes(body)), callback);
+    }
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/internal/package-info.java
@@ -0,0 +1,5 @@
+/** Internals of the router binary. */
+@NullMarked
+package org.wigeonwharf.router.internal;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/package-info.java
@@ -0,0 +1,5 @@
+/** The wigeonwharf binary: process settings, object graph, life cycle and state dump. */
+@NullMarked
+package org.wigeonwharf.router;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/HeldLease.java
@@ -0,0 +1,17 @@
+package org.wigeonwharf.schedule;
+
+import org.wigeonwharf.model.AccountId;
+import org.wigeonwharf.model.ClassId;
+import org.wigeonwharf.model.RequestId;
+import org.wigeonwharf.model.ServerId;
+
+/**
+ * A HeldLease is a lease in use that a router tells a new scheduler of.
+ *
+ * @param request the request
+ * @param server the backend server in use
+ * @param serviceClass the request's class
+ * @param account the client account
+ */
+public record HeldLease(
+    RequestId request, ServerId server, ClassId serviceClass, AccountId account) {}
--- /dev/null
+++ b/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/ScheduleService.java
@@ -0,0 +1,166 @@
+package org.wigeonwharf.schedule;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.wigeonwharf.config.ConfigStore;
+import org.wigeonwharf.config.Snapshot;
+import org.wigeonwharf.membership.MembershipService;
+import org.wigeonwharf.membership.MembershipView;
+import org.wigeonwharf.model.Clock;
+import org.wigeonwharf.model.Lifecycle;
+import org.wigeonwharf.model.NodeId;
+import org.wigeonwharf.model.RequestId;
+import org.wigeonwharf.model.ShardId;
+import org.wigeonwharf.peer.Peer;
+import org.wigeonwharf.peer.PeerTransport;
+import org.wigeonwharf.peer.Topic;
+import org.wigeonwharf.schedule.internal.ScheduleMessages;
+import org.wigeonwharf.schedule.internal.SchedulerHost;
+import org.wigeonwharf.schedule.internal.SlotClient;
+import org.wigeonwharf.schedule.wire.ScheduleMessage;
+
+/** A ScheduleService runs a router's scheduler roles and its side of slot leases on one thread. */
+public final class ScheduleService implements SlotSource, Lifecycle {
+  private static final Logger LOG = LoggerFactory.getLogger(ScheduleService.class);
+  private static final long TICK_MILLIS = 20;
+  private static final long DUMP_SECONDS = 2;
+
+  private final PeerTransport transport;
+  private final ScheduledExecutorService executor =
+      Executors.newSingleThreadScheduledExecutor(
+          r -> {
+            Thread t = new Thread(r, "schedule");
+            t.setDaemon(true);
+            return t;
+          });
+  private final SchedulerHost host;
+  private final SlotClient client;
+  private final ScheduleMessages messages;
+
+  /**
+   * Creates a service that follows the configuration and the view of the fleet.
+   *
+   * @param self the own process
+   * @param transport connections to peers
+   * @param membership the view of the fleet
+   * @param store the configuration in force
+   * @param clock the process's clock
+   */
+  public ScheduleService(
+      NodeId self,
+      PeerTransport transport,
+      MembershipService membership,
+      ConfigStore store,
+      Clock clock) {
+    this.transport = transport;
+    this.host = new SchedulerHost(self, clock, this::send);
+    this.client = new SlotClient(self, clock, this::send);
+    this.messages = new ScheduleMessages(host, client);
+    transport.handle(Topic.SCHEDULE, this::received);
+    store.listen(s -> run(() -> configure(s)));
+    membership.listen(v -> run(() -> view(v)));
+  }
+
+  private void configure(Snapshot snapshot) {
+    host.configure(snapshot);
+    client.configure(snapshot);
+  }
+
+  private void view(MembershipView view) {
+    host.view(view);
+    client.view(view);
+  }
+
+  private boolean send(NodeId to, ScheduleMessage message) {
+    return transport.send(to, Topic.SCHEDULE, message.toByteArray());
+  }
+
+  private void received(Peer from, byte[] body) throws InvalidProtocolBufferException {
+    ScheduleMessage message = ScheduleMessage.parseFrom(body);
+    run(() -> messages.dispatch(from.node(), message));
+  }
+
+  private void run(Runnable task) {
+    try {
+      executor.execute(() -> guarded(task));
+    } catch (RejectedExecutionException e) {
+      LOG.atDebug().addKeyValue("event", "schedule.stopped").log("event after stop");
+    }
+  }
+
+  private static void guarded(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException e) {
+      LOG.atError().setCause(e).addKeyValue("event", "schedule.failed").log("event failed");
+    }
+  }
+
+  @Override
+  public void start() {
+    executor.scheduleWithFixedDelay(
+        () -> guarded(this::tick), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private void tick() {
+    host.tick();
+    client.tick();
+  }
+
+  @Override
+  public void stop() {
+    executor.shutdownNow();
+  }
+
+  @Override
+  public void acquire(SlotRequest request, SlotListener listener) {
+    run(() -> client.acquire(request, listener));
+  }
+
+  @Override
+  public void cancel(RequestId id) {
+    run(() -> client.cancel(id));
+  }
+
+  @Override
+  public void end(Outcome outcome) {
+    run(() -> client.end(outcome));
+  }
+
+  /**
+   * Returns the slice's state for the dump.
+   *
+   * @return plain maps, lists, texts and numbers
+   * @throws Exception if the schedule thread does not answer in time
+   */
+  public Map<String, Object> dump() throws Exception {
+    Callable<Map<String, Object>> task = this::dumpNow;
+    return executor.submit(task).get(DUMP_SECONDS, TimeUnit.SECONDS);
+  }
+
+  private Map<String, Object> dumpNow() {
+    Map<String, Object> shards = new LinkedHashMap<>();
+    for (Map.Entry<ShardId, ShardScheduler> e : host.schedulers().entrySet()) {
+      Map<String, Object> shard = new LinkedHashMap<>();
+      shard.put("waiting", e.getValue().waiting());
+      shard.put("leased", e.getValue().leased());
+      Map<String, Object> servers = new LinkedHashMap<>();
+      e.getValue().leasedByServer().forEach((k, v) -> servers.put(k.value(), v));
+      shard.put("leased_by_server", servers);
+      shards.put(e.getKey().toString(), shard);
+    }
+    Map<String, Object> dump = new LinkedHashMap<>();
+    dump.put("scheduler_of", shards);
+    dump.put("waiting_here", client.waiting());
+    dump.put("leases_held_here", client.held());
+    return dump;
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/internal/MessageSender.java
@@ -0,0 +1,17 @@
+package org.wigeonwharf.schedule.internal;
+
+import org.wigeonwharf.model.NodeId;
+import org.wigeonwharf.schedule.wire.ScheduleMessage;
+
+/** A MessageSender passes a message to another router, or to this one. */
+@FunctionalInterface
+public interface MessageSender {
+  /**
+   * Sends a message.
+   *
+   * @param to the receiver
+   * @param message the message
+   * @return false if there is no open connection to the receiver
+   */
+  boolean send(NodeId to, ScheduleMessage message);
+}
--- /dev/null
+++ b/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/internal/ScheduleCodec.java
@@ -0,0 +1,180 @@
+package org.wigeonwharf.schedule.internal;
+
+import org.wigeonwharf.model.AccountId;
+import org.wigeonwharf.model.ClassId;
+import org.wigeonwharf.model.FailureDomain;
+import org.wigeonwharf.model.NodeId;
+import org.wigeonwharf.model.RefusalReason;
+import org.wigeonwharf.model.RequestId;
+import org.wigeonwharf.model.ServerId;
+import org.wigeonwharf.model.ServiceId;
+import org.wigeonwharf.model.ShardId;
+import org.wigeonwharf.schedule.Decision;
+import org.wigeonwharf.schedule.HeldLease;
+import org.wigeonwharf.schedule.LeaseEnd;
+import org.wigeonwharf.schedule.Outcome;
+import org.wigeonwharf.schedule.SlotRequest;
+import org.wigeonwharf.schedule.wire.CancelMessage;
+import org.wigeonwharf.schedule.wire.GrantMessage;
+import org.wigeonwharf.schedule.wire.HeldLeaseMessage;
+import org.wigeonwharf.schedule.wire.NotSchedulerMessage;
+import org.wigeonwharf.schedule.wire.OutcomeMessage;
+import org.wigeonwharf.schedule.wire.PreemptMessage;
+import org.wigeonwharf.schedule.wire.RefusalMessage;
+import org.wigeonwharf.schedule.wire.RegisteredMessage;
+import org.wigeonwharf.schedule.wire.ScheduleMessage;
+import org.wigeonwharf.schedule.wire.Shard;
+import org.wigeonwharf.schedule.wire.SlotRequestMessage;
+
+/** A ScheduleCodec converts the slice's values to and from their messages. */
+public final class ScheduleCodec {
+  private ScheduleCodec() {}
+
+  static Shard toWire(ShardId shard) {
+    return Shard.newBuilder()
+        .setService(shard.service().value())
+        .setFailureDomain(shard.domain().value())
+        .setIndex(shard.index())
+        .build();
+  }
+
+  static ShardId fromWire(Shard shard) {
+    return new ShardId(
+        new ServiceId(shard.getService()),
+        new FailureDomain(shard.getFailureDomain()),
+        shard.getIndex());
+  }
+
+  static ScheduleMessage request(SlotRequest r) {
+    return ScheduleMessage.newBuilder()
+        .setRequest(
+            SlotRequestMessage.newBuilder()
+                .setShard(toWire(r.shard()))
+                .setSequence(r.id().sequence())
+                .setServiceClass(r.serviceClass().value())
+                .setAccount(r.account().value())
+                .setEstimatedTokens(r.estimatedTokens())
+                .setAffinity(r.affinity())
+                .setWaitedMillis(r.waitedMillis())
+                .setRepeatable(r.repeatable())
+                .setConfigRevision(r.configRevision()))
+        .build();
+  }
+
+  static SlotRequest request(NodeId from, SlotRequestMessage m) {
+    return new SlotRequest(
+        new RequestId(from, m.getSequence()),
+        fromWire(m.getShard()),
+        new ClassId(m.getServiceClass()),
+        new AccountId(m.getAccount()),
+        m.getEstimatedTokens(),
+        m.getAffinity(),
+        m.getWaitedMillis(),
+        m.getRepeatable(),
+        m.getConfigRevision());
+  }
+
+  static ScheduleMessage decision(ShardId shard, Decision decision) {
+    ScheduleMessage.Builder b = ScheduleMessage.newBuilder();
+    long sequence = decision.request().sequence();
+    if (decision instanceof Decision.Grant g) {
+      b.setGrant(
+          GrantMessage.newBuilder()
+              .setShard(toWire(shard))
+              .setSequence(sequence)
+              .setLease(g.lease())
+              .setServer(g.server().value())
+              .setStartWithinMillis(g.startWithinMillis()));
+    } else if (decision instanceof Decision.Refusal r) {
+      b.setRefusal(
+          RefusalMessage.newBuilder()
+              .setShard(toWire(shard))
+              .setSequence(sequence)
+              .setReason(r.reason().wireName())
+              .setRetryAfterMillis(r.retryAfterMillis()));
+    } else if (decision instanceof Decision.Preemption p) {
+      b.setPreempt(
+          PreemptMessage.newBuilder()
+              .setShard(toWire(shard))
+              .setSequence(sequence)
+              .setLease(p.lease()));
+    }
+    return b.build();
+  }
+
+  static RefusalReason reason(String wireName) {
+    for (RefusalReason r : RefusalReason.values()) {
+      if (r.wireName().equals(wireName)) {
+        return r;
+      }
+    }
+    return RefusalReason.CAPACITY;
+  }
+
+  static ScheduleMessage cancel(ShardId shard, RequestId id) {
+    return ScheduleMessage.newBuilder()
+        .setCancel(CancelMessage.newBuilder().setShard(toWire(shard)).setSequence(id.sequence()))
+        .build();
+  }
+
+  static ScheduleMessage outcome(Outcome o) {
+    return ScheduleMessage.newBuilder()
+        .setOutcome(
+            OutcomeMessage.newBuilder()
+                .setShard(toWire(o.shard()))
+                .setSequence(o.request().sequence())
+                .setLease(o.lease())
+                .setServer(o.server().value())
+                .setEnd(o.end().name())
+                .setFirstTokenMillis(o.firstTokenMillis())
+                .setTokens(o.tokens())
+                .setTotalMillis(o.totalMillis()))
+        .build();
+  }
+
+  static Outcome outcome(NodeId from, OutcomeMessage m) {
+    return new Outcome(
+        new RequestId(from, m.getSequence()),
+        fromWire(m.getShard()),
+        m.getLease(),
+        new ServerId(m.getServer()),
+        LeaseEnd.valueOf(m.getEnd()),
+        m.getFirstTokenMillis(),
+        m.getTokens(),
+        m.getTotalMillis());
+  }
+
+  static ScheduleMessage held(ShardId shard, HeldLease h) {
+    return ScheduleMessage.newBuilder()
+        .setHeld(
+            HeldLeaseMessage.newBuilder()
+                .setShard(toWire(shard))
+                .setSequence(h.request().sequence())
+                .setServer(h.server().value())
+                .setServiceClass(h.serviceClass().value())
+                .setAccount(h.account().value()))
+        .build();
+  }
+
+  static HeldLease held(NodeId from, HeldLeaseMessage m) {
+    return new HeldLease(
+        new RequestId(from, m.getSequence()),
+        new ServerId(m.getServer()),
+        new ClassId(m.getServiceClass()),
+        new AccountId(m.getAccount()));
+  }
+
+  static ScheduleMessage registered(ShardId shard, long revision) {
+    return ScheduleMessage.newBuilder()
+        .setRegistered(
+            RegisteredMessage.newBuilder().setShard(toWire(shard)).setConfigRevision(revision))
+        .build();
+  }
+
+  static ScheduleMessage notScheduler(ShardId shard, RequestId id) {
+    return ScheduleMessage.newBuilder()
+        .setNotScheduler(
+            NotSchedulerMessage.newBuilder().setShard(toWire(shard)).setSequence(id.sequence()))
+        .build();
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/PlatformStandIn.java
@@ -0,0 +1,187 @@
+package org.wigeonwharf.standin;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.wigeonwharf.config.SettingsFile;
+
+/**
+ * A PlatformStandIn publishes a configuration folder and a VM list as the platform does.
+ *
+ * <p>Routers use {@code GET /v1/config?after=REVISION&wait_ms=MILLIS} (a publish, or 304 if there
+ * is none newer in time) and {@code GET /v1/vms}. Tests and the demo act as operators through
+ * {@code /control/}.
+ */
+public final class PlatformStandIn extends StandInServer {
+  /** How the stand-in treats reads. */
+  public enum Mode {
+    /** It answers. */
+    UP,
+    /** It drops every connection. */
+    DOWN,
+    /** It answers 503. */
+    REFUSING,
+    /** It answers bytes that are no JSON. */
+    GARBAGE
+  }
+
+  private static final String FILES = "/control/files/";
+
+  private final ObjectMapper json = new ObjectMapper();
+  private final Map<String, String> files = new TreeMap<>();
+  private final AtomicLong reads = new AtomicLong();
+  private String vms = "{\"vms\":[]}";
+  private long revision;
+  private volatile Mode mode = Mode.UP;
+
+  /**
+   * Creates a platform that has published nothing.
+   *
+   * @param bindAddress where to listen; port 0 lets the system choose
+   */
+  public PlatformStandIn(InetSocketAddress bindAddress) {
+    super(bindAddress);
+  }
+
+  /**
+   * Publishes files in one revision; files not named stay as they are.
+   *
+   * @param changed the new or changed files
+   * @return the new revision
+   */
+  public synchronized long publish(List<SettingsFile> changed) {
+    changed.forEach(f -> files.put(f.name(), f.text()));
+    revision++;
+    notifyAll();
+    return revision;
+  }
+
+  /**
+   * Sets revision and files at once, as a stale or restored replica would.
+   *
+   * @param newRevision the revision
+   * @param all every file
+   */
+  public synchronized void restore(long newRevision, List<SettingsFile> all) {
+    files.clear();
+    all.forEach(f -> files.put(f.name(), f.text()));
+    revision = newRevision;
+    notifyAll();
+  }
+
+  /**
+   * Publishes the VM list.
+   *
+   * @param document the JSON document
+   */
+  public synchronized void publishVms(String document) {
+    vms = document;
+  }
+
+  /**
+   * Changes how reads are treated.
+   *
+   * @param mode the new mode
+   */
+  public void setMode(Mode mode) {
+    this.mode = mode;
+  }
+
+  /**
+   * Returns how many reads came, waiting watches included.
+   *
+   * @return a count since the start
+   */
+  public long reads() {
+    return reads.get();
+  }
+
+  @Override
+  void answer(Request request, Response response, Callback callback) throws Exception {
+    String path = path(request);
+    if (path.startsWith("/control/")) {
+      control(request, response, callback, path);
+      return;
+    }
+    reads.incrementAndGet();
+    switch (mode) {
+      case DOWN -> drop(request, callback);
+      case REFUSING -> json(response, callback, 503, "{}");
+      case GARBAGE -> json(response, callback, 200, "<html>not here</html>");
+      default -> read(request, response, callback, path);
+    }
+  }
+
+  private void read(Request request, Response response, Callback callback, String path)
+      throws Exception {
+    switch (path) {
+      case "/v1/config" -> watch(request, response, callback);
+      case "/v1/vms" -> json(response, callback, 200, currentVms());
+      default -> json(response, callback, 404, "{}");
+    }
+  }
+
+  private synchronized String currentVms() {
+    return vms;
+  }
+
+  private void watch(Request request, Response response, Callback callback) throws Exception {
+    String document = await(number(request, "after", 0), number(request, "wait_ms", 0));
+    if (document.isEmpty()) {
+      response.setStatus(304);
+      response.write(true, null, callback);
+      return;
+    }
+    json(response, callback, 200, document);
+  }
+
+  private synchronized String await(long after, long waitMillis)
+      throws InterruptedException, JsonProcessingException {
+    long end = System.nanoTime() + waitMillis * 1_000_000;
+    while (revision <= after) {
+      long left = (end - System.nanoTime()) / 1_000_000;
+      if (left <= 0) {
+        return "";
+      }
+      wait(left);
+    }
+    return document();
+  }
+
+  private String document() throws JsonProcessingException {
+    Map<String, Object> body = new LinkedHashMap<>();
+    body.put("revision", revision);
+    body.put(
+        "files",
+        files.entrySet().stream()
+            .map(e -> Map.of("name", e.getKey(), "content", e.getValue()))
+            .toList());
+    return json.writeValueAsString(body);
+  }
+
+  private void control(Request request, Response response, Callback callback, String path)
+      throws Exception {
+    if (path.startsWith(FILES)) {
+      String name = path.substring(FILES.length());
+      long r = publish(List.of(new SettingsFile(name, body(request))));
+      json(response, callback, 200, "{\"revision\":" + r + "}");
+      return;
+    }
+    switch (path) {
+      case "/control/vms" -> publishVms(body(request));
+      case "/control/mode" -> setMode(Mode.valueOf(text(request, "mode", "UP")));
+      default -> {
+        // Fall through to the counters.
+      }
+    }
+    json(response, callback, 200, "{\"reads\":" + reads.get() + "}");
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/StandInMain.java
@@ -0,0 +1,88 @@
+package org.wigeonwharf.standin;
+
+import io.vavr.control.Either;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.wigeonwharf.config.Fault;
+import org.wigeonwharf.config.SettingsFile;
+import org.wigeonwharf.config.SettingsFolder;
+import org.wigeonwharf.model.Addresses;
+
+/** StandInMain runs one stand-in as a process of its own. */
+public final class StandInMain {
+  private static final Logger LOG = LoggerFactory.getLogger(StandInMain.class);
+  private static final int EXIT_USAGE = 2;
+  private static final String DEFAULT_SLOTS = "4";
+  private static final String DEFAULT_TOKEN_MILLIS = "20";
+
+  private StandInMain() {}
+
+  /**
+   * Runs until the process is ended.
+   *
+   * @param args {@code platform}, {@code engine} or {@code booking}, then options
+   * @throws Exception if the stand-in can't start
+   */
+  public static void main(String[] args) throws Exception {
+    try {
+      CommandLine line = new DefaultParser().parse(options(), args);
+      StandInServer server = create(line);
+      server.start();
+      LOG.atInfo()
+          .addKeyValue("event", "standin.started")
+          .addKeyValue("kind", line.getArgs()[0])
+          .addKeyValue("address", Addresses.format(server.address()))
+          .log("stand-in started");
+      new CountDownLatch(1).await();
+    } catch (ParseException e) {
+      System.err.println("standin: " + e.getMessage());
+      System.exit(EXIT_USAGE);
+    }
+  }
+
+  private static Options options() {
+    return new Options()
+        .addOption(Option.builder().longOpt("listen").hasArg().desc("IP:PORT").get())
+        .addOption(Option.builder().longOpt("folder").hasArg().desc("first publish").get())
+        .addOption(Option.builder().longOpt("slots").hasArg().desc("batch size").get())
+        .addOption(Option.builder().longOpt("token-ms").hasArg().desc("token time").get());
+  }
+
+  private static StandInServer create(CommandLine line) throws ParseException {
+    InetSocketAddress listen = Addresses.parse(line.getOptionValue("listen", "127.0.0.1:0"));
+    String kind = line.getArgs().length == 1 ? line.getArgs()[0] : "";
+    return switch (kind) {
+      case "platform" -> platform(line, listen);
+      case "engine" ->
+          new EngineStandIn(
+              listen,
+              Integer.parseInt(line.getOptionValue("slots", DEFAULT_SLOTS)),
+              Long.parseLong(line.getOptionValue("token-ms", DEFAULT_TOKEN_MILLIS)));
+      case "booking" -> new BookingStandIn(listen);
+      default -> throw new ParseException("expected platform, engine or booking");
+    };
+  }
+
+  private static PlatformStandIn platform(CommandLine line, InetSocketAddress listen)
+      throws ParseException {
+    PlatformStandIn platform = new PlatformStandIn(listen);
+    String folder = line.getOptionValue("folder");
+    if (folder != null) {
+      Either<List<Fault>, List<SettingsFile>> files = new SettingsFolder(Path.of(folder)).read();
+      if (files.isLeft()) {
+        throw new ParseException(files.getLeft().toString());
+      }
+      platform.publish(files.get());
+    }
+    return platform;
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/StandInServer.java
@@ -0,0 +1,104 @@
+package org.wigeonwharf.standin;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.io.EofException;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Fields;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.wigeonwharf.model.Lifecycle;
+
+/** A StandInServer is the HTTP side shared by all stand-ins. */
+abstract class StandInServer implements Lifecycle {
+  private static final int THREADS = 64;
+
+  private final InetSocketAddress bindAddress;
+  private final Server server = new Server(new QueuedThreadPool(THREADS));
+  private final ServerConnector connector;
+
+  StandInServer(InetSocketAddress bindAddress) {
+    this.bindAddress = bindAddress;
+    HttpConfiguration http = new HttpConfiguration();
+    http.setSendServerVersion(false);
+    this.connector = new ServerConnector(server, new HttpConnectionFactory(http));
+  }
+
+  /** Answers one request; called on a thread that may block. */
+  abstract void answer(Request request, Response response, Callback callback) throws Exception;
+
+  @Override
+  public void start() throws Exception {
+    connector.setHost(bindAddress.getAddress().getHostAddress());
+    connector.setPort(bindAddress.getPort());
+    server.addConnector(connector);
+    server.setHandler(
+        new Handler.Abstract() {
+          @Override
+          public boolean handle(Request request, Response response, Callback callback)
+              throws Exception {
+            answer(request, response, callback);
+            return true;
+          }
+        });
+    server.start();
+  }
+
+  @Override
+  public void stop() {
+    try {
+      server.stop();
+    } catch (Exception e) {
+      throw new IllegalStateException("the stand-in did not stop cleanly", e);
+    }
+  }
+
+  /**
+   * Returns where the stand-in listens.
+   *
+   * @return the bound address
+   */
+  public InetSocketAddress address() {
+    return new InetSocketAddress(bindAddress.getAddress(), connector.getLocalPort());
+  }
+
+  static String path(Request request) {
+    return Request.getPathInContext(request);
+  }
+
+  static String body(Request request) throws Exception {
+    return Content.Source.asString(request, StandardCharsets.UTF_8);
+  }
+
+  static long number(Request request, String name, long absent) {
+    String s = text(request, name, "");
+    return s.isEmpty() ? absent : Long.parseLong(s);
+  }
+
+  static String text(Request request, String name, String absent) {
+    Fields fields = Request.extractQueryParameters(request);
+    String s = fields.getValue(name);
+    return s == null ? absent : s;
+  }
+
+  /** Drops the connection, as a crashed process does, with nothing more written. */
+  static void drop(Request request, Callback callback) {
+    request.getConnectionMetaData().getConnection().getEndPoint().close();
+    callback.failed(new EofException("dropped"));
+  }
+
+  static void json(Response response, Callback callback, int status, String body) {
+    response.setStatus(status);
+    response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
+    response.write(true, ByteBuffer.wrap(body.getBytes(StandardCharsets.UTF_8)), callback);
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/fleet/DemoFleet.java
@@ -0,0 +1,115 @@
+package org.wigeonwharf.standin.fleet;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.wigeonwharf.model.Addresses;
+
+/** A DemoFleet is the demo's platform, engines, booking service and routers. */
+public final class DemoFleet implements AutoCloseable {
+  /** First failure domain. */
+  public static final String HOBART = "hobart-a";
+
+  /** Second failure domain. */
+  public static final String LAUNCESTON = "launceston-a";
+
+  private static final int SLOTS = 4;
+  private static final long TOKEN_MILLIS = 20;
+
+  private final Fleet fleet;
+  private final Map<String, InetSocketAddress> servers = new LinkedHashMap<>();
+
+  /**
+   * Starts everything and waits until it is ready.
+   *
+   * @param config the operators' folder
+   * @throws IOException if something can't be started
+   * @throws InterruptedException if the waiting thread is interrupted
+   */
+  public DemoFleet(Path config) throws IOException, InterruptedException {
+    fleet = new Fleet(config);
+    servers.put("a1", fleet.addEngine("assistant", "a1", HOBART, SLOTS, TOKEN_MILLIS));
+    servers.put("a2", fleet.addEngine("assistant", "a2", HOBART, SLOTS, TOKEN_MILLIS));
+    servers.put("a3", fleet.addEngine("assistant", "a3", LAUNCESTON, SLOTS, TOKEN_MILLIS));
+    servers.put("b1", fleet.addBooking("booking", "b1", HOBART));
+    fleet.addRouter("vm1", HOBART);
+    fleet.addRouter("vm2", HOBART);
+    fleet.addRouter("vm3", LAUNCESTON);
+    fleet.publish();
+    fleet.awaitReady();
+  }
+
+  /**
+   * Writes the name, addresses and process id of every process.
+   *
+   * @param file the JSON file
+   * @throws IOException if it can't be written
+   */
+  public void writeAddresses(Path file) throws IOException {
+    Map<String, Object> all = new LinkedHashMap<>();
+    fleet.processes().forEach((name, p) -> all.put(name, describe(name, p)));
+    Files.createDirectories(file.toAbsolutePath().getParent());
+    new ObjectMapper().writerWithDefaultPrettyPrinter().writeValue(file.toFile(), all);
+  }
+
+  private Map<String, Object> describe(String name, FleetProcess p) {
+    Map<String, Object> row = new LinkedHashMap<>();
+    row.put("pid", p.pid());
+    Fleet.RouterAddresses r = fleet.routers().get(name);
+    if (r != null) {
+      row.put("callers", Addresses.format(r.callers()));
+      row.put("peers", Addresses.format(r.peers()));
+      row.put("operators", Addresses.format(r.operators()));
+      return row;
+    }
+    InetSocketAddress a = servers.getOrDefault(name, fleet.platform());
+    row.put("address", Addresses.format(a));
+    return row;
+  }
+
+  /**
+   * Returns the processes.
+   *
+   * @return the fleet
+   */
+  public Fleet fleet() {
+    return fleet;
+  }
+
+  /**
+   * Returns where a router takes callers.
+   *
+   * @param router the router's name
+   * @return its address
+   */
+  public InetSocketAddress callers(String router) {
+    Fleet.RouterAddresses r = fleet.routers().get(router);
+    if (r == null) {
+      throw new IllegalArgumentException("no router is named " + router);
+    }
+    return r.callers();
+  }
+
+  /**
+   * Returns a backend server's address.
+   *
+   * @param server the server's name
+   * @return its address
+   */
+  public InetSocketAddress server(String server) {
+    InetSocketAddress a = servers.get(server);
+    if (a == null) {
+      throw new IllegalArgumentException("no backend server is named " + server);
+    }
+    return a;
+  }
+
+  @Override
+  public void close() {
+    fleet.close();
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/fleet/Fleet.java
@@ -0,0 +1,345 @@
+package org.wigeonwharf.standin.fleet;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.wigeonwharf.model.Addresses;
+
+/**
+ * A Fleet starts a platform, backend servers and routers as separate processes on loopback.
+ *
+ * <p>Every process binds port 0; the fleet reads the addresses from the logs and publishes them as
+ * the platform would. {@link #close()} ends every process it started.
+ */
+public final class Fleet implements AutoCloseable {
+  /** Shared by all routers of a fleet. */
+  public static final String SECRET = "demo-secret-not-for-real-use";
+
+  private static final String STARTED = "standin.started";
+  private static final String STANDIN_MAIN = "org.wigeonwharf.standin.StandInMain";
+  private static final String ROUTER_MAIN = "org.wigeonwharf.router.Main";
+  private static final String SERVERS_FILE = "50-servers.toml";
+  private static final long EXIT_SECONDS = 5;
+  private static final long READY_TIMEOUT_SECONDS = 30;
+  private static final long POLL_MILLIS = 50;
+
+  private final Path work;
+  private final HttpClient http = HttpClient.newHttpClient();
+  private final Map<String, FleetProcess> processes = new LinkedHashMap<>();
+  private final Map<String, RouterAddresses> routers = new LinkedHashMap<>();
+  private final List<String> serverLines = new ArrayList<>();
+  private final InetSocketAddress platform;
+
+  /**
+   * RouterAddresses are where one router listens.
+   *
+   * @param domain its failure domain
+   * @param callers for callers
+   * @param peers for routers
+   * @param operators for operators
+   */
+  public record RouterAddresses(
+      String domain,
+      InetSocketAddress callers,
+      InetSocketAddress peers,
+      InetSocketAddress operators) {}
+
+  /**
+   * Starts a platform that publishes a folder.
+   *
+   * @param folder the operators' folder
+   * @throws IOException if it can't be started
+   * @throws InterruptedException if the waiting thread is interrupted
+   */
+  public Fleet(Path folder) throws IOException, InterruptedException {
+    this.work = Files.createTempDirectory("wigeonwharf-fleet");
+    FleetProcess p =
+        start("platform", STANDIN_MAIN, List.of("platform", "--folder", folder.toString()));
+    this.platform = p.address(STARTED, "address");
+  }
+
+  private FleetProcess start(String name, String main, List<String> args) throws IOException {
+    FleetProcess p = FleetProcess.start(name, main, args);
+    processes.put(name, p);
+    return p;
+  }
+
+  /**
+   * Starts a model engine and notes it for the next publish.
+   *
+   * @param service the service it belongs to
+   * @param name the server's name
+   * @param domain its failure domain
+   * @param slots its batch size
+   * @param tokenMillis time between tokens
+   * @return its address
+   * @throws IOException if it can't be started
+   * @throws InterruptedException if the waiting thread is interrupted
+   */
+  public InetSocketAddress addEngine(
+      String service, String name, String domain, int slots, long tokenMillis)
+      throws IOException, InterruptedException {
+    return addServer(
+        service,
+        name,
+        domain,
+        slots,
+        List.of("engine", "--slots", "" + slots, "--token-ms", "" + tokenMillis));
+  }
+
+  /**
+   * Starts a booking service and notes it for the next publish.
+   *
+   * @param service the service it belongs to
+   * @param name the server's name
+   * @param domain its failure domain
+   * @return its address
+   * @throws IOException if it can't be started
+   * @throws InterruptedException if the waiting thread is interrupted
+   */
+  public InetSocketAddress addBooking(String service, String name, String domain)
+      throws IOException, InterruptedException {
+    return addServer(service, name, domain, 4, List.of("booking"));
+  }
+
+  private InetSocketAddress addServer(
+      String service, String name, String domain, int slots, List<String> args)
+      throws IOException, InterruptedException {
+    InetSocketAddress a = start(name, STANDIN_MAIN, args).address(STARTED, "address");
+    serverLines.add("[services.%s.servers.%s]".formatted(service, name));
+    serverLines.add("address = \"%s\"".formatted(Addresses.format(a)));
+    serverLines.add("domain = \"%s\"".formatted(domain));
+    serverLines.add("slots = %d".formatted(slots));
+    return a;
+  }
+
+  /**
+   * Starts a router.
+   *
+   * @param name the entry VM's name
+   * @param domain its failure domain
+   * @return its addresses
+   * @throws IOException if it can't be started
+   * @throws InterruptedException if the waiting thread is interrupted
+   */
+  public RouterAddresses addRouter(String name, String domain)
+      throws IOException, InterruptedException {
+    Path file = work.resolve(name + ".toml");
+    Files.writeString(file, routerSettings(name, domain));
+    FleetProcess p = start(name, ROUTER_MAIN, List.of("--settings", file.toString()));
+    RouterAddresses a =
+        new RouterAddresses(
+            domain,
+            p.address("router.started", "callers"),
+            p.address("router.started", "peers"),
+            p.address("router.started", "operators"));
+    routers.put(name, a);
+    return a;
+  }
+
+  private String routerSettings(String name, String domain) {
+    String template =
+        """
+        name = "%s"
+        failure_domain = "%s"
+        fleet_secret = "%s"
+        [listen]
+        callers = "127.0.0.1:0"
+        peers = "127.0.0.1:0"
+        operators = "127.0.0.1:0"
+        [platform]
+        configuration = "%s"
+        vm_list = "%s"
+        """;
+    String at = Addresses.format(platform);
+    return template.formatted(name, domain, SECRET, at, at);
+  }
+
+  /**
+   * Publishes the started backend servers and routers.
+   *
+   * @throws IOException if the platform does not take it
+   * @throws InterruptedException if the waiting thread is interrupted
+   */
+  public void publish() throws IOException, InterruptedException {
+    publishFile(SERVERS_FILE, String.join("\n", serverLines));
+    List<String> rows = new ArrayList<>();
+    routers.forEach(
+        (name, a) ->
+            rows.add(
+                "{\"name\":\"%s\",\"domain\":\"%s\",\"peer\":\"%s\",\"state\":\"live\"}"
+                    .formatted(name, a.domain(), Addresses.format(a.peers()))));
+    post(platform, "/control/vms", "{\"vms\":[" + String.join(",", rows) + "]}");
+  }
+
+  /**
+   * Publishes one settings file.
+   *
+   * @param name the file's name
+   * @param text its content
+   * @throws IOException if the platform does not take it
+   * @throws InterruptedException if the waiting thread is interrupted
+   */
+  public void publishFile(String name, String text) throws IOException, InterruptedException {
+    post(platform, "/control/files/" + name, text);
+  }
+
+  /**
+   * Sends a control request to a stand-in, or any POST.
+   *
+   * @param to the address
+   * @param path path and query
+   * @param body the body
+   * @return the answer's body
+   * @throws IOException if the answer is not 200
+   * @throws InterruptedException if the waiting thread is interrupted
+   */
+  public String post(InetSocketAddress to, String path, String body)
+      throws IOException, InterruptedException {
+    return send(
+        HttpRequest.newBuilder(uri(to, path))
+            .POST(HttpRequest.BodyPublishers.ofString(body))
+            .build());
+  }
+
+  /**
+   * Reads a page.
+   *
+   * @param from the address
+   * @param path path and query
+   * @return the answer's body
+   * @throws IOException if the answer is not 200
+   * @throws InterruptedException if the waiting thread is interrupted
+   */
+  public String get(InetSocketAddress from, String path) throws IOException, InterruptedException {
+    return send(HttpRequest.newBuilder(uri(from, path)).build());
+  }
+
+  private String send(HttpRequest request) throws IOException, InterruptedException {
+    HttpResponse<String> r = http.send(request, HttpResponse.BodyHandlers.ofString());
+    if (r.statusCode() != 200) {
+      throw new IOException(request.uri() + " answered " + r.statusCode() + ": " + r.body());
+    }
+    return r.body();
+  }
+
+  /**
+   * Makes a URI of an address.
+   *
+   * @param to the address
+   * @param path path and query
+   * @return an http URI
+   */
+  public static URI uri(InetSocketAddress to, String path) {
+    return URI.create("http://" + Addresses.format(to) + path);
+  }
+
+  /**
+   * Waits until every router is ready and sees all others.
+   *
+   * @throws IOException if that does not happen in time
+   * @throws InterruptedException if the waiting thread is interrupted
+   */
+  public void awaitReady() throws IOException, InterruptedException {
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(READY_TIMEOUT_SECONDS);
+    while (!allReady()) {
+      if (System.nanoTime() > end) {
+        throw new IOException("the routers did not get ready");
+      }
+      Thread.sleep(POLL_MILLIS);
+    }
+  }
+
+  private boolean allReady() throws InterruptedException {
+    for (RouterAddresses a : routers.values()) {
+      try {
+        get(a.operators(), "/readyz");
+        String dump = get(a.operators(), "/dump");
+        for (String name : routers.keySet()) {
+          if (!dump.contains("\"node\":\"" + name + "#")) {
+            return false;
+          }
+        }
+      } catch (IOException e) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /**
+   * Returns a started process.
+   *
+   * @param name its name
+   * @return the process
+   */
+  public FleetProcess process(String name) {
+    FleetProcess p = processes.get(name);
+    if (p == null) {
+      throw new IllegalArgumentException("no process is named " + name);
+    }
+    return p;
+  }
+
+  /**
+   * Returns all started processes.
+   *
+   * @return by name, in the order they were started
+   */
+  public Map<String, FleetProcess> processes() {
+    return processes;
+  }
+
+  /**
+   * Returns the platform's address.
+   *
+   * @return the address
+   */
+  public InetSocketAddress platform() {
+    return platform;
+  }
+
+  /**
+   * Returns the routers' addresses.
+   *
+   * @return by name, in the order they were started
+   */
+  public Map<String, RouterAddresses> routers() {
+    return routers;
+  }
+
+  @Override
+  public void close() {
+    processes.values().forEach(FleetProcess::kill);
+    for (FleetProcess p : processes.values()) {
+      try {
+        p.awaitExit(EXIT_SECONDS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+    deleteWork();
+  }
+
+  private void deleteWork() {
+    try (var files = Files.list(work)) {
+      for (Path f : files.toList()) {
+        Files.delete(f);
+      }
+      Files.delete(work);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+}
