--- /dev/null
+++ b/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/measure/NaiveDispatcher.java
@@ -0,0 +1,42 @@
+package org.wigeonwharf.standin.measure;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A NaiveDispatcher is every router on its own: round robin over the servers of its failure domain,
+ * first in, first out at each server.
+ */
+final class NaiveDispatcher implements Dispatcher {
+  private final Fleet fleet;
+  private final Map<Integer, Integer> next = new HashMap<>();
+  private final Map<Job, ServerModel> placed = new HashMap<>();
+
+  NaiveDispatcher(Fleet fleet) {
+    this.fleet = fleet;
+  }
+
+  @Override
+  public void arrive(Job job) {
+    List<ServerModel> servers = fleet.serversOf(fleet.domainOf(job.router));
+    int i = next.merge(job.router, 1, Integer::sum);
+    ServerModel s = servers.get(i % servers.size());
+    placed.put(job, s);
+    job.attempts++;
+    s.submit(job, placed::remove);
+  }
+
+  @Override
+  public void leave(Job job) {
+    ServerModel s = placed.remove(job);
+    if (s != null) {
+      s.cancel(job);
+    }
+  }
+
+  @Override
+  public void tick() {
+    // Nothing is ever due: the servers' queues do all the work.
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/measure/ServerModel.java
@@ -0,0 +1,117 @@
+package org.wigeonwharf.standin.measure;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.wigeonwharf.config.BackendServer;
+
+/**
+ * A ServerModel is a model engine in virtual time: a batch of slots, a prefill, then tokens one at
+ * a time. Work beyond the batch waits first in, first out. A straggling server takes a factor
+ * longer.
+ */
+final class ServerModel {
+  private final VirtualTime time;
+  private final BackendServer server;
+  private final long tokenNanos;
+  private final Deque<Work> waiting = new ArrayDeque<>();
+  private final Map<Job, Work> running = new LinkedHashMap<>();
+  private double slowFactor = 1;
+  private long generated;
+
+  /** One job at this server. */
+  private static final class Work {
+    final Job job;
+    final Consumer<Job> finished;
+    boolean cancelled;
+
+    Work(Job job, Consumer<Job> finished) {
+      this.job = job;
+      this.finished = finished;
+    }
+  }
+
+  ServerModel(VirtualTime time, BackendServer server, long tokenNanos) {
+    this.time = time;
+    this.server = server;
+    this.tokenNanos = tokenNanos;
+  }
+
+  BackendServer server() {
+    return server;
+  }
+
+  void setSlowFactor(double factor) {
+    slowFactor = factor;
+  }
+
+  /** Starts or queues a job; a resumed job goes on behind the tokens it has. */
+  void submit(Job job, Consumer<Job> finished) {
+    waiting.add(new Work(job, finished));
+    fill();
+  }
+
+  /** Takes a job away, waiting or running. */
+  void cancel(Job job) {
+    Work w = running.remove(job);
+    if (w != null) {
+      w.cancelled = true;
+      fill();
+      return;
+    }
+    waiting.removeIf(x -> x.job == job);
+  }
+
+  private void fill() {
+    while (running.size() < server.slots() && !waiting.isEmpty()) {
+      Work w = waiting.poll();
+      running.put(w.job, w);
+      if (w.job.startedNanos < 0) {
+        w.job.startedNanos = time.nanos();
+      }
+      time.after(scaled(w.job.prefillNanos + tokenNanos), () -> token(w));
+    }
+  }
+
+  private long scaled(long nanos) {
+    return (long) (nanos * slowFactor);
+  }
+
+  private void token(Work w) {
+    if (w.cancelled) {
+      return;
+    }
+    Job j = w.job;
+    j.generated++;
+    generated++;
+    if (j.firstTokenNanos < 0) {
+      j.firstTokenNanos = time.nanos();
+    }
+    if (j.generated < j.tokens) {
+      time.after(scaled(tokenNanos), () -> token(w));
+      return;
+    }
+    running.remove(j);
+    j.endedNanos = time.nanos();
+    w.finished.accept(j);
+    fill();
+  }
+
+  boolean runsLongWork() {
+    return running.keySet().stream().anyMatch(j -> j.longOutput);
+  }
+
+  int running() {
+    return running.size();
+  }
+
+  int waiting() {
+    return waiting.size();
+  }
+
+  long generated() {
+    return generated;
+  }
+}
