Name the settings file of a required key that is not set

Cause: a fault of an unset top-level key was reported as "-:key", found by the new test of the router's command line; the nearest set table was looked for and there is none at the top. With a single file the fault now names it. The test also holds the exit codes, where messages go, and that the fleet secret is not printed. Failed before, passes after.

--- a/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/MergedSettings.java
+++ b/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/MergedSettings.java
@@ -20,14 +20,21 @@
   /** Separates the parts of a key's path. */
   public static final String SEPARATOR = ".";
 
+  /** Stands for the file of a key that no file sets. */
+  public static final String NO_FILE = "-";
+
   private static final TomlMapper TOML = new TomlMapper();
 
   private final ObjectNode root;
   private final Map<String, List<Setting>> history;
 
-  private MergedSettings(ObjectNode root, Map<String, List<Setting>> history) {
+  private final String unsetKeysFile;
+
+  private MergedSettings(
+      ObjectNode root, Map<String, List<Setting>> history, String unsetKeysFile) {
     this.root = root;
     this.history = history;
+    this.unsetKeysFile = unsetKeysFile;
   }
 
   /**
@@ -59,7 +66,11 @@
         faults.add(new Fault(file.name(), "line " + line, "syntax: " + e.getOriginalMessage()));
       }
     }
-    return faults.isEmpty() ? Either.right(new MergedSettings(root, history)) : Either.left(faults);
+    if (!faults.isEmpty()) {
+      return Either.left(faults);
+    }
+    String unsetKeysFile = files.size() == 1 ? files.get(0).name() : NO_FILE;
+    return Either.right(new MergedSettings(root, history, unsetKeysFile));
   }
 
   private static void mergeTable(
@@ -109,7 +120,8 @@
    * Returns the file whose value is in force.
    *
    * @param key the path
-   * @return the file's name, or "-" for an unset key
+   * @return the file's name; for an unset key the file of the table around it, else the only file,
+   *     else {@link #NO_FILE}
    */
   public String fileOf(String key) {
     List<Setting> settings = history(key);
@@ -117,7 +129,7 @@
       return settings.get(settings.size() - 1).file();
     }
     int dot = key.lastIndexOf(SEPARATOR);
-    return dot < 0 ? "-" : fileOf(key.substring(0, dot));
+    return dot < 0 ? unsetKeysFile : fileOf(key.substring(0, dot));
   }
 
   /**
