Let a shard's scheduler hear of load, limits and first tokens

Cause: other slices need the calls before the policy behind them exists. load, setLimits and firstToken keep what they are told; summary counts free slots, waiters by tier and demand by account. No decision uses the reports yet.

--- a/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/ShardScheduler.java
+++ b/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/ShardScheduler.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.jspecify.annotations.Nullable;
+import org.wigeonwharf.config.AccountLimits;
 import org.wigeonwharf.config.BackendServer;
 import org.wigeonwharf.config.ClassSpec;
 import org.wigeonwharf.config.PublishedConfig;
@@ -39,6 +40,9 @@
   private final Map<RequestId, Running> running = new HashMap<>();
   private final Map<ServerId, Integer> used = new LinkedHashMap<>();
   private Map<ServerId, BackendServer> servers = Map.of();
+  private final Map<ServerId, LoadReport> reports = new HashMap<>();
+  private final Map<RequestId, Long> firstTokens = new HashMap<>();
+  private Map<AccountId, AccountLimits> limits = Map.of();
   private PublishedConfig config = PublishedConfig.EMPTY;
   private long arrivals;
   private long leases;
@@ -152,6 +156,7 @@
 
   private void release(RequestId id) {
     Running r = running.remove(id);
+    firstTokens.remove(id);
     if (r != null) {
       used.merge(r.server(), -1, Integer::sum);
     }
@@ -213,6 +218,61 @@
     return decisions;
   }
 
+  /**
+   * Takes a backend server's own word on its load.
+   *
+   * @param server the server
+   * @param report its report
+   * @return decisions that follow
+   */
+  public List<Decision> load(ServerId server, LoadReport report) {
+    reports.put(server, report);
+    return dispatch();
+  }
+
+  /**
+   * Takes the part of each client account's limits that this shard may use.
+   *
+   * @param parts limits by account; an account left out has its published limits
+   * @return decisions that follow
+   */
+  public List<Decision> setLimits(Map<AccountId, AccountLimits> parts) {
+    limits = Map.copyOf(parts);
+    return dispatch();
+  }
+
+  /**
+   * Notes that the answer to a running request has begun.
+   *
+   * @param id the request
+   * @param millis time from the write to the first byte of the answer, in milliseconds
+   * @return decisions that follow
+   */
+  public List<Decision> firstToken(RequestId id, long millis) {
+    if (running.containsKey(id)) {
+      firstTokens.put(id, millis);
+    }
+    return dispatch();
+  }
+
+  /**
+   * Returns what other shards need to know of this one.
+   *
+   * @return the load now
+   */
+  public ShardSummary summary() {
+    int free = 0;
+    for (BackendServer s : servers.values()) {
+      free += s.leaving() ? 0 : Math.max(0, s.slots() - used.getOrDefault(s.id(), 0));
+    }
+    TreeMap<Integer, Integer> waiting = new TreeMap<>();
+    Map<AccountId, Integer> demand = new TreeMap<>();
+    queue.forEach((place, w) -> waiting.merge(place.rank(), 1, Integer::sum));
+    queue.values().forEach(w -> demand.merge(w.request().account(), 1, Integer::sum));
+    running.values().forEach(r -> demand.merge(r.account(), 1, Integer::sum));
+    return new ShardSummary(shard, free, waiting, new TreeMap<>(), demand);
+  }
+
   private static Decision refuse(SlotRequest request, RefusalReason reason) {
     return new Decision.Refusal(request.id(), reason, RETRY_AFTER_MILLIS);
   }
