--- a/org.wigeonwharf.config/src/gen/java/org/wigeonwharf/config/wire/ConfigMessage.java
+++ b/org.wigeonwharf.config/src/gen/java/org/wigeonwharf/config/wire/ConfigMessage.java
@@ -51,6 +51,7 @@
           com.google.protobuf.AbstractMessage.InternalOneOfEnum {
     REQUEST(1),
     SNAPSHOT(2),
+    NOTICE(3),
     KIND_NOT_SET(0);
     private final int value;
     private KindCase(int value) {
@@ -70,6 +71,7 @@
       switch (value) {
         case 1: return REQUEST;
         case 2: return SNAPSHOT;
+        case 3: return NOTICE;
         case 0: return KIND_NOT_SET;
         default: return null;
       }
@@ -147,6 +149,37 @@
     return org.wigeonwharf.config.wire.SnapshotMessage.getDefaultInstance();
   }
 
+  public static final int NOTICE_FIELD_NUMBER = 3;
+  /**
+   * <code>.wigeonwharf.config.RevisionNotice notice = 3;</code>
+   * @return Whether the notice field is set.
+   */
+  @java.lang.Override
+  public boolean hasNotice() {
+    return kindCase_ == 3;
+  }
+  /**
+   * <code>.wigeonwharf.config.RevisionNotice notice = 3;</code>
+   * @return The notice.
+   */
+  @java.lang.Override
+  public org.wigeonwharf.config.wire.RevisionNotice getNotice() {
+    if (kindCase_ == 3) {
+       return (org.wigeonwharf.config.wire.RevisionNotice) kind_;
+    }
+    return org.wigeonwharf.config.wire.RevisionNotice.getDefaultInstance();
+  }
+  /**
+   * <code>.wigeonwharf.config.RevisionNotice notice = 3;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.config.wire.RevisionNoticeOrBuilder getNoticeOrBuilder() {
+    if (kindCase_ == 3) {
+       return (org.wigeonwharf.config.wire.RevisionNotice) kind_;
+    }
+    return org.wigeonwharf.config.wire.RevisionNotice.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -167,6 +200,9 @@
     if (kindCase_ == 2) {
       output.writeMessage(2, (org.wigeonwharf.config.wire.SnapshotMessage) kind_);
     }
+    if (kindCase_ == 3) {
+      output.writeMessage(3, (org.wigeonwharf.config.wire.RevisionNotice) kind_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -184,6 +220,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(2, (org.wigeonwharf.config.wire.SnapshotMessage) kind_);
     }
+    if (kindCase_ == 3) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(3, (org.wigeonwharf.config.wire.RevisionNotice) kind_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -209,6 +249,10 @@
         if (!getSnapshot()
             .equals(other.getSnapshot())) return false;
         break;
+      case 3:
+        if (!getNotice()
+            .equals(other.getNotice())) return false;
+        break;
       case 0:
       default:
     }
@@ -232,6 +276,10 @@
         hash = (37 * hash) + SNAPSHOT_FIELD_NUMBER;
         hash = (53 * hash) + getSnapshot().hashCode();
         break;
+      case 3:
+        hash = (37 * hash) + NOTICE_FIELD_NUMBER;
+        hash = (53 * hash) + getNotice().hashCode();
+        break;
       case 0:
       default:
     }
@@ -372,6 +420,9 @@
       if (snapshotBuilder_ != null) {
         snapshotBuilder_.clear();
       }
+      if (noticeBuilder_ != null) {
+        noticeBuilder_.clear();
+      }
       kindCase_ = 0;
       kind_ = null;
       return this;
@@ -421,6 +472,10 @@
           snapshotBuilder_ != null) {
         result.kind_ = snapshotBuilder_.build();
       }
+      if (kindCase_ == 3 &&
+          noticeBuilder_ != null) {
+        result.kind_ = noticeBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -444,6 +499,10 @@
           mergeSnapshot(other.getSnapshot());
           break;
         }
+        case NOTICE: {
+          mergeNotice(other.getNotice());
+          break;
+        }
         case KIND_NOT_SET: {
           break;
         }
@@ -488,6 +547,13 @@
               kindCase_ = 2;
               break;
             } // case 18
+            case 26: {
+              input.readMessage(
+                  internalGetNoticeFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 3;
+              break;
+            } // case 26
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -804,6 +870,148 @@
       return snapshotBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wigeonwharf.config.wire.RevisionNotice, org.wigeonwharf.config.wire.RevisionNotice.Builder, org.wigeonwharf.config.wire.RevisionNoticeOrBuilder> noticeBuilder_;
+    /**
+     * <code>.wigeonwharf.config.RevisionNotice notice = 3;</code>
+     * @return Whether the notice field is set.
+     */
+    @java.lang.Override
+    public boolean hasNotice() {
+      return kindCase_ == 3;
+    }
+    /**
+     * <code>.wigeonwharf.config.RevisionNotice notice = 3;</code>
+     * @return The notice.
+     */
+    @java.lang.Override
+    public org.wigeonwharf.config.wire.RevisionNotice getNotice() {
+      if (noticeBuilder_ == null) {
+        if (kindCase_ == 3) {
+          return (org.wigeonwharf.config.wire.RevisionNotice) kind_;
+        }
+        return org.wigeonwharf.config.wire.RevisionNotice.getDefaultInstance();
+      } else {
+        if (kindCase_ == 3) {
+          return noticeBuilder_.getMessage();
+        }
+        return org.wigeonwharf.config.wire.RevisionNotice.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.wigeonwharf.config.RevisionNotice notice = 3;</code>
+     */
+    public Builder setNotice(org.wigeonwharf.config.wire.RevisionNotice value) {
+      if (noticeBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        kind_ = value;
+        onChanged();
+      } else {
+        noticeBuilder_.setMessage(value);
+      }
+      kindCase_ = 3;
+      return this;
+    }
+    /**
+     * <code>.wigeonwharf.config.RevisionNotice notice = 3;</code>
+     */
+    public Builder setNotice(
+        org.wigeonwharf.config.wire.RevisionNotice.Builder builderForValue) {
+      if (noticeBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        noticeBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 3;
+      return this;
+    }
+    /**
+     * <code>.wigeonwharf.config.RevisionNotice notice = 3;</code>
+     */
+    public Builder mergeNotice(org.wigeonwharf.config.wire.RevisionNotice value) {
+      if (noticeBuilder_ == null) {
+        if (kindCase_ == 3 &&
+            kind_ != org.wigeonwharf.config.wire.RevisionNotice.getDefaultInstance()) {
+          kind_ = org.wigeonwharf.config.wire.RevisionNotice.newBuilder((org.wigeonwharf.config.wire.RevisionNotice) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 3) {
+          noticeBuilder_.mergeFrom(value);
+        } else {
+          noticeBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 3;
+      return this;
+    }
+    /**
+     * <code>.wigeonwharf.config.RevisionNotice notice = 3;</code>
+     */
+    public Builder clearNotice() {
+      if (noticeBuilder_ == null) {
+        if (kindCase_ == 3) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 3) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        noticeBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.wigeonwharf.config.RevisionNotice notice = 3;</code>
+     */
+    public org.wigeonwharf.config.wire.RevisionNotice.Builder getNoticeBuilder() {
+      return internalGetNoticeFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.wigeonwharf.config.RevisionNotice notice = 3;</code>
+     */
+    @java.lang.Override
+    public org.wigeonwharf.config.wire.RevisionNoticeOrBuilder getNoticeOrBuilder() {
+      if ((kindCase_ == 3) && (noticeBuilder_ != null)) {
+        return noticeBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 3) {
+          return (org.wigeonwharf.config.wire.RevisionNotice) kind_;
+        }
+        return org.wigeonwharf.config.wire.RevisionNotice.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.wigeonwharf.config.RevisionNotice notice = 3;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wigeonwharf.config.wire.RevisionNotice, org.wigeonwharf.config.wire.RevisionNotice.Builder, org.wigeonwharf.config.wire.RevisionNoticeOrBuilder> 
+        internalGetNoticeFieldBuilder() {
+      if (noticeBuilder_ == null) {
+        if (!(kindCase_ == 3)) {
+          kind_ = org.wigeonwharf.config.wire.RevisionNotice.getDefaultInstance();
+        }
+        noticeBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.wigeonwharf.config.wire.RevisionNotice, org.wigeonwharf.config.wire.RevisionNotice.Builder, org.wigeonwharf.config.wire.RevisionNoticeOrBuilder>(
+                (org.wigeonwharf.config.wire.RevisionNotice) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 3;
+      onChanged();
+      return noticeBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:wigeonwharf.config.ConfigMessage)
   }
 
--- a/org.wigeonwharf.config/src/gen/java/org/wigeonwharf/config/wire/ConfigMessageOrBuilder.java
+++ b/org.wigeonwharf.config/src/gen/java/org/wigeonwharf/config/wire/ConfigMessageOrBuilder.java
@@ -40,5 +40,20 @@
    */
   org.wigeonwharf.config.wire.SnapshotMessageOrBuilder getSnapshotOrBuilder();
 
+  /**
+   * <code>.wigeonwharf.config.RevisionNotice notice = 3;</code>
+   * @return Whether the notice field is set.
+   */
+  boolean hasNotice();
+  /**
+   * <code>.wigeonwharf.config.RevisionNotice notice = 3;</code>
+   * @return The notice.
+   */
+  org.wigeonwharf.config.wire.RevisionNotice getNotice();
+  /**
+   * <code>.wigeonwharf.config.RevisionNotice notice = 3;</code>
+   */
+  org.wigeonwharf.config.wire.RevisionNoticeOrBuilder getNoticeOrBuilder();
+
   org.wigeonwharf.config.wire.ConfigMessage.KindCase getKindCase();
 }
--- a/org.wigeonwharf.config/src/gen/java/org/wigeonwharf/config/wire/ConfigProto.java
+++ b/org.wigeonwharf.config/src/gen/java/org/wigeonwharf/config/wire/ConfigProto.java
@@ -31,6 +31,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_wigeonwharf_config_SettingsFileMessage_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_wigeonwharf_config_FileDigest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_wigeonwharf_config_FileDigest_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_wigeonwharf_config_SnapshotRequest_descriptor;
   static final 
@@ -41,6 +46,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_wigeonwharf_config_SnapshotMessage_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_wigeonwharf_config_RevisionNotice_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_wigeonwharf_config_RevisionNotice_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_wigeonwharf_config_ConfigMessage_descriptor;
   static final 
@@ -57,15 +67,22 @@
     java.lang.String[] descriptorData = {
       "\n\014config.proto\022\022wigeonwharf.config\"4\n\023Se" +
       "ttingsFileMessage\022\014\n\004name\030\001 \001(\t\022\017\n\007conte" +
-      "nt\030\002 \001(\014\"(\n\017SnapshotRequest\022\025\n\rheld_revi" +
-      "sion\030\001 \001(\003\"[\n\017SnapshotMessage\022\020\n\010revisio" +
-      "n\030\001 \001(\003\0226\n\005files\030\002 \003(\0132\'.wigeonwharf.con" +
-      "fig.SettingsFileMessage\"\210\001\n\rConfigMessag" +
-      "e\0226\n\007request\030\001 \001(\0132#.wigeonwharf.config." +
-      "SnapshotRequestH\000\0227\n\010snapshot\030\002 \001(\0132#.wi" +
-      "geonwharf.config.SnapshotMessageH\000B\006\n\004ki" +
-      "ndB,\n\033org.wigeonwharf.config.wireB\013Confi" +
-      "gProtoP\001b\006proto3"
+      "nt\030\002 \001(\014\"*\n\nFileDigest\022\014\n\004name\030\001 \001(\t\022\016\n\006" +
+      "sha256\030\002 \001(\014\"\\\n\017SnapshotRequest\022\025\n\rheld_" +
+      "revision\030\001 \001(\003\0222\n\nheld_files\030\002 \003(\0132\036.wig" +
+      "eonwharf.config.FileDigest\"\235\001\n\017SnapshotM" +
+      "essage\022\020\n\010revision\030\001 \001(\003\0226\n\005files\030\002 \003(\0132" +
+      "\'.wigeonwharf.config.SettingsFileMessage" +
+      "\0220\n\010manifest\030\003 \003(\0132\036.wigeonwharf.config." +
+      "FileDigest\022\016\n\006digest\030\004 \001(\t\"2\n\016RevisionNo" +
+      "tice\022\020\n\010revision\030\001 \001(\003\022\016\n\006digest\030\002 \001(\t\"\276" +
+      "\001\n\rConfigMessage\0226\n\007request\030\001 \001(\0132#.wige" +
+      "onwharf.config.SnapshotRequestH\000\0227\n\010snap" +
+      "shot\030\002 \001(\0132#.wigeonwharf.config.Snapshot" +
+      "MessageH\000\0224\n\006notice\030\003 \001(\0132\".wigeonwharf." +
+      "config.RevisionNoticeH\000B\006\n\004kindB,\n\033org.w" +
+      "igeonwharf.config.wireB\013ConfigProtoP\001b\006p" +
+      "roto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -77,24 +94,36 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_config_SettingsFileMessage_descriptor,
         new java.lang.String[] { "Name", "Content", });
-    internal_static_wigeonwharf_config_SnapshotRequest_descriptor =
+    internal_static_wigeonwharf_config_FileDigest_descriptor =
       getDescriptor().getMessageType(1);
+    internal_static_wigeonwharf_config_FileDigest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_wigeonwharf_config_FileDigest_descriptor,
+        new java.lang.String[] { "Name", "Sha256", });
+    internal_static_wigeonwharf_config_SnapshotRequest_descriptor =
+      getDescriptor().getMessageType(2);
     internal_static_wigeonwharf_config_SnapshotRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_config_SnapshotRequest_descriptor,
-        new java.lang.String[] { "HeldRevision", });
+        new java.lang.String[] { "HeldRevision", "HeldFiles", });
     internal_static_wigeonwharf_config_SnapshotMessage_descriptor =
-      getDescriptor().getMessageType(2);
+      getDescriptor().getMessageType(3);
     internal_static_wigeonwharf_config_SnapshotMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_config_SnapshotMessage_descriptor,
-        new java.lang.String[] { "Revision", "Files", });
+        new java.lang.String[] { "Revision", "Files", "Manifest", "Digest", });
+    internal_static_wigeonwharf_config_RevisionNotice_descriptor =
+      getDescriptor().getMessageType(4);
+    internal_static_wigeonwharf_config_RevisionNotice_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_wigeonwharf_config_RevisionNotice_descriptor,
+        new java.lang.String[] { "Revision", "Digest", });
     internal_static_wigeonwharf_config_ConfigMessage_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(5);
     internal_static_wigeonwharf_config_ConfigMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_config_ConfigMessage_descriptor,
-        new java.lang.String[] { "Request", "Snapshot", "Kind", });
+        new java.lang.String[] { "Request", "Snapshot", "Notice", "Kind", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/org.wigeonwharf.config/src/gen/java/org/wigeonwharf/config/wire/SnapshotMessage.java
+++ b/org.wigeonwharf.config/src/gen/java/org/wigeonwharf/config/wire/SnapshotMessage.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * A whole configuration snapshot.
+ * A configuration snapshot; files that the receiver should hold already are left out.
  * </pre>
  *
  * Protobuf type {@code wigeonwharf.config.SnapshotMessage}
@@ -33,6 +33,8 @@
   }
   private SnapshotMessage() {
     files_ = java.util.Collections.emptyList();
+    manifest_ = java.util.Collections.emptyList();
+    digest_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -63,6 +65,10 @@
   @SuppressWarnings("serial")
   private java.util.List<org.wigeonwharf.config.wire.SettingsFileMessage> files_;
   /**
+   * <pre>
+   * The files that differ from what the receiver holds.
+   * </pre>
+   *
    * <code>repeated .wigeonwharf.config.SettingsFileMessage files = 2;</code>
    */
   @java.lang.Override
@@ -70,6 +76,10 @@
     return files_;
   }
   /**
+   * <pre>
+   * The files that differ from what the receiver holds.
+   * </pre>
+   *
    * <code>repeated .wigeonwharf.config.SettingsFileMessage files = 2;</code>
    */
   @java.lang.Override
@@ -78,6 +88,10 @@
     return files_;
   }
   /**
+   * <pre>
+   * The files that differ from what the receiver holds.
+   * </pre>
+   *
    * <code>repeated .wigeonwharf.config.SettingsFileMessage files = 2;</code>
    */
   @java.lang.Override
@@ -85,6 +99,10 @@
     return files_.size();
   }
   /**
+   * <pre>
+   * The files that differ from what the receiver holds.
+   * </pre>
+   *
    * <code>repeated .wigeonwharf.config.SettingsFileMessage files = 2;</code>
    */
   @java.lang.Override
@@ -92,6 +110,10 @@
     return files_.get(index);
   }
   /**
+   * <pre>
+   * The files that differ from what the receiver holds.
+   * </pre>
+   *
    * <code>repeated .wigeonwharf.config.SettingsFileMessage files = 2;</code>
    */
   @java.lang.Override
@@ -100,6 +122,114 @@
     return files_.get(index);
   }
 
+  public static final int MANIFEST_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private java.util.List<org.wigeonwharf.config.wire.FileDigest> manifest_;
+  /**
+   * <pre>
+   * Every file of the snapshot, in merge order.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.config.FileDigest manifest = 3;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.wigeonwharf.config.wire.FileDigest> getManifestList() {
+    return manifest_;
+  }
+  /**
+   * <pre>
+   * Every file of the snapshot, in merge order.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.config.FileDigest manifest = 3;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.wigeonwharf.config.wire.FileDigestOrBuilder> 
+      getManifestOrBuilderList() {
+    return manifest_;
+  }
+  /**
+   * <pre>
+   * Every file of the snapshot, in merge order.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.config.FileDigest manifest = 3;</code>
+   */
+  @java.lang.Override
+  public int getManifestCount() {
+    return manifest_.size();
+  }
+  /**
+   * <pre>
+   * Every file of the snapshot, in merge order.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.config.FileDigest manifest = 3;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.config.wire.FileDigest getManifest(int index) {
+    return manifest_.get(index);
+  }
+  /**
+   * <pre>
+   * Every file of the snapshot, in merge order.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.config.FileDigest manifest = 3;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.config.wire.FileDigestOrBuilder getManifestOrBuilder(
+      int index) {
+    return manifest_.get(index);
+  }
+
+  public static final int DIGEST_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object digest_ = "";
+  /**
+   * <pre>
+   * Digest of the whole snapshot, as in Snapshot.digest.
+   * </pre>
+   *
+   * <code>string digest = 4;</code>
+   * @return The digest.
+   */
+  @java.lang.Override
+  public java.lang.String getDigest() {
+    java.lang.Object ref = digest_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      digest_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Digest of the whole snapshot, as in Snapshot.digest.
+   * </pre>
+   *
+   * <code>string digest = 4;</code>
+   * @return The bytes for digest.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getDigestBytes() {
+    java.lang.Object ref = digest_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      digest_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -120,6 +250,12 @@
     for (int i = 0; i < files_.size(); i++) {
       output.writeMessage(2, files_.get(i));
     }
+    for (int i = 0; i < manifest_.size(); i++) {
+      output.writeMessage(3, manifest_.get(i));
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(digest_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 4, digest_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -137,6 +273,13 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(2, files_.get(i));
     }
+    for (int i = 0; i < manifest_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(3, manifest_.get(i));
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(digest_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(4, digest_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -156,6 +299,10 @@
         != other.getRevision()) return false;
     if (!getFilesList()
         .equals(other.getFilesList())) return false;
+    if (!getManifestList()
+        .equals(other.getManifestList())) return false;
+    if (!getDigest()
+        .equals(other.getDigest())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -174,6 +321,12 @@
       hash = (37 * hash) + FILES_FIELD_NUMBER;
       hash = (53 * hash) + getFilesList().hashCode();
     }
+    if (getManifestCount() > 0) {
+      hash = (37 * hash) + MANIFEST_FIELD_NUMBER;
+      hash = (53 * hash) + getManifestList().hashCode();
+    }
+    hash = (37 * hash) + DIGEST_FIELD_NUMBER;
+    hash = (53 * hash) + getDigest().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -273,7 +426,7 @@
   }
   /**
    * <pre>
-   * A whole configuration snapshot.
+   * A configuration snapshot; files that the receiver should hold already are left out.
    * </pre>
    *
    * Protobuf type {@code wigeonwharf.config.SnapshotMessage}
@@ -317,6 +470,14 @@
         filesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000002);
+      if (manifestBuilder_ == null) {
+        manifest_ = java.util.Collections.emptyList();
+      } else {
+        manifest_ = null;
+        manifestBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000004);
+      digest_ = "";
       return this;
     }
 
@@ -359,6 +520,15 @@
       } else {
         result.files_ = filesBuilder_.build();
       }
+      if (manifestBuilder_ == null) {
+        if (((bitField0_ & 0x00000004) != 0)) {
+          manifest_ = java.util.Collections.unmodifiableList(manifest_);
+          bitField0_ = (bitField0_ & ~0x00000004);
+        }
+        result.manifest_ = manifest_;
+      } else {
+        result.manifest_ = manifestBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.wigeonwharf.config.wire.SnapshotMessage result) {
@@ -366,6 +536,9 @@
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.revision_ = revision_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.digest_ = digest_;
+      }
     }
 
     @java.lang.Override
@@ -409,6 +582,37 @@
           }
         }
       }
+      if (manifestBuilder_ == null) {
+        if (!other.manifest_.isEmpty()) {
+          if (manifest_.isEmpty()) {
+            manifest_ = other.manifest_;
+            bitField0_ = (bitField0_ & ~0x00000004);
+          } else {
+            ensureManifestIsMutable();
+            manifest_.addAll(other.manifest_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.manifest_.isEmpty()) {
+          if (manifestBuilder_.isEmpty()) {
+            manifestBuilder_.dispose();
+            manifestBuilder_ = null;
+            manifest_ = other.manifest_;
+            bitField0_ = (bitField0_ & ~0x00000004);
+            manifestBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetManifestFieldBuilder() : null;
+          } else {
+            manifestBuilder_.addAllMessages(other.manifest_);
+          }
+        }
+      }
+      if (!other.getDigest().isEmpty()) {
+        digest_ = other.digest_;
+        bitField0_ |= 0x00000008;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -453,6 +657,24 @@
               }
               break;
             } // case 18
+            case 26: {
+              org.wigeonwharf.config.wire.FileDigest m =
+                  input.readMessage(
+                      org.wigeonwharf.config.wire.FileDigest.parser(),
+                      extensionRegistry);
+              if (manifestBuilder_ == null) {
+                ensureManifestIsMutable();
+                manifest_.add(m);
+              } else {
+                manifestBuilder_.addMessage(m);
+              }
+              break;
+            } // case 26
+            case 34: {
+              digest_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 34
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -515,6 +737,10 @@
         org.wigeonwharf.config.wire.SettingsFileMessage, org.wigeonwharf.config.wire.SettingsFileMessage.Builder, org.wigeonwharf.config.wire.SettingsFileMessageOrBuilder> filesBuilder_;
 
     /**
+     * <pre>
+     * The files that differ from what the receiver holds.
+     * </pre>
+     *
      * <code>repeated .wigeonwharf.config.SettingsFileMessage files = 2;</code>
      */
     public java.util.List<org.wigeonwharf.config.wire.SettingsFileMessage> getFilesList() {
@@ -525,6 +751,10 @@
       }
     }
     /**
+     * <pre>
+     * The files that differ from what the receiver holds.
+     * </pre>
+     *
      * <code>repeated .wigeonwharf.config.SettingsFileMessage files = 2;</code>
      */
     public int getFilesCount() {
@@ -535,6 +765,10 @@
       }
     }
     /**
+     * <pre>
+     * The files that differ from what the receiver holds.
+     * </pre>
+     *
      * <code>repeated .wigeonwharf.config.SettingsFileMessage files = 2;</code>
      */
     public org.wigeonwharf.config.wire.SettingsFileMessage getFiles(int index) {
@@ -545,6 +779,10 @@
       }
     }
     /**
+     * <pre>
+     * The files that differ from what the receiver holds.
+     * </pre>
+     *
      * <code>repeated .wigeonwharf.config.SettingsFileMessage files = 2;</code>
      */
     public Builder setFiles(
@@ -562,6 +800,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The files that differ from what the receiver holds.
+     * </pre>
+     *
      * <code>repeated .wigeonwharf.config.SettingsFileMessage files = 2;</code>
      */
     public Builder setFiles(
@@ -576,6 +818,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The files that differ from what the receiver holds.
+     * </pre>
+     *
      * <code>repeated .wigeonwharf.config.SettingsFileMessage files = 2;</code>
      */
     public Builder addFiles(org.wigeonwharf.config.wire.SettingsFileMessage value) {
@@ -592,6 +838,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The files that differ from what the receiver holds.
+     * </pre>
+     *
      * <code>repeated .wigeonwharf.config.SettingsFileMessage files = 2;</code>
      */
     public Builder addFiles(
@@ -609,6 +859,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The files that differ from what the receiver holds.
+     * </pre>
+     *
      * <code>repeated .wigeonwharf.config.SettingsFileMessage files = 2;</code>
      */
     public Builder addFiles(
@@ -623,6 +877,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The files that differ from what the receiver holds.
+     * </pre>
+     *
      * <code>repeated .wigeonwharf.config.SettingsFileMessage files = 2;</code>
      */
     public Builder addFiles(
@@ -637,6 +895,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The files that differ from what the receiver holds.
+     * </pre>
+     *
      * <code>repeated .wigeonwharf.config.SettingsFileMessage files = 2;</code>
      */
     public Builder addAllFiles(
@@ -652,6 +914,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The files that differ from what the receiver holds.
+     * </pre>
+     *
      * <code>repeated .wigeonwharf.config.SettingsFileMessage files = 2;</code>
      */
     public Builder clearFiles() {
@@ -665,6 +931,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The files that differ from what the receiver holds.
+     * </pre>
+     *
      * <code>repeated .wigeonwharf.config.SettingsFileMessage files = 2;</code>
      */
     public Builder removeFiles(int index) {
@@ -678,6 +948,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The files that differ from what the receiver holds.
+     * </pre>
+     *
      * <code>repeated .wigeonwharf.config.SettingsFileMessage files = 2;</code>
      */
     public org.wigeonwharf.config.wire.SettingsFileMessage.Builder getFilesBuilder(
@@ -685,6 +959,10 @@
       return internalGetFilesFieldBuilder().getBuilder(index);
     }
     /**
+     * <pre>
+     * The files that differ from what the receiver holds.
+     * </pre>
+     *
      * <code>repeated .wigeonwharf.config.SettingsFileMessage files = 2;</code>
      */
     public org.wigeonwharf.config.wire.SettingsFileMessageOrBuilder getFilesOrBuilder(
@@ -695,6 +973,10 @@
       }
     }
     /**
+     * <pre>
+     * The files that differ from what the receiver holds.
+     * </pre>
+     *
      * <code>repeated .wigeonwharf.config.SettingsFileMessage files = 2;</code>
      */
     public java.util.List<? extends org.wigeonwharf.config.wire.SettingsFileMessageOrBuilder> 
@@ -706,6 +988,10 @@
       }
     }
     /**
+     * <pre>
+     * The files that differ from what the receiver holds.
+     * </pre>
+     *
      * <code>repeated .wigeonwharf.config.SettingsFileMessage files = 2;</code>
      */
     public org.wigeonwharf.config.wire.SettingsFileMessage.Builder addFilesBuilder() {
@@ -713,6 +999,10 @@
           org.wigeonwharf.config.wire.SettingsFileMessage.getDefaultInstance());
     }
     /**
+     * <pre>
+     * The files that differ from what the receiver holds.
+     * </pre>
+     *
      * <code>repeated .wigeonwharf.config.SettingsFileMessage files = 2;</code>
      */
     public org.wigeonwharf.config.wire.SettingsFileMessage.Builder addFilesBuilder(
@@ -721,6 +1011,10 @@
           index, org.wigeonwharf.config.wire.SettingsFileMessage.getDefaultInstance());
     }
     /**
+     * <pre>
+     * The files that differ from what the receiver holds.
+     * </pre>
+     *
      * <code>repeated .wigeonwharf.config.SettingsFileMessage files = 2;</code>
      */
     public java.util.List<org.wigeonwharf.config.wire.SettingsFileMessage.Builder> 
@@ -742,6 +1036,410 @@
       return filesBuilder_;
     }
 
+    private java.util.List<org.wigeonwharf.config.wire.FileDigest> manifest_ =
+      java.util.Collections.emptyList();
+    private void ensureManifestIsMutable() {
+      if (!((bitField0_ & 0x00000004) != 0)) {
+        manifest_ = new java.util.ArrayList<org.wigeonwharf.config.wire.FileDigest>(manifest_);
+        bitField0_ |= 0x00000004;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wigeonwharf.config.wire.FileDigest, org.wigeonwharf.config.wire.FileDigest.Builder, org.wigeonwharf.config.wire.FileDigestOrBuilder> manifestBuilder_;
+
+    /**
+     * <pre>
+     * Every file of the snapshot, in merge order.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest manifest = 3;</code>
+     */
+    public java.util.List<org.wigeonwharf.config.wire.FileDigest> getManifestList() {
+      if (manifestBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(manifest_);
+      } else {
+        return manifestBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Every file of the snapshot, in merge order.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest manifest = 3;</code>
+     */
+    public int getManifestCount() {
+      if (manifestBuilder_ == null) {
+        return manifest_.size();
+      } else {
+        return manifestBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Every file of the snapshot, in merge order.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest manifest = 3;</code>
+     */
+    public org.wigeonwharf.config.wire.FileDigest getManifest(int index) {
+      if (manifestBuilder_ == null) {
+        return manifest_.get(index);
+      } else {
+        return manifestBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Every file of the snapshot, in merge order.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest manifest = 3;</code>
+     */
+    public Builder setManifest(
+        int index, org.wigeonwharf.config.wire.FileDigest value) {
+      if (manifestBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureManifestIsMutable();
+        manifest_.set(index, value);
+        onChanged();
+      } else {
+        manifestBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Every file of the snapshot, in merge order.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest manifest = 3;</code>
+     */
+    public Builder setManifest(
+        int index, org.wigeonwharf.config.wire.FileDigest.Builder builderForValue) {
+      if (manifestBuilder_ == null) {
+        ensureManifestIsMutable();
+        manifest_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        manifestBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Every file of the snapshot, in merge order.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest manifest = 3;</code>
+     */
+    public Builder addManifest(org.wigeonwharf.config.wire.FileDigest value) {
+      if (manifestBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureManifestIsMutable();
+        manifest_.add(value);
+        onChanged();
+      } else {
+        manifestBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Every file of the snapshot, in merge order.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest manifest = 3;</code>
+     */
+    public Builder addManifest(
+        int index, org.wigeonwharf.config.wire.FileDigest value) {
+      if (manifestBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureManifestIsMutable();
+        manifest_.add(index, value);
+        onChanged();
+      } else {
+        manifestBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Every file of the snapshot, in merge order.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest manifest = 3;</code>
+     */
+    public Builder addManifest(
+        org.wigeonwharf.config.wire.FileDigest.Builder builderForValue) {
+      if (manifestBuilder_ == null) {
+        ensureManifestIsMutable();
+        manifest_.add(builderForValue.build());
+        onChanged();
+      } else {
+        manifestBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Every file of the snapshot, in merge order.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest manifest = 3;</code>
+     */
+    public Builder addManifest(
+        int index, org.wigeonwharf.config.wire.FileDigest.Builder builderForValue) {
+      if (manifestBuilder_ == null) {
+        ensureManifestIsMutable();
+        manifest_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        manifestBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Every file of the snapshot, in merge order.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest manifest = 3;</code>
+     */
+    public Builder addAllManifest(
+        java.lang.Iterable<? extends org.wigeonwharf.config.wire.FileDigest> values) {
+      if (manifestBuilder_ == null) {
+        ensureManifestIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, manifest_);
+        onChanged();
+      } else {
+        manifestBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Every file of the snapshot, in merge order.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest manifest = 3;</code>
+     */
+    public Builder clearManifest() {
+      if (manifestBuilder_ == null) {
+        manifest_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000004);
+        onChanged();
+      } else {
+        manifestBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Every file of the snapshot, in merge order.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest manifest = 3;</code>
+     */
+    public Builder removeManifest(int index) {
+      if (manifestBuilder_ == null) {
+        ensureManifestIsMutable();
+        manifest_.remove(index);
+        onChanged();
+      } else {
+        manifestBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Every file of the snapshot, in merge order.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest manifest = 3;</code>
+     */
+    public org.wigeonwharf.config.wire.FileDigest.Builder getManifestBuilder(
+        int index) {
+      return internalGetManifestFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Every file of the snapshot, in merge order.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest manifest = 3;</code>
+     */
+    public org.wigeonwharf.config.wire.FileDigestOrBuilder getManifestOrBuilder(
+        int index) {
+      if (manifestBuilder_ == null) {
+        return manifest_.get(index);  } else {
+        return manifestBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Every file of the snapshot, in merge order.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest manifest = 3;</code>
+     */
+    public java.util.List<? extends org.wigeonwharf.config.wire.FileDigestOrBuilder> 
+         getManifestOrBuilderList() {
+      if (manifestBuilder_ != null) {
+        return manifestBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(manifest_);
+      }
+    }
+    /**
+     * <pre>
+     * Every file of the snapshot, in merge order.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest manifest = 3;</code>
+     */
+    public org.wigeonwharf.config.wire.FileDigest.Builder addManifestBuilder() {
+      return internalGetManifestFieldBuilder().addBuilder(
+          org.wigeonwharf.config.wire.FileDigest.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Every file of the snapshot, in merge order.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest manifest = 3;</code>
+     */
+    public org.wigeonwharf.config.wire.FileDigest.Builder addManifestBuilder(
+        int index) {
+      return internalGetManifestFieldBuilder().addBuilder(
+          index, org.wigeonwharf.config.wire.FileDigest.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Every file of the snapshot, in merge order.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest manifest = 3;</code>
+     */
+    public java.util.List<org.wigeonwharf.config.wire.FileDigest.Builder> 
+         getManifestBuilderList() {
+      return internalGetManifestFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wigeonwharf.config.wire.FileDigest, org.wigeonwharf.config.wire.FileDigest.Builder, org.wigeonwharf.config.wire.FileDigestOrBuilder> 
+        internalGetManifestFieldBuilder() {
+      if (manifestBuilder_ == null) {
+        manifestBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.wigeonwharf.config.wire.FileDigest, org.wigeonwharf.config.wire.FileDigest.Builder, org.wigeonwharf.config.wire.FileDigestOrBuilder>(
+                manifest_,
+                ((bitField0_ & 0x00000004) != 0),
+                getParentForChildren(),
+                isClean());
+        manifest_ = null;
+      }
+      return manifestBuilder_;
+    }
+
+    private java.lang.Object digest_ = "";
+    /**
+     * <pre>
+     * Digest of the whole snapshot, as in Snapshot.digest.
+     * </pre>
+     *
+     * <code>string digest = 4;</code>
+     * @return The digest.
+     */
+    public java.lang.String getDigest() {
+      java.lang.Object ref = digest_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        digest_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Digest of the whole snapshot, as in Snapshot.digest.
+     * </pre>
+     *
+     * <code>string digest = 4;</code>
+     * @return The bytes for digest.
+     */
+    public com.google.protobuf.ByteString
+        getDigestBytes() {
+      java.lang.Object ref = digest_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        digest_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Digest of the whole snapshot, as in Snapshot.digest.
+     * </pre>
+     *
+     * <code>string digest = 4;</code>
+     * @param value The digest to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDigest(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      digest_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Digest of the whole snapshot, as in Snapshot.digest.
+     * </pre>
+     *
+     * <code>string digest = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDigest() {
+      digest_ = getDefaultInstance().getDigest();
+      bitField0_ = (bitField0_ & ~0x00000008);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Digest of the whole snapshot, as in Snapshot.digest.
+     * </pre>
+     *
+     * <code>string digest = 4;</code>
+     * @param value The bytes for digest to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDigestBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      digest_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wigeonwharf.config.SnapshotMessage)
   }
 
--- a/org.wigeonwharf.config/src/gen/java/org/wigeonwharf/config/wire/SnapshotMessageOrBuilder.java
+++ b/org.wigeonwharf.config/src/gen/java/org/wigeonwharf/config/wire/SnapshotMessageOrBuilder.java
@@ -17,26 +17,110 @@
   long getRevision();
 
   /**
+   * <pre>
+   * The files that differ from what the receiver holds.
+   * </pre>
+   *
    * <code>repeated .wigeonwharf.config.SettingsFileMessage files = 2;</code>
    */
   java.util.List<org.wigeonwharf.config.wire.SettingsFileMessage> 
       getFilesList();
   /**
+   * <pre>
+   * The files that differ from what the receiver holds.
+   * </pre>
+   *
    * <code>repeated .wigeonwharf.config.SettingsFileMessage files = 2;</code>
    */
   org.wigeonwharf.config.wire.SettingsFileMessage getFiles(int index);
   /**
+   * <pre>
+   * The files that differ from what the receiver holds.
+   * </pre>
+   *
    * <code>repeated .wigeonwharf.config.SettingsFileMessage files = 2;</code>
    */
   int getFilesCount();
   /**
+   * <pre>
+   * The files that differ from what the receiver holds.
+   * </pre>
+   *
    * <code>repeated .wigeonwharf.config.SettingsFileMessage files = 2;</code>
    */
   java.util.List<? extends org.wigeonwharf.config.wire.SettingsFileMessageOrBuilder> 
       getFilesOrBuilderList();
   /**
+   * <pre>
+   * The files that differ from what the receiver holds.
+   * </pre>
+   *
    * <code>repeated .wigeonwharf.config.SettingsFileMessage files = 2;</code>
    */
   org.wigeonwharf.config.wire.SettingsFileMessageOrBuilder getFilesOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Every file of the snapshot, in merge order.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.config.FileDigest manifest = 3;</code>
+   */
+  java.util.List<org.wigeonwharf.config.wire.FileDigest> 
+      getManifestList();
+  /**
+   * <pre>
+   * Every file of the snapshot, in merge order.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.config.FileDigest manifest = 3;</code>
+   */
+  org.wigeonwharf.config.wire.FileDigest getManifest(int index);
+  /**
+   * <pre>
+   * Every file of the snapshot, in merge order.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.config.FileDigest manifest = 3;</code>
+   */
+  int getManifestCount();
+  /**
+   * <pre>
+   * Every file of the snapshot, in merge order.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.config.FileDigest manifest = 3;</code>
+   */
+  java.util.List<? extends org.wigeonwharf.config.wire.FileDigestOrBuilder> 
+      getManifestOrBuilderList();
+  /**
+   * <pre>
+   * Every file of the snapshot, in merge order.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.config.FileDigest manifest = 3;</code>
+   */
+  org.wigeonwharf.config.wire.FileDigestOrBuilder getManifestOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * Digest of the whole snapshot, as in Snapshot.digest.
+   * </pre>
+   *
+   * <code>string digest = 4;</code>
+   * @return The digest.
+   */
+  java.lang.String getDigest();
+  /**
+   * <pre>
+   * Digest of the whole snapshot, as in Snapshot.digest.
+   * </pre>
+   *
+   * <code>string digest = 4;</code>
+   * @return The bytes for digest.
+   */
+  com.google.protobuf.ByteString
+      getDigestBytes();
 }
--- a/org.wigeonwharf.config/src/gen/java/org/wigeonwharf/config/wire/SnapshotRequest.java
+++ b/org.wigeonwharf.config/src/gen/java/org/wigeonwharf/config/wire/SnapshotRequest.java
@@ -32,6 +32,7 @@
     super(builder);
   }
   private SnapshotRequest() {
+    heldFiles_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -58,6 +59,67 @@
     return heldRevision_;
   }
 
+  public static final int HELD_FILES_FIELD_NUMBER = 2;
+  @SuppressWarnings("serial")
+  private java.util.List<org.wigeonwharf.config.wire.FileDigest> heldFiles_;
+  /**
+   * <pre>
+   * What the asker holds, so that the answer can leave those files out.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.config.FileDigest held_files = 2;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.wigeonwharf.config.wire.FileDigest> getHeldFilesList() {
+    return heldFiles_;
+  }
+  /**
+   * <pre>
+   * What the asker holds, so that the answer can leave those files out.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.config.FileDigest held_files = 2;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.wigeonwharf.config.wire.FileDigestOrBuilder> 
+      getHeldFilesOrBuilderList() {
+    return heldFiles_;
+  }
+  /**
+   * <pre>
+   * What the asker holds, so that the answer can leave those files out.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.config.FileDigest held_files = 2;</code>
+   */
+  @java.lang.Override
+  public int getHeldFilesCount() {
+    return heldFiles_.size();
+  }
+  /**
+   * <pre>
+   * What the asker holds, so that the answer can leave those files out.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.config.FileDigest held_files = 2;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.config.wire.FileDigest getHeldFiles(int index) {
+    return heldFiles_.get(index);
+  }
+  /**
+   * <pre>
+   * What the asker holds, so that the answer can leave those files out.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.config.FileDigest held_files = 2;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.config.wire.FileDigestOrBuilder getHeldFilesOrBuilder(
+      int index) {
+    return heldFiles_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -75,6 +137,9 @@
     if (heldRevision_ != 0L) {
       output.writeInt64(1, heldRevision_);
     }
+    for (int i = 0; i < heldFiles_.size(); i++) {
+      output.writeMessage(2, heldFiles_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -88,6 +153,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(1, heldRevision_);
     }
+    for (int i = 0; i < heldFiles_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(2, heldFiles_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -105,6 +174,8 @@
 
     if (getHeldRevision()
         != other.getHeldRevision()) return false;
+    if (!getHeldFilesList()
+        .equals(other.getHeldFilesList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -119,6 +190,10 @@
     hash = (37 * hash) + HELD_REVISION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getHeldRevision());
+    if (getHeldFilesCount() > 0) {
+      hash = (37 * hash) + HELD_FILES_FIELD_NUMBER;
+      hash = (53 * hash) + getHeldFilesList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -255,6 +330,13 @@
       super.clear();
       bitField0_ = 0;
       heldRevision_ = 0L;
+      if (heldFilesBuilder_ == null) {
+        heldFiles_ = java.util.Collections.emptyList();
+      } else {
+        heldFiles_ = null;
+        heldFilesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000002);
       return this;
     }
 
@@ -281,11 +363,24 @@
     @java.lang.Override
     public org.wigeonwharf.config.wire.SnapshotRequest buildPartial() {
       org.wigeonwharf.config.wire.SnapshotRequest result = new org.wigeonwharf.config.wire.SnapshotRequest(this);
+      buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
+    private void buildPartialRepeatedFields(org.wigeonwharf.config.wire.SnapshotRequest result) {
+      if (heldFilesBuilder_ == null) {
+        if (((bitField0_ & 0x00000002) != 0)) {
+          heldFiles_ = java.util.Collections.unmodifiableList(heldFiles_);
+          bitField0_ = (bitField0_ & ~0x00000002);
+        }
+        result.heldFiles_ = heldFiles_;
+      } else {
+        result.heldFiles_ = heldFilesBuilder_.build();
+      }
+    }
+
     private void buildPartial0(org.wigeonwharf.config.wire.SnapshotRequest result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
@@ -308,6 +403,32 @@
       if (other.getHeldRevision() != 0L) {
         setHeldRevision(other.getHeldRevision());
       }
+      if (heldFilesBuilder_ == null) {
+        if (!other.heldFiles_.isEmpty()) {
+          if (heldFiles_.isEmpty()) {
+            heldFiles_ = other.heldFiles_;
+            bitField0_ = (bitField0_ & ~0x00000002);
+          } else {
+            ensureHeldFilesIsMutable();
+            heldFiles_.addAll(other.heldFiles_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.heldFiles_.isEmpty()) {
+          if (heldFilesBuilder_.isEmpty()) {
+            heldFilesBuilder_.dispose();
+            heldFilesBuilder_ = null;
+            heldFiles_ = other.heldFiles_;
+            bitField0_ = (bitField0_ & ~0x00000002);
+            heldFilesBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetHeldFilesFieldBuilder() : null;
+          } else {
+            heldFilesBuilder_.addAllMessages(other.heldFiles_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -339,6 +460,19 @@
               bitField0_ |= 0x00000001;
               break;
             } // case 8
+            case 18: {
+              org.wigeonwharf.config.wire.FileDigest m =
+                  input.readMessage(
+                      org.wigeonwharf.config.wire.FileDigest.parser(),
+                      extensionRegistry);
+              if (heldFilesBuilder_ == null) {
+                ensureHeldFilesIsMutable();
+                heldFiles_.add(m);
+              } else {
+                heldFilesBuilder_.addMessage(m);
+              }
+              break;
+            } // case 18
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -388,6 +522,318 @@
       return this;
     }
 
+    private java.util.List<org.wigeonwharf.config.wire.FileDigest> heldFiles_ =
+      java.util.Collections.emptyList();
+    private void ensureHeldFilesIsMutable() {
+      if (!((bitField0_ & 0x00000002) != 0)) {
+        heldFiles_ = new java.util.ArrayList<org.wigeonwharf.config.wire.FileDigest>(heldFiles_);
+        bitField0_ |= 0x00000002;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wigeonwharf.config.wire.FileDigest, org.wigeonwharf.config.wire.FileDigest.Builder, org.wigeonwharf.config.wire.FileDigestOrBuilder> heldFilesBuilder_;
+
+    /**
+     * <pre>
+     * What the asker holds, so that the answer can leave those files out.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest held_files = 2;</code>
+     */
+    public java.util.List<org.wigeonwharf.config.wire.FileDigest> getHeldFilesList() {
+      if (heldFilesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(heldFiles_);
+      } else {
+        return heldFilesBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * What the asker holds, so that the answer can leave those files out.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest held_files = 2;</code>
+     */
+    public int getHeldFilesCount() {
+      if (heldFilesBuilder_ == null) {
+        return heldFiles_.size();
+      } else {
+        return heldFilesBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * What the asker holds, so that the answer can leave those files out.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest held_files = 2;</code>
+     */
+    public org.wigeonwharf.config.wire.FileDigest getHeldFiles(int index) {
+      if (heldFilesBuilder_ == null) {
+        return heldFiles_.get(index);
+      } else {
+        return heldFilesBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * What the asker holds, so that the answer can leave those files out.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest held_files = 2;</code>
+     */
+    public Builder setHeldFiles(
+        int index, org.wigeonwharf.config.wire.FileDigest value) {
+      if (heldFilesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureHeldFilesIsMutable();
+        heldFiles_.set(index, value);
+        onChanged();
+      } else {
+        heldFilesBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the asker holds, so that the answer can leave those files out.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest held_files = 2;</code>
+     */
+    public Builder setHeldFiles(
+        int index, org.wigeonwharf.config.wire.FileDigest.Builder builderForValue) {
+      if (heldFilesBuilder_ == null) {
+        ensureHeldFilesIsMutable();
+        heldFiles_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        heldFilesBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the asker holds, so that the answer can leave those files out.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest held_files = 2;</code>
+     */
+    public Builder addHeldFiles(org.wigeonwharf.config.wire.FileDigest value) {
+      if (heldFilesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureHeldFilesIsMutable();
+        heldFiles_.add(value);
+        onChanged();
+      } else {
+        heldFilesBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the asker holds, so that the answer can leave those files out.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest held_files = 2;</code>
+     */
+    public Builder addHeldFiles(
+        int index, org.wigeonwharf.config.wire.FileDigest value) {
+      if (heldFilesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureHeldFilesIsMutable();
+        heldFiles_.add(index, value);
+        onChanged();
+      } else {
+        heldFilesBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the asker holds, so that the answer can leave those files out.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest held_files = 2;</code>
+     */
+    public Builder addHeldFiles(
+        org.wigeonwharf.config.wire.FileDigest.Builder builderForValue) {
+      if (heldFilesBuilder_ == null) {
+        ensureHeldFilesIsMutable();
+        heldFiles_.add(builderForValue.build());
+        onChanged();
+      } else {
+        heldFilesBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the asker holds, so that the answer can leave those files out.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest held_files = 2;</code>
+     */
+    public Builder addHeldFiles(
+        int index, org.wigeonwharf.config.wire.FileDigest.Builder builderForValue) {
+      if (heldFilesBuilder_ == null) {
+        ensureHeldFilesIsMutable();
+        heldFiles_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        heldFilesBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the asker holds, so that the answer can leave those files out.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest held_files = 2;</code>
+     */
+    public Builder addAllHeldFiles(
+        java.lang.Iterable<? extends org.wigeonwharf.config.wire.FileDigest> values) {
+      if (heldFilesBuilder_ == null) {
+        ensureHeldFilesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, heldFiles_);
+        onChanged();
+      } else {
+        heldFilesBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the asker holds, so that the answer can leave those files out.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest held_files = 2;</code>
+     */
+    public Builder clearHeldFiles() {
+      if (heldFilesBuilder_ == null) {
+        heldFiles_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+      } else {
+        heldFilesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the asker holds, so that the answer can leave those files out.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest held_files = 2;</code>
+     */
+    public Builder removeHeldFiles(int index) {
+      if (heldFilesBuilder_ == null) {
+        ensureHeldFilesIsMutable();
+        heldFiles_.remove(index);
+        onChanged();
+      } else {
+        heldFilesBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the asker holds, so that the answer can leave those files out.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest held_files = 2;</code>
+     */
+    public org.wigeonwharf.config.wire.FileDigest.Builder getHeldFilesBuilder(
+        int index) {
+      return internalGetHeldFilesFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * What the asker holds, so that the answer can leave those files out.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest held_files = 2;</code>
+     */
+    public org.wigeonwharf.config.wire.FileDigestOrBuilder getHeldFilesOrBuilder(
+        int index) {
+      if (heldFilesBuilder_ == null) {
+        return heldFiles_.get(index);  } else {
+        return heldFilesBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * What the asker holds, so that the answer can leave those files out.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest held_files = 2;</code>
+     */
+    public java.util.List<? extends org.wigeonwharf.config.wire.FileDigestOrBuilder> 
+         getHeldFilesOrBuilderList() {
+      if (heldFilesBuilder_ != null) {
+        return heldFilesBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(heldFiles_);
+      }
+    }
+    /**
+     * <pre>
+     * What the asker holds, so that the answer can leave those files out.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest held_files = 2;</code>
+     */
+    public org.wigeonwharf.config.wire.FileDigest.Builder addHeldFilesBuilder() {
+      return internalGetHeldFilesFieldBuilder().addBuilder(
+          org.wigeonwharf.config.wire.FileDigest.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * What the asker holds, so that the answer can leave those files out.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest held_files = 2;</code>
+     */
+    public org.wigeonwharf.config.wire.FileDigest.Builder addHeldFilesBuilder(
+        int index) {
+      return internalGetHeldFilesFieldBuilder().addBuilder(
+          index, org.wigeonwharf.config.wire.FileDigest.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * What the asker holds, so that the answer can leave those files out.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.config.FileDigest held_files = 2;</code>
+     */
+    public java.util.List<org.wigeonwharf.config.wire.FileDigest.Builder> 
+         getHeldFilesBuilderList() {
+      return internalGetHeldFilesFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wigeonwharf.config.wire.FileDigest, org.wigeonwharf.config.wire.FileDigest.Builder, org.wigeonwharf.config.wire.FileDigestOrBuilder> 
+        internalGetHeldFilesFieldBuilder() {
+      if (heldFilesBuilder_ == null) {
+        heldFilesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.wigeonwharf.config.wire.FileDigest, org.wigeonwharf.config.wire.FileDigest.Builder, org.wigeonwharf.config.wire.FileDigestOrBuilder>(
+                heldFiles_,
+                ((bitField0_ & 0x00000002) != 0),
+                getParentForChildren(),
+                isClean());
+        heldFiles_ = null;
+      }
+      return heldFilesBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:wigeonwharf.config.SnapshotRequest)
   }
 
--- a/org.wigeonwharf.config/src/gen/java/org/wigeonwharf/config/wire/SnapshotRequestOrBuilder.java
+++ b/org.wigeonwharf.config/src/gen/java/org/wigeonwharf/config/wire/SnapshotRequestOrBuilder.java
@@ -15,4 +15,48 @@
    * @return The heldRevision.
    */
   long getHeldRevision();
+
+  /**
+   * <pre>
+   * What the asker holds, so that the answer can leave those files out.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.config.FileDigest held_files = 2;</code>
+   */
+  java.util.List<org.wigeonwharf.config.wire.FileDigest> 
+      getHeldFilesList();
+  /**
+   * <pre>
+   * What the asker holds, so that the answer can leave those files out.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.config.FileDigest held_files = 2;</code>
+   */
+  org.wigeonwharf.config.wire.FileDigest getHeldFiles(int index);
+  /**
+   * <pre>
+   * What the asker holds, so that the answer can leave those files out.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.config.FileDigest held_files = 2;</code>
+   */
+  int getHeldFilesCount();
+  /**
+   * <pre>
+   * What the asker holds, so that the answer can leave those files out.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.config.FileDigest held_files = 2;</code>
+   */
+  java.util.List<? extends org.wigeonwharf.config.wire.FileDigestOrBuilder> 
+      getHeldFilesOrBuilderList();
+  /**
+   * <pre>
+   * What the asker holds, so that the answer can leave those files out.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.config.FileDigest held_files = 2;</code>
+   */
+  org.wigeonwharf.config.wire.FileDigestOrBuilder getHeldFilesOrBuilder(
+      int index);
 }
--- a/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/ConfigService.java
+++ b/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/ConfigService.java
@@ -1,57 +1,114 @@
 package org.wigeonwharf.config;
 
-import java.io.IOException;
-import java.time.Duration;
-import java.util.List;
-import java.util.Locale;
-import java.util.Optional;
+import java.util.Random;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
+import org.wigeonwharf.config.internal.Adopter;
+import org.wigeonwharf.config.internal.PlatformReader;
+import org.wigeonwharf.config.internal.ReadPolicy;
+import org.wigeonwharf.config.internal.Settling;
+import org.wigeonwharf.config.internal.SnapshotSpread;
+import org.wigeonwharf.membership.MembershipView;
 import org.wigeonwharf.model.Clock;
+import org.wigeonwharf.model.FailureDomain;
 import org.wigeonwharf.model.Lifecycle;
+import org.wigeonwharf.model.NodeId;
+import org.wigeonwharf.peer.PeerTransport;
 
-/** A ConfigService keeps the store up to date with the platform and with peers. */
+/**
+ * A ConfigService keeps the store at the highest revision that any reachable process holds.
+ *
+ * <p>Two readers of each failure domain watch the platform; everyone else gets snapshots from
+ * peers, and reads for itself when no reader is heard to have platform contact.
+ */
 public final class ConfigService implements Lifecycle {
-  private static final Logger LOG = LoggerFactory.getLogger(ConfigService.class);
-  private static final Duration WATCH = Duration.ofSeconds(10);
-  private static final Duration BACKOFF = Duration.ofMillis(500);
-
+  private final FailureDomain domain;
   private final ConfigStore store;
-  private final ConfigSource source;
+  private final PlatformContact contact;
+  private final Supplier<MembershipView> view;
   private final Clock clock;
-  private volatile long lastContactNanos;
-  private volatile boolean contacted;
-  private @Nullable Thread reader;
+  private final Random random;
+  private final Adopter adopter;
+  private final PlatformReader reader;
+  private final SnapshotSpread spread;
+  private @Nullable ReadPolicy readPolicy;
+  private volatile @Nullable Settling settling;
 
   /**
-   * Creates a service that is not yet reading.
+   * Creates a service that registers with the transport at once and works once started.
    *
+   * @param domain the own failure domain
    * @param store receives what is read
    * @param source the platform
+   * @param contact notes each answer of the platform
+   * @param transport connections to peers
+   * @param view the live routers; asked only once this service has started
    * @param clock the process's clock
+   * @param random draws jitter and breaks ties
    */
-  public ConfigService(ConfigStore store, ConfigSource source, Clock clock) {
+  public ConfigService(
+      FailureDomain domain,
+      ConfigStore store,
+      ConfigSource source,
+      PlatformContact contact,
+      PeerTransport transport,
+      Supplier<MembershipView> view,
+      Clock clock,
+      Random random) {
+    this.domain = domain;
     this.store = store;
-    this.source = source;
+    this.contact = contact;
+    this.view = view;
     this.clock = clock;
+    this.random = random;
+    this.adopter = new Adopter(store);
+    this.reader =
+        new PlatformReader(source, store, contact, this::shouldRead, this::read, clock, random);
+    this.spread = new SnapshotSpread(domain, transport, view, store, adopter, clock, random);
   }
 
+  /** Starts reading and spreading; membership must have started. */
   @Override
   public void start() {
-    Thread t = new Thread(this::readLoop, "config-reader");
-    t.setDaemon(true);
-    reader = t;
-    t.start();
+    readPolicy = new ReadPolicy(domain, random, clock.nanos());
+    settling = new Settling(clock.nanos());
+    spread.start();
+    reader.start();
   }
 
   @Override
   public void stop() {
-    Thread t = reader;
-    if (t != null) {
-      t.interrupt();
-      reader = null;
-    }
+    reader.stop();
+    spread.stop();
+  }
+
+  /**
+   * Notes the revision that a peer's message carried and pulls it if it is higher than the own.
+   *
+   * @param peer the sender
+   * @param revision the revision in force there
+   */
+  public void heard(NodeId peer, long revision) {
+    spread.heard(peer, revision);
+  }
+
+  /**
+   * Tells whether this process holds what its peers hold, or has waited long enough for them.
+   *
+   * @return true once it has settled; never before a configuration is in force
+   */
+  public boolean isSettled() {
+    Settling s = settling;
+    return s != null && s.isSettled(view.get(), store.current().revision(), clock.nanos());
+  }
+
+  /**
+   * Tells whether this process watches the configuration service at present.
+   *
+   * @return true if it does
+   */
+  public boolean isReading() {
+    return reader.isReading();
   }
 
   /**
@@ -60,51 +117,20 @@
    * @return milliseconds, or -1 if it never did
    */
   public long platformContactAgeMillis() {
-    return contacted ? (clock.nanos() - lastContactNanos) / Clock.NANOS_PER_MILLI : -1;
+    return contact.ageMillis();
   }
 
-  private void readLoop() {
-    try {
-      while (!Thread.currentThread().isInterrupted()) {
-        readOnce();
-      }
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
-  private void readOnce() throws InterruptedException {
-    try {
-      Optional<ConfigSource.Publish> publish = source.watch(store.current().revision(), WATCH);
-      lastContactNanos = clock.nanos();
-      contacted = true;
-      publish.ifPresent(p -> offer(p.revision(), p.files(), "platform"));
-    } catch (IOException e) {
-      LOG.atWarn()
-          .addKeyValue("event", "platform.unreachable")
-          .addKeyValue("reason", e.getMessage())
-          .log("configuration service can't be read");
-      Thread.sleep(BACKOFF.toMillis());
-    }
+  private boolean shouldRead() {
+    ReadPolicy p = readPolicy;
+    return p != null && p.shouldRead(view.get(), clock.nanos());
   }
 
-  private void offer(long revision, List<SettingsFile> files, String origin) {
-    ConfigStore.Offer result = store.offer(revision, files);
-    LOG.atInfo()
-        .addKeyValue("event", "config." + result.name().toLowerCase(Locale.ROOT))
-        .addKeyValue("revision", revision)
-        .addKeyValue("origin", origin)
-        .log("configuration offered");
-    ConfigStore.Rejection r = store.rejection();
-    if (result == ConfigStore.Offer.INVALID && r != null) {
-      r.faults()
-          .forEach(
-              f ->
-                  LOG.atError()
-                      .addKeyValue("event", "config.fault")
-                      .addKeyValue("revision", revision)
-                      .addKeyValue("fault", f.toString())
-                      .log("publish refused"));
+  private void read(ConfigSource.Publish publish) {
+    Snapshot before = store.current();
+    ConfigStore.Offer offer = adopter.offer(publish.revision(), publish.files(), "platform");
+    Snapshot now = store.current();
+    if (offer == ConfigStore.Offer.ADOPTED && now.revision() == publish.revision()) {
+      spread.push(now, before, null);
     }
   }
 }
--- a/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/ConfigStore.java
+++ b/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/ConfigStore.java
@@ -36,7 +36,8 @@
   private final List<Consumer<Snapshot>> listeners = new CopyOnWriteArrayList<>();
   private volatile Snapshot current = Snapshot.NONE;
   private volatile @Nullable Rejection rejection;
-  private volatile long conflicts;
+  private long conflicts;
+  private String conflictDigest = "";
 
   /**
    * Returns the snapshot in force.
@@ -58,11 +59,11 @@
   }
 
   /**
-   * Returns how often a known revision came with other content.
+   * Returns how often the revision in force was met with other content.
    *
-   * @return a count since the process started
+   * @return a count since the process started; the same other content counts once in a row
    */
-  public long conflicts() {
+  public synchronized long conflicts() {
     return conflicts;
   }
 
@@ -92,7 +93,7 @@
     }
     Either<List<Fault>, PublishedConfig> parsed = ConfigParser.parse(files);
     if (parsed.isLeft()) {
-      rejection = new Rejection(revision, parsed.getLeft());
+      reject(new Rejection(revision, parsed.getLeft()));
       return Offer.INVALID;
     }
     Snapshot next = new Snapshot(revision, List.copyOf(files), parsed.get());
@@ -101,11 +102,30 @@
     return Offer.ADOPTED;
   }
 
-  private Offer offerSameRevision(Snapshot held, List<SettingsFile> files) {
-    if (Snapshot.digest(files).equals(held.digest())) {
-      return Offer.STALE;
+  private void reject(Rejection next) {
+    Rejection r = rejection;
+    if (r == null || next.revision() > r.revision()) {
+      rejection = next;
+    }
+  }
+
+  private static Offer offerSameRevision(Snapshot held, List<SettingsFile> files) {
+    return Snapshot.digest(files).equals(held.digest()) ? Offer.STALE : Offer.CONFLICT;
+  }
+
+  /**
+   * Notes that a revision has other content elsewhere.
+   *
+   * @param revision the revision
+   * @param digest the other content's digest
+   * @return true if the revision is in force here and this content was not the last one noted
+   */
+  public synchronized boolean noteConflict(long revision, String digest) {
+    if (revision != current.revision() || digest.equals(conflictDigest)) {
+      return false;
     }
+    conflictDigest = digest;
     conflicts++;
-    return Offer.CONFLICT;
+    return true;
   }
 }
--- /dev/null
+++ b/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/PlatformContact.java
@@ -0,0 +1,36 @@
+package org.wigeonwharf.config;
+
+import org.wigeonwharf.model.Clock;
+
+/** A PlatformContact remembers when the configuration service last answered this process. */
+public final class PlatformContact {
+  private static final long NEVER = -1;
+
+  private final Clock clock;
+  private volatile long lastNanos;
+  private volatile boolean contacted;
+
+  /**
+   * Creates a contact that has not happened yet.
+   *
+   * @param clock the process's clock
+   */
+  public PlatformContact(Clock clock) {
+    this.clock = clock;
+  }
+
+  /** Notes that the configuration service has just answered. */
+  public void answered() {
+    lastNanos = clock.nanos();
+    contacted = true;
+  }
+
+  /**
+   * Returns how long ago the configuration service last answered this process.
+   *
+   * @return milliseconds, or -1 if it never did
+   */
+  public long ageMillis() {
+    return contacted ? (clock.nanos() - lastNanos) / Clock.NANOS_PER_MILLI : NEVER;
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/internal/ReadPolicy.java
@@ -0,0 +1,93 @@
+package org.wigeonwharf.config.internal;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import org.wigeonwharf.membership.Member;
+import org.wigeonwharf.membership.MembershipView;
+import org.wigeonwharf.membership.Rendezvous;
+import org.wigeonwharf.model.Clock;
+import org.wigeonwharf.model.FailureDomain;
+import org.wigeonwharf.model.NodeId;
+
+/**
+ * A ReadPolicy decides whether this process watches the configuration service itself.
+ *
+ * <p>The routers of a failure domain are ranked by rendezvous hashing. The first two always watch.
+ * Every other one watches only while it has heard of no recent platform contact of any router that
+ * ranks before it, so that cut or frozen readers are replaced by one more reader and not by the
+ * whole failure domain. Not thread-safe.
+ */
+public final class ReadPolicy {
+  /** Routers of a failure domain that always watch. */
+  public static final int READERS_PER_DOMAIN = 2;
+
+  /** Silence of all better ranked routers after which a router watches itself. */
+  public static final long SILENCE_NANOS = 2 * Clock.NANOS_PER_SECOND;
+
+  /** Upper bound of the random addition to {@link #SILENCE_NANOS}. */
+  public static final long JITTER_NANOS = Clock.NANOS_PER_SECOND;
+
+  private static final String KEY = "config-reader/";
+
+  private final FailureDomain domain;
+  private final Random random;
+  private long lastContactNanos;
+  private long jitterNanos;
+
+  /**
+   * Creates a policy; the start counts as a contact.
+   *
+   * @param domain the own failure domain
+   * @param random draws the jitter
+   * @param nowNanos the current time
+   */
+  public ReadPolicy(FailureDomain domain, Random random, long nowNanos) {
+    this.domain = domain;
+    this.random = random;
+    contact(nowNanos);
+  }
+
+  /**
+   * Ranks the readers of a failure domain.
+   *
+   * @param view the live routers
+   * @param domain the failure domain
+   * @return at most {@link #READERS_PER_DOMAIN} nodes, best first
+   */
+  public static List<NodeId> readers(MembershipView view, FailureDomain domain) {
+    return Rendezvous.rank(KEY + domain.value(), view.candidates(domain), READERS_PER_DOMAIN);
+  }
+
+  /**
+   * Decides whether this process should watch now.
+   *
+   * @param view the live routers and their platform contacts
+   * @param nowNanos the current time
+   * @return true if it should
+   */
+  public boolean shouldRead(MembershipView view, long nowNanos) {
+    List<NodeId> all = view.candidates(domain);
+    List<NodeId> ranked = Rendezvous.rank(KEY + domain.value(), all, all.size());
+    int position = ranked.indexOf(view.self());
+    if (position >= 0 && position < READERS_PER_DOMAIN) {
+      contact(nowNanos);
+      return true;
+    }
+    Set<NodeId> better = new HashSet<>(position < 0 ? ranked : ranked.subList(0, position));
+    for (Member m : view.members()) {
+      if (better.contains(m.peer().node()) && m.platformContactAgeMillis() >= 0) {
+        contact(nowNanos - m.platformContactAgeMillis() * Clock.NANOS_PER_MILLI);
+      }
+    }
+    return nowNanos - lastContactNanos > SILENCE_NANOS + jitterNanos;
+  }
+
+  private void contact(long atNanos) {
+    if (jitterNanos == 0 || atNanos - lastContactNanos > 0) {
+      lastContactNanos = atNanos;
+      jitterNanos = 1 + random.nextLong(JITTER_NANOS);
+    }
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/internal/SnapshotExchange.java
@@ -0,0 +1,198 @@
+package org.wigeonwharf.config.internal;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+import org.wigeonwharf.config.ConfigStore;
+import org.wigeonwharf.config.SettingsFile;
+import org.wigeonwharf.config.Snapshot;
+import org.wigeonwharf.config.wire.ConfigMessage;
+import org.wigeonwharf.config.wire.FileDigest;
+import org.wigeonwharf.config.wire.RevisionNotice;
+import org.wigeonwharf.config.wire.SnapshotMessage;
+import org.wigeonwharf.config.wire.SnapshotRequest;
+import org.wigeonwharf.membership.Member;
+import org.wigeonwharf.membership.MembershipView;
+import org.wigeonwharf.model.Clock;
+import org.wigeonwharf.model.FailureDomain;
+import org.wigeonwharf.model.NodeId;
+import org.wigeonwharf.peer.Peer;
+
+/**
+ * A SnapshotExchange decides which snapshot messages to send to which peers.
+ *
+ * <p>It does no input or output of its own and reads only the injected clock. Not thread-safe.
+ */
+public final class SnapshotExchange {
+  private final Supplier<MembershipView> view;
+  private final ConfigStore store;
+  private final Adopter adopter;
+  private final Sender sender;
+  private final Clock clock;
+  private final Random random;
+  private final PullPolicy pull;
+  private final PushPolicy push;
+
+  /** A Sender takes messages to peers. */
+  @FunctionalInterface
+  public interface Sender {
+    /**
+     * Sends a message.
+     *
+     * @param to the receiver
+     * @param message the message
+     * @return false if there is no way to that peer at present
+     */
+    boolean send(NodeId to, ConfigMessage message);
+  }
+
+  /**
+   * Creates an exchange that has heard of nothing.
+   *
+   * @param domain the own failure domain
+   * @param view the live routers
+   * @param store the snapshot in force
+   * @param adopter takes the snapshots received
+   * @param sender takes the messages to send
+   * @param clock the process's clock
+   * @param random draws jitter and breaks ties
+   */
+  public SnapshotExchange(
+      FailureDomain domain,
+      Supplier<MembershipView> view,
+      ConfigStore store,
+      Adopter adopter,
+      Sender sender,
+      Clock clock,
+      Random random) {
+    this.view = view;
+    this.store = store;
+    this.adopter = adopter;
+    this.sender = sender;
+    this.clock = clock;
+    this.random = random;
+    this.pull = new PullPolicy(domain, random);
+    this.push = new PushPolicy(domain);
+  }
+
+  /**
+   * Notes that a peer told its revision and asks for it at once if it is higher.
+   *
+   * @param peer the peer
+   * @param revision the revision in force there
+   */
+  public void heard(NodeId peer, long revision) {
+    pull.heard(peer, revision);
+    ask();
+  }
+
+  /** Takes the revisions that heartbeats told and asks for a higher one; called often. */
+  public void tick() {
+    pull.members(view.get());
+    ask();
+  }
+
+  private void ask() {
+    Snapshot held = store.current();
+    Optional<NodeId> peer = pull.next(held.revision(), clock.nanos());
+    if (peer.isEmpty()) {
+      return;
+    }
+    SnapshotRequest request = SnapshotCodec.request(held);
+    if (!sender.send(peer.get(), ConfigMessage.newBuilder().setRequest(request).build())) {
+      pull.failed(peer.get(), clock.nanos());
+    }
+  }
+
+  /**
+   * Tells one peer, drawn at random, what is in force here; called now and then.
+   *
+   * @param peers the peers with a connection
+   */
+  public void notice(Collection<Peer> peers) {
+    Snapshot held = store.current();
+    if (peers.isEmpty() || held.revision() == 0) {
+      return;
+    }
+    RevisionNotice notice =
+        RevisionNotice.newBuilder().setRevision(held.revision()).setDigest(held.digest()).build();
+    Peer peer = new ArrayList<>(peers).get(random.nextInt(peers.size()));
+    sender.send(peer.node(), ConfigMessage.newBuilder().setNotice(notice).build());
+  }
+
+  /**
+   * Sends a snapshot that was just adopted to the peers that need it.
+   *
+   * @param adopted the snapshot
+   * @param before the snapshot in force before: its files are not sent again
+   * @param origin the failure domain it came from, or null for the platform
+   */
+  public void push(Snapshot adopted, Snapshot before, @Nullable FailureDomain origin) {
+    List<Member> targets = push.targets(view.get(), adopted.revision(), origin);
+    List<FileDigest> held = SnapshotCodec.digests(before.files());
+    for (Member m : targets) {
+      SnapshotMessage message =
+          SnapshotCodec.encode(adopted, m.configRevision() == 0 ? List.of() : held);
+      sender.send(m.peer().node(), ConfigMessage.newBuilder().setSnapshot(message).build());
+    }
+  }
+
+  /**
+   * Takes a peer's message; one of an unknown kind is ignored.
+   *
+   * @param from the sender
+   * @param message the message
+   */
+  public void received(Peer from, ConfigMessage message) {
+    switch (message.getKindCase()) {
+      case REQUEST -> answer(from, message.getRequest());
+      case SNAPSHOT -> take(from, message.getSnapshot());
+      case NOTICE -> compare(from, message.getNotice());
+      default -> {
+        // A newer peer may send kinds that are unknown here.
+      }
+    }
+  }
+
+  private void answer(Peer from, SnapshotRequest request) {
+    Snapshot held = store.current();
+    if (held.revision() > request.getHeldRevision()) {
+      SnapshotMessage message = SnapshotCodec.encode(held, request.getHeldFilesList());
+      sender.send(from.node(), ConfigMessage.newBuilder().setSnapshot(message).build());
+    }
+  }
+
+  private void take(Peer from, SnapshotMessage message) {
+    Snapshot before = store.current();
+    Optional<List<SettingsFile>> files = SnapshotCodec.assemble(message, before.files());
+    if (files.isEmpty()) {
+      heard(from.node(), message.getRevision());
+      return;
+    }
+    ConfigStore.Offer offer =
+        adopter.offer(message.getRevision(), files.get(), from.node().toString());
+    if (offer == ConfigStore.Offer.INVALID) {
+      pull.failed(from.node(), clock.nanos());
+      return;
+    }
+    pull.succeeded(from.node());
+    Snapshot now = store.current();
+    if (offer == ConfigStore.Offer.ADOPTED && now.revision() == message.getRevision()) {
+      push(now, before, from.domain());
+    }
+  }
+
+  private void compare(Peer from, RevisionNotice notice) {
+    Snapshot held = store.current();
+    if (notice.getRevision() > held.revision()) {
+      heard(from.node(), notice.getRevision());
+    } else if (notice.getRevision() == held.revision()
+        && !notice.getDigest().equals(held.digest())) {
+      adopter.conflict(notice.getRevision(), notice.getDigest(), from.node().toString());
+    }
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/internal/SnapshotSpread.java
@@ -0,0 +1,132 @@
+package org.wigeonwharf.config.internal;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.Random;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.wigeonwharf.config.ConfigStore;
+import org.wigeonwharf.config.Snapshot;
+import org.wigeonwharf.config.wire.ConfigMessage;
+import org.wigeonwharf.membership.MembershipView;
+import org.wigeonwharf.model.Clock;
+import org.wigeonwharf.model.FailureDomain;
+import org.wigeonwharf.model.Lifecycle;
+import org.wigeonwharf.model.NodeId;
+import org.wigeonwharf.peer.Peer;
+import org.wigeonwharf.peer.PeerTransport;
+import org.wigeonwharf.peer.Topic;
+
+/** A SnapshotSpread exchanges snapshots with peers, all on one thread of its own. */
+public final class SnapshotSpread implements Lifecycle {
+  private static final Logger LOG = LoggerFactory.getLogger(SnapshotSpread.class);
+  private static final long TICK_MILLIS = 100;
+  private static final long NOTICE_MILLIS = 1_000;
+
+  private final PeerTransport transport;
+  private final ConfigStore store;
+  private final SnapshotExchange exchange;
+  private final ScheduledExecutorService executor =
+      Executors.newSingleThreadScheduledExecutor(SnapshotSpread::daemon);
+
+  /**
+   * Creates a spread; it registers with the transport at once and works once started.
+   *
+   * @param domain the own failure domain
+   * @param transport connections to peers
+   * @param view the live routers
+   * @param store the snapshot in force
+   * @param adopter takes the snapshots received
+   * @param clock the process's clock
+   * @param random draws jitter and breaks ties
+   */
+  public SnapshotSpread(
+      FailureDomain domain,
+      PeerTransport transport,
+      Supplier<MembershipView> view,
+      ConfigStore store,
+      Adopter adopter,
+      Clock clock,
+      Random random) {
+    this.transport = transport;
+    this.store = store;
+    this.exchange = new SnapshotExchange(domain, view, store, adopter, this::send, clock, random);
+    transport.handle(Topic.CONFIG, this::received);
+  }
+
+  private static Thread daemon(Runnable r) {
+    Thread t = new Thread(r, "config-spread");
+    t.setDaemon(true);
+    return t;
+  }
+
+  @Override
+  public void start() {
+    executor.scheduleWithFixedDelay(
+        () -> guarded(exchange::tick), 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    executor.scheduleWithFixedDelay(
+        () -> guarded(() -> exchange.notice(transport.peers())),
+        NOTICE_MILLIS,
+        NOTICE_MILLIS,
+        TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public void stop() {
+    executor.shutdownNow();
+  }
+
+  /**
+   * Notes that a peer told its revision and asks for it at once if it is higher.
+   *
+   * @param peer the peer
+   * @param revision the revision in force there
+   */
+  public void heard(NodeId peer, long revision) {
+    if (revision > store.current().revision()) {
+      execute(() -> exchange.heard(peer, revision));
+    }
+  }
+
+  /**
+   * Sends a snapshot that was just adopted to the peers that need it.
+   *
+   * @param adopted the snapshot
+   * @param before the snapshot in force before: its files are not sent again
+   * @param origin the failure domain it came from, or null for the platform
+   */
+  public void push(Snapshot adopted, Snapshot before, @Nullable FailureDomain origin) {
+    execute(() -> exchange.push(adopted, before, origin));
+  }
+
+  private void execute(Runnable task) {
+    try {
+      executor.execute(() -> guarded(task));
+    } catch (RejectedExecutionException e) {
+      LOG.atDebug().addKeyValue("event", "config.spread.stopped").log("message ignored");
+    }
+  }
+
+  /** Runs a task so that a defect in one does not end the periodic ones. */
+  private static void guarded(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException e) {
+      LOG.atError().setCause(e).addKeyValue("event", "config.spread.failed").log("task failed");
+    }
+  }
+
+  private boolean send(NodeId to, ConfigMessage message) {
+    return transport.send(to, Topic.CONFIG, message.toByteArray());
+  }
+
+  private void received(Peer from, byte[] body) throws InvalidProtocolBufferException {
+    ConfigMessage message = ConfigMessage.parseFrom(body);
+    execute(() -> exchange.received(from, message));
+  }
+}
--- a/org.wigeonwharf.router/src/gen/java/org/wigeonwharf/router/DaggerRouterComponent.java
+++ b/org.wigeonwharf.router/src/gen/java/org/wigeonwharf/router/DaggerRouterComponent.java
@@ -11,6 +11,7 @@
 import org.wigeonwharf.config.ConfigService;
 import org.wigeonwharf.config.ConfigSource;
 import org.wigeonwharf.config.ConfigStore;
+import org.wigeonwharf.config.PlatformContact;
 import org.wigeonwharf.membership.MembershipService;
 import org.wigeonwharf.membership.VmListSource;
 import org.wigeonwharf.model.Clock;
@@ -68,12 +69,14 @@
 
     Provider<Clock> clockProvider;
 
-    Provider<ConfigService> configServiceProvider;
+    Provider<PlatformContact> platformContactProvider;
 
     Provider<VmListSource> vmListSourceProvider;
 
     Provider<MembershipService> membershipProvider;
 
+    Provider<ConfigService> configServiceProvider;
+
     Provider<ScheduleService> scheduleProvider;
 
     Provider<RelayService> relayProvider;
@@ -101,15 +104,16 @@
       this.configStoreProvider = DoubleCheck.provider(RouterModule_ConfigStoreFactory.create());
       this.configSourceProvider = DoubleCheck.provider(RouterModule_ConfigSourceFactory.create(settingsProvider, platformHttpProvider));
       this.clockProvider = DoubleCheck.provider(RouterModule_ClockFactory.create());
-      this.configServiceProvider = DoubleCheck.provider(RouterModule_ConfigServiceFactory.create(configStoreProvider, configSourceProvider, clockProvider));
+      this.platformContactProvider = DoubleCheck.provider(RouterModule_PlatformContactFactory.create(clockProvider));
       this.vmListSourceProvider = DoubleCheck.provider(RouterModule_VmListSourceFactory.create(settingsProvider, platformHttpProvider));
-      this.membershipProvider = DoubleCheck.provider(RouterModule_MembershipFactory.create(transportProvider, vmListSourceProvider, configStoreProvider, configServiceProvider, clockProvider));
+      this.membershipProvider = DoubleCheck.provider(RouterModule_MembershipFactory.create(transportProvider, vmListSourceProvider, configStoreProvider, platformContactProvider, clockProvider));
+      this.configServiceProvider = DoubleCheck.provider(RouterModule_ConfigServiceFactory.create(settingsProvider, configStoreProvider, configSourceProvider, platformContactProvider, transportProvider, membershipProvider, clockProvider));
       this.scheduleProvider = DoubleCheck.provider(RouterModule_ScheduleFactory.create(nodeIdProvider, transportProvider, membershipProvider, configStoreProvider, clockProvider));
       this.relayProvider = DoubleCheck.provider(RouterModule_RelayFactory.create(settingsProvider, nodeIdProvider, configStoreProvider, scheduleProvider, clockProvider));
       this.stateDumpProvider = DoubleCheck.provider(RouterModule_StateDumpFactory.create(nodeIdProvider, settingsProvider, configStoreProvider, configServiceProvider, membershipProvider, scheduleProvider, relayProvider));
       this.metricsProvider = DoubleCheck.provider(RouterModule_MetricsFactory.create());
       this.operatorProvider = DoubleCheck.provider(RouterModule_OperatorFactory.create(settingsProvider, stateDumpProvider, metricsProvider));
-      this.routerProvider = DoubleCheck.provider(RouterModule_RouterFactory.create(settingsProvider, platformHttpProvider, transportProvider, configStoreProvider, configServiceProvider, membershipProvider, scheduleProvider, relayProvider, operatorProvider));
+      this.routerProvider = DoubleCheck.provider(RouterModule_RouterFactory.create(settingsProvider, platformHttpProvider, transportProvider, configServiceProvider, membershipProvider, scheduleProvider, relayProvider, operatorProvider));
     }
 
     @Override
--- a/org.wigeonwharf.router/src/gen/java/org/wigeonwharf/router/RouterModule_RouterFactory.java
+++ b/org.wigeonwharf.router/src/gen/java/org/wigeonwharf/router/RouterModule_RouterFactory.java
@@ -9,7 +9,6 @@
 import javax.annotation.processing.Generated;
 import org.eclipse.jetty.client.HttpClient;
 import org.wigeonwharf.config.ConfigService;
-import org.wigeonwharf.config.ConfigStore;
 import org.wigeonwharf.membership.MembershipService;
 import org.wigeonwharf.peer.PeerTransport;
 import org.wigeonwharf.relay.RelayService;
@@ -39,8 +38,6 @@
 
   private final Provider<PeerTransport> transportProvider;
 
-  private final Provider<ConfigStore> storeProvider;
-
   private final Provider<ConfigService> configProvider;
 
   private final Provider<MembershipService> membershipProvider;
@@ -53,13 +50,12 @@
 
   private RouterModule_RouterFactory(Provider<RouterSettings> settingsProvider,
       Provider<HttpClient> platformHttpProvider, Provider<PeerTransport> transportProvider,
-      Provider<ConfigStore> storeProvider, Provider<ConfigService> configProvider,
-      Provider<MembershipService> membershipProvider, Provider<ScheduleService> scheduleProvider,
-      Provider<RelayService> relayProvider, Provider<OperatorService> operatorProvider) {
+      Provider<ConfigService> configProvider, Provider<MembershipService> membershipProvider,
+      Provider<ScheduleService> scheduleProvider, Provider<RelayService> relayProvider,
+      Provider<OperatorService> operatorProvider) {
     this.settingsProvider = settingsProvider;
     this.platformHttpProvider = platformHttpProvider;
     this.transportProvider = transportProvider;
-    this.storeProvider = storeProvider;
     this.configProvider = configProvider;
     this.membershipProvider = membershipProvider;
     this.scheduleProvider = scheduleProvider;
@@ -69,21 +65,20 @@
 
   @Override
   public Router get() {
-    return router(settingsProvider.get(), platformHttpProvider.get(), transportProvider.get(), storeProvider.get(), configProvider.get(), membershipProvider.get(), scheduleProvider.get(), relayProvider.get(), operatorProvider.get());
+    return router(settingsProvider.get(), platformHttpProvider.get(), transportProvider.get(), configProvider.get(), membershipProvider.get(), scheduleProvider.get(), relayProvider.get(), operatorProvider.get());
   }
 
   public static RouterModule_RouterFactory create(Provider<RouterSettings> settingsProvider,
       Provider<HttpClient> platformHttpProvider, Provider<PeerTransport> transportProvider,
-      Provider<ConfigStore> storeProvider, Provider<ConfigService> configProvider,
-      Provider<MembershipService> membershipProvider, Provider<ScheduleService> scheduleProvider,
-      Provider<RelayService> relayProvider, Provider<OperatorService> operatorProvider) {
-    return new RouterModule_RouterFactory(settingsProvider, platformHttpProvider, transportProvider, storeProvider, configProvider, membershipProvider, scheduleProvider, relayProvider, operatorProvider);
+      Provider<ConfigService> configProvider, Provider<MembershipService> membershipProvider,
+      Provider<ScheduleService> scheduleProvider, Provider<RelayService> relayProvider,
+      Provider<OperatorService> operatorProvider) {
+    return new RouterModule_RouterFactory(settingsProvider, platformHttpProvider, transportProvider, configProvider, membershipProvider, scheduleProvider, relayProvider, operatorProvider);
   }
 
   public static Router router(RouterSettings settings, HttpClient platformHttp,
-      PeerTransport transport, ConfigStore store, ConfigService config,
-      MembershipService membership, ScheduleService schedule, RelayService relay,
-      OperatorService operator) {
-    return Preconditions.checkNotNullFromProvides(RouterModule.router(settings, platformHttp, transport, store, config, membership, schedule, relay, operator));
+      PeerTransport transport, ConfigService config, MembershipService membership,
+      ScheduleService schedule, RelayService relay, OperatorService operator) {
+    return Preconditions.checkNotNullFromProvides(RouterModule.router(settings, platformHttp, transport, config, membership, schedule, relay, operator));
   }
 }
--- a/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/Router.java
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/Router.java
@@ -5,7 +5,6 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.wigeonwharf.config.ConfigService;
-import org.wigeonwharf.config.ConfigStore;
 import org.wigeonwharf.membership.MembershipService;
 import org.wigeonwharf.model.Addresses;
 import org.wigeonwharf.model.Lifecycle;
@@ -21,7 +20,6 @@
   private final RouterSettings settings;
   private final HttpClient platformHttp;
   private final PeerTransport transport;
-  private final ConfigStore store;
   private final ConfigService config;
   private final MembershipService membership;
   private final ScheduleService schedule;
@@ -35,7 +33,6 @@
    * @param settings the process settings
    * @param platformHttp the client for the platform's services
    * @param transport connections to peers
-   * @param store the configuration in force
    * @param config reads and spreads the configuration
    * @param membership the view of the fleet
    * @param schedule scheduler roles and slot leases
@@ -46,7 +43,6 @@
       RouterSettings settings,
       HttpClient platformHttp,
       PeerTransport transport,
-      ConfigStore store,
       ConfigService config,
       MembershipService membership,
       ScheduleService schedule,
@@ -55,7 +51,6 @@
     this.settings = settings;
     this.platformHttp = platformHttp;
     this.transport = transport;
-    this.store = store;
     this.config = config;
     this.membership = membership;
     this.schedule = schedule;
@@ -71,7 +66,7 @@
     membership.start();
     config.start();
     relay.start();
-    operator.start(() -> !stopping.get() && store.current().revision() > 0);
+    operator.start(() -> !stopping.get() && config.isSettled());
     LOG.atInfo()
         .addKeyValue("event", "router.started")
         .addKeyValue("name", settings.name())
--- a/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/RouterModule.java
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/RouterModule.java
@@ -10,6 +10,7 @@
 import org.wigeonwharf.config.ConfigService;
 import org.wigeonwharf.config.ConfigSource;
 import org.wigeonwharf.config.ConfigStore;
+import org.wigeonwharf.config.PlatformContact;
 import org.wigeonwharf.config.internal.HttpConfigSource;
 import org.wigeonwharf.membership.MembershipService;
 import org.wigeonwharf.membership.VmListSource;
@@ -83,8 +84,29 @@
 
   @Provides
   @Singleton
-  static ConfigService configService(ConfigStore store, ConfigSource source, Clock clock) {
-    return new ConfigService(store, source, clock);
+  static PlatformContact platformContact(Clock clock) {
+    return new PlatformContact(clock);
+  }
+
+  @Provides
+  @Singleton
+  static ConfigService configService(
+      RouterSettings settings,
+      ConfigStore store,
+      ConfigSource source,
+      PlatformContact contact,
+      PeerTransport transport,
+      MembershipService membership,
+      Clock clock) {
+    return new ConfigService(
+        settings.domain(),
+        store,
+        source,
+        contact,
+        transport,
+        membership::view,
+        clock,
+        new SecureRandom());
   }
 
   @Provides
@@ -93,10 +115,10 @@
       PeerTransport transport,
       VmListSource vms,
       ConfigStore store,
-      ConfigService config,
+      PlatformContact contact,
       Clock clock) {
     return new MembershipService(
-        transport, vms, () -> store.current().revision(), config::platformContactAgeMillis, clock);
+        transport, vms, () -> store.current().revision(), contact::ageMillis, clock);
   }
 
   @Provides
@@ -147,13 +169,12 @@
       RouterSettings settings,
       @Named(PLATFORM) HttpClient platformHttp,
       PeerTransport transport,
-      ConfigStore store,
       ConfigService config,
       MembershipService membership,
       ScheduleService schedule,
       RelayService relay,
       OperatorService operator) {
     return new Router(
-        settings, platformHttp, transport, store, config, membership, schedule, relay, operator);
+        settings, platformHttp, transport, config, membership, schedule, relay, operator);
   }
 }
--- a/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/internal/StateDump.java
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/internal/StateDump.java
@@ -75,6 +75,8 @@
     Map<String, Object> state = new LinkedHashMap<>();
     state.put("revision", s.revision());
     state.put("digest", s.digest());
+    state.put("reader", config.isReading());
+    state.put("settled", config.isSettled());
     state.put("platform_contact_age_ms", config.platformContactAgeMillis());
     state.put("conflicts", store.conflicts());
     ConfigStore.Rejection r = store.rejection();
