Keep the verdict true over all attempts and end each lease once

Cause: a refusal after an attempt that may have run said "not run"; an answer that broke off before its first forwarded byte became Jetty's own 500 without a verdict; a refusal by the service's word ended its lease twice, as the discarded attempt reported its failure too; a 5xx without the service's word was called "ran"; a lease that went void in the connection queue was noticed only when a connection came; the HTTP client stored cookies of one caller's answer and sent them for another.

Now the verdict only grows; attempts are told apart by identity; a LeaseUse reports its end once; a timer ends a queued attempt at the lease's end; the clients keep no cookies; unrepeatable work gets a fresh connection, so that a refused one is provably NOT_RUN; retries spend a budget; in-flight counts until the last byte is written; answers whose end cannot be told from a broken connection are refused with 502.

--- /dev/null
+++ b/org.wigeonwharf.relay.test/src/test/java/org/wigeonwharf/relay/FakeSlots.java
@@ -0,0 +1,103 @@
+package org.wigeonwharf.relay;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import org.wigeonwharf.config.BackendServer;
+import org.wigeonwharf.config.ConfigStore;
+import org.wigeonwharf.model.Clock;
+import org.wigeonwharf.model.RefusalReason;
+import org.wigeonwharf.model.RequestId;
+import org.wigeonwharf.schedule.Lease;
+import org.wigeonwharf.schedule.LeaseEnd;
+import org.wigeonwharf.schedule.Outcome;
+import org.wigeonwharf.schedule.SlotListener;
+import org.wigeonwharf.schedule.SlotRequest;
+import org.wigeonwharf.schedule.SlotSource;
+
+/** FakeSlots grants at once, one server after the other, and records how leases end. */
+final class FakeSlots implements SlotSource {
+  private final ConfigStore store;
+  private final List<Outcome> outcomes = new ArrayList<>();
+  private final Deque<Long> leaseMillis = new ArrayDeque<>();
+  private int grantsLeft = Integer.MAX_VALUE;
+  private int grants;
+  private SlotListener last = new NobodyListens();
+
+  FakeSlots(ConfigStore store) {
+    this.store = store;
+  }
+
+  private static final class NobodyListens implements SlotListener {
+    @Override
+    public void granted(Lease lease) {}
+
+    @Override
+    public void refused(RefusalReason reason, long retryAfterMillis) {}
+
+    @Override
+    public void preempted() {}
+  }
+
+  /** Refuses for lack of capacity after some grants. */
+  synchronized void grantOnly(int count) {
+    grantsLeft = count;
+  }
+
+  /** Makes the next lease void after some time. */
+  synchronized void nextLease(long millis) {
+    leaseMillis.add(millis);
+  }
+
+  @Override
+  public void acquire(SlotRequest request, SlotListener listener) {
+    Lease lease = next(request, listener);
+    if (lease == null) {
+      listener.refused(RefusalReason.CAPACITY, 1_000);
+    } else {
+      listener.granted(lease);
+    }
+  }
+
+  private synchronized Lease next(SlotRequest request, SlotListener listener) {
+    if (grantsLeft == 0) {
+      return null;
+    }
+    grantsLeft--;
+    last = listener;
+    Long millis = leaseMillis.poll();
+    List<BackendServer> servers =
+        List.copyOf(
+            store.current().config().services().get(request.shard().service()).servers().values());
+    long voidAt = System.nanoTime() + (millis == null ? 5_000 : millis) * Clock.NANOS_PER_MILLI;
+    int n = grants++;
+    return new Lease(request, n + 1, servers.get(n % servers.size()), voidAt);
+  }
+
+  @Override
+  public void cancel(RequestId id) {}
+
+  @Override
+  public synchronized void end(Outcome outcome) {
+    outcomes.add(outcome);
+  }
+
+  SlotListener last() {
+    return last;
+  }
+
+  synchronized int grants() {
+    return grants;
+  }
+
+  synchronized List<LeaseEnd> ends() {
+    return outcomes.stream().map(Outcome::end).toList();
+  }
+
+  /** Tells whether every lease granted was ended once. */
+  synchronized boolean eachEndedOnce() {
+    return outcomes.size() == grants
+        && outcomes.stream().mapToLong(Outcome::lease).distinct().count() == grants;
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.relay.test/src/test/java/org/wigeonwharf/relay/RelayBench.java
@@ -0,0 +1,137 @@
+package org.wigeonwharf.relay;
+
+import com.codahale.metrics.MetricRegistry;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import org.wigeonwharf.config.ConfigStore;
+import org.wigeonwharf.config.SettingsFile;
+import org.wigeonwharf.model.Addresses;
+import org.wigeonwharf.model.Clock;
+import org.wigeonwharf.model.FailureDomain;
+import org.wigeonwharf.model.NodeId;
+
+/** A RelayBench is a started relay in front of given backend servers, with fake slots. */
+final class RelayBench implements AutoCloseable {
+  /** Short limits, so that a test of one ends soon; a test waits for events, never for a time. */
+  static final RelayLimits LIMITS =
+      new RelayLimits(8_192, 65_536, 200_000, 100, 4, 400, 400, 1_000, 500, 400, 300);
+
+  private static final long WAIT_SECONDS = 10;
+  private static final String CONFIG =
+      """
+      [tiers.urgent]
+      rank = 0
+      [classes.crew]
+      tier = "urgent"
+      [services.assistant]
+      kind = "model"
+      not_started_statuses = [503]
+      resumable = true
+      [services.booking]
+      kind = "plain"
+      [services.booking.paths.make]
+      methods = ["POST"]
+      prefix = "/bookings"
+      repeatable = false
+      [accounts.royal]
+      token_sha256 = ["%s"]
+      classes = ["crew"]
+      default_class = "crew"
+      """;
+
+  final ConfigStore store = new ConfigStore();
+  final FakeSlots slots = new FakeSlots(store);
+  final MetricRegistry metrics = new MetricRegistry();
+  final RelayService relay;
+
+  /** One answer as a caller sees it. */
+  record Answer(String head, String body, boolean clean) {
+    int status() {
+      return Integer.parseInt(head.substring(9, 12));
+    }
+
+    String header(String name) {
+      return head.lines()
+          .filter(l -> l.regionMatches(true, 0, name + ":", 0, name.length() + 1))
+          .map(l -> l.substring(name.length() + 1).trim())
+          .findFirst()
+          .orElse("");
+    }
+
+    String verdict() {
+      return header(RelayHeaders.VERDICT);
+    }
+  }
+
+  RelayBench(InetSocketAddress... servers) throws Exception {
+    this(LIMITS, servers);
+  }
+
+  RelayBench(RelayLimits limits, InetSocketAddress... servers) throws Exception {
+    StringBuilder text = new StringBuilder(CONFIG.formatted(CallerAuthenticator.hash("crew")));
+    for (String service : List.of("assistant", "booking")) {
+      for (int i = 0; i < servers.length; i++) {
+        text.append("[services.%s.servers.s%d]\n".formatted(service, i));
+        text.append("address = \"%s\"\n".formatted(Addresses.format(servers[i])));
+        text.append("domain = \"hobart-a\"\nslots = 4\n");
+      }
+    }
+    if (store.offer(1, List.of(new SettingsFile("00.toml", text.toString())))
+        != ConfigStore.Offer.ADOPTED) {
+      throw new IllegalStateException(String.valueOf(store.rejection()));
+    }
+    InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    FailureDomain domain = new FailureDomain("hobart-a");
+    NodeId self = new NodeId("vm1", 1);
+    relay = new RelayService(self, domain, any, store, slots, Clock.system(), metrics, limits);
+    relay.start();
+  }
+
+  static String chat(String more) {
+    return post("/v1/chat/completions", "{\"stream\":true}", more);
+  }
+
+  static String booking() {
+    return post("/v1/services/booking/bookings", "{\"slot\":\"9:00\"}", "");
+  }
+
+  static String post(String path, String body, String more) {
+    String head = "POST %s HTTP/1.1\r\nHost: r\r\nAuthorization: Bearer crew\r\n".formatted(path);
+    return head + more + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+  }
+
+  Socket connect() throws IOException {
+    Socket s = new Socket();
+    s.connect(relay.address());
+    s.setSoTimeout((int) WAIT_SECONDS * 1_000);
+    return s;
+  }
+
+  /** Sends bytes on a new connection and reads one answer to its end. */
+  Answer call(String request) throws IOException {
+    try (Socket s = connect()) {
+      s.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+      return new AnswerReader(s.getInputStream()).read();
+    }
+  }
+
+  static void await(BooleanSupplier condition) throws InterruptedException {
+    long end = System.nanoTime() + WAIT_SECONDS * Clock.NANOS_PER_SECOND;
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > end) {
+        throw new AssertionError("the condition did not come true");
+      }
+      Thread.sleep(5);
+    }
+  }
+
+  @Override
+  public void close() {
+    relay.stop();
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.relay.test/src/test/java/org/wigeonwharf/relay/ScriptedBackend.java
@@ -0,0 +1,121 @@
+package org.wigeonwharf.relay;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** A ScriptedBackend is a server at the byte level that plays one script per connection. */
+final class ScriptedBackend implements AutoCloseable {
+  /** What to do with one accepted connection; it is reset when the script ends. */
+  interface Script {
+    void play(Peer peer) throws Exception;
+  }
+
+  /** One accepted connection. */
+  final class Peer {
+    final Socket socket;
+    private final InputStream in;
+
+    Peer(Socket socket) throws IOException {
+      this.socket = socket;
+      this.in = new BufferedInputStream(socket.getInputStream());
+    }
+
+    /** Reads up to the end of the head, without the body. */
+    String readHead() throws IOException {
+      ByteArrayOutputStream head = new ByteArrayOutputStream();
+      while (!head.toString(StandardCharsets.US_ASCII).endsWith("\r\n\r\n")) {
+        int b = in.read();
+        if (b < 0) {
+          throw new IOException("no whole head");
+        }
+        if (head.size() == 0) {
+          requests.incrementAndGet();
+        }
+        head.write(b);
+      }
+      return head.toString(StandardCharsets.US_ASCII);
+    }
+
+    void readBody(int bytes) throws IOException {
+      in.readNBytes(bytes);
+    }
+
+    void write(String text) throws IOException {
+      socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+      socket.getOutputStream().flush();
+    }
+
+    void awaitEnd() throws IOException {
+      while (in.read() >= 0) {
+        continue;
+      }
+    }
+
+    void closeCleanly() throws IOException {
+      socket.shutdownOutput();
+      awaitEnd();
+    }
+  }
+
+  private final ServerSocket server = new ServerSocket();
+  private final AtomicInteger requests = new AtomicInteger();
+  private volatile Script script;
+
+  ScriptedBackend(Script script) throws IOException {
+    this.script = script;
+    server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    daemon(this::accept);
+  }
+
+  private static void daemon(Runnable work) {
+    Thread t = new Thread(work, "backend");
+    t.setDaemon(true);
+    t.start();
+  }
+
+  private void accept() {
+    while (!server.isClosed()) {
+      try {
+        Socket s = server.accept();
+        daemon(() -> play(s));
+      } catch (IOException e) {
+        return;
+      }
+    }
+  }
+
+  private void play(Socket s) {
+    try (s) {
+      s.setSoLinger(true, 0);
+      script.play(new Peer(s));
+    } catch (Exception e) {
+      // The other side left; the script has nothing more to do.
+    }
+  }
+
+  /** Returns how many requests sent at least a byte, of those whose script reads a head. */
+  int requests() {
+    return requests.get();
+  }
+
+  void script(Script next) {
+    script = next;
+  }
+
+  InetSocketAddress address() {
+    return (InetSocketAddress) server.getLocalSocketAddress();
+  }
+
+  @Override
+  public void close() throws IOException {
+    server.close();
+  }
+}
--- a/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/RelayService.java
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/RelayService.java
@@ -1,8 +1,10 @@
 package org.wigeonwharf.relay;
 
+import com.codahale.metrics.MetricRegistry;
 import java.net.InetSocketAddress;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpCompliance;
+import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
@@ -13,23 +15,22 @@
 import org.wigeonwharf.model.FailureDomain;
 import org.wigeonwharf.model.Lifecycle;
 import org.wigeonwharf.model.NodeId;
+import org.wigeonwharf.relay.internal.RelayContext;
 import org.wigeonwharf.relay.internal.RelayHandler;
+import org.wigeonwharf.relay.internal.RetryBudgets;
 import org.wigeonwharf.schedule.SlotSource;
 
 /** A RelayService listens for callers and relays their requests to backend servers. */
 public final class RelayService implements Lifecycle {
-  /** Longest request body accepted, in bytes. */
-  public static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
-
-  private static final int MAX_HEAD_BYTES = 16 * 1024;
   private static final int THREADS = 32;
   private static final int MAX_CONNECTIONS_PER_SERVER = 512;
-  private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
-  private static final long CALLER_IDLE_MILLIS = 60_000;
+  private static final long FRESH_IDLE_MILLIS = 1_000;
   private static final long DRAIN_POLL_MILLIS = 20;
 
   private final InetSocketAddress bindAddress;
-  private final HttpClient client = new HttpClient();
+  private final RelayLimits limits;
+  private final HttpClient pooled = new HttpClient();
+  private final HttpClient fresh = new HttpClient();
   private final Server server = new Server(new QueuedThreadPool(THREADS));
   private final ServerConnector connector;
   private final RelayHandler handler;
@@ -43,6 +44,8 @@
    * @param store the configuration in force
    * @param slots where leases come from
    * @param clock the process's clock
+   * @param metrics where the relay's metrics are registered
+   * @param limits bounds on size, number and time
    */
   public RelayService(
       NodeId self,
@@ -50,31 +53,45 @@
       InetSocketAddress bindAddress,
       ConfigStore store,
       SlotSource slots,
-      Clock clock) {
+      Clock clock,
+      MetricRegistry metrics,
+      RelayLimits limits) {
     this.bindAddress = bindAddress;
-    this.handler = new RelayHandler(self, domain, store, slots, client, clock, MAX_BODY_BYTES);
+    this.limits = limits;
+    RelayContext context =
+        new RelayContext(
+            slots, pooled, fresh, clock, limits, new RelayMetrics(metrics), new RetryBudgets());
+    this.handler = new RelayHandler(self, domain, store, context);
     HttpConfiguration http = new HttpConfiguration();
     http.setSendServerVersion(false);
-    http.setRequestHeaderSize(MAX_HEAD_BYTES);
+    http.setRequestHeaderSize(limits.maxHeadBytes());
     http.setHttpCompliance(HttpCompliance.RFC9110);
     this.connector = new ServerConnector(server, new HttpConnectionFactory(http));
   }
 
   @Override
   public void start() throws Exception {
+    startClient(pooled);
+    fresh.setIdleTimeout(FRESH_IDLE_MILLIS);
+    startClient(fresh);
+    connector.setHost(bindAddress.getAddress().getHostAddress());
+    connector.setPort(bindAddress.getPort());
+    connector.setIdleTimeout(limits.callerIdleMillis());
+    server.addConnector(connector);
+    server.setHandler(handler);
+    server.start();
+  }
+
+  /** Starts a client that sends each request as it is, once, and remembers nothing of it. */
+  private void startClient(HttpClient client) throws Exception {
     client.setFollowRedirects(false);
-    client.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
+    client.setHttpCookieStore(new HttpCookieStore.Empty());
+    client.setConnectTimeout(limits.connectMillis());
     client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_SERVER);
     client.setUserAgentField(null);
     client.start();
     client.getProtocolHandlers().clear();
     client.getContentDecoderFactories().clear();
-    connector.setHost(bindAddress.getAddress().getHostAddress());
-    connector.setPort(bindAddress.getPort());
-    connector.setIdleTimeout(CALLER_IDLE_MILLIS);
-    server.addConnector(connector);
-    server.setHandler(handler);
-    server.start();
   }
 
   /**
@@ -111,7 +128,8 @@
   public void stop() {
     try {
       server.stop();
-      client.stop();
+      pooled.stop();
+      fresh.stop();
     } catch (Exception e) {
       throw new IllegalStateException("the relay did not stop cleanly", e);
     }
--- a/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/AnswerPump.java
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/AnswerPump.java
@@ -2,7 +2,6 @@
 
 import java.nio.ByteBuffer;
 import org.eclipse.jetty.io.Content;
-import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 
@@ -29,10 +28,10 @@
   }
 
   private final Content.Source source;
-  private final Response caller;
+  private final CallerExchange caller;
   private final Listener listener;
 
-  AnswerPump(Content.Source source, Response caller, Listener listener) {
+  AnswerPump(Content.Source source, CallerExchange caller, Listener listener) {
     this.source = source;
     this.caller = caller;
     this.listener = listener;
@@ -56,7 +55,9 @@
       return;
     }
     listener.chunk(content.asReadOnlyBuffer());
-    caller.write(false, content, Callback.from(() -> wrote(chunk, last), t -> failed(chunk, t)));
+    caller
+        .response()
+        .write(false, content, Callback.from(() -> wrote(chunk, last), t -> failed(chunk, t)));
   }
 
   private void wrote(Content.Chunk chunk, boolean last) {
--- a/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/AnswerWatch.java
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/AnswerWatch.java
@@ -4,15 +4,18 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * An AnswerWatch counts the events of a server-sent event stream and looks for its terminator.
+ * An AnswerWatch counts the events of a server-sent event stream and looks for its terminator, the
+ * line {@code data: [DONE]}.
  *
  * <p>It sees the bytes in any split and keeps only a few of them.
  */
 final class AnswerWatch {
-  private static final byte[] EVENT = "data:".getBytes(StandardCharsets.US_ASCII);
-  private static final byte[] DONE = "data: [DONE]".getBytes(StandardCharsets.US_ASCII);
+  private static final String EVENT = "data:";
+  private static final String DONE = "data: [DONE]";
+  private static final String DONE_WITHOUT_SPACE = "data:[DONE]";
+  private static final int KEPT = DONE.length() + 1;
 
-  private final byte[] line = new byte[DONE.length];
+  private final byte[] line = new byte[KEPT];
   private int lineLength;
   private int events;
   private boolean done;
@@ -26,33 +29,23 @@
 
   private void feed(byte b) {
     if (b == '\n' || b == '\r') {
-      lineLength = 0;
+      endLine();
       return;
     }
-    if (lineLength < line.length) {
+    if (lineLength < KEPT) {
       line[lineLength] = b;
-      check(lineLength + 1);
+      lineLength++;
     }
-    lineLength++;
   }
 
-  private void check(int length) {
-    if (length == EVENT.length && startsWith(EVENT)) {
-      events++;
-    }
-    if (length == DONE.length && startsWith(DONE)) {
+  private void endLine() {
+    String start = new String(line, 0, lineLength, StandardCharsets.US_ASCII);
+    lineLength = 0;
+    if (start.equals(DONE) || start.equals(DONE_WITHOUT_SPACE)) {
       done = true;
-      events--;
-    }
-  }
-
-  private boolean startsWith(byte[] word) {
-    for (int i = 0; i < word.length; i++) {
-      if (line[i] != word[i]) {
-        return false;
-      }
+    } else if (start.startsWith(EVENT)) {
+      events++;
     }
-    return true;
   }
 
   /** Returns the events seen, the terminator not counted. */
--- a/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/BackendAttempt.java
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/BackendAttempt.java
@@ -2,12 +2,13 @@
 
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import org.eclipse.jetty.client.ByteBufferRequestContent;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
-import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.util.thread.Scheduler;
 import org.jspecify.annotations.Nullable;
 import org.wigeonwharf.config.BackendServer;
 import org.wigeonwharf.model.Clock;
@@ -18,7 +19,10 @@
  * A BackendAttempt sends one request to one backend server once, under one lease.
  *
  * <p>Its verdict turns to {@link Verdict#MAY_HAVE_RUN} before the first byte is handed to the
- * connection. A lease found void at that moment aborts the attempt with nothing written.
+ * connection. A lease that goes void before that moment, also while the request queues for a
+ * connection, ends the attempt with nothing written. A process that is paused between this check
+ * and the write starts the request late: the verdict stays true, and the harm is at most the
+ * requests that were between check and write at the pause.
  */
 final class BackendAttempt {
   /** Why an attempt was aborted before anything was written. */
@@ -33,74 +37,110 @@
   /** Hears the attempt's course; calls come in the order of the methods, one at a time. */
   interface Listener {
     /** The head of the answer came; the content is to be read from the source to its end. */
-    void answered(Response response, Content.Source content);
+    void answered(BackendAttempt attempt, Response response, Content.Source content);
 
     /** The attempt failed, before or after {@link #answered}. */
-    void failed(Throwable cause);
+    void failed(BackendAttempt attempt, Throwable cause);
+  }
+
+  private enum State {
+    QUEUED,
+    LEASE_VOID,
+    WRITTEN
   }
 
-  private final HttpClient client;
   private final Lease lease;
   private final Clock clock;
   private final Listener listener;
-  private volatile Verdict verdict = Verdict.NOT_RUN;
+  private final AtomicReference<State> state = new AtomicReference<>(State.QUEUED);
   private volatile long writtenAtNanos;
   private volatile @Nullable Request request;
+  private volatile @Nullable Throwable aborted;
 
-  BackendAttempt(HttpClient client, Lease lease, Clock clock, Listener listener) {
-    this.client = client;
+  BackendAttempt(Lease lease, Clock clock, Listener listener) {
     this.lease = lease;
     this.clock = clock;
     this.listener = listener;
   }
 
-  void send(String method, String path, HttpFields headers, byte[] body, long idleMillis) {
+  /**
+   * Sends the request.
+   *
+   * @param client a started client that neither follows, replays nor resends by itself
+   * @param content what to send
+   * @param idleMillis longest silence of the connection
+   */
+  void send(HttpClient client, BackendRequest content, long idleMillis) {
     BackendServer s = lease.server();
     Request r =
         client
             .newRequest(s.address().getAddress().getHostAddress(), s.address().getPort())
-            .method(method)
-            .path(path)
-            .headers(h -> h.add(headers))
+            .method(content.method())
+            .path(content.path())
+            .headers(h -> h.add(content.headers()))
             .idleTimeout(idleMillis, TimeUnit.MILLISECONDS)
-            .body(new ByteBufferRequestContent(ByteBuffer.wrap(body)))
             .onRequestBegin(this::begin)
             .onResponseContentSource(this::answered);
+    if (content.hasBody()) {
+      r.body(new ByteBufferRequestContent(content.mediaType(), ByteBuffer.wrap(content.body())));
+    }
     request = r;
+    long leftNanos = Math.max(0, lease.voidAtNanos() - clock.nanos());
+    Scheduler.Task expiry =
+        client.getScheduler().schedule(this::expire, leftNanos, TimeUnit.NANOSECONDS);
     r.send(
         result -> {
+          expiry.cancel();
           if (result.isFailed()) {
-            listener.failed(result.getFailure());
+            listener.failed(this, result.getFailure());
           }
         });
+    Throwable early = aborted;
+    if (early != null) {
+      r.abort(early);
+    }
+  }
+
+  private void expire() {
+    Request r = request;
+    if (state.compareAndSet(State.QUEUED, State.LEASE_VOID) && r != null) {
+      r.abort(new LeaseVoidException());
+    }
   }
 
   private void begin(Request r) {
-    if (lease.isVoid(clock.nanos())) {
+    long now = clock.nanos();
+    writtenAtNanos = now;
+    State next = lease.isVoid(now) ? State.LEASE_VOID : State.WRITTEN;
+    if (!state.compareAndSet(State.QUEUED, next) || next == State.LEASE_VOID) {
       r.abort(new LeaseVoidException());
-      return;
     }
-    writtenAtNanos = clock.nanos();
-    verdict = Verdict.MAY_HAVE_RUN;
   }
 
   private void answered(Response response, Content.Source content) {
-    listener.answered(response, content);
+    listener.answered(this, response, content);
   }
 
+  /** Closes the attempt's connection; the listener hears of a failure. */
   void abort(Throwable cause) {
+    aborted = cause;
     Request r = request;
     if (r != null) {
       r.abort(cause);
     }
   }
 
+  /** Tells whether the lease went void before anything was written. */
+  boolean isLeaseVoid() {
+    return state.get() == State.LEASE_VOID;
+  }
+
   Verdict verdict() {
-    return verdict;
+    return state.get() == State.WRITTEN ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
   }
 
   long millisSinceWrite() {
-    if (verdict == Verdict.NOT_RUN) {
+    if (state.get() != State.WRITTEN) {
       return 0;
     }
     return (clock.nanos() - writtenAtNanos) / Clock.NANOS_PER_MILLI;
--- a/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/CallerExchange.java
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/CallerExchange.java
@@ -47,10 +47,11 @@
   }
 
   /** Copies an answer's head, without the fields that belong to the backend connection. */
-  void head(int status, HttpFields fields, String serviceClass, String server) {
+  void head(int status, HttpFields fields, String serviceClass, String server, Verdict verdict) {
+    response.reset();
     response.setStatus(status);
     for (HttpField f : fields) {
-      if (!HopByHop.contains(f)) {
+      if (!HopByHop.contains(f) && !HopByHop.isListed(f, fields)) {
         response.getHeaders().add(f);
       }
     }
@@ -61,7 +62,7 @@
     response.getHeaders().put(RelayHeaders.REQUEST_ID, id.toString());
     response.getHeaders().put(RelayHeaders.SERVICE_CLASS, serviceClass);
     response.getHeaders().put(RelayHeaders.SERVER, server);
-    response.getHeaders().put(RelayHeaders.VERDICT, Verdict.RAN.wireName());
+    response.getHeaders().put(RelayHeaders.VERDICT, verdict.wireName());
   }
 
   /** Answers with a problem; only possible while nothing was sent. */
--- a/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/HopByHop.java
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/HopByHop.java
@@ -3,6 +3,8 @@
 import java.util.Locale;
 import java.util.Set;
 import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
 
 /** HopByHop knows the header fields that end at a connection and are not relayed. */
 final class HopByHop {
@@ -20,11 +22,19 @@
           "host",
           "expect",
           "date",
-          "server");
+          "server",
+          "engine-stream-id",
+          "engine-stream-offset",
+          "engine-stream-source");
 
   private HopByHop() {}
 
   static boolean contains(HttpField field) {
     return NAMES.contains(field.getName().toLowerCase(Locale.ROOT));
   }
+
+  /** Tells whether the message's own Connection field names a field. */
+  static boolean isListed(HttpField field, HttpFields message) {
+    return message.contains(HttpHeader.CONNECTION, field.getName().toLowerCase(Locale.ROOT));
+  }
 }
--- /dev/null
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/LeaseUse.java
@@ -0,0 +1,61 @@
+package org.wigeonwharf.relay.internal;
+
+import org.wigeonwharf.model.RequestId;
+import org.wigeonwharf.schedule.Lease;
+import org.wigeonwharf.schedule.LeaseEnd;
+import org.wigeonwharf.schedule.Outcome;
+import org.wigeonwharf.schedule.SlotSource;
+
+/** A LeaseUse is one attempt under one lease; it reports the lease's end exactly once. */
+final class LeaseUse {
+  private final Lease lease;
+  private final RequestId id;
+  private final SlotSource slots;
+  private final BackendAttempt attempt;
+  private final int tokensBefore;
+  private long firstByteMillis = -1;
+  private boolean ended;
+
+  LeaseUse(Lease lease, RequestId id, SlotSource slots, BackendAttempt attempt, int tokensBefore) {
+    this.lease = lease;
+    this.id = id;
+    this.slots = slots;
+    this.attempt = attempt;
+    this.tokensBefore = tokensBefore;
+  }
+
+  Lease lease() {
+    return lease;
+  }
+
+  BackendAttempt attempt() {
+    return attempt;
+  }
+
+  /** Notes that answer bytes came; true for the first of this attempt. */
+  boolean noteByte() {
+    if (firstByteMillis >= 0) {
+      return false;
+    }
+    firstByteMillis = attempt.millisSinceWrite();
+    return true;
+  }
+
+  /** Reports the end, unless it was reported before; tokens count over all attempts. */
+  void end(LeaseEnd end, int tokens) {
+    if (ended) {
+      return;
+    }
+    ended = true;
+    slots.end(
+        new Outcome(
+            id,
+            lease.request().shard(),
+            lease.number(),
+            lease.server().id(),
+            end,
+            firstByteMillis,
+            tokens - tokensBefore,
+            attempt.millisSinceWrite()));
+  }
+}
--- a/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/RelayHandler.java
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/RelayHandler.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Predicate;
-import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Content;
@@ -17,7 +16,6 @@
 import org.wigeonwharf.config.ConfigStore;
 import org.wigeonwharf.config.PublishedConfig;
 import org.wigeonwharf.config.Snapshot;
-import org.wigeonwharf.model.Clock;
 import org.wigeonwharf.model.FailureDomain;
 import org.wigeonwharf.model.NodeId;
 import org.wigeonwharf.model.RefusalReason;
@@ -30,17 +28,13 @@
 import org.wigeonwharf.relay.RequestClassifier;
 import org.wigeonwharf.relay.RequestTraits;
 import org.wigeonwharf.schedule.ShardMap;
-import org.wigeonwharf.schedule.SlotSource;
 
 /** A RelayHandler takes callers' requests in, checks them and starts their relay. */
 public final class RelayHandler extends Handler.Abstract {
   private final NodeId self;
   private final FailureDomain domain;
   private final ConfigStore store;
-  private final SlotSource slots;
-  private final HttpClient client;
-  private final Clock clock;
-  private final int maxBodyBytes;
+  private final RelayContext context;
   private final AtomicLong sequence = new AtomicLong();
   private final AtomicLong inFlight = new AtomicLong();
   private volatile Routes routes = new Routes(Snapshot.NONE);
@@ -65,26 +59,13 @@
    * @param self the own process
    * @param domain the own failure domain
    * @param store the configuration in force
-   * @param slots where leases come from
-   * @param client a started client for backend servers, owned by the caller
-   * @param clock the process's clock
-   * @param maxBodyBytes longest request body accepted
+   * @param context what all requests share; its clients are owned by the caller
    */
-  public RelayHandler(
-      NodeId self,
-      FailureDomain domain,
-      ConfigStore store,
-      SlotSource slots,
-      HttpClient client,
-      Clock clock,
-      int maxBodyBytes) {
+  public RelayHandler(NodeId self, FailureDomain domain, ConfigStore store, RelayContext context) {
     this.self = self;
     this.domain = domain;
     this.store = store;
-    this.slots = slots;
-    this.client = client;
-    this.clock = clock;
-    this.maxBodyBytes = maxBodyBytes;
+    this.context = context;
   }
 
   /**
@@ -99,20 +80,21 @@
   @Override
   public boolean handle(Request request, Response response, Callback callback) {
     RequestId id = new RequestId(self, sequence.incrementAndGet());
-    CallerExchange caller = new CallerExchange(request, response, callback, id);
+    inFlight.incrementAndGet();
+    Callback last = Callback.from(callback, inFlight::decrementAndGet);
+    CallerExchange caller = new CallerExchange(request, response, last, id);
     Routes r = currentRoutes();
     Either<Problem, RequestTraits> traits = r.classifier.classify(head(request));
     if (traits.isLeft()) {
       caller.problem(traits.getLeft());
       return true;
     }
-    if (request.getLength() > maxBodyBytes) {
+    if (request.getLength() > context.limits().maxBodyBytes()) {
       caller.problem(tooLarge());
       return true;
     }
     request.addIdleTimeoutListener(t -> false);
-    inFlight.incrementAndGet();
-    Content.Source.asByteArrayAsync(request, maxBodyBytes)
+    Content.Source.asByteArrayAsync(request, context.limits().maxBodyBytes())
         .whenComplete((body, failure) -> bodyRead(caller, traits.get(), r, body, failure));
     return true;
   }
@@ -141,7 +123,9 @@
 
   private Problem tooLarge() {
     return Problem.badRequest(
-        413, "body-too-large", "The body is longer than " + maxBodyBytes + " bytes.");
+        413,
+        "body-too-large",
+        "The body is longer than " + context.limits().maxBodyBytes() + " bytes.");
   }
 
   private void bodyRead(
@@ -151,32 +135,19 @@
       byte @Nullable [] body,
       @Nullable Throwable failure) {
     if (failure instanceof IllegalStateException) {
-      inFlight.decrementAndGet();
       caller.problem(tooLarge());
       return;
     }
     if (failure != null || body == null) {
-      inFlight.decrementAndGet();
       caller.callback().failed(failure == null ? new EOFException("no body") : failure);
       return;
     }
     ShardId shard = chooseShard(r.shards, traits.service().id(), caller.id().sequence());
     if (shard == null) {
-      inFlight.decrementAndGet();
       caller.problem(Problem.refused(RefusalReason.NO_SERVER, Verdict.NOT_RUN, 1_000));
       return;
     }
-    new RelayedRequest(
-            caller,
-            traits,
-            body,
-            shard,
-            slots,
-            client,
-            clock,
-            r.snapshot.revision(),
-            inFlight::decrementAndGet)
-        .start();
+    new RelayedRequest(caller, traits, body, shard, context, r.snapshot.revision()).start();
   }
 
   private @Nullable ShardId chooseShard(ShardMap shards, ServiceId service, long number) {
--- /dev/null
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/RetryBudgets.java
@@ -0,0 +1,17 @@
+package org.wigeonwharf.relay.internal;
+
+import java.util.concurrent.ConcurrentHashMap;
+import org.wigeonwharf.model.ServiceId;
+
+/** RetryBudgets keeps one retry budget per published service. */
+public final class RetryBudgets {
+  private static final int RETRIES_PER_MILLE = 100;
+  private static final int RESERVE_RETRIES = 10;
+
+  private final ConcurrentHashMap<ServiceId, RetryBudget> byService = new ConcurrentHashMap<>();
+
+  RetryBudget of(ServiceId service) {
+    return byService.computeIfAbsent(
+        service, s -> new RetryBudget(RETRIES_PER_MILLE, RESERVE_RETRIES));
+  }
+}
--- a/org.wigeonwharf.router/src/gen/java/org/wigeonwharf/router/DaggerRouterComponent.java
+++ b/org.wigeonwharf.router/src/gen/java/org/wigeonwharf/router/DaggerRouterComponent.java
@@ -76,12 +76,12 @@
 
     Provider<ScheduleService> scheduleProvider;
 
+    Provider<MetricRegistry> metricsProvider;
+
     Provider<RelayService> relayProvider;
 
     Provider<StateDump> stateDumpProvider;
 
-    Provider<MetricRegistry> metricsProvider;
-
     Provider<OperatorService> operatorProvider;
 
     Provider<Router> routerProvider;
@@ -105,9 +105,9 @@
       this.vmListSourceProvider = DoubleCheck.provider(RouterModule_VmListSourceFactory.create(settingsProvider, platformHttpProvider));
       this.membershipProvider = DoubleCheck.provider(RouterModule_MembershipFactory.create(transportProvider, vmListSourceProvider, configStoreProvider, configServiceProvider, clockProvider));
       this.scheduleProvider = DoubleCheck.provider(RouterModule_ScheduleFactory.create(nodeIdProvider, transportProvider, membershipProvider, configStoreProvider, clockProvider));
-      this.relayProvider = DoubleCheck.provider(RouterModule_RelayFactory.create(settingsProvider, nodeIdProvider, configStoreProvider, scheduleProvider, clockProvider));
-      this.stateDumpProvider = DoubleCheck.provider(RouterModule_StateDumpFactory.create(nodeIdProvider, settingsProvider, configStoreProvider, configServiceProvider, membershipProvider, scheduleProvider, relayProvider));
       this.metricsProvider = DoubleCheck.provider(RouterModule_MetricsFactory.create());
+      this.relayProvider = DoubleCheck.provider(RouterModule_RelayFactory.create(settingsProvider, nodeIdProvider, configStoreProvider, scheduleProvider, clockProvider, metricsProvider));
+      this.stateDumpProvider = DoubleCheck.provider(RouterModule_StateDumpFactory.create(nodeIdProvider, settingsProvider, configStoreProvider, configServiceProvider, membershipProvider, scheduleProvider, relayProvider));
       this.operatorProvider = DoubleCheck.provider(RouterModule_OperatorFactory.create(settingsProvider, stateDumpProvider, metricsProvider));
       this.routerProvider = DoubleCheck.provider(RouterModule_RouterFactory.create(settingsProvider, platformHttpProvider, transportProvider, configStoreProvider, configServiceProvider, membershipProvider, scheduleProvider, relayProvider, operatorProvider));
     }
--- a/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/RouterModule.java
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/RouterModule.java
@@ -19,6 +19,7 @@
 import org.wigeonwharf.peer.PeerTransport;
 import org.wigeonwharf.peer.internal.NettyPeerTransport;
 import org.wigeonwharf.platform.PlatformClient;
+import org.wigeonwharf.relay.RelayLimits;
 import org.wigeonwharf.relay.RelayService;
 import org.wigeonwharf.router.internal.OperatorService;
 import org.wigeonwharf.router.internal.StateDump;
@@ -117,9 +118,17 @@
       NodeId self,
       ConfigStore store,
       ScheduleService schedule,
-      Clock clock) {
+      Clock clock,
+      MetricRegistry metrics) {
     return new RelayService(
-        self, settings.domain(), settings.callerAddress(), store, schedule, clock);
+        self,
+        settings.domain(),
+        settings.callerAddress(),
+        store,
+        schedule,
+        clock,
+        metrics,
+        RelayLimits.DEFAULT);
   }
 
   @Provides
