--- /dev/null
+++ b/org.wigeonwharf.schedule.test/src/test/java/org/wigeonwharf/schedule/internal/SchedulerChangeTest.java
@@ -0,0 +1,193 @@
+package org.wigeonwharf.schedule.internal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.wigeonwharf.schedule.ShardScheduler;
+
+/** Waiters and leases while schedulers are killed, frozen, cut off, replaced and leave. */
+class SchedulerChangeTest {
+  private static final long FAULTS_MILLIS = 20_000;
+  private static final long CALM_MILLIS = 12_000;
+  private static final long SETTLED_MILLIS = 4_000;
+  private static final long LONGEST_WAIT_MILLIS = 6_000;
+  private static final int HOME_ROUTERS = 4;
+
+  @Property(tries = 150, seed = "4711")
+  void everyWaiterEndsOnceAndLeasesAgreeAgainAfterAnyFaults(@ForAll long seed) {
+    SimulatedFleet fleet = fleet(seed);
+    Load load = new Load(fleet, true);
+    load.run(FAULTS_MILLIS);
+    healAll(fleet);
+    load.run(CALM_MILLIS);
+    load.stopped = true;
+    fleet.runFor(LONGEST_WAIT_MILLIS);
+    for (SimulatedRouter r : fleet.live()) {
+      r.calls.values().forEach(c -> assertEquals(1, c.ends(), () -> "ends of " + c.id));
+      assertEquals(0, r.client.waiting());
+      assertEquals(0, r.client.held());
+      for (ShardScheduler s : r.host.schedulers().values()) {
+        assertEquals(0, s.waiting(), () -> "waiters left at " + r.node());
+        assertEquals(0, s.leased(), () -> "leases left at " + r.node());
+      }
+    }
+    assertTrue(load.grantsInCalm > 100, () -> "grants in calm " + load.grantsInCalm);
+  }
+
+  @Property(tries = 20, seed = "4712")
+  void withoutFaultsEveryWaiterIsGrantedAndNoServerIsOverbooked(@ForAll long seed) {
+    SimulatedFleet fleet = fleet(seed);
+    Load load = new Load(fleet, false);
+    load.run(CALM_MILLIS);
+    load.stopped = true;
+    fleet.runFor(LONGEST_WAIT_MILLIS);
+    for (SimulatedRouter r : fleet.live()) {
+      r.calls.values().forEach(c -> assertEquals(1, c.ends()));
+      assertTrue(r.calls.values().stream().allMatch(c -> c.refused == 0));
+    }
+  }
+
+  private static SimulatedFleet fleet(long seed) {
+    SimulatedFleet fleet = new SimulatedFleet(seed);
+    for (int i = 0; i < HOME_ROUTERS; i++) {
+      fleet.start("vm" + i, true);
+    }
+    fleet.start("far", false);
+    fleet.runFor(1_000);
+    return fleet;
+  }
+
+  private static void healAll(SimulatedFleet fleet) {
+    List<SimulatedRouter> live = fleet.live();
+    live.stream().filter(r -> r.frozen).forEach(fleet::thaw);
+    for (SimulatedRouter a : live) {
+      live.stream().filter(b -> a != b).forEach(b -> fleet.heal(a, b));
+    }
+  }
+
+  /** Random requests, and faults if wanted. */
+  private static final class Load {
+    private final SimulatedFleet fleet;
+    private final boolean faults;
+    private final Random random;
+    private boolean stopped;
+    private int replaced;
+    private long grantsInCalm;
+
+    Load(SimulatedFleet fleet, boolean faults) {
+      this.fleet = fleet;
+      this.faults = faults;
+      this.random = fleet.random;
+    }
+
+    void run(long millis) {
+      boolean calm = millis == CALM_MILLIS;
+      long before = grants();
+      for (long t = 0; t < millis && !stopped; t += SimulatedFleet.TICK_MILLIS) {
+        call();
+        if (faults && !calm && random.nextInt(25) == 0) {
+          fault();
+        }
+        fleet.runFor(SimulatedFleet.TICK_MILLIS);
+        checkSlots();
+        checkWaits();
+      }
+      grantsInCalm = grants() - before;
+    }
+
+    private long grants() {
+      return fleet.routers.values().stream()
+          .flatMap(r -> r.calls.values().stream())
+          .mapToLong(c -> c.granted)
+          .sum();
+    }
+
+    private void call() {
+      SimulatedRouter r = any();
+      if (!r.frozen && random.nextInt(100) < 30) {
+        SimulatedRouter.Call c = r.acquire(random.nextInt(SimulatedFleet.SERVICES));
+        if (random.nextInt(10) == 0) {
+          fleet.after(random.nextInt(50), () -> r.whenAwake(() -> r.cancel(c)));
+        }
+      }
+    }
+
+    private SimulatedRouter any() {
+      List<SimulatedRouter> live = fleet.live();
+      return live.get(random.nextInt(live.size()));
+    }
+
+    private void fault() {
+      SimulatedRouter a = any();
+      SimulatedRouter b = any();
+      switch (random.nextInt(6)) {
+        case 0 -> replace(a);
+        case 1 -> freeze(a);
+        case 2 -> leave(a);
+        case 3 -> {
+          fleet.cut(a, b);
+          fleet.after(random.nextInt(3_000), () -> fleet.heal(a, b));
+        }
+        default -> fleet.loseInFlight(a, b);
+      }
+    }
+
+    private void replace(SimulatedRouter r) {
+      boolean home = r.peer.domain().value().equals("d0");
+      fleet.kill(r);
+      fleet.after(
+          random.nextInt(2_000), () -> fleet.start(home ? "vm-new" + replaced++ : "far", home));
+    }
+
+    private void freeze(SimulatedRouter r) {
+      if (!r.frozen && fleet.live().stream().noneMatch(o -> o.frozen)) {
+        fleet.freeze(r);
+        fleet.after(
+            random.nextInt(5_000),
+            () -> {
+              if (r.frozen && !r.dead) {
+                fleet.thaw(r);
+              }
+            });
+      }
+    }
+
+    private void leave(SimulatedRouter r) {
+      boolean others =
+          fleet.live().stream()
+              .anyMatch(o -> o != r && !o.leaving && o.peer.domain().equals(r.peer.domain()));
+      if (others && !r.leaving && !r.frozen) {
+        fleet.leave(r);
+        fleet.after(3_000, () -> r.leaving = false);
+        fleet.after(3_000, () -> fleet.live().forEach(o -> o.whenAwake(o::publish)));
+        fleet.after(3_000, fleet::disturbed);
+      }
+    }
+
+    private void checkSlots() {
+      if (fleet.millis() - fleet.disturbedAtMillis > SETTLED_MILLIS) {
+        fleet.inUse.forEach(
+            (s, n) ->
+                assertTrue(n <= SimulatedFleet.SLOTS, () -> n + " on " + s + " " + fleet.millis()));
+      }
+    }
+
+    private void checkWaits() {
+      for (SimulatedRouter r : fleet.live()) {
+        if (!r.frozen) {
+          r.calls.values().stream()
+              .filter(c -> c.ends() == 0)
+              .forEach(
+                  c ->
+                      assertTrue(
+                          fleet.millis() - c.sinceMillis < LONGEST_WAIT_MILLIS,
+                          () -> c.id + " waits since " + c.sinceMillis));
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.schedule.test/src/test/java/org/wigeonwharf/schedule/internal/SimulatedFleet.java
@@ -0,0 +1,238 @@
+package org.wigeonwharf.schedule.internal;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+import org.wigeonwharf.config.ConfigParser;
+import org.wigeonwharf.config.SettingsFile;
+import org.wigeonwharf.config.Snapshot;
+import org.wigeonwharf.membership.Member;
+import org.wigeonwharf.membership.MembershipView;
+import org.wigeonwharf.model.Clock;
+import org.wigeonwharf.model.FailureDomain;
+import org.wigeonwharf.model.NodeId;
+import org.wigeonwharf.model.ServerId;
+import org.wigeonwharf.peer.Peer;
+import org.wigeonwharf.schedule.wire.ScheduleMessage;
+
+/** Routers with real clients, hosts and schedulers over a seeded message queue, in virtual time. */
+final class SimulatedFleet {
+  static final int SLOTS = 2;
+  static final int SERVERS = 4;
+  static final int SERVICES = 2;
+  static final long TICK_MILLIS = 20;
+
+  private static final FailureDomain HOME = new FailureDomain("d0");
+  private static final FailureDomain AWAY = new FailureDomain("d1");
+  private static final long SUSPECT_MILLIS = 1_500;
+
+  final Random random;
+  final Map<NodeId, SimulatedRouter> routers = new LinkedHashMap<>();
+  final Map<ServerId, Integer> inUse = new HashMap<>();
+  final Snapshot snapshot = snapshot();
+  long disturbedAtMillis;
+
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(
+          Comparator.comparingLong(Event::atNanos).thenComparingLong(Event::number));
+  private final Map<Link, Long> lastDelivery = new HashMap<>();
+  private final Map<Link, Integer> epochs = new HashMap<>();
+  private final Set<Link> cuts = new HashSet<>();
+  private long now = Long.MAX_VALUE - 3 * Clock.NANOS_PER_SECOND;
+  private final long origin = now;
+  private long numbers;
+
+  private record Event(long atNanos, long number, Runnable task) {}
+
+  private record Link(NodeId from, NodeId to) {}
+
+  SimulatedFleet(long seed) {
+    random = new Random(seed);
+  }
+
+  private static Snapshot snapshot() {
+    StringBuilder text =
+        new StringBuilder(
+            """
+            [tiers.t]
+            rank = 0
+            [classes.c]
+            tier = "t"
+            first_token_target = "1s"
+            deadline = "5s"
+            [accounts.a]
+            token_sha256 = \
+            ["84023add5de2a3bf79ef31beff08a57e0b9ac06464a67f56546528bcee96a2fa"]
+            classes = ["c"]
+            default_class = "c"
+            """);
+    for (int i = 0; i < SERVICES; i++) {
+      text.append("[services.s%d]\nkind = \"model\"\nwaiting_places = 100\n".formatted(i));
+    }
+    for (int i = 0; i < SERVERS; i++) {
+      text.append(
+          "[services.s%d.servers.x%d]\naddress = \"127.0.0.1:1\"\ndomain = \"d0\"\nslots = %d\n"
+              .formatted(i % SERVICES, i, SLOTS));
+    }
+    List<SettingsFile> files = List.of(new SettingsFile("a.toml", text.toString()));
+    return new Snapshot(1, files, ConfigParser.parse(files).get());
+  }
+
+  long nanos() {
+    return now;
+  }
+
+  long millis() {
+    return (now - origin) / Clock.NANOS_PER_MILLI;
+  }
+
+  void after(long millis, Runnable task) {
+    schedule(now + millis * Clock.NANOS_PER_MILLI, task);
+  }
+
+  private void schedule(long at, Runnable task) {
+    events.add(new Event(at - origin, numbers++, task));
+  }
+
+  void runFor(long millis) {
+    long end = now - origin + millis * Clock.NANOS_PER_MILLI;
+    while (!events.isEmpty() && events.peek().atNanos() <= end) {
+      Event e = events.poll();
+      now = origin + e.atNanos();
+      e.task().run();
+    }
+    now = origin + end;
+  }
+
+  void disturbed() {
+    disturbedAtMillis = millis();
+  }
+
+  SimulatedRouter start(String name, boolean home) {
+    NodeId node = new NodeId(name, 1 + random.nextInt(Integer.MAX_VALUE));
+    Peer peer = new Peer(node, home ? HOME : AWAY, new InetSocketAddress("127.0.0.1", 1));
+    SimulatedRouter router = new SimulatedRouter(this, peer);
+    routers.put(node, router);
+    for (SimulatedRouter other : live()) {
+      if (other != router) {
+        linkUp(router, other);
+      }
+    }
+    router.start();
+    disturbed();
+    return router;
+  }
+
+  List<SimulatedRouter> live() {
+    return routers.values().stream().filter(r -> !r.dead).toList();
+  }
+
+  private void linkUp(SimulatedRouter a, SimulatedRouter b) {
+    learn(a, b, 5);
+    learn(b, a, 5);
+  }
+
+  private void learn(SimulatedRouter a, SimulatedRouter b, int lag) {
+    after(1 + random.nextInt(lag), () -> a.whenAwake(() -> sees(a, b)));
+  }
+
+  private void sees(SimulatedRouter a, SimulatedRouter b) {
+    boolean hears = !b.dead && !b.frozen && !cuts.contains(new Link(a.node(), b.node()));
+    if (hears ? a.peers.add(b.peer) : a.peers.remove(b.peer)) {
+      a.publish();
+    }
+  }
+
+  /** Loses what is under way between two routers; neither notices a closed connection. */
+  void loseInFlight(SimulatedRouter a, SimulatedRouter b) {
+    epochs.merge(new Link(a.node(), b.node()), 1, Integer::sum);
+    epochs.merge(new Link(b.node(), a.node()), 1, Integer::sum);
+    disturbed();
+  }
+
+  void cut(SimulatedRouter a, SimulatedRouter b) {
+    cuts.add(new Link(a.node(), b.node()));
+    cuts.add(new Link(b.node(), a.node()));
+    loseInFlight(a, b);
+    learn(a, b, 300);
+    learn(b, a, 300);
+  }
+
+  void heal(SimulatedRouter a, SimulatedRouter b) {
+    cuts.remove(new Link(a.node(), b.node()));
+    cuts.remove(new Link(b.node(), a.node()));
+    learn(a, b, 300);
+    learn(b, a, 300);
+    disturbed();
+  }
+
+  void kill(SimulatedRouter r) {
+    r.die();
+    live().forEach(other -> learn(other, r, 50));
+    disturbed();
+  }
+
+  void freeze(SimulatedRouter r) {
+    r.freeze();
+    for (SimulatedRouter other : live()) {
+      after(SUSPECT_MILLIS + random.nextInt(100), () -> other.whenAwake(() -> sees(other, r)));
+    }
+    disturbed();
+  }
+
+  void thaw(SimulatedRouter r) {
+    r.thaw();
+    for (SimulatedRouter other : live()) {
+      if (other != r) {
+        learn(other, r, 600);
+        learn(r, other, 600);
+      }
+    }
+    disturbed();
+  }
+
+  void leave(SimulatedRouter r) {
+    r.leaving = true;
+    r.publish();
+    live().forEach(o -> after(1 + random.nextInt(20), () -> o.whenAwake(o::publish)));
+    disturbed();
+  }
+
+  MembershipView viewOf(SimulatedRouter r) {
+    Set<Member> members = new TreeSet<>(Comparator.comparing(m -> m.peer().node()));
+    members.add(new Member(r.peer, r.leaving, 1, 0));
+    r.peers.forEach(
+        p -> members.add(new Member(p, routers.get(p.node()).leaving && !p.equals(r.peer), 1, 0)));
+    return new MembershipView(r.node(), new ArrayList<>(members));
+  }
+
+  boolean send(SimulatedRouter from, NodeId to, ScheduleMessage m) {
+    Link link = new Link(from.node(), to);
+    SimulatedRouter receiver = routers.get(to);
+    boolean connected = from.peer.node().equals(to) || from.peers.contains(receiver.peer);
+    if (!connected || receiver.dead) {
+      return false;
+    }
+    int epoch = epochs.getOrDefault(link, 0);
+    long delay = Clock.NANOS_PER_MILLI / 5 + random.nextInt(3_000_000);
+    long at = Math.max(now - origin + delay, lastDelivery.getOrDefault(link, 0L));
+    lastDelivery.put(link, at);
+    schedule(origin + at, () -> deliver(link, epoch, receiver, m));
+    return true;
+  }
+
+  private void deliver(Link link, int epoch, SimulatedRouter receiver, ScheduleMessage m) {
+    if (epoch == epochs.getOrDefault(link, 0) && !cuts.contains(link)) {
+      receiver.whenAwake(() -> receiver.messages.dispatch(link.from(), m));
+    }
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.schedule.test/src/test/java/org/wigeonwharf/schedule/internal/SimulatedRouter.java
@@ -0,0 +1,186 @@
+package org.wigeonwharf.schedule.internal;
+
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.wigeonwharf.membership.PauseDetector;
+import org.wigeonwharf.model.AccountId;
+import org.wigeonwharf.model.ClassId;
+import org.wigeonwharf.model.FailureDomain;
+import org.wigeonwharf.model.NodeId;
+import org.wigeonwharf.model.RefusalReason;
+import org.wigeonwharf.model.RequestId;
+import org.wigeonwharf.model.ServerId;
+import org.wigeonwharf.model.ServiceId;
+import org.wigeonwharf.model.ShardId;
+import org.wigeonwharf.peer.Peer;
+import org.wigeonwharf.schedule.Lease;
+import org.wigeonwharf.schedule.LeaseEnd;
+import org.wigeonwharf.schedule.Outcome;
+import org.wigeonwharf.schedule.SlotListener;
+import org.wigeonwharf.schedule.SlotRequest;
+
+/** One router of a SimulatedFleet; while frozen it acts on nothing and keeps what arrives. */
+final class SimulatedRouter {
+  private static final int MAX_RUN_MILLIS = 400;
+
+  final Peer peer;
+  final SchedulerHost host;
+  final SlotClient client;
+  final ScheduleMessages messages;
+  final Set<Peer> peers = new TreeSet<>(Comparator.comparing(Peer::node));
+  final Map<RequestId, Call> calls = new LinkedHashMap<>();
+  boolean frozen;
+  boolean dead;
+  boolean leaving;
+
+  private final SimulatedFleet fleet;
+  private final Deque<Runnable> backlog = new ArrayDeque<>();
+  private final PauseDetector pauses;
+  private long sequence;
+
+  /** What became of one slot request. */
+  final class Call implements SlotListener {
+    final RequestId id;
+    final long sinceMillis = fleet.millis();
+    int granted;
+    int refused;
+    int cancelled;
+    ServerId running;
+
+    Call(RequestId id) {
+      this.id = id;
+    }
+
+    int ends() {
+      return granted + refused + cancelled;
+    }
+
+    @Override
+    public void granted(Lease lease) {
+      granted++;
+      running = lease.server().id();
+      fleet.inUse.merge(running, 1, Integer::sum);
+      fleet.after(
+          20 + fleet.random.nextInt(MAX_RUN_MILLIS), () -> whenAwake(() -> finish(this, lease)));
+    }
+
+    @Override
+    public void refused(RefusalReason reason, long retryAfterMillis) {
+      refused++;
+    }
+
+    @Override
+    public void preempted() {}
+  }
+
+  SimulatedRouter(SimulatedFleet fleet, Peer peer) {
+    this.fleet = fleet;
+    this.peer = peer;
+    host = new SchedulerHost(node(), fleet::nanos, (to, m) -> fleet.send(this, to, m));
+    client = new SlotClient(node(), fleet::nanos, (to, m) -> fleet.send(this, to, m));
+    messages = new ScheduleMessages(host, client);
+    pauses = new PauseDetector(fleet.nanos());
+  }
+
+  NodeId node() {
+    return peer.node();
+  }
+
+  void start() {
+    host.configure(fleet.snapshot);
+    client.configure(fleet.snapshot);
+    publish();
+    tick();
+  }
+
+  private void tick() {
+    whenAwake(
+        () -> {
+          host.tick();
+          client.tick();
+        });
+    if (!dead) {
+      fleet.after(SimulatedFleet.TICK_MILLIS, this::tick);
+    }
+  }
+
+  void publish() {
+    host.view(fleet.viewOf(this));
+    client.view(fleet.viewOf(this));
+  }
+
+  void whenAwake(Runnable task) {
+    if (dead) {
+      return;
+    }
+    if (frozen) {
+      backlog.add(task);
+    } else {
+      task.run();
+    }
+  }
+
+  void freeze() {
+    frozen = true;
+    pauses.check(fleet.nanos());
+  }
+
+  void thaw() {
+    frozen = false;
+    if (pauses.check(fleet.nanos())) {
+      host.paused();
+      client.paused();
+    }
+    while (!backlog.isEmpty()) {
+      backlog.poll().run();
+    }
+  }
+
+  void die() {
+    dead = true;
+    calls.values().forEach(this::release);
+  }
+
+  Call acquire(int service) {
+    RequestId id = new RequestId(node(), ++sequence);
+    Call call = new Call(id);
+    calls.put(id, call);
+    ShardId s = new ShardId(new ServiceId("s" + service), new FailureDomain("d0"), 0);
+    client.acquire(
+        new SlotRequest(id, s, new ClassId("c"), new AccountId("a"), 0, 0, 0, true, 1), call);
+    return call;
+  }
+
+  void cancel(Call call) {
+    if (call.ends() == 0) {
+      call.cancelled++;
+      client.cancel(call.id);
+    }
+  }
+
+  private void finish(Call call, Lease lease) {
+    release(call);
+    client.end(
+        new Outcome(
+            call.id,
+            lease.request().shard(),
+            lease.number(),
+            lease.server().id(),
+            LeaseEnd.FINISHED,
+            1,
+            1,
+            1));
+  }
+
+  private void release(Call call) {
+    if (call.running != null) {
+      fleet.inUse.merge(call.running, -1, Integer::sum);
+      call.running = null;
+    }
+  }
+}
--- a/org.wigeonwharf.schedule/src/gen/java/org/wigeonwharf/schedule/wire/RegisteredMessage.java
+++ b/org.wigeonwharf.schedule/src/gen/java/org/wigeonwharf/schedule/wire/CheckpointMessage.java
@@ -7,16 +7,16 @@
 
 /**
  * <pre>
- * A router has told the new scheduler of all its held leases and waiting requests.
+ * How many messages the sender has sent in the session so far, checkpoints left out.
  * </pre>
  *
- * Protobuf type {@code wigeonwharf.schedule.RegisteredMessage}
+ * Protobuf type {@code wigeonwharf.schedule.CheckpointMessage}
  */
 @com.google.protobuf.Generated
-public final class RegisteredMessage extends
+public final class CheckpointMessage extends
     com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:wigeonwharf.schedule.RegisteredMessage)
-    RegisteredMessageOrBuilder {
+    // @@protoc_insertion_point(message_implements:wigeonwharf.schedule.CheckpointMessage)
+    CheckpointMessageOrBuilder {
 private static final long serialVersionUID = 0L;
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -25,26 +25,26 @@
       /* minor= */ 33,
       /* patch= */ 6,
       /* suffix= */ "",
-      "RegisteredMessage");
+      "CheckpointMessage");
   }
-  // Use RegisteredMessage.newBuilder() to construct.
-  private RegisteredMessage(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+  // Use CheckpointMessage.newBuilder() to construct.
+  private CheckpointMessage(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
-  private RegisteredMessage() {
+  private CheckpointMessage() {
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
       getDescriptor() {
-    return org.wigeonwharf.schedule.wire.ScheduleProto.internal_static_wigeonwharf_schedule_RegisteredMessage_descriptor;
+    return org.wigeonwharf.schedule.wire.ScheduleProto.internal_static_wigeonwharf_schedule_CheckpointMessage_descriptor;
   }
 
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.wigeonwharf.schedule.wire.ScheduleProto.internal_static_wigeonwharf_schedule_RegisteredMessage_fieldAccessorTable
+    return org.wigeonwharf.schedule.wire.ScheduleProto.internal_static_wigeonwharf_schedule_CheckpointMessage_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.wigeonwharf.schedule.wire.RegisteredMessage.class, org.wigeonwharf.schedule.wire.RegisteredMessage.Builder.class);
+            org.wigeonwharf.schedule.wire.CheckpointMessage.class, org.wigeonwharf.schedule.wire.CheckpointMessage.Builder.class);
   }
 
   private int bitField0_;
@@ -74,15 +74,15 @@
     return shard_ == null ? org.wigeonwharf.schedule.wire.Shard.getDefaultInstance() : shard_;
   }
 
-  public static final int CONFIG_REVISION_FIELD_NUMBER = 2;
-  private long configRevision_ = 0L;
+  public static final int SENT_FIELD_NUMBER = 2;
+  private long sent_ = 0L;
   /**
-   * <code>int64 config_revision = 2;</code>
-   * @return The configRevision.
+   * <code>int64 sent = 2;</code>
+   * @return The sent.
    */
   @java.lang.Override
-  public long getConfigRevision() {
-    return configRevision_;
+  public long getSent() {
+    return sent_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -102,8 +102,8 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(1, getShard());
     }
-    if (configRevision_ != 0L) {
-      output.writeInt64(2, configRevision_);
+    if (sent_ != 0L) {
+      output.writeInt64(2, sent_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -118,9 +118,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(1, getShard());
     }
-    if (configRevision_ != 0L) {
+    if (sent_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(2, configRevision_);
+        .computeInt64Size(2, sent_);
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -132,18 +132,18 @@
     if (obj == this) {
      return true;
     }
-    if (!(obj instanceof org.wigeonwharf.schedule.wire.RegisteredMessage)) {
+    if (!(obj instanceof org.wigeonwharf.schedule.wire.CheckpointMessage)) {
       return super.equals(obj);
     }
-    org.wigeonwharf.schedule.wire.RegisteredMessage other = (org.wigeonwharf.schedule.wire.RegisteredMessage) obj;
+    org.wigeonwharf.schedule.wire.CheckpointMessage other = (org.wigeonwharf.schedule.wire.CheckpointMessage) obj;
 
     if (hasShard() != other.hasShard()) return false;
     if (hasShard()) {
       if (!getShard()
           .equals(other.getShard())) return false;
     }
-    if (getConfigRevision()
-        != other.getConfigRevision()) return false;
+    if (getSent()
+        != other.getSent()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -159,52 +159,52 @@
       hash = (37 * hash) + SHARD_FIELD_NUMBER;
       hash = (53 * hash) + getShard().hashCode();
     }
-    hash = (37 * hash) + CONFIG_REVISION_FIELD_NUMBER;
+    hash = (37 * hash) + SENT_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getConfigRevision());
+        getSent());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
   }
 
-  public static org.wigeonwharf.schedule.wire.RegisteredMessage parseFrom(
+  public static org.wigeonwharf.schedule.wire.CheckpointMessage parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.wigeonwharf.schedule.wire.RegisteredMessage parseFrom(
+  public static org.wigeonwharf.schedule.wire.CheckpointMessage parseFrom(
       java.nio.ByteBuffer data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.wigeonwharf.schedule.wire.RegisteredMessage parseFrom(
+  public static org.wigeonwharf.schedule.wire.CheckpointMessage parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.wigeonwharf.schedule.wire.RegisteredMessage parseFrom(
+  public static org.wigeonwharf.schedule.wire.CheckpointMessage parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.wigeonwharf.schedule.wire.RegisteredMessage parseFrom(byte[] data)
+  public static org.wigeonwharf.schedule.wire.CheckpointMessage parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.wigeonwharf.schedule.wire.RegisteredMessage parseFrom(
+  public static org.wigeonwharf.schedule.wire.CheckpointMessage parseFrom(
       byte[] data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.wigeonwharf.schedule.wire.RegisteredMessage parseFrom(java.io.InputStream input)
+  public static org.wigeonwharf.schedule.wire.CheckpointMessage parseFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static org.wigeonwharf.schedule.wire.RegisteredMessage parseFrom(
+  public static org.wigeonwharf.schedule.wire.CheckpointMessage parseFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -212,26 +212,26 @@
         .parseWithIOException(PARSER, input, extensionRegistry);
   }
 
-  public static org.wigeonwharf.schedule.wire.RegisteredMessage parseDelimitedFrom(java.io.InputStream input)
+  public static org.wigeonwharf.schedule.wire.CheckpointMessage parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input);
   }
 
-  public static org.wigeonwharf.schedule.wire.RegisteredMessage parseDelimitedFrom(
+  public static org.wigeonwharf.schedule.wire.CheckpointMessage parseDelimitedFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
   }
-  public static org.wigeonwharf.schedule.wire.RegisteredMessage parseFrom(
+  public static org.wigeonwharf.schedule.wire.CheckpointMessage parseFrom(
       com.google.protobuf.CodedInputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static org.wigeonwharf.schedule.wire.RegisteredMessage parseFrom(
+  public static org.wigeonwharf.schedule.wire.CheckpointMessage parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -244,7 +244,7 @@
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
-  public static Builder newBuilder(org.wigeonwharf.schedule.wire.RegisteredMessage prototype) {
+  public static Builder newBuilder(org.wigeonwharf.schedule.wire.CheckpointMessage prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
   @java.lang.Override
@@ -261,29 +261,29 @@
   }
   /**
    * <pre>
-   * A router has told the new scheduler of all its held leases and waiting requests.
+   * How many messages the sender has sent in the session so far, checkpoints left out.
    * </pre>
    *
-   * Protobuf type {@code wigeonwharf.schedule.RegisteredMessage}
+   * Protobuf type {@code wigeonwharf.schedule.CheckpointMessage}
    */
   public static final class Builder extends
       com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:wigeonwharf.schedule.RegisteredMessage)
-      org.wigeonwharf.schedule.wire.RegisteredMessageOrBuilder {
+      // @@protoc_insertion_point(builder_implements:wigeonwharf.schedule.CheckpointMessage)
+      org.wigeonwharf.schedule.wire.CheckpointMessageOrBuilder {
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.wigeonwharf.schedule.wire.ScheduleProto.internal_static_wigeonwharf_schedule_RegisteredMessage_descriptor;
+      return org.wigeonwharf.schedule.wire.ScheduleProto.internal_static_wigeonwharf_schedule_CheckpointMessage_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.wigeonwharf.schedule.wire.ScheduleProto.internal_static_wigeonwharf_schedule_RegisteredMessage_fieldAccessorTable
+      return org.wigeonwharf.schedule.wire.ScheduleProto.internal_static_wigeonwharf_schedule_CheckpointMessage_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.wigeonwharf.schedule.wire.RegisteredMessage.class, org.wigeonwharf.schedule.wire.RegisteredMessage.Builder.class);
+              org.wigeonwharf.schedule.wire.CheckpointMessage.class, org.wigeonwharf.schedule.wire.CheckpointMessage.Builder.class);
     }
 
-    // Construct using org.wigeonwharf.schedule.wire.RegisteredMessage.newBuilder()
+    // Construct using org.wigeonwharf.schedule.wire.CheckpointMessage.newBuilder()
     private Builder() {
       maybeForceBuilderInitialization();
     }
@@ -308,24 +308,24 @@
         shardBuilder_.dispose();
         shardBuilder_ = null;
       }
-      configRevision_ = 0L;
+      sent_ = 0L;
       return this;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor
         getDescriptorForType() {
-      return org.wigeonwharf.schedule.wire.ScheduleProto.internal_static_wigeonwharf_schedule_RegisteredMessage_descriptor;
+      return org.wigeonwharf.schedule.wire.ScheduleProto.internal_static_wigeonwharf_schedule_CheckpointMessage_descriptor;
     }
 
     @java.lang.Override
-    public org.wigeonwharf.schedule.wire.RegisteredMessage getDefaultInstanceForType() {
-      return org.wigeonwharf.schedule.wire.RegisteredMessage.getDefaultInstance();
+    public org.wigeonwharf.schedule.wire.CheckpointMessage getDefaultInstanceForType() {
+      return org.wigeonwharf.schedule.wire.CheckpointMessage.getDefaultInstance();
     }
 
     @java.lang.Override
-    public org.wigeonwharf.schedule.wire.RegisteredMessage build() {
-      org.wigeonwharf.schedule.wire.RegisteredMessage result = buildPartial();
+    public org.wigeonwharf.schedule.wire.CheckpointMessage build() {
+      org.wigeonwharf.schedule.wire.CheckpointMessage result = buildPartial();
       if (!result.isInitialized()) {
         throw newUninitializedMessageException(result);
       }
@@ -333,14 +333,14 @@
     }
 
     @java.lang.Override
-    public org.wigeonwharf.schedule.wire.RegisteredMessage buildPartial() {
-      org.wigeonwharf.schedule.wire.RegisteredMessage result = new org.wigeonwharf.schedule.wire.RegisteredMessage(this);
+    public org.wigeonwharf.schedule.wire.CheckpointMessage buildPartial() {
+      org.wigeonwharf.schedule.wire.CheckpointMessage result = new org.wigeonwharf.schedule.wire.CheckpointMessage(this);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
-    private void buildPartial0(org.wigeonwharf.schedule.wire.RegisteredMessage result) {
+    private void buildPartial0(org.wigeonwharf.schedule.wire.CheckpointMessage result) {
       int from_bitField0_ = bitField0_;
       int to_bitField0_ = 0;
       if (((from_bitField0_ & 0x00000001) != 0)) {
@@ -350,28 +350,28 @@
         to_bitField0_ |= 0x00000001;
       }
       if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.configRevision_ = configRevision_;
+        result.sent_ = sent_;
       }
       result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof org.wigeonwharf.schedule.wire.RegisteredMessage) {
-        return mergeFrom((org.wigeonwharf.schedule.wire.RegisteredMessage)other);
+      if (other instanceof org.wigeonwharf.schedule.wire.CheckpointMessage) {
+        return mergeFrom((org.wigeonwharf.schedule.wire.CheckpointMessage)other);
       } else {
         super.mergeFrom(other);
         return this;
       }
     }
 
-    public Builder mergeFrom(org.wigeonwharf.schedule.wire.RegisteredMessage other) {
-      if (other == org.wigeonwharf.schedule.wire.RegisteredMessage.getDefaultInstance()) return this;
+    public Builder mergeFrom(org.wigeonwharf.schedule.wire.CheckpointMessage other) {
+      if (other == org.wigeonwharf.schedule.wire.CheckpointMessage.getDefaultInstance()) return this;
       if (other.hasShard()) {
         mergeShard(other.getShard());
       }
-      if (other.getConfigRevision() != 0L) {
-        setConfigRevision(other.getConfigRevision());
+      if (other.getSent() != 0L) {
+        setSent(other.getSent());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -407,7 +407,7 @@
               break;
             } // case 10
             case 16: {
-              configRevision_ = input.readInt64();
+              sent_ = input.readInt64();
               bitField0_ |= 0x00000002;
               break;
             } // case 16
@@ -549,55 +549,55 @@
       return shardBuilder_;
     }
 
-    private long configRevision_ ;
+    private long sent_ ;
     /**
-     * <code>int64 config_revision = 2;</code>
-     * @return The configRevision.
+     * <code>int64 sent = 2;</code>
+     * @return The sent.
      */
     @java.lang.Override
-    public long getConfigRevision() {
-      return configRevision_;
+    public long getSent() {
+      return sent_;
     }
     /**
-     * <code>int64 config_revision = 2;</code>
-     * @param value The configRevision to set.
+     * <code>int64 sent = 2;</code>
+     * @param value The sent to set.
      * @return This builder for chaining.
      */
-    public Builder setConfigRevision(long value) {
+    public Builder setSent(long value) {
 
-      configRevision_ = value;
+      sent_ = value;
       bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
     /**
-     * <code>int64 config_revision = 2;</code>
+     * <code>int64 sent = 2;</code>
      * @return This builder for chaining.
      */
-    public Builder clearConfigRevision() {
+    public Builder clearSent() {
       bitField0_ = (bitField0_ & ~0x00000002);
-      configRevision_ = 0L;
+      sent_ = 0L;
       onChanged();
       return this;
     }
 
-    // @@protoc_insertion_point(builder_scope:wigeonwharf.schedule.RegisteredMessage)
+    // @@protoc_insertion_point(builder_scope:wigeonwharf.schedule.CheckpointMessage)
   }
 
-  // @@protoc_insertion_point(class_scope:wigeonwharf.schedule.RegisteredMessage)
-  private static final org.wigeonwharf.schedule.wire.RegisteredMessage DEFAULT_INSTANCE;
+  // @@protoc_insertion_point(class_scope:wigeonwharf.schedule.CheckpointMessage)
+  private static final org.wigeonwharf.schedule.wire.CheckpointMessage DEFAULT_INSTANCE;
   static {
-    DEFAULT_INSTANCE = new org.wigeonwharf.schedule.wire.RegisteredMessage();
+    DEFAULT_INSTANCE = new org.wigeonwharf.schedule.wire.CheckpointMessage();
   }
 
-  public static org.wigeonwharf.schedule.wire.RegisteredMessage getDefaultInstance() {
+  public static org.wigeonwharf.schedule.wire.CheckpointMessage getDefaultInstance() {
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<RegisteredMessage>
-      PARSER = new com.google.protobuf.AbstractParser<RegisteredMessage>() {
+  private static final com.google.protobuf.Parser<CheckpointMessage>
+      PARSER = new com.google.protobuf.AbstractParser<CheckpointMessage>() {
     @java.lang.Override
-    public RegisteredMessage parsePartialFrom(
+    public CheckpointMessage parsePartialFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
@@ -616,17 +616,17 @@
     }
   };
 
-  public static com.google.protobuf.Parser<RegisteredMessage> parser() {
+  public static com.google.protobuf.Parser<CheckpointMessage> parser() {
     return PARSER;
   }
 
   @java.lang.Override
-  public com.google.protobuf.Parser<RegisteredMessage> getParserForType() {
+  public com.google.protobuf.Parser<CheckpointMessage> getParserForType() {
     return PARSER;
   }
 
   @java.lang.Override
-  public org.wigeonwharf.schedule.wire.RegisteredMessage getDefaultInstanceForType() {
+  public org.wigeonwharf.schedule.wire.CheckpointMessage getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
 
--- a/org.wigeonwharf.schedule/src/gen/java/org/wigeonwharf/schedule/wire/RegisteredMessageOrBuilder.java
+++ b/org.wigeonwharf.schedule/src/gen/java/org/wigeonwharf/schedule/wire/CheckpointMessageOrBuilder.java
@@ -6,8 +6,8 @@
 package org.wigeonwharf.schedule.wire;
 
 @com.google.protobuf.Generated
-public interface RegisteredMessageOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:wigeonwharf.schedule.RegisteredMessage)
+public interface CheckpointMessageOrBuilder extends
+    // @@protoc_insertion_point(interface_extends:wigeonwharf.schedule.CheckpointMessage)
     com.google.protobuf.MessageOrBuilder {
 
   /**
@@ -26,8 +26,8 @@
   org.wigeonwharf.schedule.wire.ShardOrBuilder getShardOrBuilder();
 
   /**
-   * <code>int64 config_revision = 2;</code>
-   * @return The configRevision.
+   * <code>int64 sent = 2;</code>
+   * @return The sent.
    */
-  long getConfigRevision();
+  long getSent();
 }
--- a/org.wigeonwharf.schedule/src/gen/java/org/wigeonwharf/schedule/wire/HeldLeaseMessage.java
+++ b/org.wigeonwharf.schedule/src/gen/java/org/wigeonwharf/schedule/wire/HeldLeaseMessage.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * A lease that a router holds, told to a new scheduler.
+ * A lease that a router holds.
  * </pre>
  *
  * Protobuf type {@code wigeonwharf.schedule.HeldLeaseMessage}
@@ -50,37 +50,10 @@
             org.wigeonwharf.schedule.wire.HeldLeaseMessage.class, org.wigeonwharf.schedule.wire.HeldLeaseMessage.Builder.class);
   }
 
-  private int bitField0_;
-  public static final int SHARD_FIELD_NUMBER = 1;
-  private org.wigeonwharf.schedule.wire.Shard shard_;
-  /**
-   * <code>.wigeonwharf.schedule.Shard shard = 1;</code>
-   * @return Whether the shard field is set.
-   */
-  @java.lang.Override
-  public boolean hasShard() {
-    return ((bitField0_ & 0x00000001) != 0);
-  }
-  /**
-   * <code>.wigeonwharf.schedule.Shard shard = 1;</code>
-   * @return The shard.
-   */
-  @java.lang.Override
-  public org.wigeonwharf.schedule.wire.Shard getShard() {
-    return shard_ == null ? org.wigeonwharf.schedule.wire.Shard.getDefaultInstance() : shard_;
-  }
-  /**
-   * <code>.wigeonwharf.schedule.Shard shard = 1;</code>
-   */
-  @java.lang.Override
-  public org.wigeonwharf.schedule.wire.ShardOrBuilder getShardOrBuilder() {
-    return shard_ == null ? org.wigeonwharf.schedule.wire.Shard.getDefaultInstance() : shard_;
-  }
-
-  public static final int SEQUENCE_FIELD_NUMBER = 2;
+  public static final int SEQUENCE_FIELD_NUMBER = 1;
   private long sequence_ = 0L;
   /**
-   * <code>int64 sequence = 2;</code>
+   * <code>int64 sequence = 1;</code>
    * @return The sequence.
    */
   @java.lang.Override
@@ -88,11 +61,11 @@
     return sequence_;
   }
 
-  public static final int SERVER_FIELD_NUMBER = 3;
+  public static final int SERVER_FIELD_NUMBER = 2;
   @SuppressWarnings("serial")
   private volatile java.lang.Object server_ = "";
   /**
-   * <code>string server = 3;</code>
+   * <code>string server = 2;</code>
    * @return The server.
    */
   @java.lang.Override
@@ -109,7 +82,7 @@
     }
   }
   /**
-   * <code>string server = 3;</code>
+   * <code>string server = 2;</code>
    * @return The bytes for server.
    */
   @java.lang.Override
@@ -127,11 +100,11 @@
     }
   }
 
-  public static final int SERVICE_CLASS_FIELD_NUMBER = 4;
+  public static final int SERVICE_CLASS_FIELD_NUMBER = 3;
   @SuppressWarnings("serial")
   private volatile java.lang.Object serviceClass_ = "";
   /**
-   * <code>string service_class = 4;</code>
+   * <code>string service_class = 3;</code>
    * @return The serviceClass.
    */
   @java.lang.Override
@@ -148,7 +121,7 @@
     }
   }
   /**
-   * <code>string service_class = 4;</code>
+   * <code>string service_class = 3;</code>
    * @return The bytes for serviceClass.
    */
   @java.lang.Override
@@ -166,11 +139,11 @@
     }
   }
 
-  public static final int ACCOUNT_FIELD_NUMBER = 5;
+  public static final int ACCOUNT_FIELD_NUMBER = 4;
   @SuppressWarnings("serial")
   private volatile java.lang.Object account_ = "";
   /**
-   * <code>string account = 5;</code>
+   * <code>string account = 4;</code>
    * @return The account.
    */
   @java.lang.Override
@@ -187,7 +160,7 @@
     }
   }
   /**
-   * <code>string account = 5;</code>
+   * <code>string account = 4;</code>
    * @return The bytes for account.
    */
   @java.lang.Override
@@ -205,6 +178,17 @@
     }
   }
 
+  public static final int LEASE_FIELD_NUMBER = 5;
+  private long lease_ = 0L;
+  /**
+   * <code>int64 lease = 5;</code>
+   * @return The lease.
+   */
+  @java.lang.Override
+  public long getLease() {
+    return lease_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -219,20 +203,20 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    if (((bitField0_ & 0x00000001) != 0)) {
-      output.writeMessage(1, getShard());
-    }
     if (sequence_ != 0L) {
-      output.writeInt64(2, sequence_);
+      output.writeInt64(1, sequence_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(server_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 3, server_);
+      com.google.protobuf.GeneratedMessage.writeString(output, 2, server_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(serviceClass_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 4, serviceClass_);
+      com.google.protobuf.GeneratedMessage.writeString(output, 3, serviceClass_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(account_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 5, account_);
+      com.google.protobuf.GeneratedMessage.writeString(output, 4, account_);
+    }
+    if (lease_ != 0L) {
+      output.writeInt64(5, lease_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -243,22 +227,22 @@
     if (size != -1) return size;
 
     size = 0;
-    if (((bitField0_ & 0x00000001) != 0)) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(1, getShard());
-    }
     if (sequence_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(2, sequence_);
+        .computeInt64Size(1, sequence_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(server_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(3, server_);
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(2, server_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(serviceClass_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(4, serviceClass_);
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(3, serviceClass_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(account_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(5, account_);
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(4, account_);
+    }
+    if (lease_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(5, lease_);
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -275,11 +259,6 @@
     }
     org.wigeonwharf.schedule.wire.HeldLeaseMessage other = (org.wigeonwharf.schedule.wire.HeldLeaseMessage) obj;
 
-    if (hasShard() != other.hasShard()) return false;
-    if (hasShard()) {
-      if (!getShard()
-          .equals(other.getShard())) return false;
-    }
     if (getSequence()
         != other.getSequence()) return false;
     if (!getServer()
@@ -288,6 +267,8 @@
         .equals(other.getServiceClass())) return false;
     if (!getAccount()
         .equals(other.getAccount())) return false;
+    if (getLease()
+        != other.getLease()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -299,10 +280,6 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
-    if (hasShard()) {
-      hash = (37 * hash) + SHARD_FIELD_NUMBER;
-      hash = (53 * hash) + getShard().hashCode();
-    }
     hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getSequence());
@@ -312,6 +289,9 @@
     hash = (53 * hash) + getServiceClass().hashCode();
     hash = (37 * hash) + ACCOUNT_FIELD_NUMBER;
     hash = (53 * hash) + getAccount().hashCode();
+    hash = (37 * hash) + LEASE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getLease());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -411,7 +391,7 @@
   }
   /**
    * <pre>
-   * A lease that a router holds, told to a new scheduler.
+   * A lease that a router holds.
    * </pre>
    *
    * Protobuf type {@code wigeonwharf.schedule.HeldLeaseMessage}
@@ -435,33 +415,23 @@
 
     // Construct using org.wigeonwharf.schedule.wire.HeldLeaseMessage.newBuilder()
     private Builder() {
-      maybeForceBuilderInitialization();
+
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-      maybeForceBuilderInitialization();
-    }
-    private void maybeForceBuilderInitialization() {
-      if (com.google.protobuf.GeneratedMessage
-              .alwaysUseFieldBuilders) {
-        internalGetShardFieldBuilder();
-      }
+
     }
     @java.lang.Override
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
-      shard_ = null;
-      if (shardBuilder_ != null) {
-        shardBuilder_.dispose();
-        shardBuilder_ = null;
-      }
       sequence_ = 0L;
       server_ = "";
       serviceClass_ = "";
       account_ = "";
+      lease_ = 0L;
       return this;
     }
 
@@ -495,26 +465,21 @@
 
     private void buildPartial0(org.wigeonwharf.schedule.wire.HeldLeaseMessage result) {
       int from_bitField0_ = bitField0_;
-      int to_bitField0_ = 0;
       if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.shard_ = shardBuilder_ == null
-            ? shard_
-            : shardBuilder_.build();
-        to_bitField0_ |= 0x00000001;
+        result.sequence_ = sequence_;
       }
       if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.sequence_ = sequence_;
+        result.server_ = server_;
       }
       if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.server_ = server_;
+        result.serviceClass_ = serviceClass_;
       }
       if (((from_bitField0_ & 0x00000008) != 0)) {
-        result.serviceClass_ = serviceClass_;
+        result.account_ = account_;
       }
       if (((from_bitField0_ & 0x00000010) != 0)) {
-        result.account_ = account_;
+        result.lease_ = lease_;
       }
-      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -529,27 +494,27 @@
 
     public Builder mergeFrom(org.wigeonwharf.schedule.wire.HeldLeaseMessage other) {
       if (other == org.wigeonwharf.schedule.wire.HeldLeaseMessage.getDefaultInstance()) return this;
-      if (other.hasShard()) {
-        mergeShard(other.getShard());
-      }
       if (other.getSequence() != 0L) {
         setSequence(other.getSequence());
       }
       if (!other.getServer().isEmpty()) {
         server_ = other.server_;
-        bitField0_ |= 0x00000004;
+        bitField0_ |= 0x00000002;
         onChanged();
       }
       if (!other.getServiceClass().isEmpty()) {
         serviceClass_ = other.serviceClass_;
-        bitField0_ |= 0x00000008;
+        bitField0_ |= 0x00000004;
         onChanged();
       }
       if (!other.getAccount().isEmpty()) {
         account_ = other.account_;
-        bitField0_ |= 0x00000010;
+        bitField0_ |= 0x00000008;
         onChanged();
       }
+      if (other.getLease() != 0L) {
+        setLease(other.getLease());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -576,33 +541,31 @@
             case 0:
               done = true;
               break;
-            case 10: {
-              input.readMessage(
-                  internalGetShardFieldBuilder().getBuilder(),
-                  extensionRegistry);
+            case 8: {
+              sequence_ = input.readInt64();
               bitField0_ |= 0x00000001;
               break;
-            } // case 10
-            case 16: {
-              sequence_ = input.readInt64();
+            } // case 8
+            case 18: {
+              server_ = input.readStringRequireUtf8();
               bitField0_ |= 0x00000002;
               break;
-            } // case 16
+            } // case 18
             case 26: {
-              server_ = input.readStringRequireUtf8();
+              serviceClass_ = input.readStringRequireUtf8();
               bitField0_ |= 0x00000004;
               break;
             } // case 26
             case 34: {
-              serviceClass_ = input.readStringRequireUtf8();
+              account_ = input.readStringRequireUtf8();
               bitField0_ |= 0x00000008;
               break;
             } // case 34
-            case 42: {
-              account_ = input.readStringRequireUtf8();
+            case 40: {
+              lease_ = input.readInt64();
               bitField0_ |= 0x00000010;
               break;
-            } // case 42
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -620,130 +583,9 @@
     }
     private int bitField0_;
 
-    private org.wigeonwharf.schedule.wire.Shard shard_;
-    private com.google.protobuf.SingleFieldBuilder<
-        org.wigeonwharf.schedule.wire.Shard, org.wigeonwharf.schedule.wire.Shard.Builder, org.wigeonwharf.schedule.wire.ShardOrBuilder> shardBuilder_;
-    /**
-     * <code>.wigeonwharf.schedule.Shard shard = 1;</code>
-     * @return Whether the shard field is set.
-     */
-    public boolean hasShard() {
-      return ((bitField0_ & 0x00000001) != 0);
-    }
-    /**
-     * <code>.wigeonwharf.schedule.Shard shard = 1;</code>
-     * @return The shard.
-     */
-    public org.wigeonwharf.schedule.wire.Shard getShard() {
-      if (shardBuilder_ == null) {
-        return shard_ == null ? org.wigeonwharf.schedule.wire.Shard.getDefaultInstance() : shard_;
-      } else {
-        return shardBuilder_.getMessage();
-      }
-    }
-    /**
-     * <code>.wigeonwharf.schedule.Shard shard = 1;</code>
-     */
-    public Builder setShard(org.wigeonwharf.schedule.wire.Shard value) {
-      if (shardBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        shard_ = value;
-      } else {
-        shardBuilder_.setMessage(value);
-      }
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>.wigeonwharf.schedule.Shard shard = 1;</code>
-     */
-    public Builder setShard(
-        org.wigeonwharf.schedule.wire.Shard.Builder builderForValue) {
-      if (shardBuilder_ == null) {
-        shard_ = builderForValue.build();
-      } else {
-        shardBuilder_.setMessage(builderForValue.build());
-      }
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>.wigeonwharf.schedule.Shard shard = 1;</code>
-     */
-    public Builder mergeShard(org.wigeonwharf.schedule.wire.Shard value) {
-      if (shardBuilder_ == null) {
-        if (((bitField0_ & 0x00000001) != 0) &&
-          shard_ != null &&
-          shard_ != org.wigeonwharf.schedule.wire.Shard.getDefaultInstance()) {
-          getShardBuilder().mergeFrom(value);
-        } else {
-          shard_ = value;
-        }
-      } else {
-        shardBuilder_.mergeFrom(value);
-      }
-      if (shard_ != null) {
-        bitField0_ |= 0x00000001;
-        onChanged();
-      }
-      return this;
-    }
-    /**
-     * <code>.wigeonwharf.schedule.Shard shard = 1;</code>
-     */
-    public Builder clearShard() {
-      bitField0_ = (bitField0_ & ~0x00000001);
-      shard_ = null;
-      if (shardBuilder_ != null) {
-        shardBuilder_.dispose();
-        shardBuilder_ = null;
-      }
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>.wigeonwharf.schedule.Shard shard = 1;</code>
-     */
-    public org.wigeonwharf.schedule.wire.Shard.Builder getShardBuilder() {
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return internalGetShardFieldBuilder().getBuilder();
-    }
-    /**
-     * <code>.wigeonwharf.schedule.Shard shard = 1;</code>
-     */
-    public org.wigeonwharf.schedule.wire.ShardOrBuilder getShardOrBuilder() {
-      if (shardBuilder_ != null) {
-        return shardBuilder_.getMessageOrBuilder();
-      } else {
-        return shard_ == null ?
-            org.wigeonwharf.schedule.wire.Shard.getDefaultInstance() : shard_;
-      }
-    }
-    /**
-     * <code>.wigeonwharf.schedule.Shard shard = 1;</code>
-     */
-    private com.google.protobuf.SingleFieldBuilder<
-        org.wigeonwharf.schedule.wire.Shard, org.wigeonwharf.schedule.wire.Shard.Builder, org.wigeonwharf.schedule.wire.ShardOrBuilder> 
-        internalGetShardFieldBuilder() {
-      if (shardBuilder_ == null) {
-        shardBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.wigeonwharf.schedule.wire.Shard, org.wigeonwharf.schedule.wire.Shard.Builder, org.wigeonwharf.schedule.wire.ShardOrBuilder>(
-                getShard(),
-                getParentForChildren(),
-                isClean());
-        shard_ = null;
-      }
-      return shardBuilder_;
-    }
-
     private long sequence_ ;
     /**
-     * <code>int64 sequence = 2;</code>
+     * <code>int64 sequence = 1;</code>
      * @return The sequence.
      */
     @java.lang.Override
@@ -751,23 +593,23 @@
       return sequence_;
     }
     /**
-     * <code>int64 sequence = 2;</code>
+     * <code>int64 sequence = 1;</code>
      * @param value The sequence to set.
      * @return This builder for chaining.
      */
     public Builder setSequence(long value) {
 
       sequence_ = value;
-      bitField0_ |= 0x00000002;
+      bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
     /**
-     * <code>int64 sequence = 2;</code>
+     * <code>int64 sequence = 1;</code>
      * @return This builder for chaining.
      */
     public Builder clearSequence() {
-      bitField0_ = (bitField0_ & ~0x00000002);
+      bitField0_ = (bitField0_ & ~0x00000001);
       sequence_ = 0L;
       onChanged();
       return this;
@@ -775,7 +617,7 @@
 
     private java.lang.Object server_ = "";
     /**
-     * <code>string server = 3;</code>
+     * <code>string server = 2;</code>
      * @return The server.
      */
     public java.lang.String getServer() {
@@ -791,7 +633,7 @@
       }
     }
     /**
-     * <code>string server = 3;</code>
+     * <code>string server = 2;</code>
      * @return The bytes for server.
      */
     public com.google.protobuf.ByteString
@@ -808,7 +650,7 @@
       }
     }
     /**
-     * <code>string server = 3;</code>
+     * <code>string server = 2;</code>
      * @param value The server to set.
      * @return This builder for chaining.
      */
@@ -816,22 +658,22 @@
         java.lang.String value) {
       if (value == null) { throw new NullPointerException(); }
       server_ = value;
-      bitField0_ |= 0x00000004;
+      bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
     /**
-     * <code>string server = 3;</code>
+     * <code>string server = 2;</code>
      * @return This builder for chaining.
      */
     public Builder clearServer() {
       server_ = getDefaultInstance().getServer();
-      bitField0_ = (bitField0_ & ~0x00000004);
+      bitField0_ = (bitField0_ & ~0x00000002);
       onChanged();
       return this;
     }
     /**
-     * <code>string server = 3;</code>
+     * <code>string server = 2;</code>
      * @param value The bytes for server to set.
      * @return This builder for chaining.
      */
@@ -840,14 +682,14 @@
       if (value == null) { throw new NullPointerException(); }
       checkByteStringIsUtf8(value);
       server_ = value;
-      bitField0_ |= 0x00000004;
+      bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
 
     private java.lang.Object serviceClass_ = "";
     /**
-     * <code>string service_class = 4;</code>
+     * <code>string service_class = 3;</code>
      * @return The serviceClass.
      */
     public java.lang.String getServiceClass() {
@@ -863,7 +705,7 @@
       }
     }
     /**
-     * <code>string service_class = 4;</code>
+     * <code>string service_class = 3;</code>
      * @return The bytes for serviceClass.
      */
     public com.google.protobuf.ByteString
@@ -880,7 +722,7 @@
       }
     }
     /**
-     * <code>string service_class = 4;</code>
+     * <code>string service_class = 3;</code>
      * @param value The serviceClass to set.
      * @return This builder for chaining.
      */
@@ -888,22 +730,22 @@
         java.lang.String value) {
       if (value == null) { throw new NullPointerException(); }
       serviceClass_ = value;
-      bitField0_ |= 0x00000008;
+      bitField0_ |= 0x00000004;
       onChanged();
       return this;
     }
     /**
-     * <code>string service_class = 4;</code>
+     * <code>string service_class = 3;</code>
      * @return This builder for chaining.
      */
     public Builder clearServiceClass() {
       serviceClass_ = getDefaultInstance().getServiceClass();
-      bitField0_ = (bitField0_ & ~0x00000008);
+      bitField0_ = (bitField0_ & ~0x00000004);
       onChanged();
       return this;
     }
     /**
-     * <code>string service_class = 4;</code>
+     * <code>string service_class = 3;</code>
      * @param value The bytes for serviceClass to set.
      * @return This builder for chaining.
      */
@@ -912,14 +754,14 @@
       if (value == null) { throw new NullPointerException(); }
       checkByteStringIsUtf8(value);
       serviceClass_ = value;
-      bitField0_ |= 0x00000008;
+      bitField0_ |= 0x00000004;
       onChanged();
       return this;
     }
 
     private java.lang.Object account_ = "";
     /**
-     * <code>string account = 5;</code>
+     * <code>string account = 4;</code>
      * @return The account.
      */
     public java.lang.String getAccount() {
@@ -935,7 +777,7 @@
       }
     }
     /**
-     * <code>string account = 5;</code>
+     * <code>string account = 4;</code>
      * @return The bytes for account.
      */
     public com.google.protobuf.ByteString
@@ -952,7 +794,7 @@
       }
     }
     /**
-     * <code>string account = 5;</code>
+     * <code>string account = 4;</code>
      * @param value The account to set.
      * @return This builder for chaining.
      */
@@ -960,22 +802,22 @@
         java.lang.String value) {
       if (value == null) { throw new NullPointerException(); }
       account_ = value;
-      bitField0_ |= 0x00000010;
+      bitField0_ |= 0x00000008;
       onChanged();
       return this;
     }
     /**
-     * <code>string account = 5;</code>
+     * <code>string account = 4;</code>
      * @return This builder for chaining.
      */
     public Builder clearAccount() {
       account_ = getDefaultInstance().getAccount();
-      bitField0_ = (bitField0_ & ~0x00000010);
+      bitField0_ = (bitField0_ & ~0x00000008);
       onChanged();
       return this;
     }
     /**
-     * <code>string account = 5;</code>
+     * <code>string account = 4;</code>
      * @param value The bytes for account to set.
      * @return This builder for chaining.
      */
@@ -984,10 +826,42 @@
       if (value == null) { throw new NullPointerException(); }
       checkByteStringIsUtf8(value);
       account_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+
+    private long lease_ ;
+    /**
+     * <code>int64 lease = 5;</code>
+     * @return The lease.
+     */
+    @java.lang.Override
+    public long getLease() {
+      return lease_;
+    }
+    /**
+     * <code>int64 lease = 5;</code>
+     * @param value The lease to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLease(long value) {
+
+      lease_ = value;
       bitField0_ |= 0x00000010;
       onChanged();
       return this;
     }
+    /**
+     * <code>int64 lease = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLease() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      lease_ = 0L;
+      onChanged();
+      return this;
+    }
 
     // @@protoc_insertion_point(builder_scope:wigeonwharf.schedule.HeldLeaseMessage)
   }
--- a/org.wigeonwharf.schedule/src/gen/java/org/wigeonwharf/schedule/wire/HeldLeaseMessageOrBuilder.java
+++ b/org.wigeonwharf.schedule/src/gen/java/org/wigeonwharf/schedule/wire/HeldLeaseMessageOrBuilder.java
@@ -11,59 +11,50 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
-   * <code>.wigeonwharf.schedule.Shard shard = 1;</code>
-   * @return Whether the shard field is set.
-   */
-  boolean hasShard();
-  /**
-   * <code>.wigeonwharf.schedule.Shard shard = 1;</code>
-   * @return The shard.
-   */
-  org.wigeonwharf.schedule.wire.Shard getShard();
-  /**
-   * <code>.wigeonwharf.schedule.Shard shard = 1;</code>
-   */
-  org.wigeonwharf.schedule.wire.ShardOrBuilder getShardOrBuilder();
-
-  /**
-   * <code>int64 sequence = 2;</code>
+   * <code>int64 sequence = 1;</code>
    * @return The sequence.
    */
   long getSequence();
 
   /**
-   * <code>string server = 3;</code>
+   * <code>string server = 2;</code>
    * @return The server.
    */
   java.lang.String getServer();
   /**
-   * <code>string server = 3;</code>
+   * <code>string server = 2;</code>
    * @return The bytes for server.
    */
   com.google.protobuf.ByteString
       getServerBytes();
 
   /**
-   * <code>string service_class = 4;</code>
+   * <code>string service_class = 3;</code>
    * @return The serviceClass.
    */
   java.lang.String getServiceClass();
   /**
-   * <code>string service_class = 4;</code>
+   * <code>string service_class = 3;</code>
    * @return The bytes for serviceClass.
    */
   com.google.protobuf.ByteString
       getServiceClassBytes();
 
   /**
-   * <code>string account = 5;</code>
+   * <code>string account = 4;</code>
    * @return The account.
    */
   java.lang.String getAccount();
   /**
-   * <code>string account = 5;</code>
+   * <code>string account = 4;</code>
    * @return The bytes for account.
    */
   com.google.protobuf.ByteString
       getAccountBytes();
+
+  /**
+   * <code>int64 lease = 5;</code>
+   * @return The lease.
+   */
+  long getLease();
 }
--- a/org.wigeonwharf.schedule/src/gen/java/org/wigeonwharf/schedule/wire/NotSchedulerMessage.java
+++ b/org.wigeonwharf.schedule/src/gen/java/org/wigeonwharf/schedule/wire/NotSchedulerMessage.java
@@ -74,17 +74,6 @@
     return shard_ == null ? org.wigeonwharf.schedule.wire.Shard.getDefaultInstance() : shard_;
   }
 
-  public static final int SEQUENCE_FIELD_NUMBER = 2;
-  private long sequence_ = 0L;
-  /**
-   * <code>int64 sequence = 2;</code>
-   * @return The sequence.
-   */
-  @java.lang.Override
-  public long getSequence() {
-    return sequence_;
-  }
-
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -102,9 +91,6 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(1, getShard());
     }
-    if (sequence_ != 0L) {
-      output.writeInt64(2, sequence_);
-    }
     getUnknownFields().writeTo(output);
   }
 
@@ -118,10 +104,6 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(1, getShard());
     }
-    if (sequence_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(2, sequence_);
-    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -142,8 +124,6 @@
       if (!getShard()
           .equals(other.getShard())) return false;
     }
-    if (getSequence()
-        != other.getSequence()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -159,9 +139,6 @@
       hash = (37 * hash) + SHARD_FIELD_NUMBER;
       hash = (53 * hash) + getShard().hashCode();
     }
-    hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getSequence());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -308,7 +285,6 @@
         shardBuilder_.dispose();
         shardBuilder_ = null;
       }
-      sequence_ = 0L;
       return this;
     }
 
@@ -349,9 +325,6 @@
             : shardBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
-      if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.sequence_ = sequence_;
-      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -370,9 +343,6 @@
       if (other.hasShard()) {
         mergeShard(other.getShard());
       }
-      if (other.getSequence() != 0L) {
-        setSequence(other.getSequence());
-      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -406,11 +376,6 @@
               bitField0_ |= 0x00000001;
               break;
             } // case 10
-            case 16: {
-              sequence_ = input.readInt64();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 16
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -549,38 +514,6 @@
       return shardBuilder_;
     }
 
-    private long sequence_ ;
-    /**
-     * <code>int64 sequence = 2;</code>
-     * @return The sequence.
-     */
-    @java.lang.Override
-    public long getSequence() {
-      return sequence_;
-    }
-    /**
-     * <code>int64 sequence = 2;</code>
-     * @param value The sequence to set.
-     * @return This builder for chaining.
-     */
-    public Builder setSequence(long value) {
-
-      sequence_ = value;
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>int64 sequence = 2;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearSequence() {
-      bitField0_ = (bitField0_ & ~0x00000002);
-      sequence_ = 0L;
-      onChanged();
-      return this;
-    }
-
     // @@protoc_insertion_point(builder_scope:wigeonwharf.schedule.NotSchedulerMessage)
   }
 
--- a/org.wigeonwharf.schedule/src/gen/java/org/wigeonwharf/schedule/wire/NotSchedulerMessageOrBuilder.java
+++ b/org.wigeonwharf.schedule/src/gen/java/org/wigeonwharf/schedule/wire/NotSchedulerMessageOrBuilder.java
@@ -24,10 +24,4 @@
    * <code>.wigeonwharf.schedule.Shard shard = 1;</code>
    */
   org.wigeonwharf.schedule.wire.ShardOrBuilder getShardOrBuilder();
-
-  /**
-   * <code>int64 sequence = 2;</code>
-   * @return The sequence.
-   */
-  long getSequence();
 }
--- a/org.wigeonwharf.schedule/src/gen/java/org/wigeonwharf/schedule/wire/ScheduleMessage.java
+++ b/org.wigeonwharf.schedule/src/gen/java/org/wigeonwharf/schedule/wire/ScheduleMessage.java
@@ -54,10 +54,12 @@
     REFUSAL(3),
     CANCEL(4),
     OUTCOME(5),
-    HELD(6),
-    REGISTERED(7),
+    REGISTRATION(6),
+    RESYNC(7),
     PREEMPT(8),
     NOT_SCHEDULER(9),
+    CHECKPOINT(10),
+    CHECKPOINT_REPLY(11),
     KIND_NOT_SET(0);
     private final int value;
     private KindCase(int value) {
@@ -80,10 +82,12 @@
         case 3: return REFUSAL;
         case 4: return CANCEL;
         case 5: return OUTCOME;
-        case 6: return HELD;
-        case 7: return REGISTERED;
+        case 6: return REGISTRATION;
+        case 7: return RESYNC;
         case 8: return PREEMPT;
         case 9: return NOT_SCHEDULER;
+        case 10: return CHECKPOINT;
+        case 11: return CHECKPOINT_REPLY;
         case 0: return KIND_NOT_SET;
         default: return null;
       }
@@ -254,66 +258,66 @@
     return org.wigeonwharf.schedule.wire.OutcomeMessage.getDefaultInstance();
   }
 
-  public static final int HELD_FIELD_NUMBER = 6;
+  public static final int REGISTRATION_FIELD_NUMBER = 6;
   /**
-   * <code>.wigeonwharf.schedule.HeldLeaseMessage held = 6;</code>
-   * @return Whether the held field is set.
+   * <code>.wigeonwharf.schedule.RegistrationMessage registration = 6;</code>
+   * @return Whether the registration field is set.
    */
   @java.lang.Override
-  public boolean hasHeld() {
+  public boolean hasRegistration() {
     return kindCase_ == 6;
   }
   /**
-   * <code>.wigeonwharf.schedule.HeldLeaseMessage held = 6;</code>
-   * @return The held.
+   * <code>.wigeonwharf.schedule.RegistrationMessage registration = 6;</code>
+   * @return The registration.
    */
   @java.lang.Override
-  public org.wigeonwharf.schedule.wire.HeldLeaseMessage getHeld() {
+  public org.wigeonwharf.schedule.wire.RegistrationMessage getRegistration() {
     if (kindCase_ == 6) {
-       return (org.wigeonwharf.schedule.wire.HeldLeaseMessage) kind_;
+       return (org.wigeonwharf.schedule.wire.RegistrationMessage) kind_;
     }
-    return org.wigeonwharf.schedule.wire.HeldLeaseMessage.getDefaultInstance();
+    return org.wigeonwharf.schedule.wire.RegistrationMessage.getDefaultInstance();
   }
   /**
-   * <code>.wigeonwharf.schedule.HeldLeaseMessage held = 6;</code>
+   * <code>.wigeonwharf.schedule.RegistrationMessage registration = 6;</code>
    */
   @java.lang.Override
-  public org.wigeonwharf.schedule.wire.HeldLeaseMessageOrBuilder getHeldOrBuilder() {
+  public org.wigeonwharf.schedule.wire.RegistrationMessageOrBuilder getRegistrationOrBuilder() {
     if (kindCase_ == 6) {
-       return (org.wigeonwharf.schedule.wire.HeldLeaseMessage) kind_;
+       return (org.wigeonwharf.schedule.wire.RegistrationMessage) kind_;
     }
-    return org.wigeonwharf.schedule.wire.HeldLeaseMessage.getDefaultInstance();
+    return org.wigeonwharf.schedule.wire.RegistrationMessage.getDefaultInstance();
   }
 
-  public static final int REGISTERED_FIELD_NUMBER = 7;
+  public static final int RESYNC_FIELD_NUMBER = 7;
   /**
-   * <code>.wigeonwharf.schedule.RegisteredMessage registered = 7;</code>
-   * @return Whether the registered field is set.
+   * <code>.wigeonwharf.schedule.ResyncMessage resync = 7;</code>
+   * @return Whether the resync field is set.
    */
   @java.lang.Override
-  public boolean hasRegistered() {
+  public boolean hasResync() {
     return kindCase_ == 7;
   }
   /**
-   * <code>.wigeonwharf.schedule.RegisteredMessage registered = 7;</code>
-   * @return The registered.
+   * <code>.wigeonwharf.schedule.ResyncMessage resync = 7;</code>
+   * @return The resync.
    */
   @java.lang.Override
-  public org.wigeonwharf.schedule.wire.RegisteredMessage getRegistered() {
+  public org.wigeonwharf.schedule.wire.ResyncMessage getResync() {
     if (kindCase_ == 7) {
-       return (org.wigeonwharf.schedule.wire.RegisteredMessage) kind_;
+       return (org.wigeonwharf.schedule.wire.ResyncMessage) kind_;
     }
-    return org.wigeonwharf.schedule.wire.RegisteredMessage.getDefaultInstance();
+    return org.wigeonwharf.schedule.wire.ResyncMessage.getDefaultInstance();
   }
   /**
-   * <code>.wigeonwharf.schedule.RegisteredMessage registered = 7;</code>
+   * <code>.wigeonwharf.schedule.ResyncMessage resync = 7;</code>
    */
   @java.lang.Override
-  public org.wigeonwharf.schedule.wire.RegisteredMessageOrBuilder getRegisteredOrBuilder() {
+  public org.wigeonwharf.schedule.wire.ResyncMessageOrBuilder getResyncOrBuilder() {
     if (kindCase_ == 7) {
-       return (org.wigeonwharf.schedule.wire.RegisteredMessage) kind_;
+       return (org.wigeonwharf.schedule.wire.ResyncMessage) kind_;
     }
-    return org.wigeonwharf.schedule.wire.RegisteredMessage.getDefaultInstance();
+    return org.wigeonwharf.schedule.wire.ResyncMessage.getDefaultInstance();
   }
 
   public static final int PREEMPT_FIELD_NUMBER = 8;
@@ -378,6 +382,83 @@
     return org.wigeonwharf.schedule.wire.NotSchedulerMessage.getDefaultInstance();
   }
 
+  public static final int CHECKPOINT_FIELD_NUMBER = 10;
+  /**
+   * <code>.wigeonwharf.schedule.CheckpointMessage checkpoint = 10;</code>
+   * @return Whether the checkpoint field is set.
+   */
+  @java.lang.Override
+  public boolean hasCheckpoint() {
+    return kindCase_ == 10;
+  }
+  /**
+   * <code>.wigeonwharf.schedule.CheckpointMessage checkpoint = 10;</code>
+   * @return The checkpoint.
+   */
+  @java.lang.Override
+  public org.wigeonwharf.schedule.wire.CheckpointMessage getCheckpoint() {
+    if (kindCase_ == 10) {
+       return (org.wigeonwharf.schedule.wire.CheckpointMessage) kind_;
+    }
+    return org.wigeonwharf.schedule.wire.CheckpointMessage.getDefaultInstance();
+  }
+  /**
+   * <code>.wigeonwharf.schedule.CheckpointMessage checkpoint = 10;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.schedule.wire.CheckpointMessageOrBuilder getCheckpointOrBuilder() {
+    if (kindCase_ == 10) {
+       return (org.wigeonwharf.schedule.wire.CheckpointMessage) kind_;
+    }
+    return org.wigeonwharf.schedule.wire.CheckpointMessage.getDefaultInstance();
+  }
+
+  public static final int CHECKPOINT_REPLY_FIELD_NUMBER = 11;
+  /**
+   * <code>.wigeonwharf.schedule.CheckpointReplyMessage checkpoint_reply = 11;</code>
+   * @return Whether the checkpointReply field is set.
+   */
+  @java.lang.Override
+  public boolean hasCheckpointReply() {
+    return kindCase_ == 11;
+  }
+  /**
+   * <code>.wigeonwharf.schedule.CheckpointReplyMessage checkpoint_reply = 11;</code>
+   * @return The checkpointReply.
+   */
+  @java.lang.Override
+  public org.wigeonwharf.schedule.wire.CheckpointReplyMessage getCheckpointReply() {
+    if (kindCase_ == 11) {
+       return (org.wigeonwharf.schedule.wire.CheckpointReplyMessage) kind_;
+    }
+    return org.wigeonwharf.schedule.wire.CheckpointReplyMessage.getDefaultInstance();
+  }
+  /**
+   * <code>.wigeonwharf.schedule.CheckpointReplyMessage checkpoint_reply = 11;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.schedule.wire.CheckpointReplyMessageOrBuilder getCheckpointReplyOrBuilder() {
+    if (kindCase_ == 11) {
+       return (org.wigeonwharf.schedule.wire.CheckpointReplyMessage) kind_;
+    }
+    return org.wigeonwharf.schedule.wire.CheckpointReplyMessage.getDefaultInstance();
+  }
+
+  public static final int SESSION_FIELD_NUMBER = 15;
+  private long session_ = 0L;
+  /**
+   * <pre>
+   * The session that the message belongs to, counted by the router; 0 for none.
+   * </pre>
+   *
+   * <code>int64 session = 15;</code>
+   * @return The session.
+   */
+  @java.lang.Override
+  public long getSession() {
+    return session_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -408,10 +489,10 @@
       output.writeMessage(5, (org.wigeonwharf.schedule.wire.OutcomeMessage) kind_);
     }
     if (kindCase_ == 6) {
-      output.writeMessage(6, (org.wigeonwharf.schedule.wire.HeldLeaseMessage) kind_);
+      output.writeMessage(6, (org.wigeonwharf.schedule.wire.RegistrationMessage) kind_);
     }
     if (kindCase_ == 7) {
-      output.writeMessage(7, (org.wigeonwharf.schedule.wire.RegisteredMessage) kind_);
+      output.writeMessage(7, (org.wigeonwharf.schedule.wire.ResyncMessage) kind_);
     }
     if (kindCase_ == 8) {
       output.writeMessage(8, (org.wigeonwharf.schedule.wire.PreemptMessage) kind_);
@@ -419,6 +500,15 @@
     if (kindCase_ == 9) {
       output.writeMessage(9, (org.wigeonwharf.schedule.wire.NotSchedulerMessage) kind_);
     }
+    if (kindCase_ == 10) {
+      output.writeMessage(10, (org.wigeonwharf.schedule.wire.CheckpointMessage) kind_);
+    }
+    if (kindCase_ == 11) {
+      output.writeMessage(11, (org.wigeonwharf.schedule.wire.CheckpointReplyMessage) kind_);
+    }
+    if (session_ != 0L) {
+      output.writeInt64(15, session_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -450,11 +540,11 @@
     }
     if (kindCase_ == 6) {
       size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(6, (org.wigeonwharf.schedule.wire.HeldLeaseMessage) kind_);
+        .computeMessageSize(6, (org.wigeonwharf.schedule.wire.RegistrationMessage) kind_);
     }
     if (kindCase_ == 7) {
       size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(7, (org.wigeonwharf.schedule.wire.RegisteredMessage) kind_);
+        .computeMessageSize(7, (org.wigeonwharf.schedule.wire.ResyncMessage) kind_);
     }
     if (kindCase_ == 8) {
       size += com.google.protobuf.CodedOutputStream
@@ -464,6 +554,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(9, (org.wigeonwharf.schedule.wire.NotSchedulerMessage) kind_);
     }
+    if (kindCase_ == 10) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(10, (org.wigeonwharf.schedule.wire.CheckpointMessage) kind_);
+    }
+    if (kindCase_ == 11) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(11, (org.wigeonwharf.schedule.wire.CheckpointReplyMessage) kind_);
+    }
+    if (session_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(15, session_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -479,6 +581,8 @@
     }
     org.wigeonwharf.schedule.wire.ScheduleMessage other = (org.wigeonwharf.schedule.wire.ScheduleMessage) obj;
 
+    if (getSession()
+        != other.getSession()) return false;
     if (!getKindCase().equals(other.getKindCase())) return false;
     switch (kindCase_) {
       case 1:
@@ -502,12 +606,12 @@
             .equals(other.getOutcome())) return false;
         break;
       case 6:
-        if (!getHeld()
-            .equals(other.getHeld())) return false;
+        if (!getRegistration()
+            .equals(other.getRegistration())) return false;
         break;
       case 7:
-        if (!getRegistered()
-            .equals(other.getRegistered())) return false;
+        if (!getResync()
+            .equals(other.getResync())) return false;
         break;
       case 8:
         if (!getPreempt()
@@ -517,6 +621,14 @@
         if (!getNotScheduler()
             .equals(other.getNotScheduler())) return false;
         break;
+      case 10:
+        if (!getCheckpoint()
+            .equals(other.getCheckpoint())) return false;
+        break;
+      case 11:
+        if (!getCheckpointReply()
+            .equals(other.getCheckpointReply())) return false;
+        break;
       case 0:
       default:
     }
@@ -531,6 +643,9 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
+    hash = (37 * hash) + SESSION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getSession());
     switch (kindCase_) {
       case 1:
         hash = (37 * hash) + REQUEST_FIELD_NUMBER;
@@ -553,12 +668,12 @@
         hash = (53 * hash) + getOutcome().hashCode();
         break;
       case 6:
-        hash = (37 * hash) + HELD_FIELD_NUMBER;
-        hash = (53 * hash) + getHeld().hashCode();
+        hash = (37 * hash) + REGISTRATION_FIELD_NUMBER;
+        hash = (53 * hash) + getRegistration().hashCode();
         break;
       case 7:
-        hash = (37 * hash) + REGISTERED_FIELD_NUMBER;
-        hash = (53 * hash) + getRegistered().hashCode();
+        hash = (37 * hash) + RESYNC_FIELD_NUMBER;
+        hash = (53 * hash) + getResync().hashCode();
         break;
       case 8:
         hash = (37 * hash) + PREEMPT_FIELD_NUMBER;
@@ -568,6 +683,14 @@
         hash = (37 * hash) + NOT_SCHEDULER_FIELD_NUMBER;
         hash = (53 * hash) + getNotScheduler().hashCode();
         break;
+      case 10:
+        hash = (37 * hash) + CHECKPOINT_FIELD_NUMBER;
+        hash = (53 * hash) + getCheckpoint().hashCode();
+        break;
+      case 11:
+        hash = (37 * hash) + CHECKPOINT_REPLY_FIELD_NUMBER;
+        hash = (53 * hash) + getCheckpointReply().hashCode();
+        break;
       case 0:
       default:
     }
@@ -717,11 +840,11 @@
       if (outcomeBuilder_ != null) {
         outcomeBuilder_.clear();
       }
-      if (heldBuilder_ != null) {
-        heldBuilder_.clear();
+      if (registrationBuilder_ != null) {
+        registrationBuilder_.clear();
       }
-      if (registeredBuilder_ != null) {
-        registeredBuilder_.clear();
+      if (resyncBuilder_ != null) {
+        resyncBuilder_.clear();
       }
       if (preemptBuilder_ != null) {
         preemptBuilder_.clear();
@@ -729,6 +852,13 @@
       if (notSchedulerBuilder_ != null) {
         notSchedulerBuilder_.clear();
       }
+      if (checkpointBuilder_ != null) {
+        checkpointBuilder_.clear();
+      }
+      if (checkpointReplyBuilder_ != null) {
+        checkpointReplyBuilder_.clear();
+      }
+      session_ = 0L;
       kindCase_ = 0;
       kind_ = null;
       return this;
@@ -765,6 +895,9 @@
 
     private void buildPartial0(org.wigeonwharf.schedule.wire.ScheduleMessage result) {
       int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.session_ = session_;
+      }
     }
 
     private void buildPartialOneofs(org.wigeonwharf.schedule.wire.ScheduleMessage result) {
@@ -791,12 +924,12 @@
         result.kind_ = outcomeBuilder_.build();
       }
       if (kindCase_ == 6 &&
-          heldBuilder_ != null) {
-        result.kind_ = heldBuilder_.build();
+          registrationBuilder_ != null) {
+        result.kind_ = registrationBuilder_.build();
       }
       if (kindCase_ == 7 &&
-          registeredBuilder_ != null) {
-        result.kind_ = registeredBuilder_.build();
+          resyncBuilder_ != null) {
+        result.kind_ = resyncBuilder_.build();
       }
       if (kindCase_ == 8 &&
           preemptBuilder_ != null) {
@@ -806,6 +939,14 @@
           notSchedulerBuilder_ != null) {
         result.kind_ = notSchedulerBuilder_.build();
       }
+      if (kindCase_ == 10 &&
+          checkpointBuilder_ != null) {
+        result.kind_ = checkpointBuilder_.build();
+      }
+      if (kindCase_ == 11 &&
+          checkpointReplyBuilder_ != null) {
+        result.kind_ = checkpointReplyBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -820,6 +961,9 @@
 
     public Builder mergeFrom(org.wigeonwharf.schedule.wire.ScheduleMessage other) {
       if (other == org.wigeonwharf.schedule.wire.ScheduleMessage.getDefaultInstance()) return this;
+      if (other.getSession() != 0L) {
+        setSession(other.getSession());
+      }
       switch (other.getKindCase()) {
         case REQUEST: {
           mergeRequest(other.getRequest());
@@ -841,12 +985,12 @@
           mergeOutcome(other.getOutcome());
           break;
         }
-        case HELD: {
-          mergeHeld(other.getHeld());
+        case REGISTRATION: {
+          mergeRegistration(other.getRegistration());
           break;
         }
-        case REGISTERED: {
-          mergeRegistered(other.getRegistered());
+        case RESYNC: {
+          mergeResync(other.getResync());
           break;
         }
         case PREEMPT: {
@@ -857,6 +1001,14 @@
           mergeNotScheduler(other.getNotScheduler());
           break;
         }
+        case CHECKPOINT: {
+          mergeCheckpoint(other.getCheckpoint());
+          break;
+        }
+        case CHECKPOINT_REPLY: {
+          mergeCheckpointReply(other.getCheckpointReply());
+          break;
+        }
         case KIND_NOT_SET: {
           break;
         }
@@ -924,14 +1076,14 @@
             } // case 42
             case 50: {
               input.readMessage(
-                  internalGetHeldFieldBuilder().getBuilder(),
+                  internalGetRegistrationFieldBuilder().getBuilder(),
                   extensionRegistry);
               kindCase_ = 6;
               break;
             } // case 50
             case 58: {
               input.readMessage(
-                  internalGetRegisteredFieldBuilder().getBuilder(),
+                  internalGetResyncFieldBuilder().getBuilder(),
                   extensionRegistry);
               kindCase_ = 7;
               break;
@@ -950,6 +1102,25 @@
               kindCase_ = 9;
               break;
             } // case 74
+            case 82: {
+              input.readMessage(
+                  internalGetCheckpointFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 10;
+              break;
+            } // case 82
+            case 90: {
+              input.readMessage(
+                  internalGetCheckpointReplyFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 11;
+              break;
+            } // case 90
+            case 120: {
+              session_ = input.readInt64();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 120
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1693,71 +1864,71 @@
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.wigeonwharf.schedule.wire.HeldLeaseMessage, org.wigeonwharf.schedule.wire.HeldLeaseMessage.Builder, org.wigeonwharf.schedule.wire.HeldLeaseMessageOrBuilder> heldBuilder_;
+        org.wigeonwharf.schedule.wire.RegistrationMessage, org.wigeonwharf.schedule.wire.RegistrationMessage.Builder, org.wigeonwharf.schedule.wire.RegistrationMessageOrBuilder> registrationBuilder_;
     /**
-     * <code>.wigeonwharf.schedule.HeldLeaseMessage held = 6;</code>
-     * @return Whether the held field is set.
+     * <code>.wigeonwharf.schedule.RegistrationMessage registration = 6;</code>
+     * @return Whether the registration field is set.
      */
     @java.lang.Override
-    public boolean hasHeld() {
+    public boolean hasRegistration() {
       return kindCase_ == 6;
     }
     /**
-     * <code>.wigeonwharf.schedule.HeldLeaseMessage held = 6;</code>
-     * @return The held.
+     * <code>.wigeonwharf.schedule.RegistrationMessage registration = 6;</code>
+     * @return The registration.
      */
     @java.lang.Override
-    public org.wigeonwharf.schedule.wire.HeldLeaseMessage getHeld() {
-      if (heldBuilder_ == null) {
+    public org.wigeonwharf.schedule.wire.RegistrationMessage getRegistration() {
+      if (registrationBuilder_ == null) {
         if (kindCase_ == 6) {
-          return (org.wigeonwharf.schedule.wire.HeldLeaseMessage) kind_;
+          return (org.wigeonwharf.schedule.wire.RegistrationMessage) kind_;
         }
-        return org.wigeonwharf.schedule.wire.HeldLeaseMessage.getDefaultInstance();
+        return org.wigeonwharf.schedule.wire.RegistrationMessage.getDefaultInstance();
       } else {
         if (kindCase_ == 6) {
-          return heldBuilder_.getMessage();
+          return registrationBuilder_.getMessage();
         }
-        return org.wigeonwharf.schedule.wire.HeldLeaseMessage.getDefaultInstance();
+        return org.wigeonwharf.schedule.wire.RegistrationMessage.getDefaultInstance();
       }
     }
     /**
-     * <code>.wigeonwharf.schedule.HeldLeaseMessage held = 6;</code>
+     * <code>.wigeonwharf.schedule.RegistrationMessage registration = 6;</code>
      */
-    public Builder setHeld(org.wigeonwharf.schedule.wire.HeldLeaseMessage value) {
-      if (heldBuilder_ == null) {
+    public Builder setRegistration(org.wigeonwharf.schedule.wire.RegistrationMessage value) {
+      if (registrationBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
         kind_ = value;
         onChanged();
       } else {
-        heldBuilder_.setMessage(value);
+        registrationBuilder_.setMessage(value);
       }
       kindCase_ = 6;
       return this;
     }
     /**
-     * <code>.wigeonwharf.schedule.HeldLeaseMessage held = 6;</code>
+     * <code>.wigeonwharf.schedule.RegistrationMessage registration = 6;</code>
      */
-    public Builder setHeld(
-        org.wigeonwharf.schedule.wire.HeldLeaseMessage.Builder builderForValue) {
-      if (heldBuilder_ == null) {
+    public Builder setRegistration(
+        org.wigeonwharf.schedule.wire.RegistrationMessage.Builder builderForValue) {
+      if (registrationBuilder_ == null) {
         kind_ = builderForValue.build();
         onChanged();
       } else {
-        heldBuilder_.setMessage(builderForValue.build());
+        registrationBuilder_.setMessage(builderForValue.build());
       }
       kindCase_ = 6;
       return this;
     }
     /**
-     * <code>.wigeonwharf.schedule.HeldLeaseMessage held = 6;</code>
+     * <code>.wigeonwharf.schedule.RegistrationMessage registration = 6;</code>
      */
-    public Builder mergeHeld(org.wigeonwharf.schedule.wire.HeldLeaseMessage value) {
-      if (heldBuilder_ == null) {
+    public Builder mergeRegistration(org.wigeonwharf.schedule.wire.RegistrationMessage value) {
+      if (registrationBuilder_ == null) {
         if (kindCase_ == 6 &&
-            kind_ != org.wigeonwharf.schedule.wire.HeldLeaseMessage.getDefaultInstance()) {
-          kind_ = org.wigeonwharf.schedule.wire.HeldLeaseMessage.newBuilder((org.wigeonwharf.schedule.wire.HeldLeaseMessage) kind_)
+            kind_ != org.wigeonwharf.schedule.wire.RegistrationMessage.getDefaultInstance()) {
+          kind_ = org.wigeonwharf.schedule.wire.RegistrationMessage.newBuilder((org.wigeonwharf.schedule.wire.RegistrationMessage) kind_)
               .mergeFrom(value).buildPartial();
         } else {
           kind_ = value;
@@ -1765,19 +1936,19 @@
         onChanged();
       } else {
         if (kindCase_ == 6) {
-          heldBuilder_.mergeFrom(value);
+          registrationBuilder_.mergeFrom(value);
         } else {
-          heldBuilder_.setMessage(value);
+          registrationBuilder_.setMessage(value);
         }
       }
       kindCase_ = 6;
       return this;
     }
     /**
-     * <code>.wigeonwharf.schedule.HeldLeaseMessage held = 6;</code>
+     * <code>.wigeonwharf.schedule.RegistrationMessage registration = 6;</code>
      */
-    public Builder clearHeld() {
-      if (heldBuilder_ == null) {
+    public Builder clearRegistration() {
+      if (registrationBuilder_ == null) {
         if (kindCase_ == 6) {
           kindCase_ = 0;
           kind_ = null;
@@ -1788,118 +1959,118 @@
           kindCase_ = 0;
           kind_ = null;
         }
-        heldBuilder_.clear();
+        registrationBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>.wigeonwharf.schedule.HeldLeaseMessage held = 6;</code>
+     * <code>.wigeonwharf.schedule.RegistrationMessage registration = 6;</code>
      */
-    public org.wigeonwharf.schedule.wire.HeldLeaseMessage.Builder getHeldBuilder() {
-      return internalGetHeldFieldBuilder().getBuilder();
+    public org.wigeonwharf.schedule.wire.RegistrationMessage.Builder getRegistrationBuilder() {
+      return internalGetRegistrationFieldBuilder().getBuilder();
     }
     /**
-     * <code>.wigeonwharf.schedule.HeldLeaseMessage held = 6;</code>
+     * <code>.wigeonwharf.schedule.RegistrationMessage registration = 6;</code>
      */
     @java.lang.Override
-    public org.wigeonwharf.schedule.wire.HeldLeaseMessageOrBuilder getHeldOrBuilder() {
-      if ((kindCase_ == 6) && (heldBuilder_ != null)) {
-        return heldBuilder_.getMessageOrBuilder();
+    public org.wigeonwharf.schedule.wire.RegistrationMessageOrBuilder getRegistrationOrBuilder() {
+      if ((kindCase_ == 6) && (registrationBuilder_ != null)) {
+        return registrationBuilder_.getMessageOrBuilder();
       } else {
         if (kindCase_ == 6) {
-          return (org.wigeonwharf.schedule.wire.HeldLeaseMessage) kind_;
+          return (org.wigeonwharf.schedule.wire.RegistrationMessage) kind_;
         }
-        return org.wigeonwharf.schedule.wire.HeldLeaseMessage.getDefaultInstance();
+        return org.wigeonwharf.schedule.wire.RegistrationMessage.getDefaultInstance();
       }
     }
     /**
-     * <code>.wigeonwharf.schedule.HeldLeaseMessage held = 6;</code>
+     * <code>.wigeonwharf.schedule.RegistrationMessage registration = 6;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
-        org.wigeonwharf.schedule.wire.HeldLeaseMessage, org.wigeonwharf.schedule.wire.HeldLeaseMessage.Builder, org.wigeonwharf.schedule.wire.HeldLeaseMessageOrBuilder> 
-        internalGetHeldFieldBuilder() {
-      if (heldBuilder_ == null) {
+        org.wigeonwharf.schedule.wire.RegistrationMessage, org.wigeonwharf.schedule.wire.RegistrationMessage.Builder, org.wigeonwharf.schedule.wire.RegistrationMessageOrBuilder> 
+        internalGetRegistrationFieldBuilder() {
+      if (registrationBuilder_ == null) {
         if (!(kindCase_ == 6)) {
-          kind_ = org.wigeonwharf.schedule.wire.HeldLeaseMessage.getDefaultInstance();
+          kind_ = org.wigeonwharf.schedule.wire.RegistrationMessage.getDefaultInstance();
         }
-        heldBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.wigeonwharf.schedule.wire.HeldLeaseMessage, org.wigeonwharf.schedule.wire.HeldLeaseMessage.Builder, org.wigeonwharf.schedule.wire.HeldLeaseMessageOrBuilder>(
-                (org.wigeonwharf.schedule.wire.HeldLeaseMessage) kind_,
+        registrationBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.wigeonwharf.schedule.wire.RegistrationMessage, org.wigeonwharf.schedule.wire.RegistrationMessage.Builder, org.wigeonwharf.schedule.wire.RegistrationMessageOrBuilder>(
+                (org.wigeonwharf.schedule.wire.RegistrationMessage) kind_,
                 getParentForChildren(),
                 isClean());
         kind_ = null;
       }
       kindCase_ = 6;
       onChanged();
-      return heldBuilder_;
+      return registrationBuilder_;
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.wigeonwharf.schedule.wire.RegisteredMessage, org.wigeonwharf.schedule.wire.RegisteredMessage.Builder, org.wigeonwharf.schedule.wire.RegisteredMessageOrBuilder> registeredBuilder_;
+        org.wigeonwharf.schedule.wire.ResyncMessage, org.wigeonwharf.schedule.wire.ResyncMessage.Builder, org.wigeonwharf.schedule.wire.ResyncMessageOrBuilder> resyncBuilder_;
     /**
-     * <code>.wigeonwharf.schedule.RegisteredMessage registered = 7;</code>
-     * @return Whether the registered field is set.
+     * <code>.wigeonwharf.schedule.ResyncMessage resync = 7;</code>
+     * @return Whether the resync field is set.
      */
     @java.lang.Override
-    public boolean hasRegistered() {
+    public boolean hasResync() {
       return kindCase_ == 7;
     }
     /**
-     * <code>.wigeonwharf.schedule.RegisteredMessage registered = 7;</code>
-     * @return The registered.
+     * <code>.wigeonwharf.schedule.ResyncMessage resync = 7;</code>
+     * @return The resync.
      */
     @java.lang.Override
-    public org.wigeonwharf.schedule.wire.RegisteredMessage getRegistered() {
-      if (registeredBuilder_ == null) {
+    public org.wigeonwharf.schedule.wire.ResyncMessage getResync() {
+      if (resyncBuilder_ == null) {
         if (kindCase_ == 7) {
-          return (org.wigeonwharf.schedule.wire.RegisteredMessage) kind_;
+          return (org.wigeonwharf.schedule.wire.ResyncMessage) kind_;
         }
-        return org.wigeonwharf.schedule.wire.RegisteredMessage.getDefaultInstance();
+        return org.wigeonwharf.schedule.wire.ResyncMessage.getDefaultInstance();
       } else {
         if (kindCase_ == 7) {
-          return registeredBuilder_.getMessage();
+          return resyncBuilder_.getMessage();
         }
-        return org.wigeonwharf.schedule.wire.RegisteredMessage.getDefaultInstance();
+        return org.wigeonwharf.schedule.wire.ResyncMessage.getDefaultInstance();
       }
     }
     /**
-     * <code>.wigeonwharf.schedule.RegisteredMessage registered = 7;</code>
+     * <code>.wigeonwharf.schedule.ResyncMessage resync = 7;</code>
      */
-    public Builder setRegistered(org.wigeonwharf.schedule.wire.RegisteredMessage value) {
-      if (registeredBuilder_ == null) {
+    public Builder setResync(org.wigeonwharf.schedule.wire.ResyncMessage value) {
+      if (resyncBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
         kind_ = value;
         onChanged();
       } else {
-        registeredBuilder_.setMessage(value);
+        resyncBuilder_.setMessage(value);
       }
       kindCase_ = 7;
       return this;
     }
     /**
-     * <code>.wigeonwharf.schedule.RegisteredMessage registered = 7;</code>
+     * <code>.wigeonwharf.schedule.ResyncMessage resync = 7;</code>
      */
-    public Builder setRegistered(
-        org.wigeonwharf.schedule.wire.RegisteredMessage.Builder builderForValue) {
-      if (registeredBuilder_ == null) {
+    public Builder setResync(
+        org.wigeonwharf.schedule.wire.ResyncMessage.Builder builderForValue) {
+      if (resyncBuilder_ == null) {
         kind_ = builderForValue.build();
         onChanged();
       } else {
-        registeredBuilder_.setMessage(builderForValue.build());
+        resyncBuilder_.setMessage(builderForValue.build());
       }
       kindCase_ = 7;
       return this;
     }
     /**
-     * <code>.wigeonwharf.schedule.RegisteredMessage registered = 7;</code>
+     * <code>.wigeonwharf.schedule.ResyncMessage resync = 7;</code>
      */
-    public Builder mergeRegistered(org.wigeonwharf.schedule.wire.RegisteredMessage value) {
-      if (registeredBuilder_ == null) {
+    public Builder mergeResync(org.wigeonwharf.schedule.wire.ResyncMessage value) {
+      if (resyncBuilder_ == null) {
         if (kindCase_ == 7 &&
-            kind_ != org.wigeonwharf.schedule.wire.RegisteredMessage.getDefaultInstance()) {
-          kind_ = org.wigeonwharf.schedule.wire.RegisteredMessage.newBuilder((org.wigeonwharf.schedule.wire.RegisteredMessage) kind_)
+            kind_ != org.wigeonwharf.schedule.wire.ResyncMessage.getDefaultInstance()) {
+          kind_ = org.wigeonwharf.schedule.wire.ResyncMessage.newBuilder((org.wigeonwharf.schedule.wire.ResyncMessage) kind_)
               .mergeFrom(value).buildPartial();
         } else {
           kind_ = value;
@@ -1907,19 +2078,19 @@
         onChanged();
       } else {
         if (kindCase_ == 7) {
-          registeredBuilder_.mergeFrom(value);
+          resyncBuilder_.mergeFrom(value);
         } else {
-          registeredBuilder_.setMessage(value);
+          resyncBuilder_.setMessage(value);
         }
       }
       kindCase_ = 7;
       return this;
     }
     /**
-     * <code>.wigeonwharf.schedule.RegisteredMessage registered = 7;</code>
+     * <code>.wigeonwharf.schedule.ResyncMessage resync = 7;</code>
      */
-    public Builder clearRegistered() {
-      if (registeredBuilder_ == null) {
+    public Builder clearResync() {
+      if (resyncBuilder_ == null) {
         if (kindCase_ == 7) {
           kindCase_ = 0;
           kind_ = null;
@@ -1930,50 +2101,50 @@
           kindCase_ = 0;
           kind_ = null;
         }
-        registeredBuilder_.clear();
+        resyncBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>.wigeonwharf.schedule.RegisteredMessage registered = 7;</code>
+     * <code>.wigeonwharf.schedule.ResyncMessage resync = 7;</code>
      */
-    public org.wigeonwharf.schedule.wire.RegisteredMessage.Builder getRegisteredBuilder() {
-      return internalGetRegisteredFieldBuilder().getBuilder();
+    public org.wigeonwharf.schedule.wire.ResyncMessage.Builder getResyncBuilder() {
+      return internalGetResyncFieldBuilder().getBuilder();
     }
     /**
-     * <code>.wigeonwharf.schedule.RegisteredMessage registered = 7;</code>
+     * <code>.wigeonwharf.schedule.ResyncMessage resync = 7;</code>
      */
     @java.lang.Override
-    public org.wigeonwharf.schedule.wire.RegisteredMessageOrBuilder getRegisteredOrBuilder() {
-      if ((kindCase_ == 7) && (registeredBuilder_ != null)) {
-        return registeredBuilder_.getMessageOrBuilder();
+    public org.wigeonwharf.schedule.wire.ResyncMessageOrBuilder getResyncOrBuilder() {
+      if ((kindCase_ == 7) && (resyncBuilder_ != null)) {
+        return resyncBuilder_.getMessageOrBuilder();
       } else {
         if (kindCase_ == 7) {
-          return (org.wigeonwharf.schedule.wire.RegisteredMessage) kind_;
+          return (org.wigeonwharf.schedule.wire.ResyncMessage) kind_;
         }
-        return org.wigeonwharf.schedule.wire.RegisteredMessage.getDefaultInstance();
+        return org.wigeonwharf.schedule.wire.ResyncMessage.getDefaultInstance();
       }
     }
     /**
-     * <code>.wigeonwharf.schedule.RegisteredMessage registered = 7;</code>
+     * <code>.wigeonwharf.schedule.ResyncMessage resync = 7;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
-        org.wigeonwharf.schedule.wire.RegisteredMessage, org.wigeonwharf.schedule.wire.RegisteredMessage.Builder, org.wigeonwharf.schedule.wire.RegisteredMessageOrBuilder> 
-        internalGetRegisteredFieldBuilder() {
-      if (registeredBuilder_ == null) {
+        org.wigeonwharf.schedule.wire.ResyncMessage, org.wigeonwharf.schedule.wire.ResyncMessage.Builder, org.wigeonwharf.schedule.wire.ResyncMessageOrBuilder> 
+        internalGetResyncFieldBuilder() {
+      if (resyncBuilder_ == null) {
         if (!(kindCase_ == 7)) {
-          kind_ = org.wigeonwharf.schedule.wire.RegisteredMessage.getDefaultInstance();
+          kind_ = org.wigeonwharf.schedule.wire.ResyncMessage.getDefaultInstance();
         }
-        registeredBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.wigeonwharf.schedule.wire.RegisteredMessage, org.wigeonwharf.schedule.wire.RegisteredMessage.Builder, org.wigeonwharf.schedule.wire.RegisteredMessageOrBuilder>(
-                (org.wigeonwharf.schedule.wire.RegisteredMessage) kind_,
+        resyncBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.wigeonwharf.schedule.wire.ResyncMessage, org.wigeonwharf.schedule.wire.ResyncMessage.Builder, org.wigeonwharf.schedule.wire.ResyncMessageOrBuilder>(
+                (org.wigeonwharf.schedule.wire.ResyncMessage) kind_,
                 getParentForChildren(),
                 isClean());
         kind_ = null;
       }
       kindCase_ = 7;
       onChanged();
-      return registeredBuilder_;
+      return resyncBuilder_;
     }
 
     private com.google.protobuf.SingleFieldBuilder<
@@ -2260,6 +2431,334 @@
       return notSchedulerBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wigeonwharf.schedule.wire.CheckpointMessage, org.wigeonwharf.schedule.wire.CheckpointMessage.Builder, org.wigeonwharf.schedule.wire.CheckpointMessageOrBuilder> checkpointBuilder_;
+    /**
+     * <code>.wigeonwharf.schedule.CheckpointMessage checkpoint = 10;</code>
+     * @return Whether the checkpoint field is set.
+     */
+    @java.lang.Override
+    public boolean hasCheckpoint() {
+      return kindCase_ == 10;
+    }
+    /**
+     * <code>.wigeonwharf.schedule.CheckpointMessage checkpoint = 10;</code>
+     * @return The checkpoint.
+     */
+    @java.lang.Override
+    public org.wigeonwharf.schedule.wire.CheckpointMessage getCheckpoint() {
+      if (checkpointBuilder_ == null) {
+        if (kindCase_ == 10) {
+          return (org.wigeonwharf.schedule.wire.CheckpointMessage) kind_;
+        }
+        return org.wigeonwharf.schedule.wire.CheckpointMessage.getDefaultInstance();
+      } else {
+        if (kindCase_ == 10) {
+          return checkpointBuilder_.getMessage();
+        }
+        return org.wigeonwharf.schedule.wire.CheckpointMessage.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.wigeonwharf.schedule.CheckpointMessage checkpoint = 10;</code>
+     */
+    public Builder setCheckpoint(org.wigeonwharf.schedule.wire.CheckpointMessage value) {
+      if (checkpointBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        kind_ = value;
+        onChanged();
+      } else {
+        checkpointBuilder_.setMessage(value);
+      }
+      kindCase_ = 10;
+      return this;
+    }
+    /**
+     * <code>.wigeonwharf.schedule.CheckpointMessage checkpoint = 10;</code>
+     */
+    public Builder setCheckpoint(
+        org.wigeonwharf.schedule.wire.CheckpointMessage.Builder builderForValue) {
+      if (checkpointBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        checkpointBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 10;
+      return this;
+    }
+    /**
+     * <code>.wigeonwharf.schedule.CheckpointMessage checkpoint = 10;</code>
+     */
+    public Builder mergeCheckpoint(org.wigeonwharf.schedule.wire.CheckpointMessage value) {
+      if (checkpointBuilder_ == null) {
+        if (kindCase_ == 10 &&
+            kind_ != org.wigeonwharf.schedule.wire.CheckpointMessage.getDefaultInstance()) {
+          kind_ = org.wigeonwharf.schedule.wire.CheckpointMessage.newBuilder((org.wigeonwharf.schedule.wire.CheckpointMessage) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 10) {
+          checkpointBuilder_.mergeFrom(value);
+        } else {
+          checkpointBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 10;
+      return this;
+    }
+    /**
+     * <code>.wigeonwharf.schedule.CheckpointMessage checkpoint = 10;</code>
+     */
+    public Builder clearCheckpoint() {
+      if (checkpointBuilder_ == null) {
+        if (kindCase_ == 10) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 10) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        checkpointBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.wigeonwharf.schedule.CheckpointMessage checkpoint = 10;</code>
+     */
+    public org.wigeonwharf.schedule.wire.CheckpointMessage.Builder getCheckpointBuilder() {
+      return internalGetCheckpointFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.wigeonwharf.schedule.CheckpointMessage checkpoint = 10;</code>
+     */
+    @java.lang.Override
+    public org.wigeonwharf.schedule.wire.CheckpointMessageOrBuilder getCheckpointOrBuilder() {
+      if ((kindCase_ == 10) && (checkpointBuilder_ != null)) {
+        return checkpointBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 10) {
+          return (org.wigeonwharf.schedule.wire.CheckpointMessage) kind_;
+        }
+        return org.wigeonwharf.schedule.wire.CheckpointMessage.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.wigeonwharf.schedule.CheckpointMessage checkpoint = 10;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wigeonwharf.schedule.wire.CheckpointMessage, org.wigeonwharf.schedule.wire.CheckpointMessage.Builder, org.wigeonwharf.schedule.wire.CheckpointMessageOrBuilder> 
+        internalGetCheckpointFieldBuilder() {
+      if (checkpointBuilder_ == null) {
+        if (!(kindCase_ == 10)) {
+          kind_ = org.wigeonwharf.schedule.wire.CheckpointMessage.getDefaultInstance();
+        }
+        checkpointBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.wigeonwharf.schedule.wire.CheckpointMessage, org.wigeonwharf.schedule.wire.CheckpointMessage.Builder, org.wigeonwharf.schedule.wire.CheckpointMessageOrBuilder>(
+                (org.wigeonwharf.schedule.wire.CheckpointMessage) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 10;
+      onChanged();
+      return checkpointBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wigeonwharf.schedule.wire.CheckpointReplyMessage, org.wigeonwharf.schedule.wire.CheckpointReplyMessage.Builder, org.wigeonwharf.schedule.wire.CheckpointReplyMessageOrBuilder> checkpointReplyBuilder_;
+    /**
+     * <code>.wigeonwharf.schedule.CheckpointReplyMessage checkpoint_reply = 11;</code>
+     * @return Whether the checkpointReply field is set.
+     */
+    @java.lang.Override
+    public boolean hasCheckpointReply() {
+      return kindCase_ == 11;
+    }
+    /**
+     * <code>.wigeonwharf.schedule.CheckpointReplyMessage checkpoint_reply = 11;</code>
+     * @return The checkpointReply.
+     */
+    @java.lang.Override
+    public org.wigeonwharf.schedule.wire.CheckpointReplyMessage getCheckpointReply() {
+      if (checkpointReplyBuilder_ == null) {
+        if (kindCase_ == 11) {
+          return (org.wigeonwharf.schedule.wire.CheckpointReplyMessage) kind_;
+        }
+        return org.wigeonwharf.schedule.wire.CheckpointReplyMessage.getDefaultInstance();
+      } else {
+        if (kindCase_ == 11) {
+          return checkpointReplyBuilder_.getMessage();
+        }
+        return org.wigeonwharf.schedule.wire.CheckpointReplyMessage.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.wigeonwharf.schedule.CheckpointReplyMessage checkpoint_reply = 11;</code>
+     */
+    public Builder setCheckpointReply(org.wigeonwharf.schedule.wire.CheckpointReplyMessage value) {
+      if (checkpointReplyBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        kind_ = value;
+        onChanged();
+      } else {
+        checkpointReplyBuilder_.setMessage(value);
+      }
+      kindCase_ = 11;
+      return this;
+    }
+    /**
+     * <code>.wigeonwharf.schedule.CheckpointReplyMessage checkpoint_reply = 11;</code>
+     */
+    public Builder setCheckpointReply(
+        org.wigeonwharf.schedule.wire.CheckpointReplyMessage.Builder builderForValue) {
+      if (checkpointReplyBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        checkpointReplyBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 11;
+      return this;
+    }
+    /**
+     * <code>.wigeonwharf.schedule.CheckpointReplyMessage checkpoint_reply = 11;</code>
+     */
+    public Builder mergeCheckpointReply(org.wigeonwharf.schedule.wire.CheckpointReplyMessage value) {
+      if (checkpointReplyBuilder_ == null) {
+        if (kindCase_ == 11 &&
+            kind_ != org.wigeonwharf.schedule.wire.CheckpointReplyMessage.getDefaultInstance()) {
+          kind_ = org.wigeonwharf.schedule.wire.CheckpointReplyMessage.newBuilder((org.wigeonwharf.schedule.wire.CheckpointReplyMessage) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 11) {
+          checkpointReplyBuilder_.mergeFrom(value);
+        } else {
+          checkpointReplyBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 11;
+      return this;
+    }
+    /**
+     * <code>.wigeonwharf.schedule.CheckpointReplyMessage checkpoint_reply = 11;</code>
+     */
+    public Builder clearCheckpointReply() {
+      if (checkpointReplyBuilder_ == null) {
+        if (kindCase_ == 11) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 11) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        checkpointReplyBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.wigeonwharf.schedule.CheckpointReplyMessage checkpoint_reply = 11;</code>
+     */
+    public org.wigeonwharf.schedule.wire.CheckpointReplyMessage.Builder getCheckpointReplyBuilder() {
+      return internalGetCheckpointReplyFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.wigeonwharf.schedule.CheckpointReplyMessage checkpoint_reply = 11;</code>
+     */
+    @java.lang.Override
+    public org.wigeonwharf.schedule.wire.CheckpointReplyMessageOrBuilder getCheckpointReplyOrBuilder() {
+      if ((kindCase_ == 11) && (checkpointReplyBuilder_ != null)) {
+        return checkpointReplyBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 11) {
+          return (org.wigeonwharf.schedule.wire.CheckpointReplyMessage) kind_;
+        }
+        return org.wigeonwharf.schedule.wire.CheckpointReplyMessage.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.wigeonwharf.schedule.CheckpointReplyMessage checkpoint_reply = 11;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wigeonwharf.schedule.wire.CheckpointReplyMessage, org.wigeonwharf.schedule.wire.CheckpointReplyMessage.Builder, org.wigeonwharf.schedule.wire.CheckpointReplyMessageOrBuilder> 
+        internalGetCheckpointReplyFieldBuilder() {
+      if (checkpointReplyBuilder_ == null) {
+        if (!(kindCase_ == 11)) {
+          kind_ = org.wigeonwharf.schedule.wire.CheckpointReplyMessage.getDefaultInstance();
+        }
+        checkpointReplyBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.wigeonwharf.schedule.wire.CheckpointReplyMessage, org.wigeonwharf.schedule.wire.CheckpointReplyMessage.Builder, org.wigeonwharf.schedule.wire.CheckpointReplyMessageOrBuilder>(
+                (org.wigeonwharf.schedule.wire.CheckpointReplyMessage) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 11;
+      onChanged();
+      return checkpointReplyBuilder_;
+    }
+
+    private long session_ ;
+    /**
+     * <pre>
+     * The session that the message belongs to, counted by the router; 0 for none.
+     * </pre>
+     *
+     * <code>int64 session = 15;</code>
+     * @return The session.
+     */
+    @java.lang.Override
+    public long getSession() {
+      return session_;
+    }
+    /**
+     * <pre>
+     * The session that the message belongs to, counted by the router; 0 for none.
+     * </pre>
+     *
+     * <code>int64 session = 15;</code>
+     * @param value The session to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSession(long value) {
+
+      session_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The session that the message belongs to, counted by the router; 0 for none.
+     * </pre>
+     *
+     * <code>int64 session = 15;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSession() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      session_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wigeonwharf.schedule.ScheduleMessage)
   }
 
--- a/org.wigeonwharf.schedule/src/gen/java/org/wigeonwharf/schedule/wire/ScheduleMessageOrBuilder.java
+++ b/org.wigeonwharf.schedule/src/gen/java/org/wigeonwharf/schedule/wire/ScheduleMessageOrBuilder.java
@@ -86,34 +86,34 @@
   org.wigeonwharf.schedule.wire.OutcomeMessageOrBuilder getOutcomeOrBuilder();
 
   /**
-   * <code>.wigeonwharf.schedule.HeldLeaseMessage held = 6;</code>
-   * @return Whether the held field is set.
+   * <code>.wigeonwharf.schedule.RegistrationMessage registration = 6;</code>
+   * @return Whether the registration field is set.
    */
-  boolean hasHeld();
+  boolean hasRegistration();
   /**
-   * <code>.wigeonwharf.schedule.HeldLeaseMessage held = 6;</code>
-   * @return The held.
+   * <code>.wigeonwharf.schedule.RegistrationMessage registration = 6;</code>
+   * @return The registration.
    */
-  org.wigeonwharf.schedule.wire.HeldLeaseMessage getHeld();
+  org.wigeonwharf.schedule.wire.RegistrationMessage getRegistration();
   /**
-   * <code>.wigeonwharf.schedule.HeldLeaseMessage held = 6;</code>
+   * <code>.wigeonwharf.schedule.RegistrationMessage registration = 6;</code>
    */
-  org.wigeonwharf.schedule.wire.HeldLeaseMessageOrBuilder getHeldOrBuilder();
+  org.wigeonwharf.schedule.wire.RegistrationMessageOrBuilder getRegistrationOrBuilder();
 
   /**
-   * <code>.wigeonwharf.schedule.RegisteredMessage registered = 7;</code>
-   * @return Whether the registered field is set.
+   * <code>.wigeonwharf.schedule.ResyncMessage resync = 7;</code>
+   * @return Whether the resync field is set.
    */
-  boolean hasRegistered();
+  boolean hasResync();
   /**
-   * <code>.wigeonwharf.schedule.RegisteredMessage registered = 7;</code>
-   * @return The registered.
+   * <code>.wigeonwharf.schedule.ResyncMessage resync = 7;</code>
+   * @return The resync.
    */
-  org.wigeonwharf.schedule.wire.RegisteredMessage getRegistered();
+  org.wigeonwharf.schedule.wire.ResyncMessage getResync();
   /**
-   * <code>.wigeonwharf.schedule.RegisteredMessage registered = 7;</code>
+   * <code>.wigeonwharf.schedule.ResyncMessage resync = 7;</code>
    */
-  org.wigeonwharf.schedule.wire.RegisteredMessageOrBuilder getRegisteredOrBuilder();
+  org.wigeonwharf.schedule.wire.ResyncMessageOrBuilder getResyncOrBuilder();
 
   /**
    * <code>.wigeonwharf.schedule.PreemptMessage preempt = 8;</code>
@@ -145,5 +145,45 @@
    */
   org.wigeonwharf.schedule.wire.NotSchedulerMessageOrBuilder getNotSchedulerOrBuilder();
 
+  /**
+   * <code>.wigeonwharf.schedule.CheckpointMessage checkpoint = 10;</code>
+   * @return Whether the checkpoint field is set.
+   */
+  boolean hasCheckpoint();
+  /**
+   * <code>.wigeonwharf.schedule.CheckpointMessage checkpoint = 10;</code>
+   * @return The checkpoint.
+   */
+  org.wigeonwharf.schedule.wire.CheckpointMessage getCheckpoint();
+  /**
+   * <code>.wigeonwharf.schedule.CheckpointMessage checkpoint = 10;</code>
+   */
+  org.wigeonwharf.schedule.wire.CheckpointMessageOrBuilder getCheckpointOrBuilder();
+
+  /**
+   * <code>.wigeonwharf.schedule.CheckpointReplyMessage checkpoint_reply = 11;</code>
+   * @return Whether the checkpointReply field is set.
+   */
+  boolean hasCheckpointReply();
+  /**
+   * <code>.wigeonwharf.schedule.CheckpointReplyMessage checkpoint_reply = 11;</code>
+   * @return The checkpointReply.
+   */
+  org.wigeonwharf.schedule.wire.CheckpointReplyMessage getCheckpointReply();
+  /**
+   * <code>.wigeonwharf.schedule.CheckpointReplyMessage checkpoint_reply = 11;</code>
+   */
+  org.wigeonwharf.schedule.wire.CheckpointReplyMessageOrBuilder getCheckpointReplyOrBuilder();
+
+  /**
+   * <pre>
+   * The session that the message belongs to, counted by the router; 0 for none.
+   * </pre>
+   *
+   * <code>int64 session = 15;</code>
+   * @return The session.
+   */
+  long getSession();
+
   org.wigeonwharf.schedule.wire.ScheduleMessage.KindCase getKindCase();
 }
--- a/org.wigeonwharf.schedule/src/gen/java/org/wigeonwharf/schedule/wire/ScheduleProto.java
+++ b/org.wigeonwharf.schedule/src/gen/java/org/wigeonwharf/schedule/wire/ScheduleProto.java
@@ -62,10 +62,25 @@
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_wigeonwharf_schedule_HeldLeaseMessage_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_wigeonwharf_schedule_RegisteredMessage_descriptor;
+    internal_static_wigeonwharf_schedule_RegistrationMessage_descriptor;
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_wigeonwharf_schedule_RegisteredMessage_fieldAccessorTable;
+      internal_static_wigeonwharf_schedule_RegistrationMessage_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_wigeonwharf_schedule_ResyncMessage_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_wigeonwharf_schedule_ResyncMessage_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_wigeonwharf_schedule_CheckpointMessage_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_wigeonwharf_schedule_CheckpointMessage_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_wigeonwharf_schedule_CheckpointReplyMessage_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_wigeonwharf_schedule_CheckpointReplyMessage_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_wigeonwharf_schedule_PreemptMessage_descriptor;
   static final 
@@ -113,32 +128,43 @@
       "\001(\003\022\016\n\006server\030\004 \001(\t\022\013\n\003end\030\005 \001(\t\022\032\n\022firs" +
       "t_token_millis\030\006 \001(\003\022\016\n\006tokens\030\007 \001(\005\022\024\n\014" +
       "total_millis\030\010 \001(\003\022\027\n\017config_revision\030\t " +
-      "\001(\003\"\210\001\n\020HeldLeaseMessage\022*\n\005shard\030\001 \001(\0132" +
-      "\033.wigeonwharf.schedule.Shard\022\020\n\010sequence" +
-      "\030\002 \001(\003\022\016\n\006server\030\003 \001(\t\022\025\n\rservice_class\030" +
-      "\004 \001(\t\022\017\n\007account\030\005 \001(\t\"X\n\021RegisteredMess" +
-      "age\022*\n\005shard\030\001 \001(\0132\033.wigeonwharf.schedul" +
-      "e.Shard\022\027\n\017config_revision\030\002 \001(\003\"]\n\016Pree" +
-      "mptMessage\022*\n\005shard\030\001 \001(\0132\033.wigeonwharf." +
-      "schedule.Shard\022\020\n\010sequence\030\002 \001(\003\022\r\n\005leas" +
-      "e\030\003 \001(\003\"S\n\023NotSchedulerMessage\022*\n\005shard\030" +
-      "\001 \001(\0132\033.wigeonwharf.schedule.Shard\022\020\n\010se" +
-      "quence\030\002 \001(\003\"\250\004\n\017ScheduleMessage\022;\n\007requ" +
-      "est\030\001 \001(\0132(.wigeonwharf.schedule.SlotReq" +
-      "uestMessageH\000\0223\n\005grant\030\002 \001(\0132\".wigeonwha" +
-      "rf.schedule.GrantMessageH\000\0227\n\007refusal\030\003 " +
-      "\001(\0132$.wigeonwharf.schedule.RefusalMessag" +
-      "eH\000\0225\n\006cancel\030\004 \001(\0132#.wigeonwharf.schedu" +
-      "le.CancelMessageH\000\0227\n\007outcome\030\005 \001(\0132$.wi" +
-      "geonwharf.schedule.OutcomeMessageH\000\0226\n\004h" +
-      "eld\030\006 \001(\0132&.wigeonwharf.schedule.HeldLea" +
-      "seMessageH\000\022=\n\nregistered\030\007 \001(\0132\'.wigeon" +
-      "wharf.schedule.RegisteredMessageH\000\0227\n\007pr" +
-      "eempt\030\010 \001(\0132$.wigeonwharf.schedule.Preem" +
-      "ptMessageH\000\022B\n\rnot_scheduler\030\t \001(\0132).wig" +
-      "eonwharf.schedule.NotSchedulerMessageH\000B" +
-      "\006\n\004kindB0\n\035org.wigeonwharf.schedule.wire" +
-      "B\rScheduleProtoP\001b\006proto3"
+      "\001(\003\"k\n\020HeldLeaseMessage\022\020\n\010sequence\030\001 \001(" +
+      "\003\022\016\n\006server\030\002 \001(\t\022\025\n\rservice_class\030\003 \001(\t" +
+      "\022\017\n\007account\030\004 \001(\t\022\r\n\005lease\030\005 \001(\003\"\313\001\n\023Reg" +
+      "istrationMessage\022*\n\005shard\030\001 \001(\0132\033.wigeon" +
+      "wharf.schedule.Shard\022\027\n\017config_revision\030" +
+      "\002 \001(\003\0224\n\004held\030\003 \003(\0132&.wigeonwharf.schedu" +
+      "le.HeldLeaseMessage\0229\n\007waiting\030\004 \003(\0132(.w" +
+      "igeonwharf.schedule.SlotRequestMessage\";" +
+      "\n\rResyncMessage\022*\n\005shard\030\001 \001(\0132\033.wigeonw" +
+      "harf.schedule.Shard\"M\n\021CheckpointMessage" +
+      "\022*\n\005shard\030\001 \001(\0132\033.wigeonwharf.schedule.S" +
+      "hard\022\014\n\004sent\030\002 \001(\003\"R\n\026CheckpointReplyMes" +
+      "sage\022*\n\005shard\030\001 \001(\0132\033.wigeonwharf.schedu" +
+      "le.Shard\022\014\n\004sent\030\002 \001(\003\"]\n\016PreemptMessage" +
+      "\022*\n\005shard\030\001 \001(\0132\033.wigeonwharf.schedule.S" +
+      "hard\022\020\n\010sequence\030\002 \001(\003\022\r\n\005lease\030\003 \001(\003\"A\n" +
+      "\023NotSchedulerMessage\022*\n\005shard\030\001 \001(\0132\033.wi" +
+      "geonwharf.schedule.Shard\"\305\005\n\017ScheduleMes" +
+      "sage\022;\n\007request\030\001 \001(\0132(.wigeonwharf.sche" +
+      "dule.SlotRequestMessageH\000\0223\n\005grant\030\002 \001(\013" +
+      "2\".wigeonwharf.schedule.GrantMessageH\000\0227" +
+      "\n\007refusal\030\003 \001(\0132$.wigeonwharf.schedule.R" +
+      "efusalMessageH\000\0225\n\006cancel\030\004 \001(\0132#.wigeon" +
+      "wharf.schedule.CancelMessageH\000\0227\n\007outcom" +
+      "e\030\005 \001(\0132$.wigeonwharf.schedule.OutcomeMe" +
+      "ssageH\000\022A\n\014registration\030\006 \001(\0132).wigeonwh" +
+      "arf.schedule.RegistrationMessageH\000\0225\n\006re" +
+      "sync\030\007 \001(\0132#.wigeonwharf.schedule.Resync" +
+      "MessageH\000\0227\n\007preempt\030\010 \001(\0132$.wigeonwharf" +
+      ".schedule.PreemptMessageH\000\022B\n\rnot_schedu" +
+      "ler\030\t \001(\0132).wigeonwharf.schedule.NotSche" +
+      "dulerMessageH\000\022=\n\ncheckpoint\030\n \001(\0132\'.wig" +
+      "eonwharf.schedule.CheckpointMessageH\000\022H\n" +
+      "\020checkpoint_reply\030\013 \001(\0132,.wigeonwharf.sc" +
+      "hedule.CheckpointReplyMessageH\000\022\017\n\007sessi" +
+      "on\030\017 \001(\003B\006\n\004kindB0\n\035org.wigeonwharf.sche" +
+      "dule.wireB\rScheduleProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -185,31 +211,49 @@
     internal_static_wigeonwharf_schedule_HeldLeaseMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_schedule_HeldLeaseMessage_descriptor,
-        new java.lang.String[] { "Shard", "Sequence", "Server", "ServiceClass", "Account", });
-    internal_static_wigeonwharf_schedule_RegisteredMessage_descriptor =
+        new java.lang.String[] { "Sequence", "Server", "ServiceClass", "Account", "Lease", });
+    internal_static_wigeonwharf_schedule_RegistrationMessage_descriptor =
       getDescriptor().getMessageType(7);
-    internal_static_wigeonwharf_schedule_RegisteredMessage_fieldAccessorTable = new
+    internal_static_wigeonwharf_schedule_RegistrationMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_wigeonwharf_schedule_RegisteredMessage_descriptor,
-        new java.lang.String[] { "Shard", "ConfigRevision", });
-    internal_static_wigeonwharf_schedule_PreemptMessage_descriptor =
+        internal_static_wigeonwharf_schedule_RegistrationMessage_descriptor,
+        new java.lang.String[] { "Shard", "ConfigRevision", "Held", "Waiting", });
+    internal_static_wigeonwharf_schedule_ResyncMessage_descriptor =
       getDescriptor().getMessageType(8);
+    internal_static_wigeonwharf_schedule_ResyncMessage_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_wigeonwharf_schedule_ResyncMessage_descriptor,
+        new java.lang.String[] { "Shard", });
+    internal_static_wigeonwharf_schedule_CheckpointMessage_descriptor =
+      getDescriptor().getMessageType(9);
+    internal_static_wigeonwharf_schedule_CheckpointMessage_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_wigeonwharf_schedule_CheckpointMessage_descriptor,
+        new java.lang.String[] { "Shard", "Sent", });
+    internal_static_wigeonwharf_schedule_CheckpointReplyMessage_descriptor =
+      getDescriptor().getMessageType(10);
+    internal_static_wigeonwharf_schedule_CheckpointReplyMessage_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_wigeonwharf_schedule_CheckpointReplyMessage_descriptor,
+        new java.lang.String[] { "Shard", "Sent", });
+    internal_static_wigeonwharf_schedule_PreemptMessage_descriptor =
+      getDescriptor().getMessageType(11);
     internal_static_wigeonwharf_schedule_PreemptMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_schedule_PreemptMessage_descriptor,
         new java.lang.String[] { "Shard", "Sequence", "Lease", });
     internal_static_wigeonwharf_schedule_NotSchedulerMessage_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(12);
     internal_static_wigeonwharf_schedule_NotSchedulerMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_schedule_NotSchedulerMessage_descriptor,
-        new java.lang.String[] { "Shard", "Sequence", });
+        new java.lang.String[] { "Shard", });
     internal_static_wigeonwharf_schedule_ScheduleMessage_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(13);
     internal_static_wigeonwharf_schedule_ScheduleMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_schedule_ScheduleMessage_descriptor,
-        new java.lang.String[] { "Request", "Grant", "Refusal", "Cancel", "Outcome", "Held", "Registered", "Preempt", "NotScheduler", "Kind", });
+        new java.lang.String[] { "Request", "Grant", "Refusal", "Cancel", "Outcome", "Registration", "Resync", "Preempt", "NotScheduler", "Checkpoint", "CheckpointReply", "Session", "Kind", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/ScheduleService.java
+++ b/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/ScheduleService.java
@@ -14,6 +14,7 @@
 import org.wigeonwharf.config.Snapshot;
 import org.wigeonwharf.membership.MembershipService;
 import org.wigeonwharf.membership.MembershipView;
+import org.wigeonwharf.membership.PauseDetector;
 import org.wigeonwharf.model.Clock;
 import org.wigeonwharf.model.Lifecycle;
 import org.wigeonwharf.model.NodeId;
@@ -44,6 +45,9 @@
   private final SchedulerHost host;
   private final SlotClient client;
   private final ScheduleMessages messages;
+  private final Clock clock;
+  private final PauseDetector pauses;
+  private boolean started;
 
   /**
    * Creates a service that follows the configuration and the view of the fleet.
@@ -61,6 +65,8 @@
       ConfigStore store,
       Clock clock) {
     this.transport = transport;
+    this.clock = clock;
+    this.pauses = new PauseDetector(clock.nanos());
     this.host = new SchedulerHost(self, clock, this::send);
     this.client = new SlotClient(self, clock, this::send);
     this.messages = new ScheduleMessages(host, client);
@@ -96,16 +102,27 @@
     }
   }
 
-  private static void guarded(Runnable task) {
+  private void guarded(Runnable task) {
     try {
+      checkPause();
       task.run();
     } catch (RuntimeException e) {
       LOG.atError().setCause(e).addKeyValue("event", "schedule.failed").log("event failed");
     }
   }
 
+  private void checkPause() {
+    if (!pauses.check(clock.nanos()) || !started) {
+      return;
+    }
+    LOG.atWarn().addKeyValue("event", "schedule.paused").log("process was paused; roles dropped");
+    host.paused();
+    client.paused();
+  }
+
   @Override
   public void start() {
+    run(() -> started = true);
     executor.scheduleWithFixedDelay(
         () -> guarded(this::tick), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
   }
--- /dev/null
+++ b/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/internal/FollowedShard.java
@@ -0,0 +1,105 @@
+package org.wigeonwharf.schedule.internal;
+
+import org.wigeonwharf.model.Clock;
+import org.wigeonwharf.model.NodeId;
+import org.wigeonwharf.model.ShardId;
+
+/**
+ * A FollowedShard is a router's session with the scheduler that it follows for one shard.
+ *
+ * <p>It counts the messages of the session each way, so that a checkpoint finds a loss. Not
+ * thread-safe.
+ */
+final class FollowedShard {
+  /** Time between checkpoints while anything is held, waited for or unconfirmed. */
+  static final long CHECKPOINT_NANOS = 500 * Clock.NANOS_PER_MILLI;
+
+  /** Time between tries to open a session. */
+  static final long RETRY_NANOS = 100 * Clock.NANOS_PER_MILLI;
+
+  final ShardId shard;
+  final NodeId scheduler;
+  long session;
+  private boolean open;
+  private boolean declined;
+  private long sent;
+  private long received;
+  private long checkpointSent;
+  private long confirmedSent;
+  private long confirmedReceived;
+  private long dueNanos;
+
+  FollowedShard(ShardId shard, NodeId scheduler) {
+    this.shard = shard;
+    this.scheduler = scheduler;
+  }
+
+  void opened(long newSession, boolean reached, long nowNanos) {
+    session = newSession;
+    open = reached;
+    declined = false;
+    sent = 0;
+    received = 0;
+    checkpointSent = 0;
+    confirmedSent = -1;
+    confirmedReceived = 0;
+    dueNanos = nowNanos + (reached ? CHECKPOINT_NANOS : RETRY_NANOS);
+  }
+
+  /** Notes that the scheduler does not take the session now; it is asked again later. */
+  void declined(long newSession, long nowNanos) {
+    session = newSession;
+    open = false;
+    declined = true;
+    dueNanos = nowNanos + RETRY_NANOS;
+  }
+
+  boolean isOpen() {
+    return open;
+  }
+
+  boolean isDeclined() {
+    return declined;
+  }
+
+  boolean isCurrent(NodeId from, long number) {
+    return scheduler.equals(from) && number == session;
+  }
+
+  boolean isDue(long nowNanos) {
+    return nowNanos - dueNanos >= 0;
+  }
+
+  void retryLater(long nowNanos) {
+    dueNanos = nowNanos + RETRY_NANOS;
+  }
+
+  boolean isUnconfirmed() {
+    return sent != confirmedSent || received != confirmedReceived;
+  }
+
+  void countSent() {
+    sent++;
+  }
+
+  void countReceived() {
+    received++;
+  }
+
+  /** Returns the count to put into a checkpoint. */
+  long checkpoint(long nowNanos) {
+    checkpointSent = sent;
+    dueNanos = nowNanos + CHECKPOINT_NANOS;
+    return sent;
+  }
+
+  /** Takes the scheduler's count and tells whether all of its messages have come. */
+  boolean confirm(long schedulerSent) {
+    if (schedulerSent != received) {
+      return false;
+    }
+    confirmedSent = checkpointSent;
+    confirmedReceived = received;
+    return true;
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/internal/HostedShard.java
@@ -0,0 +1,250 @@
+package org.wigeonwharf.schedule.internal;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.wigeonwharf.config.BackendServer;
+import org.wigeonwharf.config.PublishedConfig;
+import org.wigeonwharf.model.Clock;
+import org.wigeonwharf.model.NodeId;
+import org.wigeonwharf.model.RequestId;
+import org.wigeonwharf.model.ShardId;
+import org.wigeonwharf.schedule.Decision;
+import org.wigeonwharf.schedule.LeaseEnd;
+import org.wigeonwharf.schedule.Outcome;
+import org.wigeonwharf.schedule.ShardScheduler;
+import org.wigeonwharf.schedule.SlotRequest;
+import org.wigeonwharf.schedule.internal.RouterSession.LeaseRecord;
+import org.wigeonwharf.schedule.wire.ScheduleMessage;
+
+/**
+ * A HostedShard is one shard's scheduler with the sessions of the routers that use it.
+ *
+ * <p>A router opens a session with a registration of all its leases and waiting requests, so that
+ * whatever was lost or decided before counts no more. Both sides count the messages of a session; a
+ * checkpoint whose count differs tells of a loss, and a new registration repairs it. Not
+ * thread-safe.
+ */
+final class HostedShard {
+  /** Longest wait for routers to register with a new scheduler. */
+  static final long SETTLE_NANOS = 500 * Clock.NANOS_PER_MILLI;
+
+  /** How long the leases of a vanished router count as busy. */
+  static final long ORPHAN_NANOS = 3 * Clock.NANOS_PER_SECOND;
+
+  private final ShardId shard;
+  private final Clock clock;
+  private final MessageSender sender;
+  private final ShardScheduler scheduler;
+  private final long settledAtNanos;
+  private final Map<NodeId, RouterSession> routers = new HashMap<>();
+  private boolean settled;
+
+  HostedShard(ShardId shard, Clock clock, MessageSender sender) {
+    this.shard = shard;
+    this.clock = clock;
+    this.sender = sender;
+    this.scheduler = new ShardScheduler(shard, clock);
+    this.settledAtNanos = clock.nanos() + SETTLE_NANOS;
+    scheduler.setGranting(false);
+  }
+
+  ShardScheduler scheduler() {
+    return scheduler;
+  }
+
+  void configure(PublishedConfig config, List<BackendServer> servers) {
+    apply(scheduler.configure(config, servers));
+  }
+
+  /** Starts granting once all expected routers have registered, or the settle time is over. */
+  void settleIfReady(Collection<NodeId> expected) {
+    if (settled) {
+      return;
+    }
+    if (expected.stream().allMatch(this::isOpen) || clock.nanos() - settledAtNanos >= 0) {
+      settled = true;
+      apply(scheduler.setGranting(true));
+    }
+  }
+
+  private boolean isOpen(NodeId node) {
+    RouterSession r = routers.get(node);
+    return r != null && r.open;
+  }
+
+  void register(NodeId from, long session, Registration registration) {
+    RouterSession r = routers.computeIfAbsent(from, n -> new RouterSession());
+    if (r.open && session <= r.number) {
+      return;
+    }
+    r.open(session);
+    registration.held().forEach(h -> hold(r, h));
+    releaseUnmentioned(from, r, registration);
+    registration.waiting().forEach(w -> admit(r, w));
+  }
+
+  private void hold(RouterSession r, Registration.NumberedLease h) {
+    LeaseRecord known = r.leases.get(h.ticket());
+    if (known != null && known.is(h.held().server(), h.lease())) {
+      if (known.preemption() != null) {
+        send(r, known.preemption());
+      }
+      return;
+    }
+    if (known != null) {
+      release(r, h.held().request(), known);
+    }
+    r.waiting.remove(h.ticket());
+    r.leases.put(h.ticket(), new LeaseRecord(h.held().server(), h.lease(), null, null));
+    scheduler.hold(h.held());
+  }
+
+  private void releaseUnmentioned(NodeId from, RouterSession r, Registration registration) {
+    Set<Long> held = registration.heldTickets();
+    Set<Long> waiting = registration.waitingTickets();
+    for (Map.Entry<Long, LeaseRecord> e : Map.copyOf(r.leases).entrySet()) {
+      if (!held.contains(e.getKey()) && !waiting.contains(e.getKey())) {
+        release(r, new RequestId(from, e.getKey()), e.getValue());
+      }
+    }
+    for (long ticket : Set.copyOf(r.waiting)) {
+      if (!waiting.contains(ticket)) {
+        r.waiting.remove(ticket);
+        scheduler.cancel(new RequestId(from, ticket));
+      }
+    }
+  }
+
+  private void release(RouterSession r, RequestId id, LeaseRecord record) {
+    r.leases.remove(id.sequence());
+    apply(
+        scheduler.outcome(
+            new Outcome(id, shard, record.lease(), record.server(), LeaseEnd.RETURNED, -1, 0, 0)));
+  }
+
+  private void admit(RouterSession r, SlotRequest request) {
+    LeaseRecord granted = r.leases.get(request.id().sequence());
+    if (granted != null && granted.grant() != null) {
+      send(r, granted.grant());
+    } else if (r.waiting.add(request.id().sequence())) {
+      apply(scheduler.request(request));
+    }
+  }
+
+  void request(long session, SlotRequest request) {
+    NodeId from = request.id().origin();
+    RouterSession r = routers.get(from);
+    if (r != null && r.isCurrent(session)) {
+      r.received++;
+      admit(r, request);
+    } else if (r == null || !r.isStale(session)) {
+      askToRegister(from, session);
+    }
+  }
+
+  void cancel(long session, RequestId id) {
+    RouterSession r = routers.get(id.origin());
+    if (r == null) {
+      return;
+    }
+    count(r, session);
+    if (r.waiting.remove(id.sequence())) {
+      scheduler.cancel(id);
+    }
+  }
+
+  void outcome(long session, Outcome outcome) {
+    RequestId id = outcome.request();
+    RouterSession r = routers.get(id.origin());
+    if (r == null) {
+      return;
+    }
+    count(r, session);
+    LeaseRecord record = r.leases.get(id.sequence());
+    if (record != null && record.is(outcome.server(), outcome.lease())) {
+      r.leases.remove(id.sequence());
+      apply(scheduler.outcome(outcome));
+    }
+  }
+
+  private static void count(RouterSession r, long session) {
+    if (r.isCurrent(session)) {
+      r.received++;
+    }
+  }
+
+  void checkpoint(NodeId from, long session, long sent) {
+    RouterSession r = routers.get(from);
+    if (r != null && r.isStale(session)) {
+      return;
+    }
+    if (r == null || !r.isCurrent(session) || r.received != sent) {
+      askToRegister(from, session);
+      return;
+    }
+    sender.send(
+        from, ScheduleCodec.inSession(ScheduleCodec.checkpointReply(shard, r.sent), session));
+  }
+
+  void askToRegister(NodeId router, long session) {
+    sender.send(router, ScheduleCodec.inSession(ScheduleCodec.resync(shard), session));
+  }
+
+  void routerGone(NodeId node) {
+    RouterSession r = routers.get(node);
+    if (r != null && r.goneSinceNanos == null) {
+      r.gone(clock.nanos());
+      scheduler.nodeGone(node);
+    }
+  }
+
+  /** Refuses late waiters and expires routers that have been absent for too long. */
+  void tick(Set<NodeId> live) {
+    long now = clock.nanos();
+    routers.forEach((node, r) -> r.seen(live.contains(node), now));
+    expireOrphans(now);
+    apply(scheduler.tick());
+  }
+
+  private void expireOrphans(long now) {
+    for (Map.Entry<NodeId, RouterSession> e : Map.copyOf(routers).entrySet()) {
+      @Nullable Long since = e.getValue().goneSinceNanos;
+      if (since != null && now - since >= ORPHAN_NANOS) {
+        routers.remove(e.getKey());
+        scheduler.nodeGone(e.getKey());
+        apply(scheduler.expire(e.getKey()));
+      }
+    }
+  }
+
+  private void apply(List<Decision> decisions) {
+    for (Decision d : decisions) {
+      RouterSession r = routers.computeIfAbsent(d.request().origin(), n -> new RouterSession());
+      note(r, d);
+      send(r, d);
+    }
+  }
+
+  private static void note(RouterSession r, Decision d) {
+    long ticket = d.request().sequence();
+    if (d instanceof Decision.Preemption p) {
+      r.leases.computeIfPresent(
+          ticket, (t, l) -> new LeaseRecord(l.server(), l.lease(), l.grant(), p));
+      return;
+    }
+    r.waiting.remove(ticket);
+    if (d instanceof Decision.Grant g) {
+      r.leases.put(ticket, new LeaseRecord(g.server(), g.lease(), g, null));
+    }
+  }
+
+  private void send(RouterSession r, Decision d) {
+    r.sent++;
+    ScheduleMessage m = ScheduleCodec.decision(shard, d);
+    sender.send(d.request().origin(), ScheduleCodec.inSession(m, r.number));
+  }
+}
--- a/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/internal/ScheduleCodec.java
+++ b/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/internal/ScheduleCodec.java
@@ -14,14 +14,18 @@
 import org.wigeonwharf.schedule.LeaseEnd;
 import org.wigeonwharf.schedule.Outcome;
 import org.wigeonwharf.schedule.SlotRequest;
+import org.wigeonwharf.schedule.internal.Registration.NumberedLease;
 import org.wigeonwharf.schedule.wire.CancelMessage;
+import org.wigeonwharf.schedule.wire.CheckpointMessage;
+import org.wigeonwharf.schedule.wire.CheckpointReplyMessage;
 import org.wigeonwharf.schedule.wire.GrantMessage;
 import org.wigeonwharf.schedule.wire.HeldLeaseMessage;
 import org.wigeonwharf.schedule.wire.NotSchedulerMessage;
 import org.wigeonwharf.schedule.wire.OutcomeMessage;
 import org.wigeonwharf.schedule.wire.PreemptMessage;
 import org.wigeonwharf.schedule.wire.RefusalMessage;
-import org.wigeonwharf.schedule.wire.RegisteredMessage;
+import org.wigeonwharf.schedule.wire.RegistrationMessage;
+import org.wigeonwharf.schedule.wire.ResyncMessage;
 import org.wigeonwharf.schedule.wire.ScheduleMessage;
 import org.wigeonwharf.schedule.wire.Shard;
 import org.wigeonwharf.schedule.wire.SlotRequestMessage;
@@ -46,22 +50,23 @@
   }
 
   static ScheduleMessage request(SlotRequest r) {
-    return ScheduleMessage.newBuilder()
-        .setRequest(
-            SlotRequestMessage.newBuilder()
-                .setShard(toWire(r.shard()))
-                .setSequence(r.id().sequence())
-                .setServiceClass(r.serviceClass().value())
-                .setAccount(r.account().value())
-                .setEstimatedTokens(r.estimatedTokens())
-                .setAffinity(r.affinity())
-                .setWaitedMillis(r.waitedMillis())
-                .setRepeatable(r.repeatable())
-                .setConfigRevision(r.configRevision()))
-        .build();
+    return ScheduleMessage.newBuilder().setRequest(toRequestMessage(r)).build();
   }
 
-  static SlotRequest request(NodeId from, SlotRequestMessage m) {
+  private static SlotRequestMessage.Builder toRequestMessage(SlotRequest r) {
+    return SlotRequestMessage.newBuilder()
+        .setShard(toWire(r.shard()))
+        .setSequence(r.id().sequence())
+        .setServiceClass(r.serviceClass().value())
+        .setAccount(r.account().value())
+        .setEstimatedTokens(r.estimatedTokens())
+        .setAffinity(r.affinity())
+        .setWaitedMillis(r.waitedMillis())
+        .setRepeatable(r.repeatable())
+        .setConfigRevision(r.configRevision());
+  }
+
+  static SlotRequest toRequest(NodeId from, SlotRequestMessage m) {
     return new SlotRequest(
         new RequestId(from, m.getSequence()),
         fromWire(m.getShard()),
@@ -144,37 +149,68 @@
         m.getTotalMillis());
   }
 
-  static ScheduleMessage held(ShardId shard, HeldLease h) {
+  static ScheduleMessage registration(ShardId shard, long revision, Registration registration) {
+    RegistrationMessage.Builder b =
+        RegistrationMessage.newBuilder().setShard(toWire(shard)).setConfigRevision(revision);
+    registration.held().forEach(h -> b.addHeld(toHeldMessage(h)));
+    registration.waiting().forEach(w -> b.addWaiting(toRequestMessage(w).clearShard()));
+    return ScheduleMessage.newBuilder().setRegistration(b).build();
+  }
+
+  private static HeldLeaseMessage toHeldMessage(NumberedLease h) {
+    return HeldLeaseMessage.newBuilder()
+        .setSequence(h.ticket())
+        .setLease(h.lease())
+        .setServer(h.held().server().value())
+        .setServiceClass(h.held().serviceClass().value())
+        .setAccount(h.held().account().value())
+        .build();
+  }
+
+  static Registration toRegistration(NodeId from, RegistrationMessage m) {
+    return new Registration(
+        m.getHeldList().stream().map(h -> held(from, h)).toList(),
+        m.getWaitingList().stream()
+            .map(w -> toRequest(from, w.toBuilder().setShard(m.getShard()).build()))
+            .toList());
+  }
+
+  private static NumberedLease held(NodeId from, HeldLeaseMessage m) {
+    HeldLease held =
+        new HeldLease(
+            new RequestId(from, m.getSequence()),
+            new ServerId(m.getServer()),
+            new ClassId(m.getServiceClass()),
+            new AccountId(m.getAccount()));
+    return new NumberedLease(held, m.getLease());
+  }
+
+  static ScheduleMessage resync(ShardId shard) {
     return ScheduleMessage.newBuilder()
-        .setHeld(
-            HeldLeaseMessage.newBuilder()
-                .setShard(toWire(shard))
-                .setSequence(h.request().sequence())
-                .setServer(h.server().value())
-                .setServiceClass(h.serviceClass().value())
-                .setAccount(h.account().value()))
+        .setResync(ResyncMessage.newBuilder().setShard(toWire(shard)))
         .build();
   }
 
-  static HeldLease held(NodeId from, HeldLeaseMessage m) {
-    return new HeldLease(
-        new RequestId(from, m.getSequence()),
-        new ServerId(m.getServer()),
-        new ClassId(m.getServiceClass()),
-        new AccountId(m.getAccount()));
+  static ScheduleMessage checkpoint(ShardId shard, long sent) {
+    return ScheduleMessage.newBuilder()
+        .setCheckpoint(CheckpointMessage.newBuilder().setShard(toWire(shard)).setSent(sent))
+        .build();
   }
 
-  static ScheduleMessage registered(ShardId shard, long revision) {
+  static ScheduleMessage checkpointReply(ShardId shard, long sent) {
     return ScheduleMessage.newBuilder()
-        .setRegistered(
-            RegisteredMessage.newBuilder().setShard(toWire(shard)).setConfigRevision(revision))
+        .setCheckpointReply(
+            CheckpointReplyMessage.newBuilder().setShard(toWire(shard)).setSent(sent))
         .build();
   }
 
-  static ScheduleMessage notScheduler(ShardId shard, RequestId id) {
+  static ScheduleMessage notScheduler(ShardId shard) {
     return ScheduleMessage.newBuilder()
-        .setNotScheduler(
-            NotSchedulerMessage.newBuilder().setShard(toWire(shard)).setSequence(id.sequence()))
+        .setNotScheduler(NotSchedulerMessage.newBuilder().setShard(toWire(shard)))
         .build();
   }
+
+  static ScheduleMessage inSession(ScheduleMessage message, long session) {
+    return message.toBuilder().setSession(session).build();
+  }
 }
--- a/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/internal/ScheduleMessages.java
+++ b/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/internal/ScheduleMessages.java
@@ -2,9 +2,13 @@
 
 import org.wigeonwharf.model.NodeId;
 import org.wigeonwharf.model.RequestId;
+import org.wigeonwharf.model.ShardId;
 import org.wigeonwharf.schedule.wire.CancelMessage;
-import org.wigeonwharf.schedule.wire.PreemptMessage;
+import org.wigeonwharf.schedule.wire.CheckpointMessage;
+import org.wigeonwharf.schedule.wire.CheckpointReplyMessage;
+import org.wigeonwharf.schedule.wire.RegistrationMessage;
 import org.wigeonwharf.schedule.wire.ScheduleMessage;
+import org.wigeonwharf.schedule.wire.Shard;
 
 /** ScheduleMessages passes each received message to the side that it is for. */
 public final class ScheduleMessages {
@@ -30,30 +34,41 @@
    */
   public void dispatch(NodeId from, ScheduleMessage m) {
     switch (m.getKindCase()) {
-      case REQUEST -> host.request(ScheduleCodec.request(from, m.getRequest()));
-      case CANCEL -> cancel(from, m.getCancel());
-      case OUTCOME -> host.outcome(ScheduleCodec.outcome(from, m.getOutcome()));
-      case HELD ->
-          host.held(
-              ScheduleCodec.fromWire(m.getHeld().getShard()),
-              ScheduleCodec.held(from, m.getHeld()));
-      case REGISTERED ->
-          host.registered(ScheduleCodec.fromWire(m.getRegistered().getShard()), from);
-      case GRANT -> client.granted(from, m.getGrant());
-      case REFUSAL -> client.refused(from, m.getRefusal());
-      case PREEMPT -> preempt(from, m.getPreempt());
-      case NOT_SCHEDULER -> client.notScheduler(m.getNotScheduler().getSequence());
+      case REGISTRATION -> register(from, m.getSession(), m.getRegistration());
+      case REQUEST -> host.request(m.getSession(), ScheduleCodec.toRequest(from, m.getRequest()));
+      case CANCEL -> cancel(from, m.getSession(), m.getCancel());
+      case OUTCOME -> host.outcome(m.getSession(), ScheduleCodec.outcome(from, m.getOutcome()));
+      case CHECKPOINT -> checkpoint(from, m.getSession(), m.getCheckpoint());
+      case GRANT -> client.granted(from, m.getSession(), m.getGrant());
+      case REFUSAL -> client.refused(from, m.getSession(), m.getRefusal());
+      case PREEMPT -> client.preempted(from, m.getSession(), m.getPreempt());
+      case RESYNC -> client.resync(from, m.getSession(), shard(m.getResync().getShard()));
+      case CHECKPOINT_REPLY -> confirm(from, m.getSession(), m.getCheckpointReply());
+      case NOT_SCHEDULER ->
+          client.notScheduler(from, m.getSession(), shard(m.getNotScheduler().getShard()));
       default -> {
         // A newer peer's message: unknown here and safe to pass over.
       }
     }
   }
 
-  private void cancel(NodeId from, CancelMessage m) {
-    host.cancel(ScheduleCodec.fromWire(m.getShard()), new RequestId(from, m.getSequence()));
+  private static ShardId shard(Shard shard) {
+    return ScheduleCodec.fromWire(shard);
   }
 
-  private void preempt(NodeId from, PreemptMessage m) {
-    client.preempted(from, m.getSequence(), m.getLease());
+  private void register(NodeId from, long session, RegistrationMessage m) {
+    host.register(shard(m.getShard()), from, session, ScheduleCodec.toRegistration(from, m));
+  }
+
+  private void cancel(NodeId from, long session, CancelMessage m) {
+    host.cancel(shard(m.getShard()), session, new RequestId(from, m.getSequence()));
+  }
+
+  private void checkpoint(NodeId from, long session, CheckpointMessage m) {
+    host.checkpoint(shard(m.getShard()), from, session, m.getSent());
+  }
+
+  private void confirm(NodeId from, long session, CheckpointReplyMessage m) {
+    client.checkpointReply(from, session, shard(m.getShard()), m.getSent());
   }
 }
--- a/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/internal/SchedulerHost.java
+++ b/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/internal/SchedulerHost.java
@@ -1,6 +1,5 @@
 package org.wigeonwharf.schedule.internal;
 
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -16,8 +15,6 @@
 import org.wigeonwharf.model.NodeId;
 import org.wigeonwharf.model.RequestId;
 import org.wigeonwharf.model.ShardId;
-import org.wigeonwharf.schedule.Decision;
-import org.wigeonwharf.schedule.HeldLease;
 import org.wigeonwharf.schedule.Outcome;
 import org.wigeonwharf.schedule.ShardMap;
 import org.wigeonwharf.schedule.ShardScheduler;
@@ -30,36 +27,21 @@
  * its leases, or a settle time is over. Not thread-safe.
  */
 public final class SchedulerHost {
-  /** Longest wait for routers to register with a new scheduler. */
-  public static final long SETTLE_NANOS = 500 * Clock.NANOS_PER_MILLI;
-
-  /** How long the leases of a vanished router count as busy. */
-  public static final long ORPHAN_NANOS = 3 * Clock.NANOS_PER_SECOND;
+  /** How long a process that was paused takes no role, so that its view of the fleet catches up. */
+  public static final long PAUSE_RECOVERY_NANOS = 300 * Clock.NANOS_PER_MILLI;
 
   private static final Logger LOG = LoggerFactory.getLogger(SchedulerHost.class);
 
   private final NodeId self;
   private final Clock clock;
   private final MessageSender sender;
-  private final Map<ShardId, Hosted> hosted = new TreeMap<>();
-  private final Map<NodeId, Long> vanished = new HashMap<>();
+  private final Map<ShardId, HostedShard> hosted = new TreeMap<>();
   private Set<NodeId> known = Set.of();
   private @Nullable MembershipView view;
+  private @Nullable Long pausedUntilNanos;
   private Snapshot snapshot = Snapshot.NONE;
   private ShardMap shards = ShardMap.of(Snapshot.NONE.config());
 
-  private static final class Hosted {
-    final ShardScheduler scheduler;
-    final long settledAtNanos;
-    final Set<NodeId> registered = new HashSet<>();
-    boolean settled;
-
-    Hosted(ShardScheduler scheduler, long settledAtNanos) {
-      this.scheduler = scheduler;
-      this.settledAtNanos = settledAtNanos;
-    }
-  }
-
   /**
    * Creates a host without any role.
    *
@@ -82,8 +64,7 @@
     snapshot = next;
     shards = ShardMap.of(next.config());
     updateRoles();
-    hosted.forEach(
-        (shard, h) -> send(shard, h.scheduler.configure(next.config(), serversOf(shard))));
+    hosted.forEach((shard, h) -> h.configure(next.config(), serversOf(shard)));
   }
 
   private List<BackendServer> serversOf(ShardId shard) {
@@ -97,19 +78,25 @@
    */
   public void view(MembershipView next) {
     view = next;
+    Set<NodeId> before = known;
     Set<NodeId> live = new HashSet<>();
     next.members().forEach(m -> live.add(m.peer().node()));
-    for (NodeId n : known) {
-      if (!live.contains(n)) {
-        vanished.put(n, clock.nanos());
-        hosted.values().forEach(h -> h.scheduler.nodeGone(n));
-      }
-    }
-    vanished.keySet().removeAll(live);
     known = live;
+    before.stream()
+        .filter(n -> !live.contains(n))
+        .forEach(n -> hosted.values().forEach(h -> h.routerGone(n)));
+    live.stream()
+        .filter(n -> !before.contains(n))
+        .forEach(n -> hosted.values().forEach(h -> h.askToRegister(n, 0)));
     updateRoles();
   }
 
+  /** Gives up every role: the process was paused, and others may have taken them meanwhile. */
+  public void paused() {
+    hosted.clear();
+    pausedUntilNanos = clock.nanos() + PAUSE_RECOVERY_NANOS;
+  }
+
   private void updateRoles() {
     hosted.keySet().removeIf(s -> !isScheduler(s));
     for (ShardId shard : shards.shards().keySet()) {
@@ -117,7 +104,7 @@
         take(shard);
       }
     }
-    hosted.forEach(this::settleIfReady);
+    hosted.forEach((shard, h) -> h.settleIfReady(routersOf(shard)));
   }
 
   private void take(ShardId shard) {
@@ -125,119 +112,120 @@
         .addKeyValue("event", "scheduler.taken")
         .addKeyValue("shard", shard)
         .log("scheduler role taken");
-    ShardScheduler s = new ShardScheduler(shard, clock);
-    s.setGranting(false);
-    s.configure(snapshot.config(), serversOf(shard));
-    hosted.put(shard, new Hosted(s, clock.nanos() + SETTLE_NANOS));
+    HostedShard h = new HostedShard(shard, clock, sender);
+    h.configure(snapshot.config(), serversOf(shard));
+    hosted.put(shard, h);
+    known.forEach(n -> h.askToRegister(n, 0));
   }
 
   private boolean isScheduler(ShardId shard) {
     return view != null
+        && pausedUntilNanos == null
         && shards.shards().containsKey(shard)
         && view.schedulerOf(shard).filter(self::equals).isPresent();
   }
 
-  private void settleIfReady(ShardId shard, Hosted h) {
-    if (h.settled || view == null) {
-      return;
+  private List<NodeId> routersOf(ShardId shard) {
+    return view == null
+        ? List.of()
+        : view.members().stream()
+            .filter(m -> m.peer().domain().equals(shard.domain()))
+            .map(m -> m.peer().node())
+            .toList();
+  }
+
+  private @Nullable HostedShard hostedOrDeclined(ShardId shard, NodeId from, long session) {
+    HostedShard h = hosted.get(shard);
+    if (h == null) {
+      sender.send(from, ScheduleCodec.inSession(ScheduleCodec.notScheduler(shard), session));
     }
-    boolean all = h.registered.containsAll(view.candidates(shard.domain()));
-    if (all || clock.nanos() - h.settledAtNanos >= 0) {
-      h.settled = true;
-      send(shard, h.scheduler.setGranting(true));
+    return h;
+  }
+
+  /**
+   * Opens a router's session with all that it holds and waits for.
+   *
+   * @param shard the shard
+   * @param from the router
+   * @param session the session's number, higher than any earlier one of the router
+   * @param registration what it holds and waits for
+   */
+  void register(ShardId shard, NodeId from, long session, Registration registration) {
+    HostedShard h = hostedOrDeclined(shard, from, session);
+    if (h != null) {
+      h.register(from, session, registration);
+      h.settleIfReady(routersOf(shard));
     }
   }
 
   /**
    * Takes a slot request.
    *
+   * @param session the router's session
    * @param request the request
    */
-  public void request(SlotRequest request) {
-    Hosted h = hosted.get(request.shard());
-    if (h == null) {
-      RequestId id = request.id();
-      sender.send(id.origin(), ScheduleCodec.notScheduler(request.shard(), id));
-      return;
+  public void request(long session, SlotRequest request) {
+    HostedShard h = hostedOrDeclined(request.shard(), request.id().origin(), session);
+    if (h != null) {
+      h.request(session, request);
     }
-    send(request.shard(), h.scheduler.request(request));
   }
 
   /**
    * Withdraws a waiting request.
    *
    * @param shard its shard
+   * @param session the router's session
    * @param id the request
    */
-  public void cancel(ShardId shard, RequestId id) {
-    Hosted h = hosted.get(shard);
+  public void cancel(ShardId shard, long session, RequestId id) {
+    HostedShard h = hosted.get(shard);
     if (h != null) {
-      h.scheduler.cancel(id);
+      h.cancel(session, id);
     }
   }
 
   /**
    * Takes the end of a lease.
    *
+   * @param session the router's session
    * @param outcome how it ended
    */
-  public void outcome(Outcome outcome) {
-    Hosted h = hosted.get(outcome.shard());
-    if (h != null) {
-      send(outcome.shard(), h.scheduler.outcome(outcome));
-    }
-  }
-
-  /**
-   * Notes a lease that a former scheduler granted.
-   *
-   * @param shard the shard
-   * @param lease the lease
-   */
-  public void held(ShardId shard, HeldLease lease) {
-    Hosted h = hosted.get(shard);
+  public void outcome(long session, Outcome outcome) {
+    HostedShard h = hosted.get(outcome.shard());
     if (h != null) {
-      h.scheduler.hold(lease);
+      h.outcome(session, outcome);
     }
   }
 
   /**
-   * Notes that a router has told of all its leases and waiting requests.
+   * Compares a router's count of sent messages with what has come, and tells it the own count.
    *
    * @param shard the shard
    * @param from the router
+   * @param session the router's session
+   * @param sent messages that the router sent in the session
    */
-  public void registered(ShardId shard, NodeId from) {
-    Hosted h = hosted.get(shard);
+  public void checkpoint(ShardId shard, NodeId from, long session, long sent) {
+    HostedShard h = hostedOrDeclined(shard, from, session);
     if (h != null) {
-      h.registered.add(from);
-      settleIfReady(shard, h);
+      h.checkpoint(from, session, sent);
     }
   }
 
   /** Ends settle times, refuses late waiters and frees orphaned leases. */
   public void tick() {
-    long now = clock.nanos();
-    List<NodeId> expired =
-        vanished.entrySet().stream()
-            .filter(e -> now - e.getValue() >= ORPHAN_NANOS)
-            .map(Map.Entry::getKey)
-            .toList();
-    vanished.keySet().removeAll(expired);
+    if (pausedUntilNanos != null && clock.nanos() - pausedUntilNanos >= 0) {
+      pausedUntilNanos = null;
+      updateRoles();
+    }
     hosted.forEach(
         (shard, h) -> {
-          settleIfReady(shard, h);
-          expired.forEach(n -> send(shard, h.scheduler.expire(n)));
-          send(shard, h.scheduler.tick());
+          h.settleIfReady(routersOf(shard));
+          h.tick(known);
         });
   }
 
-  private void send(ShardId shard, List<Decision> decisions) {
-    for (Decision d : decisions) {
-      sender.send(d.request().origin(), ScheduleCodec.decision(shard, d));
-    }
-  }
-
   /**
    * Returns the hosted schedulers, for the state dump.
    *
@@ -245,7 +233,7 @@
    */
   public Map<ShardId, ShardScheduler> schedulers() {
     Map<ShardId, ShardScheduler> result = new TreeMap<>();
-    hosted.forEach((shard, h) -> result.put(shard, h.scheduler));
+    hosted.forEach((shard, h) -> result.put(shard, h.scheduler()));
     return result;
   }
 }
--- a/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/internal/SlotClient.java
+++ b/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/internal/SlotClient.java
@@ -1,15 +1,20 @@
 package org.wigeonwharf.schedule.internal;
 
-import java.util.HashMap;
+import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
 import org.jspecify.annotations.Nullable;
 import org.wigeonwharf.config.BackendServer;
+import org.wigeonwharf.config.ClassSpec;
 import org.wigeonwharf.config.Snapshot;
 import org.wigeonwharf.membership.MembershipView;
 import org.wigeonwharf.model.Clock;
+import org.wigeonwharf.model.FailureDomain;
 import org.wigeonwharf.model.NodeId;
 import org.wigeonwharf.model.RefusalReason;
 import org.wigeonwharf.model.RequestId;
@@ -22,42 +27,59 @@
 import org.wigeonwharf.schedule.ShardMap;
 import org.wigeonwharf.schedule.SlotListener;
 import org.wigeonwharf.schedule.SlotRequest;
+import org.wigeonwharf.schedule.internal.Registration.NumberedLease;
 import org.wigeonwharf.schedule.wire.GrantMessage;
+import org.wigeonwharf.schedule.wire.PreemptMessage;
 import org.wigeonwharf.schedule.wire.RefusalMessage;
+import org.wigeonwharf.schedule.wire.ScheduleMessage;
 
 /**
  * A SlotClient is a router's side of scheduling: its waiting requests and the leases it holds.
  *
- * <p>It follows one scheduler per shard. On a change it tells the new one of every held lease and
- * every waiting request; a grant from any other scheduler is returned unused. Not thread-safe.
+ * <p>It follows one scheduler per shard: those of its own failure domain, and others while it has
+ * something there. To follow, it opens a session with a registration of every held lease and
+ * waiting request; messages of earlier sessions count no more, and a grant from any other scheduler
+ * is returned unused. Each {@link #acquire} draws a ticket, which stands for the request in all
+ * messages, so that nothing late of an earlier attempt counts for a later one. Not thread-safe.
  */
 public final class SlotClient {
   private static final long RETRY_AFTER_MILLIS = 1_000;
 
+  /** How long past its deadline a request waits for the scheduler's own refusal. */
+  private static final long REFUSAL_GRACE_MILLIS = 250;
+
+  /** Deadline of a request whose class the configuration lacks. */
+  private static final long UNKNOWN_CLASS_DEADLINE_MILLIS = 1_000;
+
   private final NodeId self;
   private final Clock clock;
   private final MessageSender sender;
-  private final Map<RequestId, Waiting> waiting = new LinkedHashMap<>();
-  private final Map<RequestId, Held> held = new LinkedHashMap<>();
-  private final Map<ShardId, NodeId> followed = new HashMap<>();
+  private final Map<Long, Waiting> waiting = new LinkedHashMap<>();
+  private final Map<Long, Held> held = new LinkedHashMap<>();
+  private final Map<ShardId, FollowedShard> followed = new TreeMap<>();
   private @Nullable MembershipView view;
   private Snapshot snapshot = Snapshot.NONE;
   private ShardMap shards = ShardMap.of(Snapshot.NONE.config());
+  private long tickets;
+  private long sessions;
 
   private static final class Waiting {
     final SlotRequest request;
     final SlotListener listener;
     final long sinceNanos;
-    boolean sent;
+    long ticket;
+    long sentInSession;
 
-    Waiting(SlotRequest request, SlotListener listener, long sinceNanos) {
+    Waiting(SlotRequest request, SlotListener listener, long sinceNanos, long ticket) {
       this.request = request;
       this.listener = listener;
       this.sinceNanos = sinceNanos;
+      this.ticket = ticket;
     }
   }
 
-  private record Held(SlotRequest request, SlotListener listener, long lease, ServerId server) {}
+  private record Held(
+      long ticket, SlotRequest request, SlotListener listener, long lease, ServerId server) {}
 
   /**
    * Creates a client.
@@ -80,7 +102,7 @@
   public void configure(Snapshot next) {
     snapshot = next;
     shards = ShardMap.of(next.config());
-    follow();
+    followAll();
   }
 
   /**
@@ -90,59 +112,111 @@
    */
   public void view(MembershipView next) {
     view = next;
-    follow();
+    followAll();
   }
 
-  private void follow() {
-    for (ShardId shard : shards.shards().keySet()) {
-      Optional<NodeId> next = schedulerOf(shard);
-      if (next.isEmpty()) {
-        followed.remove(shard);
-      } else if (!next.get().equals(followed.get(shard))) {
-        followed.put(shard, next.get());
-        register(shard, next.get());
-      }
-    }
+  /** Ends all sessions: the process was paused, and what reaches it now may be old. */
+  public void paused() {
+    followed.values().forEach(f -> f.declined(++sessions, clock.nanos()));
+  }
+
+  private void followAll() {
+    Set<ShardId> wanted = wantedShards();
+    followed.keySet().retainAll(wanted);
+    wanted.forEach(this::follow);
+  }
+
+  private Set<ShardId> wantedShards() {
+    Set<ShardId> wanted = new HashSet<>();
+    Optional<FailureDomain> domain = ownDomain();
+    shards.shards().keySet().stream()
+        .filter(s -> domain.filter(s.domain()::equals).isPresent())
+        .forEach(wanted::add);
+    wanted.addAll(shardsInUse());
+    return wanted;
+  }
+
+  private Set<ShardId> shardsInUse() {
+    Set<ShardId> used = new HashSet<>();
+    waiting.values().forEach(w -> used.add(w.request.shard()));
+    held.values().forEach(h -> used.add(h.request().shard()));
+    return used;
   }
 
-  private Optional<NodeId> schedulerOf(ShardId shard) {
-    return view == null ? Optional.empty() : view.schedulerOf(shard);
+  private Optional<FailureDomain> ownDomain() {
+    return view == null
+        ? Optional.empty()
+        : view.members().stream()
+            .filter(m -> m.peer().node().equals(self))
+            .map(m -> m.peer().domain())
+            .findFirst();
   }
 
-  private void register(ShardId shard, NodeId scheduler) {
+  private void follow(ShardId shard) {
+    Optional<NodeId> next = view == null ? Optional.empty() : view.schedulerOf(shard);
+    if (next.isEmpty()) {
+      followed.remove(shard);
+      return;
+    }
+    FollowedShard now = followed.get(shard);
+    if (now == null || !now.scheduler.equals(next.get())) {
+      FollowedShard f = new FollowedShard(shard, next.get());
+      followed.put(shard, f);
+      register(f);
+    }
+  }
+
+  private void register(FollowedShard f) {
+    long session = ++sessions;
+    List<NumberedLease> leases = new ArrayList<>();
     for (Held h : held.values()) {
-      if (h.request().shard().equals(shard)) {
-        sender.send(scheduler, ScheduleCodec.held(shard, toHeldLease(h)));
+      if (h.request().shard().equals(f.shard)) {
+        leases.add(toNumberedLease(h));
       }
     }
+    List<SlotRequest> requests = new ArrayList<>();
     for (Waiting w : waiting.values()) {
-      if (w.request.shard().equals(shard)) {
-        w.sent = sender.send(scheduler, ScheduleCodec.request(withWait(w)));
+      if (w.request.shard().equals(f.shard)) {
+        w.sentInSession = session;
+        requests.add(toWireRequest(w));
       }
     }
-    sender.send(scheduler, ScheduleCodec.registered(shard, snapshot.revision()));
+    Registration all = new Registration(leases, requests);
+    ScheduleMessage m = ScheduleCodec.registration(f.shard, snapshot.revision(), all);
+    boolean reached = sender.send(f.scheduler, ScheduleCodec.inSession(m, session));
+    f.opened(session, reached, clock.nanos());
   }
 
-  private static HeldLease toHeldLease(Held h) {
+  private NumberedLease toNumberedLease(Held h) {
     SlotRequest r = h.request();
-    return new HeldLease(r.id(), h.server(), r.serviceClass(), r.account());
+    RequestId id = new RequestId(self, h.ticket());
+    return new NumberedLease(
+        new HeldLease(id, h.server(), r.serviceClass(), r.account()), h.lease());
   }
 
-  private SlotRequest withWait(Waiting w) {
+  private SlotRequest toWireRequest(Waiting w) {
     SlotRequest r = w.request;
-    long waited = (clock.nanos() - w.sinceNanos) / Clock.NANOS_PER_MILLI;
     return new SlotRequest(
-        r.id(),
+        new RequestId(self, w.ticket),
         r.shard(),
         r.serviceClass(),
         r.account(),
         r.estimatedTokens(),
         r.affinity(),
-        r.waitedMillis() + waited,
+        waitedMillis(w),
         r.repeatable(),
         snapshot.revision());
   }
 
+  private long waitedMillis(Waiting w) {
+    return w.request.waitedMillis() + (clock.nanos() - w.sinceNanos) / Clock.NANOS_PER_MILLI;
+  }
+
+  private void send(FollowedShard f, ScheduleMessage m) {
+    f.countSent();
+    sender.send(f.scheduler, ScheduleCodec.inSession(m, f.session));
+  }
+
   /**
    * Queues a request at its shard's scheduler.
    *
@@ -150,14 +224,21 @@
    * @param listener hears the decision
    */
   public void acquire(SlotRequest request, SlotListener listener) {
-    Waiting w = new Waiting(request, listener, clock.nanos());
-    waiting.put(request.id(), w);
-    send(w);
+    Waiting w = new Waiting(request, listener, clock.nanos(), ++tickets);
+    waiting.put(w.ticket, w);
+    FollowedShard f = followed.get(request.shard());
+    if (f == null) {
+      follow(request.shard());
+    } else {
+      sendIfOpen(f, w);
+    }
   }
 
-  private void send(Waiting w) {
-    NodeId scheduler = followed.get(w.request.shard());
-    w.sent = scheduler != null && sender.send(scheduler, ScheduleCodec.request(withWait(w)));
+  private void sendIfOpen(FollowedShard f, Waiting w) {
+    if (f.isOpen() && w.sentInSession != f.session) {
+      w.sentInSession = f.session;
+      send(f, ScheduleCodec.request(toWireRequest(w)));
+    }
   }
 
   /**
@@ -166,10 +247,18 @@
    * @param id the request
    */
   public void cancel(RequestId id) {
-    Waiting w = waiting.remove(id);
-    NodeId scheduler = w == null ? null : followed.get(w.request.shard());
-    if (w != null && scheduler != null) {
-      sender.send(scheduler, ScheduleCodec.cancel(w.request.shard(), id));
+    for (Waiting w : List.copyOf(waiting.values())) {
+      if (w.request.id().equals(id)) {
+        withdraw(w);
+      }
+    }
+  }
+
+  private void withdraw(Waiting w) {
+    waiting.remove(w.ticket);
+    FollowedShard f = followed.get(w.request.shard());
+    if (f != null && f.isOpen() && w.sentInSession == f.session) {
+      send(f, ScheduleCodec.cancel(f.shard, new RequestId(self, w.ticket)));
     }
   }
 
@@ -179,69 +268,123 @@
    * @param outcome how it ended
    */
   public void end(Outcome outcome) {
-    held.remove(outcome.request());
-    NodeId scheduler = followed.get(outcome.shard());
-    if (scheduler != null) {
-      sender.send(scheduler, ScheduleCodec.outcome(outcome));
+    Held h = held.remove(outcome.lease());
+    FollowedShard f = h == null ? null : followed.get(outcome.shard());
+    if (h != null && f != null && f.isOpen()) {
+      send(f, ScheduleCodec.outcome(toWireOutcome(h, outcome)));
     }
   }
 
+  private Outcome toWireOutcome(Held h, Outcome o) {
+    return new Outcome(
+        new RequestId(self, h.ticket()),
+        o.shard(),
+        h.lease(),
+        h.server(),
+        o.end(),
+        o.firstTokenMillis(),
+        o.tokens(),
+        o.totalMillis());
+  }
+
   /**
    * Takes a grant.
    *
    * @param from the granting router
+   * @param session the session it was granted in
    * @param m the grant
    */
-  public void granted(NodeId from, GrantMessage m) {
-    ShardId shard = ScheduleCodec.fromWire(m.getShard());
-    RequestId id = new RequestId(self, m.getSequence());
-    Waiting w = waiting.get(id);
+  public void granted(NodeId from, long session, GrantMessage m) {
+    FollowedShard f = followed.get(ScheduleCodec.fromWire(m.getShard()));
+    if (f == null || !f.scheduler.equals(from)) {
+      sender.send(from, returned(m));
+      return;
+    }
+    if (!f.isCurrent(from, session)) {
+      return;
+    }
+    f.countReceived();
+    Waiting w = waiting.get(m.getSequence());
+    if (w != null) {
+      use(f, w, m);
+    } else if (!isHeld(m)) {
+      send(f, returned(m));
+    }
+  }
+
+  private boolean isHeld(GrantMessage m) {
+    Held h = held.get(m.getSequence());
+    return h != null && h.lease() == m.getLease();
+  }
+
+  private void use(FollowedShard f, Waiting w, GrantMessage m) {
     ServerId server = new ServerId(m.getServer());
-    Optional<BackendServer> known = snapshot.config().server(shard.service(), server);
-    if (w == null || !from.equals(followed.get(shard)) || known.isEmpty()) {
-      sender.send(from, ScheduleCodec.outcome(returned(id, shard, m)));
-      if (w != null && from.equals(followed.get(shard))) {
-        w.sent = false;
-      }
+    Optional<BackendServer> known = snapshot.config().server(f.shard.service(), server);
+    waiting.remove(w.ticket);
+    if (known.isEmpty()) {
+      send(f, returned(m));
+      w.ticket = ++tickets;
+      w.sentInSession = 0;
+      waiting.put(w.ticket, w);
       return;
     }
-    waiting.remove(id);
-    held.put(id, new Held(w.request, w.listener, m.getLease(), server));
+    held.put(w.ticket, new Held(w.ticket, w.request, w.listener, m.getLease(), server));
     long voidAt = clock.nanos() + m.getStartWithinMillis() * Clock.NANOS_PER_MILLI;
-    w.listener.granted(new Lease(w.request, m.getLease(), known.get(), voidAt));
+    w.listener.granted(new Lease(w.request, w.ticket, known.get(), voidAt));
   }
 
-  private static Outcome returned(RequestId id, ShardId shard, GrantMessage m) {
-    ServerId server = new ServerId(m.getServer());
-    return new Outcome(id, shard, m.getLease(), server, LeaseEnd.RETURNED, -1, 0, 0);
+  private ScheduleMessage returned(GrantMessage m) {
+    return ScheduleCodec.outcome(
+        new Outcome(
+            new RequestId(self, m.getSequence()),
+            ScheduleCodec.fromWire(m.getShard()),
+            m.getLease(),
+            new ServerId(m.getServer()),
+            LeaseEnd.RETURNED,
+            -1,
+            0,
+            0));
   }
 
   /**
    * Takes a refusal.
    *
    * @param from the refusing router
+   * @param session the session it was refused in
    * @param m the refusal
    */
-  public void refused(NodeId from, RefusalMessage m) {
-    RequestId id = new RequestId(self, m.getSequence());
-    Waiting w = waiting.get(id);
-    if (w == null || !from.equals(followed.get(w.request.shard()))) {
+  public void refused(NodeId from, long session, RefusalMessage m) {
+    if (!counts(ScheduleCodec.fromWire(m.getShard()), from, session)) {
       return;
     }
-    waiting.remove(id);
-    w.listener.refused(ScheduleCodec.reason(m.getReason()), m.getRetryAfterMillis());
+    Waiting w = waiting.remove(m.getSequence());
+    if (w != null) {
+      w.listener.refused(ScheduleCodec.reason(m.getReason()), m.getRetryAfterMillis());
+    }
+  }
+
+  private boolean counts(ShardId shard, NodeId from, long session) {
+    FollowedShard f = followed.get(shard);
+    if (f == null || !f.isCurrent(from, session)) {
+      return false;
+    }
+    f.countReceived();
+    return true;
   }
 
   /**
    * Takes a preemption.
    *
    * @param from the scheduler
-   * @param sequence the request's number
-   * @param lease the lease to give up
+   * @param session the session it was sent in
+   * @param m the preemption
    */
-  public void preempted(NodeId from, long sequence, long lease) {
-    Held h = held.get(new RequestId(self, sequence));
-    if (h != null && h.lease() == lease && from.equals(followed.get(h.request().shard()))) {
+  public void preempted(NodeId from, long session, PreemptMessage m) {
+    if (!counts(ScheduleCodec.fromWire(m.getShard()), from, session)) {
+      return;
+    }
+    Held h = held.get(m.getSequence());
+    if (h != null && h.lease() == m.getLease()) {
       h.listener().preempted();
     }
   }
@@ -249,32 +392,92 @@
   /**
    * Notes that a router does not hold the role this process thought it had.
    *
-   * @param sequence the request to send again later
+   * @param from the router
+   * @param session the session it declines
+   * @param shard the shard
    */
-  public void notScheduler(long sequence) {
-    Waiting w = waiting.get(new RequestId(self, sequence));
-    if (w != null) {
-      w.sent = false;
+  public void notScheduler(NodeId from, long session, ShardId shard) {
+    FollowedShard f = followed.get(shard);
+    if (f != null && f.isCurrent(from, session)) {
+      f.declined(session, clock.nanos());
+    }
+  }
+
+  /**
+   * Registers again, as the scheduler asks: it is new, or messages were lost.
+   *
+   * @param from the scheduler
+   * @param session the session that it can't go on with, or 0 for any
+   * @param shard the shard
+   */
+  public void resync(NodeId from, long session, ShardId shard) {
+    FollowedShard f = followed.get(shard);
+    if (f == null) {
+      follow(shard);
+    } else if (f.scheduler.equals(from) && (session == 0 || session == f.session)) {
+      register(f);
     }
   }
 
-  /** Sends again what could not be sent and refuses what has no scheduler for too long. */
+  /**
+   * Compares the scheduler's count of sent messages with what has come; registers again on a loss.
+   *
+   * @param from the scheduler
+   * @param session the session
+   * @param shard the shard
+   * @param sent messages that the scheduler sent in the session
+   */
+  public void checkpointReply(NodeId from, long session, ShardId shard, long sent) {
+    FollowedShard f = followed.get(shard);
+    if (f != null && f.isCurrent(from, session) && f.isOpen() && !f.confirm(sent)) {
+      register(f);
+    }
+  }
+
+  /** Opens sessions, sends checkpoints and what waits unsent, and refuses what is too late. */
   public void tick() {
+    long now = clock.nanos();
+    Set<ShardId> busy = shardsInUse();
+    for (FollowedShard f : List.copyOf(followed.values())) {
+      if (f.isDue(now)) {
+        renew(f, busy.contains(f.shard), now);
+      }
+    }
     for (Waiting w : List.copyOf(waiting.values())) {
-      if (!w.sent) {
-        send(w);
+      FollowedShard f = followed.get(w.request.shard());
+      boolean open = f != null && f.isOpen();
+      if (isPastDeadline(w, open)) {
+        withdraw(w);
+        RefusalReason why = open ? RefusalReason.DEADLINE : RefusalReason.NO_SCHEDULER;
+        w.listener.refused(why, RETRY_AFTER_MILLIS);
+      } else if (f != null) {
+        sendIfOpen(f, w);
       }
-      if (!w.sent && isPastDeadline(w)) {
-        waiting.remove(w.request.id());
-        w.listener.refused(RefusalReason.NO_SCHEDULER, RETRY_AFTER_MILLIS);
+    }
+  }
+
+  private void renew(FollowedShard f, boolean busy, long now) {
+    if (f.isOpen()) {
+      if (busy || f.isUnconfirmed()) {
+        sendCheckpoint(f, f.checkpoint(now));
       }
+    } else if (f.isDeclined()) {
+      f.retryLater(now);
+      sendCheckpoint(f, 0);
+    } else {
+      register(f);
     }
   }
 
-  private boolean isPastDeadline(Waiting w) {
-    var spec = snapshot.config().classes().get(w.request.serviceClass());
-    long waited = (clock.nanos() - w.sinceNanos) / Clock.NANOS_PER_MILLI + w.request.waitedMillis();
-    return spec == null || waited >= spec.deadline().toMillis();
+  private void sendCheckpoint(FollowedShard f, long sent) {
+    ScheduleMessage m = ScheduleCodec.checkpoint(f.shard, sent);
+    sender.send(f.scheduler, ScheduleCodec.inSession(m, f.session));
+  }
+
+  private boolean isPastDeadline(Waiting w, boolean open) {
+    ClassSpec spec = snapshot.config().classes().get(w.request.serviceClass());
+    long deadline = spec == null ? UNKNOWN_CLASS_DEADLINE_MILLIS : spec.deadline().toMillis();
+    return waitedMillis(w) >= deadline + (open ? REFUSAL_GRACE_MILLIS : 0);
   }
 
   /**
