Decide grants by tier, slack, share, length and server speed

Cause: the scheduler granted by tier and arrival to the emptiest server, so short urgent work waited behind long streams and a low tier could starve. ShardScheduler is split into small decision classes: WaitQueue, Admission (overflow, early refusal), GrantChooser (tier, target, weighted account use), GrantReserve, ServerPool (speed, probation, affinity, backoff, headroom, adapted slots), AccountLimiter, LengthEstimates and Preemptor. An outcome of a lease that is no longer out is ignored.

Ruled out: a share counted in grants. One long report costs as much slot time as tens of questions, so ten in a hundred grants took the crest's whole capacity.

Shown failing first, each with the mechanism off or wrong in a scratch copy: reserve off, overflow from the highest tier, early refusal blind to lower tiers, preemption of any tier, leaving servers granted, headroom kept where none should be, overdue waiters left.

--- /dev/null
+++ b/org.wigeonwharf.schedule.test/src/test/java/org/wigeonwharf/schedule/SchedulerWorld.java
@@ -0,0 +1,228 @@
+package org.wigeonwharf.schedule;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.wigeonwharf.config.ClassSpec;
+import org.wigeonwharf.model.AccountId;
+import org.wigeonwharf.model.ClassId;
+import org.wigeonwharf.model.Clock;
+import org.wigeonwharf.model.NodeId;
+import org.wigeonwharf.model.RefusalReason;
+import org.wigeonwharf.model.RequestId;
+import org.wigeonwharf.model.ServerId;
+
+/**
+ * A SchedulerWorld drives one scheduler with random events in virtual time and keeps a plain model
+ * of who waits and runs, against which it checks every decision.
+ */
+final class SchedulerWorld {
+  final ConfigBuilder config = new ConfigBuilder();
+  final Random random;
+  final ShardScheduler scheduler;
+  final Map<RequestId, SlotRequest> waiting = new LinkedHashMap<>();
+  final Map<RequestId, Decision.Grant> running = new LinkedHashMap<>();
+  final Map<RequestId, SlotRequest> known = new HashMap<>();
+  final Set<RequestId> preempting = new HashSet<>();
+  final Map<ClassId, Integer> grants = new HashMap<>();
+  final List<Decision> log = new ArrayList<>();
+  long now;
+  private long sequence;
+
+  SchedulerWorld(long seed, PolicyOptions options) {
+    random = new Random(seed);
+    scheduler = new ShardScheduler(ConfigBuilder.SHARD, () -> now, options);
+  }
+
+  void randomConfig() {
+    int classes = 2 + random.nextInt(4);
+    for (int i = 0; i < classes; i++) {
+      long target = 100L << random.nextInt(8);
+      long deadline = target * (1 + random.nextInt(4));
+      double share = random.nextInt(3) * 0.08;
+      config.classOf("c" + i, random.nextInt(3), target, deadline, share, 1 + random.nextInt(3));
+    }
+    config.waitingPlaces = 5 + random.nextInt(25);
+    for (int i = 0; i < 3; i++) {
+      config.account("a" + i, 1 + i, ConfigBuilder.UNLIMITED);
+    }
+    randomServers();
+  }
+
+  private void randomServers() {
+    config.servers.clear();
+    int servers = 1 + random.nextInt(4);
+    for (int i = 0; i < servers; i++) {
+      config.server("s" + i, 1 + random.nextInt(4), random.nextInt(6) == 0);
+    }
+  }
+
+  void configure() {
+    check(scheduler.configure(config.build(), config.serverList()), null);
+  }
+
+  /** Does one random thing. */
+  void step() {
+    switch (random.nextInt(16)) {
+      case 0, 1, 2, 3, 4, 5 -> request(anyOf(config.classes.keySet()), anyOf(known()));
+      case 6, 7, 8, 9 -> end(LeaseEnd.FINISHED);
+      case 10 -> end(random.nextBoolean() ? LeaseEnd.RETURNED : LeaseEnd.CANCELLED);
+      case 11 -> cancel();
+      case 12, 13 -> {
+        now += random.nextInt(400) * Clock.NANOS_PER_MILLI;
+        check(scheduler.tick(), null);
+      }
+      case 14 -> reconfigure();
+      default -> load();
+    }
+    assertEquals(waiting.size(), scheduler.waiting());
+    assertEquals(running.size(), scheduler.leased());
+  }
+
+  private Set<AccountId> known() {
+    return config.accounts.keySet();
+  }
+
+  private void reconfigure() {
+    if (random.nextInt(4) == 0) {
+      randomServers();
+      configure();
+    }
+  }
+
+  private void load() {
+    LoadReport report = new LoadReport(random.nextInt(5), random.nextInt(3), random.nextInt(3_000));
+    check(scheduler.load(anyOf(config.servers.keySet()), report), null);
+  }
+
+  <T> T anyOf(Set<T> all) {
+    return new ArrayList<>(all).get(random.nextInt(all.size()));
+  }
+
+  RequestId request(ClassId serviceClass, AccountId account) {
+    RequestId id = new RequestId(new NodeId("n" + random.nextInt(2), 1), ++sequence);
+    ask(new SlotRequest(id, ConfigBuilder.SHARD, serviceClass, account, 0, 0, 0, true, 1));
+    return id;
+  }
+
+  private void ask(SlotRequest r) {
+    known.put(r.id(), r);
+    waiting.put(r.id(), r);
+    check(scheduler.request(r), r);
+  }
+
+  private static boolean hasLongAnswers(ClassSpec c) {
+    return c.deadline().toMillis() % 200 == 0;
+  }
+
+  void end(LeaseEnd how) {
+    if (!running.isEmpty()) {
+      RequestId id = anyOf(running.keySet());
+      end(id, how, 1 + random.nextInt(hasLongAnswers(specOf(id)) ? 4_000 : 40));
+    }
+  }
+
+  void end(RequestId id, LeaseEnd how, int tokens) {
+    Decision.Grant g = running.remove(id);
+    preempting.remove(id);
+    Outcome o =
+        new Outcome(
+            id, ConfigBuilder.SHARD, g.lease(), g.server(), how, 100, tokens, 100 + tokens * 40L);
+    check(scheduler.outcome(o), null);
+  }
+
+  private void cancel() {
+    if (!waiting.isEmpty()) {
+      RequestId id = anyOf(waiting.keySet());
+      waiting.remove(id);
+      scheduler.cancel(id);
+    }
+  }
+
+  /** Ends preempted streams and queues their rest, as a router does. */
+  void obeyPreemptions() {
+    for (RequestId id : List.copyOf(preempting)) {
+      end(id, LeaseEnd.CANCELLED, 10);
+      if (!waiting.containsKey(id) && !running.containsKey(id)) {
+        ask(known.get(id));
+      }
+    }
+  }
+
+  ClassSpec specOf(RequestId id) {
+    return config.classes.get(known.get(id).serviceClass());
+  }
+
+  /** Checks decisions against the model and takes them into it. */
+  void check(List<Decision> decisions, SlotRequest asked) {
+    for (Decision d : decisions) {
+      log.add(d);
+      if (d instanceof Decision.Grant g) {
+        checkGrant(g);
+      } else if (d instanceof Decision.Refusal r) {
+        checkRefusal(r, asked);
+      } else if (d instanceof Decision.Preemption p) {
+        checkPreemption(p);
+      }
+    }
+  }
+
+  private void checkGrant(Decision.Grant g) {
+    SlotRequest r = waiting.remove(g.request());
+    assertTrue(r != null, "granted without waiting: " + g);
+    running.put(g.request(), g);
+    grants.merge(r.serviceClass(), 1, Integer::sum);
+    var server = config.servers.get(g.server());
+    assertTrue(server != null && !server.leaving(), "granted on a leaving server: " + g);
+    assertTrue(usedOf(g.server()) <= server.slots(), "granted beyond capacity: " + g);
+  }
+
+  int usedOf(ServerId server) {
+    return (int) running.values().stream().filter(g -> g.server().equals(server)).count();
+  }
+
+  private void checkRefusal(Decision.Refusal r, SlotRequest asked) {
+    assertTrue(waiting.remove(r.request()) != null, "refused without waiting: " + r);
+    ClassSpec spec = specOf(r.request());
+    boolean early = asked != null && asked.id().equals(r.request());
+    if (r.reason() == RefusalReason.CAPACITY || (r.reason() == RefusalReason.DEADLINE && early)) {
+      for (ClassSpec c : config.classes.values()) {
+        boolean lower = spec.tier().isHigherThan(c.tier());
+        assertFalse(
+            lower && waitingOf(c.id()) > c.waitingPlaces(), "shed while a lower tier waits: " + r);
+      }
+      assertTrue(
+          waitingOf(spec.id()) >= spec.waitingPlaces(), "shed from its class's own places: " + r);
+    }
+  }
+
+  long waitingOf(ClassId c) {
+    return waiting.values().stream().filter(w -> w.serviceClass().equals(c)).count();
+  }
+
+  private void checkPreemption(Decision.Preemption p) {
+    assertTrue(running.containsKey(p.request()), "preempted without running: " + p);
+    assertTrue(preempting.add(p.request()), "preempted twice: " + p);
+    ClassSpec victim = specOf(p.request());
+    assertTrue(
+        waiting.keySet().stream().anyMatch(w -> specOf(w).tier().isHigherThan(victim.tier())),
+        "preempted for no higher tier: " + p);
+  }
+
+  /** Returns the slots that could be granted. */
+  int freeSlots() {
+    return config.servers.values().stream()
+        .filter(s -> !s.leaving())
+        .mapToInt(s -> Math.max(0, s.slots() - usedOf(s.id())))
+        .sum();
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/LengthEstimates.java
@@ -0,0 +1,77 @@
+package org.wigeonwharf.schedule;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.wigeonwharf.config.ClassSpec;
+import org.wigeonwharf.model.AccountId;
+import org.wigeonwharf.model.ClassId;
+
+/**
+ * LengthEstimates learn how long answers are and how long they hold a slot.
+ *
+ * <p>The output length is a high quantile per class and client account; the slot time is a moving
+ * mean per class. Not thread-safe.
+ */
+final class LengthEstimates {
+  /** Part of the answers that the length estimate should cover. */
+  static final double QUANTILE = 0.9;
+
+  /** Slot time assumed for a class of which nothing is known, in milliseconds. */
+  static final long DEFAULT_MILLIS = 100;
+
+  /** Longest token gap assumed before any was seen, in milliseconds. */
+  static final long MAX_INITIAL_GAP_MILLIS = 50;
+
+  private static final double LENGTH_STEP = 0.1;
+  private static final double MEAN_STEP = 0.05;
+
+  private final Map<Key, Double> lengths = new HashMap<>();
+  private final Map<ClassId, Double> millis = new HashMap<>();
+
+  private record Key(ClassId serviceClass, AccountId account) {}
+
+  /**
+   * Returns the length that most answers do not exceed.
+   *
+   * @param spec the class
+   * @param account the client account
+   * @return tokens
+   */
+  long tokens(ClassSpec spec, AccountId account) {
+    Double length = lengths.get(new Key(spec.id(), account));
+    return length == null ? spec.estimatedTokens() : Math.round(length);
+  }
+
+  /**
+   * Returns the mean time that a request of a class holds a slot.
+   *
+   * @param spec the class
+   * @return milliseconds, at least 1
+   */
+  long slotMillis(ClassSpec spec) {
+    Double mean = millis.get(spec.id());
+    if (mean != null) {
+      return Math.max(1, Math.round(mean));
+    }
+    long gap = Math.min(MAX_INITIAL_GAP_MILLIS, spec.tokenGapTarget().toMillis());
+    return Math.max(DEFAULT_MILLIS, spec.estimatedTokens() * gap);
+  }
+
+  /**
+   * Learns from a finished answer.
+   *
+   * @param spec its class
+   * @param account its client account
+   * @param tokens its length, 0 from a plain service
+   * @param totalMillis how long it held its slot, in milliseconds
+   */
+  void finished(ClassSpec spec, AccountId account, int tokens, long totalMillis) {
+    double mean = slotMillis(spec);
+    millis.put(spec.id(), mean + MEAN_STEP * (totalMillis - mean));
+    if (tokens > 0) {
+      double old = Math.max(1, tokens(spec, account));
+      double factor = tokens > old ? 1 + LENGTH_STEP * QUANTILE : 1 - LENGTH_STEP * (1 - QUANTILE);
+      lengths.put(new Key(spec.id(), account), Math.max(1, old * factor));
+    }
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/RunningLease.java
@@ -0,0 +1,53 @@
+package org.wigeonwharf.schedule;
+
+import java.util.Comparator;
+import org.jspecify.annotations.Nullable;
+import org.wigeonwharf.config.ClassSpec;
+import org.wigeonwharf.model.AccountId;
+import org.wigeonwharf.model.RequestId;
+
+/** A RunningLease is a lease that is out. Not thread-safe. */
+final class RunningLease {
+  /** Lowest tier first, within it the newest lease. */
+  static final Comparator<RunningLease> BY_PREEMPTION =
+      Comparator.comparingInt(RunningLease::rank)
+          .thenComparingLong((RunningLease r) -> r.lease)
+          .reversed();
+
+  final RequestId request;
+  final ServerState server;
+  final @Nullable ClassSpec spec;
+  final AccountId account;
+  final long lease;
+  final long grantedNanos;
+  final long chargedTokens;
+  final long sequence;
+  boolean background;
+  boolean firstTokenSeen;
+  boolean preempted;
+
+  RunningLease(
+      RequestId request,
+      ServerState server,
+      @Nullable ClassSpec spec,
+      AccountId account,
+      long lease,
+      long grantedNanos,
+      long chargedTokens,
+      long sequence,
+      boolean background) {
+    this.request = request;
+    this.server = server;
+    this.spec = spec;
+    this.account = account;
+    this.lease = lease;
+    this.grantedNanos = grantedNanos;
+    this.chargedTokens = chargedTokens;
+    this.sequence = sequence;
+    this.background = background;
+  }
+
+  int rank() {
+    return spec == null ? Integer.MAX_VALUE : spec.tier().rank();
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/RunningLeases.java
@@ -0,0 +1,130 @@
+package org.wigeonwharf.schedule;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import org.jspecify.annotations.Nullable;
+import org.wigeonwharf.model.Clock;
+import org.wigeonwharf.model.NodeId;
+import org.wigeonwharf.model.RequestId;
+
+/** RunningLeases are the leases that are out, and the slots they take. Not thread-safe. */
+final class RunningLeases {
+  private final Map<RequestId, RunningLease> byId = new HashMap<>();
+  private final TreeSet<RunningLease> preemptible = new TreeSet<>(RunningLease.BY_PREEMPTION);
+  private final Deque<RunningLease> foreground = new ArrayDeque<>();
+
+  /**
+   * Adds a lease and takes its slot.
+   *
+   * @param r the lease
+   * @param mayPreempt true if it may be preempted for a higher tier
+   */
+  void add(RunningLease r, boolean mayPreempt) {
+    byId.put(r.request, r);
+    r.server.occupy(r.background);
+    if (mayPreempt) {
+      preemptible.add(r);
+    }
+    if (!r.background) {
+      foreground.add(r);
+    }
+  }
+
+  /**
+   * Removes a lease and frees its slot.
+   *
+   * @param id its request
+   * @return the lease, or null if none is out
+   */
+  @Nullable RunningLease remove(RequestId id) {
+    RunningLease r = byId.remove(id);
+    if (r != null) {
+      preemptible.remove(r);
+      r.server.release(r.background);
+    }
+    return r;
+  }
+
+  @Nullable RunningLease get(RequestId id) {
+    return byId.get(id);
+  }
+
+  boolean contains(RequestId id) {
+    return byId.containsKey(id);
+  }
+
+  /**
+   * Takes a lease out of those that may be preempted.
+   *
+   * @param r the lease
+   */
+  void preempted(RunningLease r) {
+    r.preempted = true;
+    preemptible.remove(r);
+  }
+
+  /**
+   * Returns the leases that may be preempted.
+   *
+   * @return lowest tier first, within it the newest
+   */
+  Collection<RunningLease> preemptible() {
+    return preemptible;
+  }
+
+  /**
+   * Tells whether work below a tier could be preempted.
+   *
+   * @param rank the tier's rank
+   * @return true if a preemptible lease of a lower tier is out
+   */
+  boolean canPreemptBelow(int rank) {
+    return !preemptible.isEmpty() && preemptible.first().rank() > rank;
+  }
+
+  /**
+   * Counts as long what short work has outrun the given time.
+   *
+   * @param nowNanos the time
+   * @param limitMillis age from which a request is long, in milliseconds
+   */
+  void reclassify(long nowNanos, long limitMillis) {
+    long limitNanos = limitMillis * Clock.NANOS_PER_MILLI;
+    while (!foreground.isEmpty()) {
+      RunningLease r = foreground.peek();
+      boolean out = byId.get(r.request) == r;
+      if (out && nowNanos - r.grantedNanos < limitNanos) {
+        return;
+      }
+      foreground.poll();
+      if (out) {
+        r.background = true;
+        r.server.becameBackground();
+      }
+    }
+  }
+
+  List<RunningLease> of(NodeId node) {
+    List<RunningLease> result = new ArrayList<>();
+    for (RunningLease r : byId.values()) {
+      if (r.request.origin().equals(node)) {
+        result.add(r);
+      }
+    }
+    return result;
+  }
+
+  Collection<RunningLease> all() {
+    return byId.values();
+  }
+
+  int size() {
+    return byId.size();
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/ServerPool.java
@@ -0,0 +1,303 @@
+package org.wigeonwharf.schedule;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.ToDoubleFunction;
+import org.jspecify.annotations.Nullable;
+import org.wigeonwharf.config.BackendServer;
+import org.wigeonwharf.model.ServerId;
+import org.wigeonwharf.model.ShardId;
+
+/**
+ * A ServerPool chooses the backend server of a grant.
+ *
+ * <p>It takes the server with the least load times its straggler factor. A prompt's prefix prefers
+ * one of two servers named by rendezvous hashing while these are not much more loaded than the
+ * mean. A server far slower than the pool's median is on probation: it takes no work that would
+ * miss its target there but for a probe now and then. Not thread-safe.
+ */
+final class ServerPool {
+  /** Slowness against the pool's median from which a server is on probation. */
+  static final double PROBATION_FACTOR = 2;
+
+  /** Time between probes of a server on probation, in milliseconds. */
+  static final long PROBE_MILLIS = 500;
+
+  /** Age from which an observation no longer counts, in milliseconds. */
+  static final long SPEED_MILLIS = 5_000;
+
+  /** Load over the mean up to which a server that holds the prefix is preferred. */
+  static final double AFFINITY_BOUND = 1.25;
+
+  private final PolicyOptions options;
+  private final Map<ServerId, ServerState> servers = new LinkedHashMap<>();
+  private double medianFirstToken = -1;
+  private double medianGap = -1;
+
+  /**
+   * A Need is what a request asks of a server.
+   *
+   * @param background true if it must leave the headroom free
+   * @param keepsHeadroom true if the service keeps headroom at all
+   * @param firstTokenMillis time left to the first token in milliseconds, or a negative number if
+   *     its target is missed already or does not matter
+   * @param affinity hash of the prompt's start, or 0
+   */
+  record Need(boolean background, boolean keepsHeadroom, long firstTokenMillis, long affinity) {}
+
+  ServerPool(PolicyOptions options) {
+    this.options = options;
+  }
+
+  /**
+   * Takes the published servers. One that is gone keeps its leases but gets no new work.
+   *
+   * @param published the shard's servers
+   * @param nowNanos the time
+   */
+  void configure(List<BackendServer> published, long nowNanos) {
+    Map<ServerId, BackendServer> next = new HashMap<>();
+    published.forEach(s -> next.put(s.id(), s));
+    servers.entrySet().removeIf(e -> !next.containsKey(e.getKey()) && e.getValue().used() == 0);
+    servers.forEach((id, state) -> state.configure(next.getOrDefault(id, gone(state.server()))));
+    published.forEach(s -> servers.computeIfAbsent(s.id(), id -> new ServerState(s, nowNanos)));
+  }
+
+  private static BackendServer gone(BackendServer s) {
+    return new BackendServer(s.id(), s.service(), s.domain(), s.address(), s.slots(), true);
+  }
+
+  @Nullable ServerState get(ServerId id) {
+    return servers.get(id);
+  }
+
+  /**
+   * Finds a server; one that is not published is known from then on as leaving.
+   *
+   * @param id the server
+   * @param shard its shard
+   * @param nowNanos the time
+   * @return its state
+   */
+  ServerState getOrUnknown(ServerId id, ShardId shard, long nowNanos) {
+    return servers.computeIfAbsent(
+        id,
+        k -> {
+          InetSocketAddress none = InetSocketAddress.createUnresolved("unknown", 0);
+          BackendServer s = new BackendServer(id, shard.service(), shard.domain(), none, 0, true);
+          return new ServerState(s, nowNanos);
+        });
+  }
+
+  /**
+   * Chooses a server.
+   *
+   * @param need what is asked of it
+   * @param nowNanos the time
+   * @return the server, or null if none fits now
+   */
+  @Nullable ServerState choose(Need need, long nowNanos) {
+    ServerState best = need.affinity() == 0 || !options.affinity() ? null : home(need, nowNanos);
+    if (best != null) {
+      return best;
+    }
+    double bestScore = Double.MAX_VALUE;
+    for (ServerState s : servers.values()) {
+      double score = score(s, nowNanos);
+      if (score < bestScore && fits(s, need, nowNanos)) {
+        best = s;
+        bestScore = score;
+      }
+    }
+    return best;
+  }
+
+  private double score(ServerState s, long nowNanos) {
+    double next = s.load(nowNanos) + 1.0 / Math.max(1, s.limit());
+    return next * factor(s, nowNanos);
+  }
+
+  private @Nullable ServerState home(Need need, long nowNanos) {
+    double bound = AFFINITY_BOUND * meanLoad(nowNanos);
+    ServerState first = null;
+    ServerState second = null;
+    long firstWeight = Long.MIN_VALUE;
+    long secondWeight = Long.MIN_VALUE;
+    for (ServerState s : servers.values()) {
+      long weight = mix(need.affinity() ^ s.server().id().value().hashCode());
+      if (weight > firstWeight) {
+        second = first;
+        secondWeight = firstWeight;
+        first = s;
+        firstWeight = weight;
+      } else if (weight > secondWeight) {
+        second = s;
+        secondWeight = weight;
+      }
+    }
+    if (isGoodHome(first, need, bound, nowNanos)) {
+      return first;
+    }
+    return isGoodHome(second, need, bound, nowNanos) ? second : null;
+  }
+
+  private boolean isGoodHome(@Nullable ServerState s, Need need, double bound, long nowNanos) {
+    return s != null
+        && s.load(nowNanos) <= bound
+        && factor(s, nowNanos) < PROBATION_FACTOR
+        && fits(s, need, nowNanos);
+  }
+
+  private double meanLoad(long nowNanos) {
+    double sum = 0;
+    for (ServerState s : servers.values()) {
+      sum += s.load(nowNanos);
+    }
+    return sum / Math.max(1, servers.size());
+  }
+
+  private static long mix(long value) {
+    long h = value * 0x9E3779B97F4A7C15L;
+    h = (h ^ (h >>> 32)) * 0xD6E8FEB86659FD93L;
+    return h ^ (h >>> 32);
+  }
+
+  private boolean fits(ServerState s, Need need, long nowNanos) {
+    if (s.free(need.background(), headroom(s, need.keepsHeadroom()), nowNanos) <= 0) {
+      return false;
+    }
+    double factor = factor(s, nowNanos);
+    boolean slow = factor >= PROBATION_FACTOR && need.firstTokenMillis() >= 0;
+    return !slow
+        || factor * medianFirstToken <= need.firstTokenMillis()
+        || s.isProbeDue(PROBE_MILLIS, nowNanos);
+  }
+
+  /**
+   * Tells whether a server is far slower than the others.
+   *
+   * @param s the server
+   * @param nowNanos the time
+   * @return true while it is on probation
+   */
+  boolean isOnProbation(ServerState s, long nowNanos) {
+    return factor(s, nowNanos) >= PROBATION_FACTOR;
+  }
+
+  private int headroom(ServerState s, boolean keeps) {
+    return keeps ? (int) Math.round(s.limit() * options.headroom()) : 0;
+  }
+
+  /**
+   * Tells how much slower a server is than the pool's median.
+   *
+   * @param s the server
+   * @param nowNanos the time
+   * @return at least 1; 1 if nothing fresh is known
+   */
+  double factor(ServerState s, long nowNanos) {
+    if (!options.stragglers() || s.speed.ageMillis(nowNanos) > SPEED_MILLIS) {
+      return 1;
+    }
+    double first = ratio(s.speed.firstTokenMillis(), medianFirstToken);
+    double gap = ratio(s.speed.gapMillis(), medianGap);
+    return Math.max(1, Math.max(first, gap));
+  }
+
+  private static double ratio(double own, double median) {
+    return own < 0 || median <= 0 ? 1 : own / median;
+  }
+
+  /**
+   * Notes how soon an answer began.
+   *
+   * @param s the server
+   * @param millis time to the first token in milliseconds
+   * @param nowNanos the time
+   */
+  void sawFirstToken(ServerState s, double millis, long nowNanos) {
+    s.speed.sawFirstToken(millis, nowNanos);
+    medianFirstToken = median(e -> e.firstTokenMillis());
+  }
+
+  /**
+   * Notes how fast an answer came.
+   *
+   * @param s the server
+   * @param millis time between tokens in milliseconds
+   * @param targetMillis the wanted time in milliseconds
+   * @param nowNanos the time
+   */
+  void sawGap(ServerState s, double millis, double targetMillis, long nowNanos) {
+    s.speed.sawGap(millis, nowNanos);
+    medianGap = median(e -> e.gapMillis());
+    if (options.adaptiveSlots()) {
+      s.adapt(s.speed.gapMillis(), targetMillis, nowNanos);
+    }
+  }
+
+  private double median(ToDoubleFunction<SpeedEstimate> part) {
+    double[] known =
+        servers.values().stream()
+            .mapToDouble(s -> part.applyAsDouble(s.speed))
+            .filter(v -> v >= 0)
+            .toArray();
+    if (known.length == 0) {
+      return -1;
+    }
+    Arrays.sort(known);
+    return known[(known.length - 1) / 2];
+  }
+
+  /**
+   * Returns the pool's median time to the first token.
+   *
+   * @return milliseconds, 0 if none was seen
+   */
+  double medianFirstTokenMillis() {
+    return Math.max(0, medianFirstToken);
+  }
+
+  /**
+   * Returns how many slots are in service.
+   *
+   * @return slots of servers that are not leaving
+   */
+  int slots() {
+    int sum = 0;
+    for (ServerState s : servers.values()) {
+      sum += s.server().leaving() ? 0 : s.limit();
+    }
+    return sum;
+  }
+
+  /**
+   * Returns how many slots could be granted now to short urgent work.
+   *
+   * @param nowNanos the time
+   * @return slots
+   */
+  int free(long nowNanos) {
+    int sum = 0;
+    for (ServerState s : servers.values()) {
+      sum += s.free(false, 0, nowNanos);
+    }
+    return sum;
+  }
+
+  List<ServerState> all() {
+    return new ArrayList<>(servers.values());
+  }
+
+  Map<ServerId, Integer> used() {
+    Map<ServerId, Integer> result = new TreeMap<>();
+    servers.forEach((id, s) -> result.put(id, s.used()));
+    return result;
+  }
+}
--- a/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/ShardScheduler.java
+++ b/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/ShardScheduler.java
@@ -1,8 +1,6 @@
 package org.wigeonwharf.schedule;
 
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -13,7 +11,6 @@
 import org.wigeonwharf.config.PublishedConfig;
 import org.wigeonwharf.config.ServiceSpec;
 import org.wigeonwharf.model.AccountId;
-import org.wigeonwharf.model.ClassId;
 import org.wigeonwharf.model.Clock;
 import org.wigeonwharf.model.NodeId;
 import org.wigeonwharf.model.RefusalReason;
@@ -35,31 +32,22 @@
 
   private final ShardId shard;
   private final Clock clock;
-  private final TreeMap<Place, Waiter> queue = new TreeMap<>();
-  private final Map<RequestId, Place> places = new HashMap<>();
-  private final Map<RequestId, Running> running = new HashMap<>();
-  private final Map<ServerId, Integer> used = new LinkedHashMap<>();
-  private Map<ServerId, BackendServer> servers = Map.of();
-  private final Map<ServerId, LoadReport> reports = new HashMap<>();
-  private final Map<RequestId, Long> firstTokens = new HashMap<>();
-  private Map<AccountId, AccountLimits> limits = Map.of();
+  private final PolicyOptions options;
+  private final WaitQueue queue = new WaitQueue();
+  private final RunningLeases running = new RunningLeases();
+  private final AccountLimiter limiter = new AccountLimiter();
+  private final LengthEstimates lengths = new LengthEstimates();
+  private final ServerPool pool;
+  private final Observations observations;
+  private final Admission admission;
+  private final GrantChooser chooser;
+  private final Preemptor preemptor;
   private PublishedConfig config = PublishedConfig.EMPTY;
+  private @Nullable ServiceSpec service;
   private long arrivals;
   private long leases;
   private boolean granting = true;
 
-  private record Place(int rank, long arrival) implements Comparable<Place> {
-    @Override
-    public int compareTo(Place other) {
-      int c = Integer.compare(rank, other.rank);
-      return c != 0 ? c : Long.compare(arrival, other.arrival);
-    }
-  }
-
-  private record Waiter(SlotRequest request, long deadlineNanos) {}
-
-  private record Running(ServerId server, ClassId serviceClass, AccountId account, long lease) {}
-
   /**
    * Creates a scheduler without servers.
    *
@@ -67,23 +55,60 @@
    * @param clock monotonic time
    */
   public ShardScheduler(ShardId shard, Clock clock) {
+    this(shard, clock, PolicyOptions.DEFAULT);
+  }
+
+  /**
+   * Creates a scheduler without servers, with parts of the policy off.
+   *
+   * @param shard the shard
+   * @param clock monotonic time
+   * @param options which parts are on
+   */
+  public ShardScheduler(ShardId shard, Clock clock, PolicyOptions options) {
     this.shard = shard;
     this.clock = clock;
+    this.options = options;
+    this.pool = new ServerPool(options);
+    this.observations = new Observations(pool, lengths);
+    this.admission = new Admission(queue, running);
+    this.chooser = new GrantChooser(options, queue, pool, limiter, lengths);
+    this.preemptor = new Preemptor(queue, running, pool, limiter, lengths);
   }
 
   /**
-   * Takes a new configuration into force.
+   * Takes a new configuration into force, for those that wait as well.
    *
    * @param config the configuration
    * @param shardServers the shard's backend servers in it
    * @return decisions that follow
    */
   public List<Decision> configure(PublishedConfig config, List<BackendServer> shardServers) {
+    long now = clock.nanos();
     this.config = config;
-    Map<ServerId, BackendServer> next = new LinkedHashMap<>();
-    shardServers.forEach(s -> next.put(s.id(), s));
-    servers = next;
-    return dispatch();
+    service = config.services().get(shard.service());
+    pool.configure(shardServers, now);
+    limiter.configure(config.accounts(), now);
+    chooser.configure(config, service);
+    List<Decision> decisions = requeue(now);
+    decisions.addAll(dispatch());
+    shedOverflow(decisions);
+    return decisions;
+  }
+
+  private List<Decision> requeue(long now) {
+    List<Decision> decisions = new ArrayList<>();
+    for (Waiter w : queue.all()) {
+      queue.remove(w.request().id());
+      ClassSpec spec = config.classes().get(w.request().serviceClass());
+      if (spec == null) {
+        limiter.left(w.request().account(), now);
+        decisions.add(refuse(w.request(), RefusalReason.UNKNOWN));
+      } else {
+        queue.add(w.under(spec, lengths.slotMillis(spec)));
+      }
+    }
+    return decisions;
   }
 
   /**
@@ -104,30 +129,64 @@
    * @return decisions that follow
    */
   public List<Decision> request(SlotRequest request) {
-    if (places.containsKey(request.id()) || running.containsKey(request.id())) {
+    if (queue.contains(request.id()) || running.contains(request.id())) {
       return List.of();
     }
     ClassSpec spec = config.classes().get(request.serviceClass());
     if (spec == null || !config.accounts().containsKey(request.account())) {
       return List.of(refuse(request, RefusalReason.UNKNOWN));
     }
-    long budget = spec.deadline().toMillis() - request.waitedMillis();
-    long deadline = clock.nanos() + budget * Clock.NANOS_PER_MILLI;
-    Place place = new Place(spec.tier().rank(), arrivals++);
-    queue.put(place, new Waiter(request, deadline));
-    places.put(request.id(), place);
-    List<Decision> decisions = new ArrayList<>(dispatch());
+    long now = clock.nanos();
+    Waiter w = waiter(request, spec, now);
+    RefusalReason reason = reasonToRefuse(w, now);
+    if (reason != null) {
+      return List.of(refuse(request, reason));
+    }
+    queue.add(w);
+    limiter.entered(request.account(), now);
+    chooser.arrived(w);
+    List<Decision> decisions = dispatch();
     shedOverflow(decisions);
     return decisions;
   }
 
+  private Waiter waiter(SlotRequest request, ClassSpec spec, long now) {
+    Preemptor.Record preempted = preemptor.recordOf(request.id());
+    long sequence = preempted == null ? arrivals++ : preempted.sequence();
+    long since = preempted == null ? now - request.waitedMillis() * Clock.NANOS_PER_MILLI : now;
+    return new Waiter(request, spec, sequence, since, lengths.slotMillis(spec), preempted != null);
+  }
+
+  private @Nullable RefusalReason reasonToRefuse(Waiter w, long now) {
+    AccountId account = w.request().account();
+    if (w.resumed()) {
+      return null;
+    }
+    if (!limiter.mayEnter(account, now)
+        || !limiter.mayWait(account, queue.sizeOf(account), w.spec().firstTokenTarget(), now)) {
+      return RefusalReason.ACCOUNT_LIMIT;
+    }
+    boolean hopeless =
+        options.earlyRefusal()
+            && admission.isHopeless(w, pool.slots(), config.classes().values(), now);
+    return hopeless ? RefusalReason.DEADLINE : null;
+  }
+
   private void shedOverflow(List<Decision> decisions) {
-    ServiceSpec service = config.services().get(shard.service());
-    int limit = service == null ? 0 : service.waitingPlaces();
-    while (queue.size() > limit) {
-      Waiter last = queue.pollLastEntry().getValue();
-      places.remove(last.request().id());
-      decisions.add(refuse(last.request(), RefusalReason.CAPACITY));
+    int places = service == null ? 0 : service.waitingPlaces();
+    Waiter w = admission.overflow(config.classes().values(), places);
+    while (w != null) {
+      drop(w.request().id());
+      decisions.add(refuse(w.request(), RefusalReason.CAPACITY));
+      w = admission.overflow(config.classes().values(), places);
+    }
+  }
+
+  private void drop(RequestId id) {
+    Waiter w = queue.remove(id);
+    if (w != null) {
+      limiter.left(w.request().account(), clock.nanos());
+      chooser.left(w);
     }
   }
 
@@ -137,29 +196,34 @@
    * @param id the request
    */
   public void cancel(RequestId id) {
-    Place place = places.remove(id);
-    if (place != null) {
-      queue.remove(place);
-    }
+    drop(id);
   }
 
   /**
-   * Takes the end of a lease.
+   * Takes the end of a lease. One that is no longer out, or was granted again, is ignored.
    *
    * @param outcome how it ended
    * @return decisions that follow
    */
   public List<Decision> outcome(Outcome outcome) {
-    release(outcome.request());
+    RunningLease r = running.get(outcome.request());
+    if (r != null && (r.lease == 0 || r.lease == outcome.lease())) {
+      observations.ended(r, outcome, clock.nanos());
+      release(r, outcome.tokens(), ran(outcome.end()));
+      preemptor.ended(r.request, outcome.end() == LeaseEnd.FINISHED);
+    }
     return dispatch();
   }
 
-  private void release(RequestId id) {
-    Running r = running.remove(id);
-    firstTokens.remove(id);
-    if (r != null) {
-      used.merge(r.server(), -1, Integer::sum);
-    }
+  private static boolean ran(LeaseEnd end) {
+    return end != LeaseEnd.NOT_STARTED && end != LeaseEnd.RETURNED;
+  }
+
+  private void release(RunningLease r, long tokens, boolean ran) {
+    long now = clock.nanos();
+    running.remove(r.request);
+    limiter.left(r.account, now);
+    limiter.ended(r.account, r.chargedTokens, tokens, ran, now);
   }
 
   /**
@@ -169,14 +233,18 @@
    */
   public void hold(HeldLease held) {
     cancel(held.request());
-    if (!running.containsKey(held.request())) {
-      occupy(held.request(), new Running(held.server(), held.serviceClass(), held.account(), 0));
+    if (running.contains(held.request())) {
+      return;
     }
-  }
-
-  private void occupy(RequestId id, Running r) {
-    running.put(id, r);
-    used.merge(r.server(), 1, Integer::sum);
+    long now = clock.nanos();
+    ServerState server = pool.getOrUnknown(held.server(), shard, now);
+    ClassSpec spec = config.classes().get(held.serviceClass());
+    boolean background = spec == null || !chooser.isUrgent(spec, held.account());
+    limiter.entered(held.account(), now);
+    running.add(
+        new RunningLease(
+            held.request(), server, spec, held.account(), 0, now, 0, arrivals++, background),
+        false);
   }
 
   /**
@@ -185,8 +253,11 @@
    * @param node the router
    */
   public void nodeGone(NodeId node) {
-    List<RequestId> gone = places.keySet().stream().filter(r -> r.origin().equals(node)).toList();
-    gone.forEach(this::cancel);
+    for (Waiter w : queue.all()) {
+      if (w.request().id().origin().equals(node)) {
+        drop(w.request().id());
+      }
+    }
   }
 
   /**
@@ -196,24 +267,28 @@
    * @return decisions that follow
    */
   public List<Decision> expire(NodeId node) {
-    List<RequestId> gone = running.keySet().stream().filter(r -> r.origin().equals(node)).toList();
-    gone.forEach(this::release);
+    for (RunningLease r : running.of(node)) {
+      release(r, r.chargedTokens, true);
+      preemptor.ended(r.request, true);
+    }
     return dispatch();
   }
 
   /**
-   * Refuses waiters past their deadline.
+   * Refuses waiters past their deadline and does what is due.
    *
    * @return decisions that follow
    */
   public List<Decision> tick() {
     long now = clock.nanos();
-    List<Waiter> late = queue.values().stream().filter(w -> now - w.deadlineNanos() >= 0).toList();
     List<Decision> decisions = new ArrayList<>();
-    for (Waiter w : late) {
-      cancel(w.request().id());
-      decisions.add(refuse(w.request(), RefusalReason.DEADLINE));
+    for (Waiter w : queue.overdue(now)) {
+      boolean limited = !limiter.mayStart(w.request().account(), now);
+      drop(w.request().id());
+      RefusalReason reason = limited ? RefusalReason.ACCOUNT_LIMIT : RefusalReason.DEADLINE;
+      decisions.add(refuse(w.request(), reason));
     }
+    preemptor.forget(now);
     decisions.addAll(dispatch());
     return decisions;
   }
@@ -226,7 +301,10 @@
    * @return decisions that follow
    */
   public List<Decision> load(ServerId server, LoadReport report) {
-    reports.put(server, report);
+    ServerState s = pool.get(server);
+    if (s != null) {
+      s.reported(report, clock.nanos());
+    }
     return dispatch();
   }
 
@@ -237,7 +315,7 @@
    * @return decisions that follow
    */
   public List<Decision> setLimits(Map<AccountId, AccountLimits> parts) {
-    limits = Map.copyOf(parts);
+    limiter.setParts(parts, clock.nanos());
     return dispatch();
   }
 
@@ -249,61 +327,79 @@
    * @return decisions that follow
    */
   public List<Decision> firstToken(RequestId id, long millis) {
-    if (running.containsKey(id)) {
-      firstTokens.put(id, millis);
+    RunningLease r = running.get(id);
+    if (r != null) {
+      observations.firstToken(r, millis, clock.nanos());
     }
     return dispatch();
   }
 
-  /**
-   * Returns what other shards need to know of this one.
-   *
-   * @return the load now
-   */
-  public ShardSummary summary() {
-    int free = 0;
-    for (BackendServer s : servers.values()) {
-      free += s.leaving() ? 0 : Math.max(0, s.slots() - used.getOrDefault(s.id(), 0));
-    }
-    TreeMap<Integer, Integer> waiting = new TreeMap<>();
-    Map<AccountId, Integer> demand = new TreeMap<>();
-    queue.forEach((place, w) -> waiting.merge(place.rank(), 1, Integer::sum));
-    queue.values().forEach(w -> demand.merge(w.request().account(), 1, Integer::sum));
-    running.values().forEach(r -> demand.merge(r.account(), 1, Integer::sum));
-    return new ShardSummary(shard, free, waiting, new TreeMap<>(), demand);
-  }
-
   private static Decision refuse(SlotRequest request, RefusalReason reason) {
     return new Decision.Refusal(request.id(), reason, RETRY_AFTER_MILLIS);
   }
 
   private List<Decision> dispatch() {
     List<Decision> decisions = new ArrayList<>();
-    while (granting && !queue.isEmpty()) {
-      BackendServer server = freest();
-      if (server == null) {
-        break;
-      }
-      SlotRequest r = queue.pollFirstEntry().getValue().request();
-      places.remove(r.id());
-      long lease = ++leases;
-      occupy(r.id(), new Running(server.id(), r.serviceClass(), r.account(), lease));
-      decisions.add(new Decision.Grant(r.id(), lease, server.id(), LEASE_START_MILLIS));
+    if (!granting) {
+      return decisions;
+    }
+    long now = clock.nanos();
+    GrantChooser.Choice c = chooser.next(now);
+    while (c != null) {
+      decisions.add(grant(c, now));
+      c = chooser.next(now);
+    }
+    if (options.preemption() && service != null && service.resumable()) {
+      preemptor.pick(now).forEach(r -> decisions.add(new Decision.Preemption(r.request, r.lease)));
     }
     return decisions;
   }
 
-  private @Nullable BackendServer freest() {
-    BackendServer best = null;
-    int bestFree = 0;
-    for (BackendServer s : servers.values()) {
-      int free = s.leaving() ? 0 : s.slots() - used.getOrDefault(s.id(), 0);
-      if (free > bestFree) {
-        best = s;
-        bestFree = free;
-      }
+  private Decision grant(GrantChooser.Choice c, long now) {
+    Waiter w = c.waiter();
+    SlotRequest r = w.request();
+    chooser.granted(c, now);
+    queue.remove(r.id());
+    chooser.left(w);
+    c.server().granted(now);
+    long tokens = estimatedTokens(w);
+    limiter.started(r.account(), tokens, now);
+    long lease = ++leases;
+    boolean mayPreempt = c.background() && !c.owed();
+    running.add(
+        new RunningLease(
+            r.id(),
+            c.server(),
+            w.spec(),
+            r.account(),
+            lease,
+            now,
+            tokens,
+            w.sequence(),
+            c.background()),
+        mayPreempt);
+    return new Decision.Grant(r.id(), lease, c.server().server().id(), LEASE_START_MILLIS);
+  }
+
+  private long estimatedTokens(Waiter w) {
+    SlotRequest r = w.request();
+    return r.estimatedTokens() > 0 ? r.estimatedTokens() : lengths.tokens(w.spec(), r.account());
+  }
+
+  /**
+   * Returns what other shards need to know of this one.
+   *
+   * @return the load now
+   */
+  public ShardSummary summary() {
+    long now = clock.nanos();
+    int free = pool.free(now);
+    TreeMap<Integer, Long> wait = new TreeMap<>();
+    for (ClassSpec c : config.classes().values()) {
+      int rank = c.tier().rank();
+      wait.put(rank, free > 0 ? 0 : (long) admission.predictedWaitMillis(rank, pool.slots()));
     }
-    return best;
+    return new ShardSummary(shard, free, queue.sizeByRank(), wait, limiter.demand());
   }
 
   /**
@@ -330,6 +426,6 @@
    * @return a copy by server
    */
   public Map<ServerId, Integer> leasedByServer() {
-    return new TreeMap<>(used);
+    return pool.used();
   }
 }
