Count only the newest incarnation of an entry VM, and judge no peer after a pause

A replaced entry VM stayed in the view as two members until the old one fell silent, and a woken process took its own absence for its peers' silence and would have taken every role. PauseDetector (1 s, below the 1.5 s suspicion) now makes the live set give connected peers a fresh start. Events after stop no longer throw RejectedExecutionException into transport threads.

--- /dev/null
+++ b/org.wigeonwharf.membership.test/src/test/java/org/wigeonwharf/membership/PauseDetectorTest.java
@@ -0,0 +1,19 @@
+package org.wigeonwharf.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.wigeonwharf.model.Clock;
+
+class PauseDetectorTest {
+  @Property(tries = 300, seed = "31")
+  void gapCountsAsPauseOnceAndOnlyAboveThreshold(
+      @ForAll long start, @ForAll @LongRange(min = 0, max = 3_000) long gapMillis) {
+    PauseDetector detector = new PauseDetector(start);
+    long woken = start + gapMillis * Clock.NANOS_PER_MILLI;
+    assertEquals(gapMillis > 1_000, detector.check(woken));
+    assertEquals(false, detector.check(woken + 20 * Clock.NANOS_PER_MILLI));
+  }
+}
--- a/org.wigeonwharf.membership/src/main/java/org/wigeonwharf/membership/LiveSet.java
+++ b/org.wigeonwharf.membership/src/main/java/org/wigeonwharf/membership/LiveSet.java
@@ -49,13 +49,17 @@
   }
 
   /**
-   * Notes that a peer's connection has opened.
+   * Notes that a peer's connection has opened. An older connection's incarnation of the same entry
+   * VM is dropped at once and stays out, whatever still comes from it.
    *
    * @param peer the peer
    * @param nowNanos the current time
    */
   public void peerUp(Peer peer, long nowNanos) {
-    heard.put(peer.node(), new Heard(peer, nowNanos, false, 0, -1));
+    heard.keySet().removeIf(n -> n.name().equals(peer.node().name()));
+    if (!peer.node().name().equals(self.node().name())) {
+      heard.put(peer.node(), new Heard(peer, nowNanos, false, 0, -1));
+    }
   }
 
   /**
@@ -83,6 +87,16 @@
     }
   }
 
+  /**
+   * Notes that this process did not run for a while: its peers' silence says nothing of them.
+   *
+   * @param nowNanos the current time, from which connected peers may be silent again
+   */
+  public void paused(long nowNanos) {
+    heard.replaceAll(
+        (n, h) -> new Heard(h.peer(), nowNanos, h.leaving(), h.revision(), h.contactAgeMillis()));
+  }
+
   /** Notes that this process is stopping and gives up every scheduler role. */
   public void leave() {
     selfLeaving = true;
--- a/org.wigeonwharf.membership/src/main/java/org/wigeonwharf/membership/MembershipService.java
+++ b/org.wigeonwharf.membership/src/main/java/org/wigeonwharf/membership/MembershipService.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -34,6 +35,7 @@
   private final LongSupplier platformContactAge;
   private final Clock clock;
   private final List<Consumer<MembershipView>> listeners = new CopyOnWriteArrayList<>();
+  private final PauseDetector pauses;
   private final ScheduledExecutorService executor =
       Executors.newSingleThreadScheduledExecutor(r -> daemon(r, "membership"));
   private final ScheduledExecutorService reader =
@@ -64,6 +66,7 @@
     this.configRevision = configRevision;
     this.platformContactAge = platformContactAge;
     this.clock = clock;
+    this.pauses = new PauseDetector(clock.nanos());
     transport.listen(this);
     transport.handle(Topic.MEMBERSHIP, this::received);
   }
@@ -86,7 +89,7 @@
     view = set.view(clock.nanos(), configRevision.getAsLong(), platformContactAge.getAsLong());
     executor.scheduleWithFixedDelay(
         this::sendHeartbeats, 0, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
-    executor.scheduleWithFixedDelay(this::publish, 0, CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    executor.scheduleWithFixedDelay(this::checkSilence, 0, CHECK_MILLIS, TimeUnit.MILLISECONDS);
     reader.scheduleWithFixedDelay(this::readVmList, 0, VM_LIST_MILLIS, TimeUnit.MILLISECONDS);
   }
 
@@ -98,7 +101,7 @@
 
   /** Tells peers at once that this process is stopping and takes no scheduler role any more. */
   public void leave() {
-    executor.execute(
+    run(
         () -> {
           leaving = true;
           set().leave();
@@ -132,7 +135,7 @@
 
   @Override
   public void peerUp(Peer peer) {
-    executor.execute(
+    run(
         () -> {
           logPeer("peer.up", peer);
           set().peerUp(peer, clock.nanos());
@@ -143,7 +146,7 @@
 
   @Override
   public void peerDown(Peer peer) {
-    executor.execute(
+    run(
         () -> {
           logPeer("peer.down", peer);
           set().peerDown(peer);
@@ -167,7 +170,7 @@
     MembershipMessage message = MembershipMessage.parseFrom(body);
     if (message.hasHeartbeat()) {
       Heartbeat h = message.getHeartbeat();
-      executor.execute(() -> heard(from, h));
+      run(() -> heard(from, h));
     }
   }
 
@@ -201,6 +204,31 @@
     transport.send(peer.node(), Topic.MEMBERSHIP, body);
   }
 
+  private void run(Runnable task) {
+    try {
+      executor.execute(
+          () -> {
+            checkPause();
+            task.run();
+          });
+    } catch (RejectedExecutionException e) {
+      LOG.atDebug().addKeyValue("event", "membership.stopped").log("event after stop");
+    }
+  }
+
+  private void checkPause() {
+    LiveSet s = liveSet;
+    if (pauses.check(clock.nanos()) && s != null) {
+      LOG.atWarn().addKeyValue("event", "membership.paused").log("process was paused");
+      s.paused(clock.nanos());
+    }
+  }
+
+  private void checkSilence() {
+    checkPause();
+    publish();
+  }
+
   private void publish() {
     MembershipView next =
         set().view(clock.nanos(), configRevision.getAsLong(), platformContactAge.getAsLong());
@@ -222,7 +250,7 @@
   private void readVmList() {
     try {
       List<EntryVm> vms = vmListSource.read();
-      executor.execute(
+      run(
           () -> {
             set().vmList(vms);
             transport.connectTo(set().addresses());
--- /dev/null
+++ b/org.wigeonwharf.schedule.test/src/test/java/org/wigeonwharf/schedule/internal/SchedulerHostTest.java
@@ -0,0 +1,62 @@
+package org.wigeonwharf.schedule.internal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+class SchedulerHostTest {
+  private final SimulatedFleet fleet = new SimulatedFleet(5);
+
+  @Test
+  void pausedProcessHasNoRoleUntilItsViewHasCaughtUp() {
+    SimulatedRouter r = fleet.start("vm0", true);
+    fleet.runFor(1_000);
+    r.host.paused();
+    r.publish();
+    assertTrue(r.host.schedulers().isEmpty());
+    fleet.runFor(250);
+    assertTrue(r.host.schedulers().isEmpty());
+    fleet.runFor(100);
+    assertFalse(r.host.schedulers().isEmpty());
+  }
+
+  @Test
+  void newSchedulerWaitsForSilentRouterOnlyForSettleTime() {
+    SimulatedRouter a = fleet.start("vm0", true);
+    SimulatedRouter b = fleet.start("vm1", true);
+    fleet.runFor(1_000);
+    final int roles = a.host.schedulers().size();
+    assertTrue(roles > 0);
+    fleet.freeze(b);
+    a.host.paused();
+    SimulatedRouter.Call first = a.acquire(0);
+    SimulatedRouter.Call second = a.acquire(1);
+    fleet.runFor(780);
+    assertEquals(roles, a.host.schedulers().size());
+    assertEquals(0, first.granted + second.granted);
+    fleet.runFor(100);
+    assertEquals(roles, first.granted + second.granted);
+  }
+
+  @Test
+  void leasesOfVanishedRouterStayBusyForOrphanTimeOnly() {
+    SimulatedRouter a = fleet.start("vm0", true);
+    SimulatedRouter b = fleet.start("vm1", true);
+    fleet.runFor(1_000);
+    for (int i = 0; i < 2 * SimulatedFleet.SLOTS; i++) {
+      a.acquire(0);
+      b.acquire(0);
+    }
+    fleet.runFor(20);
+    fleet.kill(a);
+    fleet.runFor(2_000);
+    int busy = b.host.schedulers().values().stream().mapToInt(s -> s.leased()).sum();
+    fleet.runFor(3_000);
+    int after = b.host.schedulers().values().stream().mapToInt(s -> s.leased()).sum();
+    assertTrue(busy >= after);
+    assertEquals(0, after);
+    assertTrue(b.calls.values().stream().allMatch(c -> c.granted == 1));
+  }
+}
