Bound what a stranger and a slow peer can cost, and test the handshake

Before the proof a frame may have 4 KiB instead of 16 MiB and the handshake 2 s instead of forever; a connection with 4 MiB unsent is dropped instead of growing; a hello with the own identity is no peer. Tests in memory with the real pipeline: wrong secret, packet before proof, reflection on the same and on another connection, replay, own identity, timeout in mock time, duplicate links, slow peer; jqwik fuzzes the decoder with strangers' bytes, long frames, damaged frames and frames cut anywhere.

--- /dev/null
+++ b/org.wigeonwharf.peer.test/src/test/java/org/wigeonwharf/peer/internal/PeerEnd.java
@@ -0,0 +1,82 @@
+package org.wigeonwharf.peer.internal;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.util.concurrent.MockTicker;
+import io.netty.util.concurrent.Ticker;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import org.wigeonwharf.model.FailureDomain;
+import org.wigeonwharf.model.NodeId;
+import org.wigeonwharf.peer.FleetSecret;
+import org.wigeonwharf.peer.Peer;
+import org.wigeonwharf.peer.PeerListener;
+import org.wigeonwharf.peer.Topic;
+
+/** One end of a connection in memory, with the real pipeline. */
+final class PeerEnd implements PeerListener {
+  static final String SECRET = "a secret of the fleet";
+
+  final Links links = new Links();
+  final List<Peer> up = new ArrayList<>();
+  final List<Peer> down = new ArrayList<>();
+  final List<String> received = new ArrayList<>();
+  final MockTicker time = Ticker.newMockTicker();
+  final EmbeddedChannel channel;
+
+  PeerEnd(String name, String secret, boolean dialed) {
+    links.listen(this);
+    links.handle(Topic.CONFIG, (from, body) -> received.add(new String(body)));
+    Peer self =
+        new Peer(
+            new NodeId(name, 1), new FailureDomain("d"), new InetSocketAddress("127.0.0.1", 9));
+    FleetSecret fleetSecret = new FleetSecret(secret);
+    ChannelInitializer<Channel> handlers =
+        new ChannelInitializer<>() {
+          @Override
+          protected void initChannel(Channel c) {
+            PeerPipeline.build(c.pipeline(), links, self, fleetSecret, dialed);
+          }
+        };
+    channel = EmbeddedChannel.builder().ticker(time).handlers(handlers).build();
+  }
+
+  /** Takes all bytes written so far. */
+  byte[] written() {
+    ByteBuf all = Unpooled.buffer();
+    for (ByteBuf b = channel.readOutbound(); b != null; b = channel.readOutbound()) {
+      all.writeBytes(b);
+      b.release();
+    }
+    byte[] bytes = new byte[all.readableBytes()];
+    all.readBytes(bytes);
+    return bytes;
+  }
+
+  void read(byte[] bytes) {
+    if (bytes.length > 0 && channel.isActive()) {
+      channel.writeInbound(Unpooled.wrappedBuffer(bytes));
+    }
+  }
+
+  static void exchange(PeerEnd a, PeerEnd b) {
+    for (int i = 0; i < 4; i++) {
+      b.read(a.written());
+      a.read(b.written());
+    }
+  }
+
+  @Override
+  public void peerUp(Peer peer) {
+    up.add(peer);
+  }
+
+  @Override
+  public void peerDown(Peer peer) {
+    down.add(peer);
+  }
+}
--- a/org.wigeonwharf.peer/src/main/java/org/wigeonwharf/peer/internal/Links.java
+++ b/org.wigeonwharf.peer/src/main/java/org/wigeonwharf/peer/internal/Links.java
@@ -13,14 +13,19 @@
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.wigeonwharf.model.NodeId;
 import org.wigeonwharf.peer.Peer;
 import org.wigeonwharf.peer.PeerHandler;
 import org.wigeonwharf.peer.PeerListener;
 import org.wigeonwharf.peer.Topic;
+import org.wigeonwharf.peer.wire.Frame;
 
 /** Links keeps the open connections of each peer, newest first. */
 final class Links {
+  private static final Logger LOG = LoggerFactory.getLogger(Links.class);
+
   private final Map<Topic, PeerHandler> handlers = new EnumMap<>(Topic.class);
   private final List<PeerListener> listeners = new CopyOnWriteArrayList<>();
   private final Map<NodeId, Deque<Channel>> channels = new HashMap<>();
@@ -58,7 +63,28 @@
     listeners.forEach(l -> l.peerDown(peer));
   }
 
-  synchronized @Nullable Channel find(NodeId node) {
+  /**
+   * Sends a frame on a peer's newest connection. A connection with too much unsent is dropped, so
+   * that a slow peer costs no memory; the peer's slices agree again once it has connected anew.
+   */
+  boolean send(NodeId to, Frame frame) {
+    Channel channel = find(to);
+    if (channel == null || !channel.isActive()) {
+      return false;
+    }
+    if (!channel.isWritable()) {
+      LOG.atWarn()
+          .addKeyValue("event", "peer.slow")
+          .addKeyValue("peer", to)
+          .log("connection to slow peer dropped");
+      channel.close();
+      return false;
+    }
+    channel.writeAndFlush(frame);
+    return true;
+  }
+
+  private synchronized @Nullable Channel find(NodeId node) {
     Deque<Channel> open = channels.get(node);
     return open == null ? null : open.peekFirst();
   }
--- a/org.wigeonwharf.peer/src/main/java/org/wigeonwharf/peer/internal/NettyPeerTransport.java
+++ b/org.wigeonwharf.peer/src/main/java/org/wigeonwharf/peer/internal/NettyPeerTransport.java
@@ -10,19 +10,16 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
-import io.netty.handler.codec.LengthFieldPrepender;
-import io.netty.handler.codec.protobuf.ProtobufDecoder;
-import io.netty.handler.codec.protobuf.ProtobufEncoder;
-import io.netty.handler.flush.FlushConsolidationHandler;
 import java.net.InetSocketAddress;
 import java.util.Collection;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -44,11 +41,15 @@
   public static final int MAX_FRAME_BYTES = 16 * 1024 * 1024;
 
   private static final Logger LOG = LoggerFactory.getLogger(NettyPeerTransport.class);
-  private static final int LENGTH_FIELD_BYTES = 4;
+
+  /** Bytes waiting to be sent to one peer beyond which its connection is dropped. */
+  public static final int MAX_UNSENT_BYTES = 4 * 1024 * 1024;
+
   private static final int THREADS = 2;
+  private static final WriteBufferWaterMark UNSENT_LIMIT =
+      new WriteBufferWaterMark(MAX_UNSENT_BYTES / 2, MAX_UNSENT_BYTES);
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
   private static final long REDIAL_MILLIS = 250;
-  private static final int FLUSH_BATCH = 64;
 
   private final NodeId node;
   private final FailureDomain domain;
@@ -58,8 +59,8 @@
   private final Set<InetSocketAddress> wanted = ConcurrentHashMap.newKeySet();
   private final Set<InetSocketAddress> dialing = ConcurrentHashMap.newKeySet();
 
-  private @Nullable EventLoopGroup group;
-  private @Nullable EventLoop selfLoop;
+  private volatile @Nullable EventLoopGroup group;
+  private volatile @Nullable EventLoop selfLoop;
   private volatile @Nullable Peer self;
 
   /**
@@ -107,6 +108,7 @@
             .group(g)
             .channel(NioServerSocketChannel.class)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, UNSENT_LIMIT)
             .childHandler(pipeline(false));
     Channel bound = boot.bind(bindAddress).sync().channel();
     self = new Peer(node, domain, (InetSocketAddress) bound.localAddress());
@@ -136,14 +138,9 @@
     if (to.equals(node)) {
       return sendToSelf(topic, body);
     }
-    Channel channel = links.find(to);
-    if (channel == null || !channel.isActive()) {
-      return false;
-    }
     Packet packet =
         Packet.newBuilder().setTopic(topic.number()).setBody(ByteString.copyFrom(body)).build();
-    channel.writeAndFlush(Frame.newBuilder().setPacket(packet).build());
-    return true;
+    return links.send(to, Frame.newBuilder().setPacket(packet).build());
   }
 
   private boolean sendToSelf(Topic topic, byte[] body) {
@@ -151,8 +148,12 @@
     if (loop == null || loop.isShuttingDown()) {
       return false;
     }
-    loop.execute(() -> dispatchToSelf(topic, body));
-    return true;
+    try {
+      loop.execute(() -> dispatchToSelf(topic, body));
+      return true;
+    } catch (RejectedExecutionException e) {
+      return false;
+    }
   }
 
   private void dispatchToSelf(Topic topic, byte[] body) {
@@ -169,18 +170,23 @@
   }
 
   private void dialMissing() {
+    EventLoopGroup g = group;
+    if (g == null) {
+      return;
+    }
     for (InetSocketAddress address : wanted) {
       if (!links.isConnectedTo(address) && dialing.add(address)) {
-        dial(address);
+        dial(g, address);
       }
     }
   }
 
-  private void dial(InetSocketAddress address) {
+  private void dial(EventLoopGroup g, InetSocketAddress address) {
     new Bootstrap()
-        .group(group)
+        .group(g)
         .channel(NioSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.WRITE_BUFFER_WATER_MARK, UNSENT_LIMIT)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
         .handler(pipeline(true))
         .connect(address)
@@ -199,15 +205,7 @@
     return new ChannelInitializer<>() {
       @Override
       protected void initChannel(SocketChannel ch) {
-        ch.pipeline()
-            .addLast(new FlushConsolidationHandler(FLUSH_BATCH, true))
-            .addLast(
-                new LengthFieldBasedFrameDecoder(
-                    MAX_FRAME_BYTES, 0, LENGTH_FIELD_BYTES, 0, LENGTH_FIELD_BYTES))
-            .addLast(new LengthFieldPrepender(LENGTH_FIELD_BYTES))
-            .addLast(new ProtobufDecoder(Frame.getDefaultInstance()))
-            .addLast(new ProtobufEncoder())
-            .addLast(new PeerChannelHandler(links, self(), secret, dialed));
+        PeerPipeline.build(ch.pipeline(), links, self(), secret, dialed);
       }
     };
   }
--- a/org.wigeonwharf.peer/src/main/java/org/wigeonwharf/peer/internal/PeerChannelHandler.java
+++ b/org.wigeonwharf.peer/src/main/java/org/wigeonwharf/peer/internal/PeerChannelHandler.java
@@ -6,6 +6,8 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -22,6 +24,10 @@
 /** Authenticates one connection, then passes its packets on. */
 final class PeerChannelHandler extends SimpleChannelInboundHandler<Frame> {
   private static final Logger LOG = LoggerFactory.getLogger(PeerChannelHandler.class);
+
+  /** Longest time from a connection's opening to the other side's proof. */
+  static final long HANDSHAKE_TIMEOUT_MILLIS = 2_000;
+
   private static final int NONCE_BYTES = 16;
   private static final byte[] DIALER = {1};
   private static final byte[] ACCEPTOR = {2};
@@ -35,6 +41,7 @@
   private @Nullable Hello ownHello;
   private @Nullable Hello otherHello;
   private @Nullable Peer peer;
+  private @Nullable Future<?> handshakeTimeout;
 
   PeerChannelHandler(Links links, Peer self, FleetSecret secret, boolean dialed) {
     this.links = links;
@@ -57,6 +64,12 @@
             .build();
     ownHello = hello;
     ctx.writeAndFlush(Frame.newBuilder().setHello(hello).build());
+    handshakeTimeout =
+        ctx.executor()
+            .schedule(
+                () -> reject(ctx, "handshake timeout"),
+                HANDSHAKE_TIMEOUT_MILLIS,
+                TimeUnit.MILLISECONDS);
   }
 
   @Override
@@ -100,11 +113,16 @@
       return;
     }
     Peer p = toPeer(otherHello);
-    if (p == null) {
+    if (p == null || p.node().equals(self.node())) {
       reject(ctx, "bad hello");
       return;
     }
     peer = p;
+    cancelTimeout();
+    PeerFrameDecoder decoder = ctx.pipeline().get(PeerFrameDecoder.class);
+    if (decoder != null) {
+      decoder.authenticated();
+    }
     links.opened(p, ctx.channel());
   }
 
@@ -141,8 +159,16 @@
     ctx.close();
   }
 
+  private void cancelTimeout() {
+    Future<?> timeout = handshakeTimeout;
+    if (timeout != null) {
+      timeout.cancel(false);
+    }
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
+    cancelTimeout();
     if (peer != null) {
       links.closed(peer, ctx.channel());
     }
--- /dev/null
+++ b/org.wigeonwharf.peer/src/main/java/org/wigeonwharf/peer/internal/PeerPipeline.java
@@ -0,0 +1,28 @@
+package org.wigeonwharf.peer.internal;
+
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.flush.FlushConsolidationHandler;
+import org.wigeonwharf.peer.FleetSecret;
+import org.wigeonwharf.peer.Peer;
+import org.wigeonwharf.peer.wire.Frame;
+
+/** PeerPipeline puts the handlers of a peer connection together. */
+final class PeerPipeline {
+  private static final int FLUSH_BATCH = 64;
+
+  private PeerPipeline() {}
+
+  static void build(
+      ChannelPipeline pipeline, Links links, Peer self, FleetSecret secret, boolean dialed) {
+    pipeline
+        .addLast(new FlushConsolidationHandler(FLUSH_BATCH, true))
+        .addLast(new PeerFrameDecoder())
+        .addLast(new LengthFieldPrepender(PeerFrameDecoder.LENGTH_FIELD_BYTES))
+        .addLast(new ProtobufDecoder(Frame.getDefaultInstance()))
+        .addLast(new ProtobufEncoder())
+        .addLast(new PeerChannelHandler(links, self, secret, dialed));
+  }
+}
