Try and measure the loss of a scheduler's process

FailoverTrial keeps requests coming through the other routers while the scheduler's process is killed, frozen and woken; FailoverProcessTest expects every later request answered and another scheduler each time.

--- /dev/null
+++ b/org.wigeonwharf.router.test/src/test/java/org/wigeonwharf/router/FailoverProcessTest.java
@@ -0,0 +1,25 @@
+package org.wigeonwharf.router;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.wigeonwharf.standin.fleet.FailoverTrial;
+
+class FailoverProcessTest {
+  private static final Path CONFIG = Path.of("..", "demo", "config");
+
+  @Test
+  void requestsGoOnWhenSchedulersProcessIsKilledFrozenAndWoken() throws Exception {
+    try (FailoverTrial trial = new FailoverTrial(CONFIG)) {
+      String first = trial.scheduler();
+      assertEquals(0, trial.kill().refused());
+      String second = trial.scheduler();
+      assertNotEquals(first, second);
+      assertEquals(0, trial.freeze().refused());
+      assertNotEquals(second, trial.scheduler());
+      assertEquals(0, trial.thaw(second).refused());
+    }
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/fleet/FailoverMain.java
@@ -0,0 +1,63 @@
+package org.wigeonwharf.standin.fleet;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** FailoverMain measures how long callers wait when the scheduler's process is lost. */
+public final class FailoverMain {
+  private static final int ARGUMENTS = 2;
+  private static final int EXIT_USAGE = 2;
+  private static final long FROZEN_MILLIS = 1_000;
+
+  private FailoverMain() {}
+
+  /**
+   * Prints times from the loss to the first answer.
+   *
+   * @param args the operators' folder and the number of fleets to try
+   * @throws Exception if a process can't be started or callers get no answer
+   */
+  public static void main(String[] args) throws Exception {
+    if (args.length != ARGUMENTS) {
+      System.err.println("usage: CONFIG_FOLDER TRIALS");
+      System.exit(EXIT_USAGE);
+    }
+    List<FailoverTrial.Result> killed = new ArrayList<>();
+    List<FailoverTrial.Result> frozen = new ArrayList<>();
+    List<FailoverTrial.Result> woken = new ArrayList<>();
+    for (int i = 0; i < Integer.parseInt(args[1]); i++) {
+      try (FailoverTrial trial = new FailoverTrial(Path.of(args[0]))) {
+        killed.add(trial.kill());
+        TimeUnit.MILLISECONDS.sleep(FROZEN_MILLIS);
+        String scheduler = trial.scheduler();
+        frozen.add(trial.freeze());
+        TimeUnit.MILLISECONDS.sleep(FROZEN_MILLIS);
+        woken.add(trial.thaw(scheduler));
+      }
+    }
+    print("killed", killed);
+    print("frozen", frozen);
+    print("woken", woken);
+    System.exit(0);
+  }
+
+  private static void print(String fault, List<FailoverTrial.Result> results) {
+    List<Long> times =
+        new ArrayList<>(results.stream().map(FailoverTrial.Result::firstAnswerMillis).toList());
+    Collections.sort(times);
+    int answered = results.stream().mapToInt(FailoverTrial.Result::answered).sum();
+    int refused = results.stream().mapToInt(FailoverTrial.Result::refused).sum();
+    System.out.printf(
+        "%-8s first answer min %d ms, median %d ms, max %d ms; %d answered, %d refused; all %s%n",
+        fault,
+        times.get(0),
+        times.get(times.size() / 2),
+        times.get(times.size() - 1),
+        answered,
+        refused,
+        times);
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/fleet/FailoverTrial.java
@@ -0,0 +1,180 @@
+package org.wigeonwharf.standin.fleet;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+
+/** A FailoverTrial takes the scheduler away from a small fleet while requests keep coming. */
+public final class FailoverTrial implements AutoCloseable {
+  private static final String DOMAIN = "hobart-a";
+  private static final String SHARD = "assistant/hobart-a/0";
+  private static final int ROUTERS = 4;
+  private static final int SLOTS = 16;
+  private static final long TOKEN_MILLIS = 2;
+  private static final long REQUEST_GAP_MILLIS = 20;
+  private static final long SETTLE_MILLIS = 1_000;
+  private static final long LONGEST_TRIAL_MILLIS = 20_000;
+  private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(10);
+
+  private final Fleet fleet;
+  private final HttpClient http = HttpClient.newHttpClient();
+  private final ObjectMapper json = new ObjectMapper();
+  private final Set<String> absent = new HashSet<>();
+
+  /**
+   * A Result is what callers saw of one loss of the scheduler.
+   *
+   * @param firstAnswerMillis time from the loss to the first whole answer to a later request
+   * @param answered later requests that were answered
+   * @param refused later requests that got anything but a whole answer
+   */
+  public record Result(long firstAnswerMillis, int answered, int refused) {}
+
+  private record Answer(int status, long atNanos) {}
+
+  /**
+   * Starts four routers of one failure domain and one engine.
+   *
+   * @param config the operators' folder
+   * @throws IOException if something can't be started
+   * @throws InterruptedException if the waiting thread is interrupted
+   */
+  public FailoverTrial(Path config) throws IOException, InterruptedException {
+    fleet = new Fleet(config);
+    fleet.addEngine("assistant", "a1", DOMAIN, SLOTS, TOKEN_MILLIS);
+    for (int i = 0; i < ROUTERS; i++) {
+      fleet.addRouter("vm" + i, DOMAIN);
+    }
+    fleet.publish();
+    fleet.awaitReady();
+    TimeUnit.MILLISECONDS.sleep(SETTLE_MILLIS);
+  }
+
+  /**
+   * Finds the router with the scheduler role of the only model shard.
+   *
+   * @return its name
+   * @throws IOException if no router has the role
+   * @throws InterruptedException if the waiting thread is interrupted
+   */
+  public String scheduler() throws IOException, InterruptedException {
+    for (String name : present()) {
+      JsonNode dump = json.readTree(fleet.get(router(name).operators(), "/dump"));
+      if (dump.path("schedule").path("scheduler_of").has(SHARD)) {
+        return name;
+      }
+    }
+    throw new IOException("no router schedules " + SHARD);
+  }
+
+  private Collection<String> present() {
+    return fleet.routers().keySet().stream().filter(n -> !absent.contains(n)).toList();
+  }
+
+  private Fleet.RouterAddresses router(String name) {
+    Fleet.RouterAddresses r = fleet.routers().get(name);
+    if (r == null) {
+      throw new IllegalArgumentException("no router is named " + name);
+    }
+    return r;
+  }
+
+  /**
+   * Kills the scheduler's process.
+   *
+   * @return what callers of the other routers saw
+   * @throws IOException if no answer comes at all
+   * @throws InterruptedException if the waiting thread is interrupted
+   */
+  public Result kill() throws IOException, InterruptedException {
+    String name = scheduler();
+    absent.add(name);
+    fleet.process(name).kill();
+    return observe();
+  }
+
+  /**
+   * Freezes the scheduler's process.
+   *
+   * @return what callers of the other routers saw
+   * @throws IOException if no answer comes at all
+   * @throws InterruptedException if the waiting thread is interrupted
+   */
+  public Result freeze() throws IOException, InterruptedException {
+    String name = scheduler();
+    absent.add(name);
+    fleet.process(name).freeze();
+    return observe();
+  }
+
+  /**
+   * Lets all frozen processes go on.
+   *
+   * @param name the frozen router
+   * @return what callers saw, those of the woken router included
+   * @throws IOException if no answer comes at all
+   * @throws InterruptedException if the waiting thread is interrupted
+   */
+  public Result thaw(String name) throws IOException, InterruptedException {
+    fleet.process(name).thaw();
+    absent.remove(name);
+    return observe();
+  }
+
+  private Result observe() throws IOException, InterruptedException {
+    final long start = System.nanoTime();
+    ConcurrentLinkedQueue<Answer> answers = new ConcurrentLinkedQueue<>();
+    List<String> names = new ArrayList<>(present());
+    int sent = 0;
+    while (answers.stream().noneMatch(a -> a.status() == 200)) {
+      if (System.nanoTime() - start > TimeUnit.MILLISECONDS.toNanos(LONGEST_TRIAL_MILLIS)) {
+        throw new IOException("no answer after " + sent + " requests: " + answers);
+      }
+      ask(names.get(sent++ % names.size()), answers);
+      TimeUnit.MILLISECONDS.sleep(REQUEST_GAP_MILLIS);
+    }
+    while (answers.size() < sent) {
+      TimeUnit.MILLISECONDS.sleep(REQUEST_GAP_MILLIS);
+    }
+    long first =
+        answers.stream()
+            .filter(a -> a.status() == 200)
+            .mapToLong(a -> a.atNanos() - start)
+            .min()
+            .orElseThrow();
+    int answered = (int) answers.stream().filter(a -> a.status() == 200).count();
+    return new Result(TimeUnit.NANOSECONDS.toMillis(first), answered, sent - answered);
+  }
+
+  private void ask(String router, ConcurrentLinkedQueue<Answer> answers) {
+    HttpRequest request =
+        HttpRequest.newBuilder(Fleet.uri(router(router).callers(), "/v1/chat/completions"))
+            .header("Authorization", "Bearer demo-theatre-royal")
+            .timeout(ANSWER_TIMEOUT)
+            .POST(HttpRequest.BodyPublishers.ofString("{\"max_tokens\":1,\"stream\":false}"))
+            .build();
+    http.sendAsync(request, HttpResponse.BodyHandlers.ofString())
+        .handle((r, e) -> answers.add(new Answer(e == null ? r.statusCode() : -1, now())));
+  }
+
+  private static long now() {
+    return System.nanoTime();
+  }
+
+  @Override
+  public void close() {
+    fleet.close();
+  }
+}
