Judge lowered promises by value, and refuse what a router can't take

Cause: a tier change counted as lowered in both directions, and removed accounts, classes and services, deadlines, spill and leaving servers did not count at all; nothing logged a lowered limit. The checker accepted dates for texts and 999.1.1.1 (a name look-up), adopted a publish without files as an empty configuration, kept the keys of a table that a later file had replaced by a value, and split keys at dots inside quotes.

Lowered promises are now found between two checked configurations, so that defaults and unset limits count as what they are, and each is logged as limit.lowered on adoption. Files are bounded in number and size before they are read; a fault is always one line. The platform client takes answers up to 16 MB instead of Jetty's 2 MB.

--- a/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/ConfigParser.java
+++ b/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/ConfigParser.java
@@ -14,7 +14,6 @@
 import java.util.regex.Pattern;
 import org.jspecify.annotations.Nullable;
 import org.wigeonwharf.model.AccountId;
-import org.wigeonwharf.model.Addresses;
 import org.wigeonwharf.model.ClassId;
 import org.wigeonwharf.model.FailureDomain;
 import org.wigeonwharf.model.ServerId;
@@ -35,6 +34,7 @@
   private static final int MAX_WAITING = 100_000;
   private static final int MAX_SLOTS = 10_000;
   private static final int MAX_RANK = 15;
+  private static final int NO_RANK = -1;
   private static final int MAX_TOKENS = 1_000_000;
   private static final double DEFAULT_SHARE = 0.02;
   private static final double MAX_SHARE_SUM = 0.9;
@@ -46,6 +46,7 @@
 
   private final List<Fault> faults = new ArrayList<>();
   private final Map<String, Tier> tiers = new LinkedHashMap<>();
+  private final Map<Integer, Tier> ranks = new HashMap<>();
   private final Map<ClassId, ClassSpec> classes = new LinkedHashMap<>();
   private final Map<ServiceId, ServiceSpec> services = new LinkedHashMap<>();
   private final Map<AccountId, AccountSpec> accounts = new LinkedHashMap<>();
@@ -59,6 +60,10 @@
    * @return the configuration, or every fault found
    */
   public static Either<List<Fault>, PublishedConfig> parse(List<SettingsFile> files) {
+    List<Fault> faults = FileRules.check(files);
+    if (!faults.isEmpty()) {
+      return Either.left(faults);
+    }
     return MergedSettings.merge(files).flatMap(m -> new ConfigParser().read(m));
   }
 
@@ -77,16 +82,15 @@
   }
 
   private void readTier(String name, SectionReader s) {
-    int rank = s.integer("rank", 0, 0, MAX_RANK);
+    int rank = s.integer("rank", NO_RANK, 0, MAX_RANK);
     if (!s.has("rank")) {
       s.fault("rank", "is required");
     }
-    for (Tier t : tiers.values()) {
-      if (t.rank() == rank) {
-        s.fault("rank", "tier '" + t.name() + "' has the same rank");
-      }
+    Tier same = ranks.putIfAbsent(rank, new Tier(name, Math.max(0, rank)));
+    if (same != null && rank != NO_RANK) {
+      s.fault("rank", "tier '" + same.name() + "' has the same rank");
     }
-    tiers.put(name, new Tier(name, rank));
+    tiers.put(name, new Tier(name, Math.max(0, rank)));
     s.finish();
   }
 
@@ -154,7 +158,7 @@
   }
 
   private static BackendServer readServer(ServiceId service, String name, SectionReader s) {
-    InetSocketAddress address = readAddress(s);
+    InetSocketAddress address = s.address("address", 1);
     String domain = s.requireText("domain");
     String state = s.text("state", SERVER_IN);
     if (!state.equals(SERVER_IN) && !state.equals(SERVER_LEAVING)) {
@@ -172,18 +176,6 @@
     return server;
   }
 
-  private static InetSocketAddress readAddress(SectionReader s) {
-    String text = s.requireText("address");
-    if (!text.isBlank()) {
-      try {
-        return Addresses.parse(text);
-      } catch (IllegalArgumentException e) {
-        s.fault("address", String.valueOf(e.getMessage()));
-      }
-    }
-    return InetSocketAddress.createUnresolved("none", 0);
-  }
-
   private PathRule readPath(String name, SectionReader s) {
     String prefix = s.text("prefix", "/");
     if (!prefix.startsWith("/")) {
--- a/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/DiffCommand.java
+++ b/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/DiffCommand.java
@@ -2,8 +2,10 @@
 
 import io.vavr.control.Either;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import org.jspecify.annotations.Nullable;
 
@@ -57,32 +59,38 @@
     if (before == null || after == null) {
       throw new IllegalStateException("both folders must be set");
     }
-    Either<List<Fault>, MergedSettings> a =
-        new SettingsFolder(before).read().flatMap(MergedSettings::merge);
-    Either<List<Fault>, MergedSettings> b =
-        new SettingsFolder(after).read().flatMap(MergedSettings::merge);
-    return a.flatMap(x -> b.map(y -> compare(x, y)));
+    Path older = before;
+    Path newer = after;
+    return read(older).flatMap(a -> read(newer).map(b -> compare(a, b)));
   }
 
-  /**
-   * Compares two merges.
-   *
-   * @param a the older one
-   * @param b the newer one
-   * @return the changes sorted by key
-   */
-  public static List<Change> compare(MergedSettings a, MergedSettings b) {
-    TreeSet<String> keys = new TreeSet<>(a.keys());
-    keys.addAll(b.keys());
-    List<Change> changes = new ArrayList<>();
+  /** A Side is one folder, merged and checked. */
+  private record Side(MergedSettings merged, PublishedConfig config) {}
+
+  private static Either<List<Fault>, Side> read(Path folder) {
+    return new SettingsFolder(folder)
+        .read()
+        .flatMap(
+            files ->
+                ConfigParser.parse(files)
+                    .flatMap(c -> MergedSettings.merge(files).map(m -> new Side(m, c))));
+  }
+
+  private static List<Change> compare(Side a, Side b) {
+    Map<String, Change> changes = new TreeMap<>();
+    TreeSet<String> keys = new TreeSet<>(a.merged().keys());
+    keys.addAll(b.merged().keys());
     for (String key : keys) {
-      String x = inForce(a, key);
-      String y = inForce(b, key);
-      if (x == null ? y != null : !x.equals(y)) {
-        changes.add(new Change(key, x, y, LoweredPromise.isLowered(key, x, y)));
+      String x = inForce(a.merged(), key);
+      String y = inForce(b.merged(), key);
+      if (!Objects.equals(x, y)) {
+        changes.put(key, new Change(key, x, y, false));
       }
     }
-    return changes;
+    for (LoweredPromise p : PromiseComparison.lowered(a.config(), b.config())) {
+      changes.put(p.key(), new Change(p.key(), p.before(), p.after(), true));
+    }
+    return List.copyOf(changes.values());
   }
 
   private static @Nullable String inForce(MergedSettings settings, String key) {
--- a/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/Fault.java
+++ b/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/Fault.java
@@ -8,6 +8,13 @@
  * @param reason what is wrong, with a hint where there is one
  */
 public record Fault(String file, String place, String reason) {
+  /** Keeps each fault on one line, whatever text of the operators it quotes. */
+  public Fault {
+    file = SettingsKey.escapeControls(file);
+    place = SettingsKey.escapeControls(place);
+    reason = SettingsKey.escapeControls(reason);
+  }
+
   @Override
   public String toString() {
     return file + ":" + place + ": " + reason;
--- /dev/null
+++ b/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/FileRules.java
@@ -0,0 +1,45 @@
+package org.wigeonwharf.config;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** FileRules bound the files of one publish before their content is read. */
+final class FileRules {
+  /** Most files in one publish. */
+  static final int MAX_FILES = 1_000;
+
+  /** Largest publish, all files together: a peer message holds it whole. */
+  static final long MAX_TOTAL_BYTES = 8L * 1024 * 1024;
+
+  private static final String FOLDER = "folder";
+
+  private FileRules() {}
+
+  static List<Fault> check(List<SettingsFile> files) {
+    List<Fault> faults = new ArrayList<>();
+    if (files.isEmpty()) {
+      faults.add(new Fault(FOLDER, "-", "holds no " + SettingsFolder.SUFFIX + " file"));
+    }
+    if (files.size() > MAX_FILES) {
+      faults.add(new Fault(FOLDER, "-", "holds more than " + MAX_FILES + " files"));
+    }
+    long total = 0;
+    Set<String> names = new HashSet<>();
+    for (SettingsFile f : files) {
+      int length = f.bytes().length;
+      total += length;
+      if (length > SettingsFile.MAX_BYTES) {
+        faults.add(new Fault(f.name(), "-", "is larger than " + SettingsFile.MAX_BYTES + " bytes"));
+      }
+      if (!names.add(f.name())) {
+        faults.add(new Fault(f.name(), "-", "is there twice"));
+      }
+    }
+    if (total > MAX_TOTAL_BYTES) {
+      faults.add(new Fault(FOLDER, "-", "is larger than " + MAX_TOTAL_BYTES + " bytes in total"));
+    }
+    return faults;
+  }
+}
--- a/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/MergedSettings.java
+++ b/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/MergedSettings.java
@@ -4,12 +4,16 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.databind.node.POJONode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import com.fasterxml.jackson.dataformat.toml.TomlReadFeature;
 import io.vavr.control.Either;
+import java.time.DateTimeException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * MergedSettings is the deep merge of settings files that remembers which file set each value.
@@ -17,13 +21,11 @@
  * <p>Tables merge by key, every other value is replaced whole, and the later file wins.
  */
 public final class MergedSettings {
-  /** Separates the parts of a key's path. */
-  public static final String SEPARATOR = ".";
-
   /** Stands for the file of a key that no file sets. */
   public static final String NO_FILE = "-";
 
-  private static final TomlMapper TOML = new TomlMapper();
+  private static final TomlMapper TOML =
+      TomlMapper.builder().enable(TomlReadFeature.PARSE_JAVA_TIME).build();
 
   private final ObjectNode root;
   private final Map<String, List<Setting>> history;
@@ -49,22 +51,14 @@
    * Merges files.
    *
    * @param files in merge order
-   * @return the merge, or one fault for each file with a syntax error
+   * @return the merge, or one fault for each file that is empty or has a syntax error
    */
   public static Either<List<Fault>, MergedSettings> merge(List<SettingsFile> files) {
     List<Fault> faults = new ArrayList<>();
     ObjectNode root = JsonNodeFactory.instance.objectNode();
     Map<String, List<Setting>> history = new LinkedHashMap<>();
     for (SettingsFile file : files) {
-      try {
-        JsonNode tree = TOML.readTree(file.text());
-        if (tree instanceof ObjectNode table) {
-          mergeTable(root, table, "", file.name(), history);
-        }
-      } catch (JsonProcessingException e) {
-        int line = e.getLocation() == null ? 1 : e.getLocation().getLineNr();
-        faults.add(new Fault(file.name(), "line " + line, "syntax: " + e.getOriginalMessage()));
-      }
+      read(file, faults).ifPresent(table -> mergeTable(root, table, "", file.name(), history));
     }
     if (!faults.isEmpty()) {
       return Either.left(faults);
@@ -73,6 +67,24 @@
     return Either.right(new MergedSettings(root, history, unsetKeysFile));
   }
 
+  private static Optional<ObjectNode> read(SettingsFile file, List<Fault> faults) {
+    if (file.text().isBlank()) {
+      faults.add(new Fault(file.name(), "line 1", "is empty"));
+      return Optional.empty();
+    }
+    try {
+      return TOML.readTree(file.text()) instanceof ObjectNode table
+          ? Optional.of(table)
+          : Optional.empty();
+    } catch (JsonProcessingException e) {
+      int line = e.getLocation() == null ? 1 : e.getLocation().getLineNr();
+      faults.add(new Fault(file.name(), "line " + line, "syntax: " + e.getOriginalMessage()));
+    } catch (ArithmeticException | DateTimeException | IllegalArgumentException e) {
+      faults.add(new Fault(file.name(), "line 1", "syntax: " + e.getMessage()));
+    }
+    return Optional.empty();
+  }
+
   private static void mergeTable(
       ObjectNode into,
       ObjectNode from,
@@ -80,10 +92,11 @@
       String file,
       Map<String, List<Setting>> history) {
     for (Map.Entry<String, JsonNode> e : from.properties()) {
-      String key = path.isEmpty() ? e.getKey() : path + SEPARATOR + e.getKey();
+      String key = SettingsKey.child(path, e.getKey());
       JsonNode value = e.getValue();
       history.computeIfAbsent(key, k -> new ArrayList<>()).add(new Setting(file, describe(value)));
       if (!(value instanceof ObjectNode table)) {
+        history.keySet().removeIf(k -> SettingsKey.isWithin(k, key));
         into.set(e.getKey(), value);
         continue;
       }
@@ -93,8 +106,25 @@
     }
   }
 
-  private static String describe(JsonNode value) {
-    return value.isObject() ? "(table)" : value.toString();
+  /**
+   * Spells a value for people.
+   *
+   * @param value any value, dates included
+   * @return JSON, with a date as written and a table as a word
+   */
+  static String describe(JsonNode value) {
+    if (value.isObject()) {
+      return "(table)";
+    }
+    if (value instanceof POJONode date) {
+      return String.valueOf(date.getPojo());
+    }
+    if (!value.isArray()) {
+      return value.toString();
+    }
+    List<String> elements = new ArrayList<>();
+    value.forEach(v -> elements.add(describe(v)));
+    return "[" + String.join(",", elements) + "]";
   }
 
   /**
@@ -109,7 +139,7 @@
   /**
    * Returns every file's value for a key.
    *
-   * @param key the path, parts joined by {@link #SEPARATOR}
+   * @param key the path, spelt as {@link SettingsKey} does
    * @return in merge order: the last one is in force; empty for an unset key
    */
   public List<Setting> history(String key) {
@@ -128,8 +158,8 @@
     if (!settings.isEmpty()) {
       return settings.get(settings.size() - 1).file();
     }
-    int dot = key.lastIndexOf(SEPARATOR);
-    return dot < 0 ? unsetKeysFile : fileOf(key.substring(0, dot));
+    String table = SettingsKey.parent(key);
+    return table.isEmpty() ? unsetKeysFile : fileOf(table);
   }
 
   /**
--- a/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/SectionReader.java
+++ b/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/SectionReader.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -13,6 +14,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.jspecify.annotations.Nullable;
+import org.wigeonwharf.model.Addresses;
 
 /**
  * A SectionReader takes typed values out of one settings table and collects every fault.
@@ -23,6 +25,11 @@
 public final class SectionReader {
   private static final Pattern DURATION = Pattern.compile("([0-9]{1,9})(ms|s|m|h)");
   private static final int MAX_HINT_DISTANCE = 3;
+  private static final String OCTET = "(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])";
+  // Nothing else is handed to the JDK, which would ask a name server for what is no literal.
+  private static final Pattern IP_LITERAL =
+      Pattern.compile("(" + OCTET + "(\\." + OCTET + "){3}|\\[[0-9a-fA-F:.]+\\]):[0-9]{1,5}");
+  private static final InetSocketAddress NO_ADDRESS = InetSocketAddress.createUnresolved("none", 0);
 
   private final MergedSettings settings;
   private final ObjectNode table;
@@ -88,8 +95,10 @@
       return result;
     }
     for (Map.Entry<String, JsonNode> e : o.properties()) {
-      String child = fullKey(key) + MergedSettings.SEPARATOR + e.getKey();
-      if (e.getValue() instanceof ObjectNode t && !e.getKey().isBlank()) {
+      String child = SettingsKey.child(fullKey(key), e.getKey());
+      if (e.getKey().chars().anyMatch(Character::isISOControl)) {
+        faults.add(new Fault(settings.fileOf(child), child, "has a control character in its name"));
+      } else if (e.getValue() instanceof ObjectNode t && !e.getKey().isBlank()) {
         result.put(e.getKey(), new SectionReader(settings, t, child, faults));
       } else {
         faults.add(new Fault(settings.fileOf(child), child, "expected a named table"));
@@ -142,12 +151,39 @@
       return absent;
     }
     if (!node.isTextual()) {
-      fault(key, "expected a text in quotes, got " + node);
+      fault(key, "expected a text in quotes, got " + MergedSettings.describe(node));
       return absent;
     }
     return node.textValue();
   }
 
+  /**
+   * Reads an address that must be set.
+   *
+   * @param key the key within this section
+   * @param minPort smallest accepted port: 0 where the system may choose it
+   * @return the address; an unusable one with a fault noted
+   */
+  public InetSocketAddress address(String key, int minPort) {
+    String text = requireText(key);
+    if (text.isBlank()) {
+      return NO_ADDRESS;
+    }
+    try {
+      if (!IP_LITERAL.matcher(text).matches()) {
+        throw new IllegalArgumentException("expected an IP address and a port, got '" + text + "'");
+      }
+      InetSocketAddress a = Addresses.parse(text);
+      if (a.isUnresolved() || a.getPort() < minPort) {
+        throw new IllegalArgumentException("can't be reached at '" + text + "'");
+      }
+      return a;
+    } catch (IllegalArgumentException e) {
+      fault(key, String.valueOf(e.getMessage()));
+      return NO_ADDRESS;
+    }
+  }
+
   /**
    * Reads a truth value.
    *
@@ -161,7 +197,7 @@
       return absent;
     }
     if (!node.isBoolean()) {
-      fault(key, "expected true or false, got " + node);
+      fault(key, "expected true or false, got " + MergedSettings.describe(node));
       return absent;
     }
     return node.booleanValue();
@@ -182,11 +218,18 @@
       return absent;
     }
     if (!node.isIntegralNumber()) {
-      fault(key, "expected a whole number, got " + node);
+      fault(key, "expected a whole number, got " + MergedSettings.describe(node));
       return absent;
     }
     if (!node.canConvertToInt() || node.intValue() < min || node.intValue() > max) {
-      fault(key, "expected a number from " + min + " to " + max + ", got " + node);
+      fault(
+          key,
+          "expected a number from "
+              + min
+              + " to "
+              + max
+              + ", got "
+              + MergedSettings.describe(node));
       return absent;
     }
     return node.intValue();
@@ -207,12 +250,19 @@
       return absent;
     }
     if (!node.isNumber()) {
-      fault(key, "expected a number, got " + node);
+      fault(key, "expected a number, got " + MergedSettings.describe(node));
       return absent;
     }
     double d = node.doubleValue();
     if (!(d >= min && d <= max)) {
-      fault(key, "expected a number from " + min + " to " + max + ", got " + node);
+      fault(
+          key,
+          "expected a number from "
+              + min
+              + " to "
+              + max
+              + ", got "
+              + MergedSettings.describe(node));
       return absent;
     }
     return d;
@@ -233,7 +283,10 @@
     }
     Matcher m = DURATION.matcher(node.isTextual() ? node.textValue() : "");
     if (!m.matches()) {
-      fault(key, "expected a duration like \"780ms\", \"2s\", \"5m\" or \"1h\", got " + node);
+      fault(
+          key,
+          "expected a duration like \"780ms\", \"2s\", \"5m\" or \"1h\", got "
+              + MergedSettings.describe(node));
       return absent;
     }
     Duration d = unit(m.group(2)).multipliedBy(Long.parseLong(m.group(1)));
@@ -266,14 +319,14 @@
       return result;
     }
     if (!node.isArray()) {
-      fault(key, "expected a list of texts, got " + node);
+      fault(key, "expected a list of texts, got " + MergedSettings.describe(node));
       return result;
     }
     for (JsonNode n : node) {
       if (n.isTextual() && !n.textValue().isBlank()) {
         result.add(n.textValue());
       } else {
-        fault(key, "expected a list of texts, found " + n);
+        fault(key, "expected a list of texts, found " + MergedSettings.describe(n));
       }
     }
     return result;
@@ -294,14 +347,21 @@
       return result;
     }
     if (!node.isArray()) {
-      fault(key, "expected a list of numbers, got " + node);
+      fault(key, "expected a list of numbers, got " + MergedSettings.describe(node));
       return result;
     }
     for (JsonNode n : node) {
       if (n.isInt() && n.intValue() >= min && n.intValue() <= max) {
         result.add(n.intValue());
       } else {
-        fault(key, "expected numbers from " + min + " to " + max + ", found " + n);
+        fault(
+            key,
+            "expected numbers from "
+                + min
+                + " to "
+                + max
+                + ", found "
+                + MergedSettings.describe(n));
       }
     }
     return result;
@@ -323,7 +383,7 @@
   }
 
   private String fullKey(String key) {
-    return path.isEmpty() ? key : path + MergedSettings.SEPARATOR + key;
+    return SettingsKey.child(path, key);
   }
 
   private @Nullable String nearest(String key) {
--- a/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/SettingsFolder.java
+++ b/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/SettingsFolder.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
@@ -55,27 +56,45 @@
 
   private List<Path> list(List<Fault> faults) {
     try (Stream<Path> s = Files.list(folder)) {
-      return s.filter(p -> p.getFileName().toString().endsWith(SUFFIX)).sorted().toList();
-    } catch (IOException e) {
-      faults.add(new Fault(folder.toString(), "-", "can't be listed: " + e.getMessage()));
-      return List.of();
+      List<Path> paths =
+          s.filter(p -> p.getFileName().toString().endsWith(SUFFIX))
+              .sorted()
+              .limit(FileRules.MAX_FILES + 1)
+              .toList();
+      if (paths.size() <= FileRules.MAX_FILES) {
+        return paths;
+      }
+      fault(faults, "holds more than " + FileRules.MAX_FILES + " files");
+    } catch (IOException | UncheckedIOException e) {
+      fault(faults, "can't be listed: " + e.getMessage());
     }
+    return List.of();
+  }
+
+  private void fault(List<Fault> faults, String reason) {
+    faults.add(new Fault(folder.toString(), "-", reason));
   }
 
   private static void readFile(Path path, List<SettingsFile> files, List<Fault> faults) {
     String name = path.getFileName().toString();
     try {
-      byte[] bytes = Files.readAllBytes(path);
-      if (bytes.length > SettingsFile.MAX_BYTES) {
+      if (Files.exists(path) && !Files.isRegularFile(path)) {
+        faults.add(new Fault(name, "-", "is not a regular file"));
+        return;
+      }
+      if (Files.size(path) > SettingsFile.MAX_BYTES) {
         faults.add(new Fault(name, "-", "is larger than " + SettingsFile.MAX_BYTES + " bytes"));
         return;
       }
-      String text = StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes)).toString();
-      files.add(new SettingsFile(name, text));
+      files.add(new SettingsFile(name, decode(Files.readAllBytes(path))));
     } catch (CharacterCodingException e) {
       faults.add(new Fault(name, "-", "is not UTF-8"));
     } catch (IOException e) {
       faults.add(new Fault(name, "-", "can't be read: " + e.getMessage()));
     }
   }
+
+  private static String decode(byte[] bytes) throws CharacterCodingException {
+    return StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes)).toString();
+  }
 }
--- a/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/internal/Adopter.java
+++ b/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/internal/Adopter.java
@@ -5,6 +5,8 @@
 import org.slf4j.LoggerFactory;
 import org.wigeonwharf.config.ConfigStore;
 import org.wigeonwharf.config.Fault;
+import org.wigeonwharf.config.LoweredPromise;
+import org.wigeonwharf.config.PromiseComparison;
 import org.wigeonwharf.config.SettingsFile;
 import org.wigeonwharf.config.Snapshot;
 
@@ -34,14 +36,10 @@
    */
   public synchronized ConfigStore.Offer offer(
       long revision, List<SettingsFile> files, String origin) {
+    Snapshot before = store.current();
     ConfigStore.Offer result = store.offer(revision, files);
     switch (result) {
-      case ADOPTED ->
-          LOG.atInfo()
-              .addKeyValue("event", "config.adopted")
-              .addKeyValue("revision", revision)
-              .addKeyValue("origin", origin)
-              .log("configuration in force");
+      case ADOPTED -> logAdoption(before, store.current(), origin);
       case INVALID -> logRefusal(revision, origin);
       case CONFLICT -> conflict(revision, Snapshot.digest(files), origin);
       default ->
@@ -73,6 +71,23 @@
     }
   }
 
+  private static void logAdoption(Snapshot before, Snapshot adopted, String origin) {
+    LOG.atInfo()
+        .addKeyValue("event", "config.adopted")
+        .addKeyValue("revision", adopted.revision())
+        .addKeyValue("origin", origin)
+        .log("configuration in force");
+    for (LoweredPromise p : PromiseComparison.lowered(before.config(), adopted.config())) {
+      LOG.atWarn()
+          .addKeyValue("event", "limit.lowered")
+          .addKeyValue("revision", adopted.revision())
+          .addKeyValue("key", p.key())
+          .addKeyValue("before", p.before())
+          .addKeyValue("after", p.after())
+          .log("a promise falls back");
+    }
+  }
+
   private void logRefusal(long revision, String origin) {
     ConfigStore.Rejection r = store.rejection();
     if (r == null || revision <= loggedRefusal) {
--- a/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/internal/HttpConfigSource.java
+++ b/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/internal/HttpConfigSource.java
@@ -45,7 +45,10 @@
       if (!f.path("name").isTextual() || !f.path("content").isTextual()) {
         throw new IOException("the platform's answer has a broken file");
       }
-      files.add(new SettingsFile(f.get("name").textValue(), f.get("content").textValue()));
+      String name = f.get("name").textValue();
+      if (name.endsWith(SettingsFolder.SUFFIX)) {
+        files.add(new SettingsFile(name, f.get("content").textValue()));
+      }
     }
     files.sort(SettingsFolder.ORDER);
     return new Publish(revision.longValue(), files);
--- a/org.wigeonwharf.platform/src/main/java/org/wigeonwharf/platform/PlatformClient.java
+++ b/org.wigeonwharf.platform/src/main/java/org/wigeonwharf/platform/PlatformClient.java
@@ -8,14 +8,17 @@
 import java.util.Optional;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
+import org.eclipse.jetty.client.CompletableResponseListener;
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.http.HttpStatus;
 import org.wigeonwharf.model.Addresses;
 
 /** A PlatformClient reads JSON documents from one of the platform's services. */
 public final class PlatformClient {
+  private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+
   private final HttpClient client;
   private final InetSocketAddress platform;
   private final ObjectMapper json = new ObjectMapper();
@@ -55,10 +58,14 @@
 
   private ContentResponse send(String uri, Duration timeout)
       throws IOException, InterruptedException {
+    Request request = client.newRequest(uri).timeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
     try {
-      return client.newRequest(uri).timeout(timeout.toMillis(), TimeUnit.MILLISECONDS).send();
-    } catch (ExecutionException | TimeoutException e) {
-      throw new IOException("the platform can't be reached", e);
+      return new CompletableResponseListener(request, MAX_ANSWER_BYTES).send().get();
+    } catch (ExecutionException e) {
+      throw new IOException("the platform can't be reached: " + e.getCause(), e);
+    } catch (InterruptedException e) {
+      request.abort(e);
+      throw e;
     }
   }
 }
--- a/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/RouterSettings.java
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/RouterSettings.java
@@ -12,7 +12,6 @@
 import org.wigeonwharf.config.MergedSettings;
 import org.wigeonwharf.config.SectionReader;
 import org.wigeonwharf.config.SettingsFile;
-import org.wigeonwharf.model.Addresses;
 import org.wigeonwharf.model.FailureDomain;
 import org.wigeonwharf.peer.FleetSecret;
 
@@ -65,13 +64,13 @@
     final String name = root.requireText("name");
     final String domain = root.requireText("failure_domain");
     SectionReader listen = root.section("listen");
-    final InetSocketAddress callers = address(listen, "callers");
-    final InetSocketAddress peers = address(listen, "peers");
-    final InetSocketAddress operators = address(listen, "operators");
+    final InetSocketAddress callers = listen.address("callers", 0);
+    final InetSocketAddress peers = listen.address("peers", 0);
+    final InetSocketAddress operators = listen.address("operators", 0);
     listen.finish();
     SectionReader platform = root.section("platform");
-    final InetSocketAddress config = address(platform, "configuration");
-    final InetSocketAddress vms = address(platform, "vm_list");
+    final InetSocketAddress config = platform.address("configuration", 1);
+    final InetSocketAddress vms = platform.address("vm_list", 1);
     platform.finish();
     FleetSecret secret = secret(root);
     root.finish();
@@ -83,18 +82,6 @@
             name, new FailureDomain(domain), callers, peers, operators, config, vms, secret));
   }
 
-  private static InetSocketAddress address(SectionReader section, String key) {
-    String text = section.requireText(key);
-    try {
-      return Addresses.parse(text);
-    } catch (IllegalArgumentException e) {
-      if (!text.isBlank()) {
-        section.fault(key, String.valueOf(e.getMessage()));
-      }
-      return new InetSocketAddress(0);
-    }
-  }
-
   private static FleetSecret secret(SectionReader root) {
     String text = root.requireText("fleet_secret");
     try {
