--- a/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/PlatformStandIn.java
+++ b/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/PlatformStandIn.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -30,14 +31,21 @@
     /** It answers 503. */
     REFUSING,
     /** It answers bytes that are no JSON. */
-    GARBAGE
+    GARBAGE,
+    /** It answers later than any reader waits. */
+    SLOW,
+    /** It drops every connection that reads the configuration, and answers the VM list. */
+    CONFIG_DOWN
   }
 
   private static final String FILES = "/control/files/";
+  private static final String CONFIG = "/v1/config";
+  private static final long SLOW_MILLIS = 10_000;
 
   private final ObjectMapper json = new ObjectMapper();
   private final Map<String, String> files = new TreeMap<>();
   private final AtomicLong reads = new AtomicLong();
+  private final AtomicLong configReads = new AtomicLong();
   private String vms = "{\"vms\":[]}";
   private long revision;
   private volatile Mode mode = Mode.UP;
@@ -112,8 +120,22 @@
       return;
     }
     reads.incrementAndGet();
+    if (path.equals(CONFIG)) {
+      configReads.incrementAndGet();
+    }
     switch (mode) {
       case DOWN -> drop(request, callback);
+      case SLOW -> {
+        Thread.sleep(SLOW_MILLIS);
+        read(request, response, callback, path);
+      }
+      case CONFIG_DOWN -> {
+        if (path.equals(CONFIG)) {
+          drop(request, callback);
+        } else {
+          read(request, response, callback, path);
+        }
+      }
       case REFUSING -> json(response, callback, 503, "{}");
       case GARBAGE -> json(response, callback, 200, "<html>not here</html>");
       default -> read(request, response, callback, path);
@@ -123,7 +145,7 @@
   private void read(Request request, Response response, Callback callback, String path)
       throws Exception {
     switch (path) {
-      case "/v1/config" -> watch(request, response, callback);
+      case CONFIG -> watch(request, response, callback);
       case "/v1/vms" -> json(response, callback, 200, currentVms());
       default -> json(response, callback, 404, "{}");
     }
@@ -177,11 +199,21 @@
     }
     switch (path) {
       case "/control/vms" -> publishVms(body(request));
+      case "/control/restore" -> restore(number(request, "revision", 0), files(body(request)));
       case "/control/mode" -> setMode(Mode.valueOf(text(request, "mode", "UP")));
       default -> {
         // Fall through to the counters.
       }
     }
-    json(response, callback, 200, "{\"reads\":" + reads.get() + "}");
+    Map<String, Long> counts = Map.of("reads", reads.get(), "config_reads", configReads.get());
+    json(response, callback, 200, json.writeValueAsString(counts));
+  }
+
+  private List<SettingsFile> files(String document) throws JsonProcessingException {
+    List<SettingsFile> all = new ArrayList<>();
+    json.readTree(document)
+        .properties()
+        .forEach(e -> all.add(new SettingsFile(e.getKey(), e.getValue().asText())));
+    return all;
   }
 }
--- a/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/fleet/Fleet.java
+++ b/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/fleet/Fleet.java
@@ -173,7 +173,19 @@
    * @throws InterruptedException if the waiting thread is interrupted
    */
   public void publish() throws IOException, InterruptedException {
-    publishFile(SERVERS_FILE, String.join("\n", serverLines));
+    if (!serverLines.isEmpty()) {
+      publishFile(SERVERS_FILE, String.join("\n", serverLines));
+    }
+    publishVms();
+  }
+
+  /**
+   * Publishes the started routers and nothing else.
+   *
+   * @throws IOException if the platform does not take it
+   * @throws InterruptedException if the waiting thread is interrupted
+   */
+  public void publishVms() throws IOException, InterruptedException {
     List<String> rows = new ArrayList<>();
     routers.forEach(
         (name, a) ->
