--- a/org.wigeonwharf.ctl/src/main/java/org/wigeonwharf/ctl/Report.java
+++ b/org.wigeonwharf.ctl/src/main/java/org/wigeonwharf/ctl/Report.java
@@ -24,20 +24,30 @@
   /** Prints faults and returns the exit code for them. */
   int faults(List<Fault> faults) {
     if (json) {
-      printJson(
-          Map.of(
-              "ok",
-              false,
-              "faults",
-              faults.stream()
-                  .map(f -> Map.of("file", f.file(), "place", f.place(), "reason", f.reason()))
-                  .toList()));
+      printJson(Map.of("ok", false, "faults", rows(faults)));
     } else {
       faults.forEach(f -> err.println(f));
     }
     return Main.EXIT_FAILURE;
   }
 
+  /** Prints what could be found out and what could not; any fault makes the exit code 1. */
+  int partial(List<String> lines, String name, Object value, List<Fault> faults) {
+    if (json) {
+      printJson(Map.of("ok", faults.isEmpty(), name, value, "faults", rows(faults)));
+    } else {
+      lines.forEach(out::println);
+      faults.forEach(f -> err.println(f));
+    }
+    return faults.isEmpty() ? Main.EXIT_OK : Main.EXIT_FAILURE;
+  }
+
+  private static List<Map<String, String>> rows(List<Fault> faults) {
+    return faults.stream()
+        .map(f -> Map.of("file", f.file(), "place", f.place(), "reason", f.reason()))
+        .toList();
+  }
+
   /** Prints a result; the lines are for people, the value for programs. */
   int result(List<String> lines, Object value) {
     if (json) {
--- a/org.wigeonwharf.ctl/src/main/java/org/wigeonwharf/ctl/RouterCommands.java
+++ b/org.wigeonwharf.ctl/src/main/java/org/wigeonwharf/ctl/RouterCommands.java
@@ -38,42 +38,82 @@
           .peekLeft(faults::add)
           .forEach(
               d -> {
-                lines.add(line(a, d));
-                rows.add(row(a, d));
+                Status status = Status.of(a, d);
+                lines.add(status.line());
+                rows.add(status.row());
               });
     }
-    int code = report.result(lines, Map.of("routers", rows));
-    return faults.isEmpty() ? code : report.faults(faults);
+    return report.partial(lines, "routers", rows, faults);
   }
 
-  private static String line(String address, JsonNode d) {
-    JsonNode config = d.path("config");
-    long refused = config.path("refused_revision").asLong();
-    return "%s %s revision %d%s, scheduler of %d shards, %d in flight"
-        .formatted(
-            address,
-            d.path("node").asText(),
-            config.path("revision").asLong(),
-            refused == 0 ? "" : " (refused " + refused + ")",
-            d.path("schedule").path("scheduler_of").size(),
-            d.path("relay").path("in_flight").asLong());
-  }
+  /** A Status is the part of a router's dump that tells how it takes part in the fleet. */
+  private record Status(
+      String address,
+      String node,
+      long revision,
+      long refusedRevision,
+      boolean reader,
+      int schedulerOf,
+      boolean draining,
+      long inFlight) {
+    static Status of(String address, JsonNode d) {
+      JsonNode config = d.path("config");
+      return new Status(
+          address,
+          d.path("node").asText(),
+          config.path("revision").asLong(),
+          config.path("refused_revision").asLong(),
+          config.path("reader").asBoolean(),
+          d.path("schedule").path("scheduler_of").size(),
+          isDraining(d),
+          d.path("relay").path("in_flight").asLong());
+    }
 
-  private static Map<String, Object> row(String address, JsonNode d) {
-    Map<String, Object> row = new LinkedHashMap<>();
-    row.put("address", address);
-    row.put("node", d.path("node").asText());
-    row.put("revision", d.path("config").path("revision").asLong());
-    row.put("refused_revision", d.path("config").path("refused_revision").asLong());
-    row.put("scheduler_of", d.path("schedule").path("scheduler_of").size());
-    row.put("in_flight", d.path("relay").path("in_flight").asLong());
-    return row;
+    private static boolean isDraining(JsonNode d) {
+      for (JsonNode m : d.path("membership")) {
+        if (m.path("node").equals(d.path("node"))) {
+          return m.path("leaving").asBoolean();
+        }
+      }
+      return false;
+    }
+
+    String line() {
+      return "%s %s revision %d%s, %s, scheduler of %d shards, %s, %d in flight"
+          .formatted(
+              address,
+              node,
+              revision,
+              refusedRevision == 0 ? "" : " (refused " + refusedRevision + ")",
+              reader ? "reader" : "follower",
+              schedulerOf,
+              draining ? "draining" : "serving",
+              inFlight);
+    }
+
+    Map<String, Object> row() {
+      Map<String, Object> row = new LinkedHashMap<>();
+      row.put("address", address);
+      row.put("node", node);
+      row.put("revision", revision);
+      row.put("refused_revision", refusedRevision);
+      row.put("reader", reader);
+      row.put("scheduler_of", schedulerOf);
+      row.put("draining", draining);
+      row.put("in_flight", inFlight);
+      return row;
+    }
   }
 
   private static Either<Fault, JsonNode> read(String address) {
     return Try.of(() -> fetch(address))
         .toEither()
-        .mapLeft(t -> new Fault(address, "dump", "can't be read: " + t.getMessage()));
+        .mapLeft(t -> new Fault(address, "dump", "can't be read: " + reason(t)));
+  }
+
+  /** Some network exceptions carry no message: their type is the reason then. */
+  private static String reason(Throwable t) {
+    return t.getMessage() == null ? t.getClass().getSimpleName() : t.getMessage();
   }
 
   private static JsonNode fetch(String address) throws IOException, InterruptedException {
