Run a keyed booking at most once, in the router that issued its key

A caller whose unrepeatable request got no answer had no safe retry: the second arrival was a second booking. POST /v1/idempotency-keys (or the 428 answer to Wigeonwharf-Require-Key: true) now issues a key bound to the client account and to one process incarnation, signed with the fleet secret. That process alone executes the request and keeps its end; a retry at another router is passed on to it, and when it is gone, cut off or silent for 2 s the answer is 503 may-have-run. Retries during the run wait for the first run's end; later ones get a copy of it.

A key that ended not-run stays ended, and the answer brings a fresh key. Letting the same key run again was tried and ruled out: an arrival still under way, given up by its caller, then runs after the caller was told not-run (arrivalStillUnderWayDoesNotRunAfterAnotherWasToldNotRun, and the property finds it too).

Failing first: routers that execute whatever arrives book twice (routersThatExecuteWhateverArrivesAreFoundOut).

--- a/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/RelayHeaders.java
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/RelayHeaders.java
@@ -23,5 +23,8 @@
   /** Request: a key issued by a router, for safe retries of unrepeatable work. */
   public static final String IDEMPOTENCY_KEY = "Idempotency-Key";
 
+  /** Request: {@code true} refuses unrepeatable work without a key, and asks for one. */
+  public static final String REQUIRE_KEY = "Wigeonwharf-Require-Key";
+
   private RelayHeaders() {}
 }
--- a/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/RelayService.java
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/RelayService.java
@@ -13,7 +13,12 @@
 import org.wigeonwharf.model.FailureDomain;
 import org.wigeonwharf.model.Lifecycle;
 import org.wigeonwharf.model.NodeId;
+import org.wigeonwharf.peer.FleetSecret;
+import org.wigeonwharf.peer.PeerTransport;
+import org.wigeonwharf.relay.internal.KeyedExecution;
 import org.wigeonwharf.relay.internal.RelayHandler;
+import org.wigeonwharf.relay.internal.RequestIds;
+import org.wigeonwharf.relay.keys.KeyService;
 import org.wigeonwharf.schedule.SlotSource;
 
 /** A RelayService listens for callers and relays their requests to backend servers. */
@@ -33,6 +38,7 @@
   private final Server server = new Server(new QueuedThreadPool(THREADS));
   private final ServerConnector connector;
   private final RelayHandler handler;
+  private final KeyService keys;
 
   /**
    * Creates a service that is not yet bound.
@@ -43,6 +49,8 @@
    * @param store the configuration in force
    * @param slots where leases come from
    * @param clock the process's clock
+   * @param transport connections to peers; not yet started
+   * @param secret signs idempotency keys
    */
   public RelayService(
       NodeId self,
@@ -50,9 +58,14 @@
       InetSocketAddress bindAddress,
       ConfigStore store,
       SlotSource slots,
-      Clock clock) {
+      Clock clock,
+      PeerTransport transport,
+      FleetSecret secret) {
     this.bindAddress = bindAddress;
-    this.handler = new RelayHandler(self, domain, store, slots, client, clock, MAX_BODY_BYTES);
+    RequestIds ids = new RequestIds(self);
+    KeyedExecution execution = new KeyedExecution(domain, store, slots, client, clock, ids);
+    this.keys = new KeyService(self, secret, transport, clock, execution);
+    this.handler = new RelayHandler(ids, domain, store, slots, client, clock, MAX_BODY_BYTES, keys);
     HttpConfiguration http = new HttpConfiguration();
     http.setSendServerVersion(false);
     http.setRequestHeaderSize(MAX_HEAD_BYTES);
@@ -67,6 +80,7 @@
     client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_SERVER);
     client.setUserAgentField(null);
     client.start();
+    keys.start();
     client.getProtocolHandlers().clear();
     client.getContentDecoderFactories().clear();
     connector.setHost(bindAddress.getAddress().getHostAddress());
@@ -102,6 +116,12 @@
    */
   public void drain() throws InterruptedException {
     connector.shutdown();
+    awaitIdle();
+    keys.drain();
+    awaitIdle();
+  }
+
+  private void awaitIdle() throws InterruptedException {
     while (inFlight() > 0) {
       Thread.sleep(DRAIN_POLL_MILLIS);
     }
@@ -112,6 +132,7 @@
     try {
       server.stop();
       client.stop();
+      keys.stop();
     } catch (Exception e) {
       throw new IllegalStateException("the relay did not stop cleanly", e);
     }
--- a/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/CallerExchange.java
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/CallerExchange.java
@@ -7,10 +7,12 @@
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
+import org.jspecify.annotations.Nullable;
 import org.wigeonwharf.model.RequestId;
 import org.wigeonwharf.model.Verdict;
 import org.wigeonwharf.relay.Problem;
 import org.wigeonwharf.relay.RelayHeaders;
+import org.wigeonwharf.relay.keys.IdempotencyKey;
 
 /**
  * A CallerExchange is the caller's side of one request: its HTTP request, response and callback.
@@ -64,8 +66,25 @@
     response.getHeaders().put(RelayHeaders.VERDICT, Verdict.RAN.wireName());
   }
 
-  /** Answers with a problem; only possible while nothing was sent. */
+  /**
+   * Answers with a problem; only possible while nothing was sent.
+   *
+   * <p>A request with a key may have run in an earlier arrival that only the key's issuer knows of.
+   */
   void problem(Problem p) {
+    String key = request.getHeaders().get(RelayHeaders.IDEMPOTENCY_KEY);
+    boolean keyed = key != null && IdempotencyKey.parse(key).isRight();
+    Verdict v = keyed && p.verdict() == Verdict.NOT_RUN ? Verdict.MAY_HAVE_RUN : p.verdict();
+    Problem said = new Problem(p.status(), p.reason(), p.detail(), v, p.retryAfterMillis());
+    write(said, null, callback);
+  }
+
+  /** Answers with the issuer's word on a keyed request, and a fresh key if there is one. */
+  void keyedProblem(Problem p, @Nullable String freshKey, Callback whenWritten) {
+    write(p, freshKey, whenWritten);
+  }
+
+  private void write(Problem p, @Nullable String freshKey, Callback whenWritten) {
     response.reset();
     response.setStatus(p.status());
     response.getHeaders().put(HttpHeader.CONTENT_TYPE, Problem.MEDIA_TYPE);
@@ -75,6 +94,9 @@
       long seconds = (p.retryAfterMillis() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
       response.getHeaders().put(HttpHeader.RETRY_AFTER, Long.toString(seconds));
     }
-    response.write(true, ByteBuffer.wrap(p.toJson(id.toString())), callback);
+    if (freshKey != null) {
+      response.getHeaders().put(RelayHeaders.IDEMPOTENCY_KEY, freshKey);
+    }
+    response.write(true, ByteBuffer.wrap(p.toJson(id.toString())), whenWritten);
   }
 }
--- /dev/null
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/KeyedRelay.java
@@ -0,0 +1,147 @@
+package org.wigeonwharf.relay.internal;
+
+import com.google.protobuf.ByteString;
+import io.vavr.control.Either;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.util.Callback;
+import org.jspecify.annotations.Nullable;
+import org.wigeonwharf.config.AccountSpec;
+import org.wigeonwharf.model.AccountId;
+import org.wigeonwharf.model.Verdict;
+import org.wigeonwharf.relay.CallerAuthenticator;
+import org.wigeonwharf.relay.Problem;
+import org.wigeonwharf.relay.RelayHeaders;
+import org.wigeonwharf.relay.RequestTraits;
+import org.wigeonwharf.relay.keys.HeaderLine;
+import org.wigeonwharf.relay.keys.IdempotencyKey;
+import org.wigeonwharf.relay.keys.KeyService;
+import org.wigeonwharf.relay.keys.KeyedAnswer;
+import org.wigeonwharf.relay.keys.KeyedRequest;
+
+/** A KeyedRelay is the callers' side of idempotency keys: it issues them and takes them in. */
+final class KeyedRelay {
+  private static final String KEYS_PATH = "/v1/idempotency-keys";
+  private static final int CREATED = 201;
+  private static final int METHOD_NOT_ALLOWED = 405;
+  private static final int PRECONDITION_REQUIRED = 428;
+
+  private final KeyService keys;
+
+  KeyedRelay(KeyService keys) {
+    this.keys = keys;
+  }
+
+  static boolean isKeysPath(String path) {
+    return path.equals(KEYS_PATH);
+  }
+
+  /** Answers a request for a fresh key. */
+  void issue(CallerExchange caller, CallerAuthenticator authenticator) {
+    if (!caller.request().getMethod().equals("POST")) {
+      caller.problem(
+          Problem.badRequest(METHOD_NOT_ALLOWED, "method", "Idempotency keys take POST."));
+      return;
+    }
+    String authorization = caller.request().getHeaders().get(HttpHeader.AUTHORIZATION);
+    authenticator
+        .authenticate(authorization)
+        .ifPresentOrElse(
+            a -> issue(caller, a),
+            () ->
+                caller.problem(
+                    Problem.badRequest(
+                        401, "unauthenticated", "The bearer token is missing or unknown.")));
+  }
+
+  private void issue(CallerExchange caller, AccountSpec account) {
+    String key = keys.issue(account.id()).toText();
+    caller.response().setStatus(CREATED);
+    caller.response().getHeaders().put(RelayHeaders.IDEMPOTENCY_KEY, key);
+    caller.response().getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
+    byte[] body = ("{\"key\":\"" + key + "\"}").getBytes(StandardCharsets.UTF_8);
+    caller.response().write(true, ByteBuffer.wrap(body), caller.callback());
+  }
+
+  /**
+   * Takes an unrepeatable request that has a key, or wants one.
+   *
+   * @return false if the request is to be relayed without a key, in one attempt at most
+   */
+  boolean take(CallerExchange caller, RequestTraits traits, byte[] body, Runnable whenDone) {
+    HttpFields headers = caller.request().getHeaders();
+    String text = headers.get(RelayHeaders.IDEMPOTENCY_KEY);
+    if (text != null) {
+      IdempotencyKey.parse(text)
+          .peekLeft(p -> end(caller, traits.account().id(), p, whenDone))
+          .peek(k -> start(caller, traits, k, body, whenDone));
+      return true;
+    }
+    if (Boolean.parseBoolean(headers.get(RelayHeaders.REQUIRE_KEY))) {
+      end(caller, traits.account().id(), keyRequired(), whenDone);
+      return true;
+    }
+    return false;
+  }
+
+  private static Problem keyRequired() {
+    return Problem.badRequest(
+        PRECONDITION_REQUIRED,
+        "key-required",
+        "Send the request again with the key in the " + RelayHeaders.IDEMPOTENCY_KEY + " header.");
+  }
+
+  private void start(
+      CallerExchange caller,
+      RequestTraits traits,
+      IdempotencyKey key,
+      byte[] body,
+      Runnable whenDone) {
+    KeyedRequest request =
+        new KeyedRequest(
+            key,
+            traits.account().id(),
+            traits.service().id(),
+            traits.serviceClass().id(),
+            caller.request().getMethod(),
+            traits.backendPath(),
+            forwardedHeaders(caller.request().getHeaders()),
+            ByteString.copyFrom(body));
+    keys.arrived(request, end -> ended(caller, traits, end, whenDone));
+  }
+
+  private static List<HeaderLine> forwardedHeaders(HttpFields fields) {
+    return fields.stream()
+        .filter(f -> !HopByHop.contains(f) && f.getHeader() != HttpHeader.AUTHORIZATION)
+        .filter(f -> !f.getName().equalsIgnoreCase(RelayHeaders.IDEMPOTENCY_KEY))
+        .map(f -> new HeaderLine(f.getName(), String.valueOf(f.getValue())))
+        .toList();
+  }
+
+  private void ended(
+      CallerExchange caller,
+      RequestTraits traits,
+      Either<Problem, KeyedAnswer> end,
+      Runnable whenDone) {
+    if (end.isLeft()) {
+      end(caller, traits.account().id(), end.getLeft(), whenDone);
+      return;
+    }
+    KeyedAnswer answer = end.get();
+    HttpFields.Mutable fields = HttpFields.build();
+    answer.headers().forEach(h -> fields.add(h.name(), h.value()));
+    fields.put(HttpHeader.CONTENT_LENGTH, answer.body().size());
+    caller.head(answer.status(), fields, traits.serviceClass().id().value(), answer.server());
+    Callback written = Callback.from(caller.callback(), whenDone);
+    caller.response().write(true, answer.body().asReadOnlyByteBuffer(), written);
+  }
+
+  /** Answers with a problem; where nothing ran, with a fresh key for the next try. */
+  private void end(CallerExchange caller, AccountId account, Problem p, Runnable whenDone) {
+    @Nullable String fresh = p.verdict() == Verdict.NOT_RUN ? keys.issue(account).toText() : null;
+    caller.keyedProblem(p, fresh, Callback.from(caller.callback(), whenDone));
+  }
+}
--- a/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/RelayHandler.java
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/RelayHandler.java
@@ -19,29 +19,29 @@
 import org.wigeonwharf.config.Snapshot;
 import org.wigeonwharf.model.Clock;
 import org.wigeonwharf.model.FailureDomain;
-import org.wigeonwharf.model.NodeId;
 import org.wigeonwharf.model.RefusalReason;
-import org.wigeonwharf.model.RequestId;
 import org.wigeonwharf.model.ServiceId;
 import org.wigeonwharf.model.ShardId;
 import org.wigeonwharf.model.Verdict;
+import org.wigeonwharf.relay.CallerAuthenticator;
 import org.wigeonwharf.relay.Problem;
 import org.wigeonwharf.relay.RelayHeaders;
 import org.wigeonwharf.relay.RequestClassifier;
 import org.wigeonwharf.relay.RequestTraits;
+import org.wigeonwharf.relay.keys.KeyService;
 import org.wigeonwharf.schedule.ShardMap;
 import org.wigeonwharf.schedule.SlotSource;
 
 /** A RelayHandler takes callers' requests in, checks them and starts their relay. */
 public final class RelayHandler extends Handler.Abstract {
-  private final NodeId self;
+  private final RequestIds ids;
   private final FailureDomain domain;
   private final ConfigStore store;
   private final SlotSource slots;
   private final HttpClient client;
   private final Clock clock;
   private final int maxBodyBytes;
-  private final AtomicLong sequence = new AtomicLong();
+  private final KeyedRelay keyed;
   private final AtomicLong inFlight = new AtomicLong();
   private volatile Routes routes = new Routes(Snapshot.NONE);
 
@@ -49,12 +49,14 @@
   private static final class Routes {
     final Snapshot snapshot;
     final RequestClassifier classifier;
+    final CallerAuthenticator authenticator;
     final ShardMap shards;
 
     Routes(Snapshot snapshot) {
       PublishedConfig config = snapshot.config();
       this.snapshot = snapshot;
       this.classifier = new RequestClassifier(config);
+      this.authenticator = new CallerAuthenticator(config);
       this.shards = ShardMap.of(config);
     }
   }
@@ -62,29 +64,32 @@
   /**
    * Creates a handler that follows the configuration.
    *
-   * @param self the own process
+   * @param ids numbers the requests
    * @param domain the own failure domain
    * @param store the configuration in force
    * @param slots where leases come from
    * @param client a started client for backend servers, owned by the caller
    * @param clock the process's clock
    * @param maxBodyBytes longest request body accepted
+   * @param keys decides about keyed requests
    */
   public RelayHandler(
-      NodeId self,
+      RequestIds ids,
       FailureDomain domain,
       ConfigStore store,
       SlotSource slots,
       HttpClient client,
       Clock clock,
-      int maxBodyBytes) {
-    this.self = self;
+      int maxBodyBytes,
+      KeyService keys) {
+    this.ids = ids;
     this.domain = domain;
     this.store = store;
     this.slots = slots;
     this.client = client;
     this.clock = clock;
     this.maxBodyBytes = maxBodyBytes;
+    this.keyed = new KeyedRelay(keys);
   }
 
   /**
@@ -98,9 +103,12 @@
 
   @Override
   public boolean handle(Request request, Response response, Callback callback) {
-    RequestId id = new RequestId(self, sequence.incrementAndGet());
-    CallerExchange caller = new CallerExchange(request, response, callback, id);
+    CallerExchange caller = new CallerExchange(request, response, callback, ids.next());
     Routes r = currentRoutes();
+    if (KeyedRelay.isKeysPath(Request.getPathInContext(request))) {
+      keyed.issue(caller, r.authenticator);
+      return true;
+    }
     Either<Problem, RequestTraits> traits = r.classifier.classify(head(request));
     if (traits.isLeft()) {
       caller.problem(traits.getLeft());
@@ -160,6 +168,9 @@
       caller.callback().failed(failure == null ? new EOFException("no body") : failure);
       return;
     }
+    if (!traits.repeatable() && keyed.take(caller, traits, body, inFlight::decrementAndGet)) {
+      return;
+    }
     ShardId shard = chooseShard(r.shards, traits.service().id(), caller.id().sequence());
     if (shard == null) {
       inFlight.decrementAndGet();
--- /dev/null
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/keys/EndListener.java
@@ -0,0 +1,15 @@
+package org.wigeonwharf.relay.keys;
+
+import io.vavr.control.Either;
+import org.wigeonwharf.relay.Problem;
+
+/** An EndListener hears the one end of a keyed request's arrival. */
+@FunctionalInterface
+public interface EndListener {
+  /**
+   * The arrival has ended.
+   *
+   * @param end the backend server's whole answer, or the problem to answer with
+   */
+  void ended(Either<Problem, KeyedAnswer> end);
+}
--- /dev/null
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/keys/ForwardedRequests.java
@@ -0,0 +1,102 @@
+package org.wigeonwharf.relay.keys;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+import org.jspecify.annotations.Nullable;
+import org.wigeonwharf.model.Clock;
+import org.wigeonwharf.model.NodeId;
+import org.wigeonwharf.relay.wire.EndMessage;
+import org.wigeonwharf.relay.wire.StillRunningMessage;
+
+/**
+ * ForwardedRequests are the keyed requests that this router passed on to the issuers of their keys.
+ *
+ * <p>Each is passed on once and never executed here. When the issuer can't be reached, falls silent
+ * or goes away, the answer is that the request may have run; what the issuer says later is ignored.
+ */
+final class ForwardedRequests {
+  /** Longest silence of an issuer before it counts as cut off, in milliseconds. */
+  static final long MAX_SILENCE_MILLIS = 2_000;
+
+  /** Most requests passed on and not ended. */
+  static final int MAX_PENDING = 10_000;
+
+  private final Clock clock;
+  private final RelaySender sender;
+  private final Map<Long, Pending> pending = new HashMap<>();
+  private long lastNumber;
+
+  /** One request that waits for its issuer. */
+  private static final class Pending {
+    final NodeId issuer;
+    final EndListener listener;
+    long heardAtNanos;
+
+    Pending(NodeId issuer, EndListener listener, long nowNanos) {
+      this.issuer = issuer;
+      this.listener = listener;
+      this.heardAtNanos = nowNanos;
+    }
+  }
+
+  ForwardedRequests(Clock clock, RelaySender sender) {
+    this.clock = clock;
+    this.sender = sender;
+  }
+
+  void forward(KeyedRequest request, EndListener listener) {
+    NodeId issuer = request.key().issuer();
+    long number = ++lastNumber;
+    if (pending.size() >= MAX_PENDING
+        || !sender.send(issuer, RelayCodec.forward(number, request))) {
+      listener.ended(Either.left(KeyProblems.issuerUnreachable()));
+      return;
+    }
+    pending.put(number, new Pending(issuer, listener, clock.nanos()));
+  }
+
+  void ended(NodeId from, EndMessage message) {
+    if (find(from, message.getNumber()) != null) {
+      Pending p = pending.remove(message.getNumber());
+      p.listener.ended(RelayCodec.readEnd(message));
+    }
+  }
+
+  void stillRunning(NodeId from, StillRunningMessage message) {
+    for (long number : message.getNumbersList()) {
+      Pending p = find(from, number);
+      if (p != null) {
+        p.heardAtNanos = clock.nanos();
+      }
+    }
+  }
+
+  private @Nullable Pending find(NodeId from, long number) {
+    Pending p = pending.get(number);
+    return p != null && p.issuer.equals(from) ? p : null;
+  }
+
+  void peerDown(NodeId peer) {
+    giveUp(p -> p.issuer.equals(peer));
+  }
+
+  void tick() {
+    long silentSince = clock.nanos() - MAX_SILENCE_MILLIS * Clock.NANOS_PER_MILLI;
+    giveUp(p -> p.heardAtNanos - silentSince <= 0);
+  }
+
+  private void giveUp(Predicate<Pending> lost) {
+    List<Pending> ended = new ArrayList<>(pending.values());
+    ended.removeIf(lost.negate());
+    pending.values().removeAll(ended);
+    ended.forEach(p -> p.listener.ended(Either.left(KeyProblems.issuerUnreachable())));
+  }
+
+  int size() {
+    return pending.size();
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/keys/KeyService.java
@@ -0,0 +1,162 @@
+package org.wigeonwharf.relay.keys;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.vavr.control.Either;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.wigeonwharf.model.AccountId;
+import org.wigeonwharf.model.Clock;
+import org.wigeonwharf.model.Lifecycle;
+import org.wigeonwharf.model.NodeId;
+import org.wigeonwharf.peer.FleetSecret;
+import org.wigeonwharf.peer.Peer;
+import org.wigeonwharf.peer.PeerListener;
+import org.wigeonwharf.peer.PeerTransport;
+import org.wigeonwharf.peer.Topic;
+import org.wigeonwharf.relay.wire.RelayMessage;
+
+/** A KeyService runs a router's decisions about keyed requests on one thread. */
+public final class KeyService implements Lifecycle {
+  private static final Logger LOG = LoggerFactory.getLogger(KeyService.class);
+  private static final long TICK_MILLIS = 250;
+  private static final long STOP_POLL_MILLIS = 20;
+
+  private final PeerTransport transport;
+  private final KeyIssuer issuer;
+  private final KeyedRequests requests;
+  private final AtomicInteger unfinished = new AtomicInteger();
+  private final ScheduledExecutorService thread =
+      Executors.newSingleThreadScheduledExecutor(
+          r -> {
+            Thread t = new Thread(r, "keys");
+            t.setDaemon(true);
+            return t;
+          });
+
+  /**
+   * Creates a service; the transport must not have started yet.
+   *
+   * @param self the own process
+   * @param secret signs the keys
+   * @param transport connections to peers
+   * @param clock the process's clock
+   * @param executor executes requests with own keys
+   */
+  public KeyService(
+      NodeId self,
+      FleetSecret secret,
+      PeerTransport transport,
+      Clock clock,
+      KeyedExecutor executor) {
+    this.transport = transport;
+    this.issuer = new KeyIssuer(self, secret, clock);
+    this.requests =
+        new KeyedRequests(
+            issuer, KeyLimits.STANDARD, clock, this::send, (r, l) -> execute(executor, r, l));
+    transport.handle(Topic.RELAY, this::received);
+    transport.listen(new Connections());
+  }
+
+  /** Passes the loss of peers on. */
+  private final class Connections implements PeerListener {
+    @Override
+    public void peerUp(Peer peer) {}
+
+    @Override
+    public void peerDown(Peer peer) {
+      run(() -> requests.peerDown(peer.node()));
+    }
+  }
+
+  private boolean send(NodeId to, RelayMessage message) {
+    return transport.send(to, Topic.RELAY, message.toByteArray());
+  }
+
+  private void received(Peer from, byte[] body) throws InvalidProtocolBufferException {
+    RelayMessage message = RelayMessage.parseFrom(body);
+    run(() -> requests.received(from.node(), message));
+  }
+
+  private void execute(KeyedExecutor executor, KeyedRequest request, EndListener listener) {
+    unfinished.incrementAndGet();
+    executor.execute(
+        request,
+        end -> {
+          run(() -> listener.ended(end));
+          run(unfinished::decrementAndGet);
+        });
+  }
+
+  private void run(Runnable task) {
+    try {
+      thread.execute(() -> guarded(task));
+    } catch (RejectedExecutionException e) {
+      LOG.atDebug().addKeyValue("event", "keys.stopped").log("event after stop");
+    }
+  }
+
+  private static void guarded(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException e) {
+      LOG.atError().setCause(e).addKeyValue("event", "keys.failed").log("event failed");
+    }
+  }
+
+  /**
+   * Issues a key.
+   *
+   * @param account the only client account that may use it
+   * @return a fresh key
+   */
+  public IdempotencyKey issue(AccountId account) {
+    return issuer.issue(account);
+  }
+
+  /**
+   * Takes a keyed request from a caller of this router.
+   *
+   * @param request the request
+   * @param listener hears its end, on the service's thread; must not block
+   */
+  public void arrived(KeyedRequest request, EndListener listener) {
+    try {
+      thread.execute(() -> guarded(() -> requests.arrived(request, listener)));
+    } catch (RejectedExecutionException e) {
+      listener.ended(Either.left(KeyProblems.issuerUnreachable()));
+    }
+  }
+
+  @Override
+  public void start() {
+    thread.scheduleWithFixedDelay(
+        () -> guarded(requests::tick), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /**
+   * Starts no execution any more and waits until those under way have ended and were told.
+   *
+   * @throws InterruptedException if the waiting thread is interrupted
+   */
+  public void drain() throws InterruptedException {
+    try {
+      thread.submit(requests::stopExecuting).get();
+    } catch (ExecutionException e) {
+      throw new IllegalStateException("the key table can't be closed", e);
+    }
+    while (unfinished.get() > 0) {
+      TimeUnit.MILLISECONDS.sleep(STOP_POLL_MILLIS);
+    }
+  }
+
+  @Override
+  public void stop() {
+    thread.shutdownNow();
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/keys/KeyedAnswer.java
@@ -0,0 +1,17 @@
+package org.wigeonwharf.relay.keys;
+
+import com.google.protobuf.ByteString;
+import java.util.List;
+
+/**
+ * A KeyedAnswer is a backend server's whole answer to a keyed request.
+ *
+ * @param status the HTTP status
+ * @param headers the end-to-end header fields, without the length
+ * @param body the whole body
+ * @param server the name of the backend server that answered
+ */
+public record KeyedAnswer(int status, List<HeaderLine> headers, ByteString body, String server) {
+  /** Longest answer that a keyed request may have, in bytes. */
+  public static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
+}
--- /dev/null
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/keys/RelayCodec.java
@@ -0,0 +1,133 @@
+package org.wigeonwharf.relay.keys;
+
+import com.google.protobuf.ByteString;
+import io.vavr.control.Either;
+import java.util.Collection;
+import java.util.List;
+import org.wigeonwharf.model.AccountId;
+import org.wigeonwharf.model.ClassId;
+import org.wigeonwharf.model.ServiceId;
+import org.wigeonwharf.model.Verdict;
+import org.wigeonwharf.relay.Problem;
+import org.wigeonwharf.relay.wire.AnswerMessage;
+import org.wigeonwharf.relay.wire.EndMessage;
+import org.wigeonwharf.relay.wire.ForwardMessage;
+import org.wigeonwharf.relay.wire.HeaderLineMessage;
+import org.wigeonwharf.relay.wire.ProblemMessage;
+import org.wigeonwharf.relay.wire.RelayMessage;
+import org.wigeonwharf.relay.wire.StillRunningMessage;
+
+/** A RelayCodec converts the slice's values to and from their messages. */
+final class RelayCodec {
+  private RelayCodec() {}
+
+  static RelayMessage forward(long number, KeyedRequest r) {
+    return RelayMessage.newBuilder()
+        .setForward(
+            ForwardMessage.newBuilder()
+                .setNumber(number)
+                .setKey(r.key().toText())
+                .setAccount(r.account().value())
+                .setService(r.service().value())
+                .setServiceClass(r.serviceClass().value())
+                .setMethod(r.method())
+                .setPath(r.path())
+                .addAllHeaders(toWire(r.headers()))
+                .setBody(r.body()))
+        .build();
+  }
+
+  /** Reads a forwarded request; a text that is no key, or a blank name, is a problem. */
+  static Either<Problem, KeyedRequest> request(ForwardMessage m) {
+    return IdempotencyKey.parse(m.getKey()).flatMap(key -> request(key, m));
+  }
+
+  private static Either<Problem, KeyedRequest> request(IdempotencyKey key, ForwardMessage m) {
+    if (m.getAccount().isBlank() || m.getService().isBlank() || m.getServiceClass().isBlank()) {
+      return Either.left(Problem.badRequest(400, "forward-malformed", "A name is missing."));
+    }
+    return Either.right(
+        new KeyedRequest(
+            key,
+            new AccountId(m.getAccount()),
+            new ServiceId(m.getService()),
+            new ClassId(m.getServiceClass()),
+            m.getMethod(),
+            m.getPath(),
+            fromWire(m.getHeadersList()),
+            m.getBody()));
+  }
+
+  static RelayMessage end(long number, Either<Problem, KeyedAnswer> end) {
+    EndMessage.Builder b = EndMessage.newBuilder().setNumber(number);
+    end.peek(a -> b.setAnswer(answer(a))).peekLeft(p -> b.setProblem(problem(p)));
+    return RelayMessage.newBuilder().setEnd(b).build();
+  }
+
+  private static AnswerMessage answer(KeyedAnswer a) {
+    return AnswerMessage.newBuilder()
+        .setStatus(a.status())
+        .addAllHeaders(toWire(a.headers()))
+        .setBody(a.body())
+        .setServer(a.server())
+        .build();
+  }
+
+  private static ProblemMessage problem(Problem p) {
+    return ProblemMessage.newBuilder()
+        .setStatus(p.status())
+        .setReason(p.reason())
+        .setDetail(p.detail())
+        .setVerdict(p.verdict().wireName())
+        .setRetryAfterMillis(p.retryAfterMillis())
+        .build();
+  }
+
+  /** Reads an end; one of an unknown kind tells only that the request may have run. */
+  static Either<Problem, KeyedAnswer> readEnd(EndMessage m) {
+    if (m.hasAnswer()) {
+      AnswerMessage a = m.getAnswer();
+      ByteString body = a.getBody();
+      return Either.right(
+          new KeyedAnswer(a.getStatus(), fromWire(a.getHeadersList()), body, a.getServer()));
+    }
+    if (!m.hasProblem()) {
+      return Either.left(KeyProblems.issuerUnreachable());
+    }
+    ProblemMessage p = m.getProblem();
+    return Either.left(
+        new Problem(
+            p.getStatus(),
+            p.getReason(),
+            p.getDetail(),
+            verdict(p.getVerdict()),
+            p.getRetryAfterMillis()));
+  }
+
+  private static Verdict verdict(String wireName) {
+    for (Verdict v : Verdict.values()) {
+      if (v.wireName().equals(wireName)) {
+        return v;
+      }
+    }
+    return Verdict.MAY_HAVE_RUN;
+  }
+
+  static RelayMessage stillRunning(Collection<Long> numbers) {
+    return RelayMessage.newBuilder()
+        .setStillRunning(StillRunningMessage.newBuilder().addAllNumbers(numbers))
+        .build();
+  }
+
+  private static List<HeaderLineMessage> toWire(List<HeaderLine> lines) {
+    return lines.stream().map(RelayCodec::toWire).toList();
+  }
+
+  private static HeaderLineMessage toWire(HeaderLine line) {
+    return HeaderLineMessage.newBuilder().setName(line.name()).setValue(line.value()).build();
+  }
+
+  private static List<HeaderLine> fromWire(List<HeaderLineMessage> lines) {
+    return lines.stream().map(l -> new HeaderLine(l.getName(), l.getValue())).toList();
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.router.test/src/test/java/org/wigeonwharf/router/BookingFleet.java
@@ -0,0 +1,115 @@
+package org.wigeonwharf.router;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.wigeonwharf.standin.fleet.Fleet;
+import org.wigeonwharf.standin.fleet.FleetProcess;
+
+/** Two routers and a booking service as processes; the service's record of actions is the judge. */
+final class BookingFleet implements AutoCloseable {
+  static final String KEY = "Idempotency-Key";
+  static final String VERDICT = "Wigeonwharf-Verdict";
+  private static final String HOBART = "hobart-a";
+  private static final String TOKEN = "demo-theatre-royal";
+  private static final String BOOKINGS = "/v1/services/booking/bookings";
+  private static final long ACTION_SECONDS = 20;
+  private static final long POLL_MILLIS = 20;
+
+  private final Fleet fleet;
+  private final InetSocketAddress booking;
+  private final HttpClient http = HttpClient.newHttpClient();
+
+  BookingFleet() throws IOException, InterruptedException {
+    fleet = new Fleet(Path.of("..", "demo", "config"));
+    booking = fleet.addBooking("booking", "b1", HOBART);
+    fleet.addRouter("vm1", HOBART);
+    fleet.addRouter("vm2", HOBART);
+    fleet.publish();
+    fleet.awaitReady();
+  }
+
+  FleetProcess router(String name) {
+    return fleet.process(name);
+  }
+
+  void bookingIsSlow(long millis) throws IOException, InterruptedException {
+    fleet.post(booking, "/control/delay?ms=" + millis, "");
+  }
+
+  void bookingActsAndCuts(boolean on) throws IOException, InterruptedException {
+    fleet.post(booking, "/control/cut?on=" + on, "");
+  }
+
+  int actions() throws IOException, InterruptedException {
+    return new ObjectMapper().readTree(fleet.get(booking, "/control/actions")).size();
+  }
+
+  void awaitFirstAction() throws IOException, InterruptedException {
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(ACTION_SECONDS);
+    while (actions() == 0) {
+      if (System.nanoTime() > end) {
+        throw new IOException("no booking was made");
+      }
+      TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+    }
+  }
+
+  String issueAt(String router) throws IOException, InterruptedException {
+    HttpRequest request =
+        request(router, "/v1/idempotency-keys").POST(HttpRequest.BodyPublishers.noBody()).build();
+    return http.send(request, HttpResponse.BodyHandlers.ofString())
+        .headers()
+        .firstValue(KEY)
+        .orElseThrow(() -> new IOException("no key was issued"));
+  }
+
+  HttpResponse<String> book(String router, String key) throws IOException, InterruptedException {
+    return http.send(booking(router, key), HttpResponse.BodyHandlers.ofString());
+  }
+
+  CompletableFuture<HttpResponse<String>> startBooking(String router, String key) {
+    return http.sendAsync(booking(router, key), HttpResponse.BodyHandlers.ofString());
+  }
+
+  HttpResponse<String> bookWithoutKeyThoughRequired(String router)
+      throws IOException, InterruptedException {
+    HttpRequest request =
+        request(router, BOOKINGS)
+            .header("Wigeonwharf-Require-Key", "true")
+            .POST(HttpRequest.BodyPublishers.ofString("{\"slot\":\"nine\"}"))
+            .build();
+    return http.send(request, HttpResponse.BodyHandlers.ofString());
+  }
+
+  private HttpRequest booking(String router, String key) {
+    return request(router, BOOKINGS)
+        .header(KEY, key)
+        .POST(HttpRequest.BodyPublishers.ofString("{\"slot\":\"nine\"}"))
+        .build();
+  }
+
+  private HttpRequest.Builder request(String router, String path) {
+    Fleet.RouterAddresses a = fleet.routers().get(router);
+    if (a == null) {
+      throw new IllegalArgumentException("no router is named " + router);
+    }
+    return HttpRequest.newBuilder(Fleet.uri(a.callers(), path))
+        .header("Authorization", "Bearer " + TOKEN);
+  }
+
+  static String verdict(HttpResponse<String> answer) {
+    return answer.headers().firstValue(VERDICT).orElse("none");
+  }
+
+  @Override
+  public void close() {
+    fleet.close();
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.router.test/src/test/java/org/wigeonwharf/router/KeyedBookingProcessTest.java
@@ -0,0 +1,85 @@
+package org.wigeonwharf.router;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.net.http.HttpResponse;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class KeyedBookingProcessTest {
+  private static final long SLOW_MILLIS = 6_000;
+  private static final long ANSWER_SECONDS = 30;
+
+  private BookingFleet fleet;
+
+  @BeforeEach
+  void start() throws Exception {
+    fleet = new BookingFleet();
+  }
+
+  @AfterEach
+  void stop() {
+    fleet.close();
+  }
+
+  @Test
+  void retryAtAnotherRouterGetsTheFirstAnswerAndBooksOnce() throws Exception {
+    String key =
+        fleet
+            .bookWithoutKeyThoughRequired("vm1")
+            .headers()
+            .firstValue("Idempotency-Key")
+            .orElseThrow();
+    HttpResponse<String> first = fleet.book("vm1", key);
+    HttpResponse<String> retry = fleet.book("vm2", key);
+    assertEquals(201, first.statusCode(), first.body());
+    assertEquals(201, retry.statusCode(), retry.body());
+    assertEquals(first.body(), retry.body());
+    assertEquals("ran", BookingFleet.verdict(retry));
+    assertEquals(1, fleet.actions());
+  }
+
+  @Test
+  void keyOfRouterKilledMidBookingIsNeverRunAgain() throws Exception {
+    String key = fleet.issueAt("vm1");
+    fleet.bookingIsSlow(SLOW_MILLIS);
+    CompletableFuture<HttpResponse<String>> waiting = fleet.startBooking("vm2", key);
+    fleet.awaitFirstAction();
+    fleet.router("vm1").kill();
+    assertMayHaveRun(waiting.get(ANSWER_SECONDS, TimeUnit.SECONDS));
+    assertMayHaveRun(fleet.book("vm2", key));
+    assertEquals(1, fleet.actions());
+  }
+
+  @Test
+  void frozenIssuerIsNotReplacedAndAnswersOnceItWakes() throws Exception {
+    String key = fleet.issueAt("vm1");
+    fleet.router("vm1").freeze();
+    HttpResponse<String> whileFrozen = fleet.book("vm2", key);
+    assertMayHaveRun(whileFrozen);
+    assertEquals(0, fleet.actions());
+    fleet.router("vm1").thaw();
+    fleet.awaitFirstAction();
+    HttpResponse<String> retry = fleet.book("vm1", key);
+    assertEquals(201, retry.statusCode(), retry.body());
+    assertEquals(1, fleet.actions());
+  }
+
+  @Test
+  void bookingWhoseAnswerWasCutIsNotRepeated() throws Exception {
+    String key = fleet.issueAt("vm1");
+    fleet.bookingActsAndCuts(true);
+    assertEquals("may-have-run", BookingFleet.verdict(fleet.book("vm1", key)));
+    fleet.bookingActsAndCuts(false);
+    assertEquals("may-have-run", BookingFleet.verdict(fleet.book("vm2", key)));
+    assertEquals(1, fleet.actions());
+  }
+
+  private static void assertMayHaveRun(HttpResponse<String> answer) {
+    assertEquals(503, answer.statusCode(), answer.body());
+    assertEquals("may-have-run", BookingFleet.verdict(answer));
+  }
+}
--- a/org.wigeonwharf.router/src/gen/java/org/wigeonwharf/router/DaggerRouterComponent.java
+++ b/org.wigeonwharf.router/src/gen/java/org/wigeonwharf/router/DaggerRouterComponent.java
@@ -105,7 +105,7 @@
       this.vmListSourceProvider = DoubleCheck.provider(RouterModule_VmListSourceFactory.create(settingsProvider, platformHttpProvider));
       this.membershipProvider = DoubleCheck.provider(RouterModule_MembershipFactory.create(transportProvider, vmListSourceProvider, configStoreProvider, configServiceProvider, clockProvider));
       this.scheduleProvider = DoubleCheck.provider(RouterModule_ScheduleFactory.create(nodeIdProvider, transportProvider, membershipProvider, configStoreProvider, clockProvider));
-      this.relayProvider = DoubleCheck.provider(RouterModule_RelayFactory.create(settingsProvider, nodeIdProvider, configStoreProvider, scheduleProvider, clockProvider));
+      this.relayProvider = DoubleCheck.provider(RouterModule_RelayFactory.create(settingsProvider, nodeIdProvider, configStoreProvider, scheduleProvider, clockProvider, transportProvider));
       this.stateDumpProvider = DoubleCheck.provider(RouterModule_StateDumpFactory.create(nodeIdProvider, settingsProvider, configStoreProvider, configServiceProvider, membershipProvider, scheduleProvider, relayProvider));
       this.metricsProvider = DoubleCheck.provider(RouterModule_MetricsFactory.create());
       this.operatorProvider = DoubleCheck.provider(RouterModule_OperatorFactory.create(settingsProvider, stateDumpProvider, metricsProvider));
--- a/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/RouterModule.java
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/RouterModule.java
@@ -117,9 +117,17 @@
       NodeId self,
       ConfigStore store,
       ScheduleService schedule,
-      Clock clock) {
+      Clock clock,
+      PeerTransport transport) {
     return new RelayService(
-        self, settings.domain(), settings.callerAddress(), store, schedule, clock);
+        self,
+        settings.domain(),
+        settings.callerAddress(),
+        store,
+        schedule,
+        clock,
+        transport,
+        settings.secret());
   }
 
   @Provides
--- a/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/fleet/DemoSteps.java
+++ b/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/fleet/DemoSteps.java
@@ -15,6 +15,8 @@
 final class DemoSteps {
   private static final String CHAT = "/v1/chat/completions";
   private static final String BOOKINGS = "/v1/services/booking/bookings";
+  private static final String KEYS = "/v1/idempotency-keys";
+  private static final String KEY = "Idempotency-Key";
   private static final String CREW_TOKEN = "demo-theatre-royal";
   private static final String VERDICT = "wigeonwharf-verdict";
   private static final String DONE = "data: [DONE]";
@@ -39,6 +41,7 @@
     step(out, "whole report", whole, 200, "ran", whole.body().contains("t19"));
     HttpResponse<String> booked = book("stage left, 9:00");
     step(out, "booking", booked, 201, "ran", actions().size() == 1);
+    retryBooking(out);
     HttpResponse<String> refused = chat("vm1", 1, true, "swatch-label-bulk");
     step(out, "refused call", refused, 400, "not-run", true);
     raiseLimit(out);
@@ -102,6 +105,31 @@
     return http.send(request, HttpResponse.BodyHandlers.ofString());
   }
 
+  private void retryBooking(PrintStream out) throws Exception {
+    int before = actions().size();
+    String key = post("vm1", KEYS, "").headers().firstValue(KEY).orElse("none");
+    HttpResponse<String> first = bookWithKey("vm1", key);
+    HttpResponse<String> retry = bookWithKey("vm2", key);
+    boolean same = first.statusCode() == 201 && first.body().equals(retry.body());
+    boolean once = actions().size() == before + 1;
+    step(out, "booking retried with its key", retry, 201, "ran", same && once);
+  }
+
+  private HttpResponse<String> post(String router, String path, String body)
+      throws IOException, InterruptedException {
+    HttpRequest request = request(Fleet.uri(demo.callers(router), path), body).build();
+    return http.send(request, HttpResponse.BodyHandlers.ofString());
+  }
+
+  private HttpResponse<String> bookWithKey(String router, String key)
+      throws IOException, InterruptedException {
+    HttpRequest request =
+        request(Fleet.uri(demo.callers(router), BOOKINGS), "{\"slot\":\"fly floor, 10:00\"}")
+            .header(KEY, key)
+            .build();
+    return http.send(request, HttpResponse.BodyHandlers.ofString());
+  }
+
   private static HttpRequest.Builder request(URI uri, String body) {
     return HttpRequest.newBuilder(uri)
         .header("Authorization", "Bearer " + CREW_TOKEN)
