--- /dev/null
+++ b/org.wigeonwharf.relay.test/src/test/java/org/wigeonwharf/relay/NoPeers.java
@@ -0,0 +1,44 @@
+package org.wigeonwharf.relay;
+
+import java.net.InetSocketAddress;
+import java.util.Collection;
+import java.util.List;
+import org.wigeonwharf.model.NodeId;
+import org.wigeonwharf.peer.Peer;
+import org.wigeonwharf.peer.PeerHandler;
+import org.wigeonwharf.peer.PeerListener;
+import org.wigeonwharf.peer.PeerTransport;
+import org.wigeonwharf.peer.Topic;
+
+/** The transport of a router that is alone. */
+final class NoPeers implements PeerTransport {
+  @Override
+  public Peer self() {
+    throw new IllegalStateException("there are no peers");
+  }
+
+  @Override
+  public void handle(Topic topic, PeerHandler handler) {}
+
+  @Override
+  public void listen(PeerListener listener) {}
+
+  @Override
+  public void connectTo(Collection<InetSocketAddress> addresses) {}
+
+  @Override
+  public boolean send(NodeId to, Topic topic, byte[] body) {
+    return false;
+  }
+
+  @Override
+  public Collection<Peer> peers() {
+    return List.of();
+  }
+
+  @Override
+  public void start() {}
+
+  @Override
+  public void stop() {}
+}
--- a/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/CallerExchange.java
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/CallerExchange.java
@@ -49,10 +49,11 @@
   }
 
   /** Copies an answer's head, without the fields that belong to the backend connection. */
-  void head(int status, HttpFields fields, String serviceClass, String server) {
+  void head(int status, HttpFields fields, String serviceClass, String server, Verdict verdict) {
+    response.reset();
     response.setStatus(status);
     for (HttpField f : fields) {
-      if (!HopByHop.contains(f)) {
+      if (!HopByHop.contains(f) && !HopByHop.isListed(f, fields)) {
         response.getHeaders().add(f);
       }
     }
@@ -63,7 +64,7 @@
     response.getHeaders().put(RelayHeaders.REQUEST_ID, id.toString());
     response.getHeaders().put(RelayHeaders.SERVICE_CLASS, serviceClass);
     response.getHeaders().put(RelayHeaders.SERVER, server);
-    response.getHeaders().put(RelayHeaders.VERDICT, Verdict.RAN.wireName());
+    response.getHeaders().put(RelayHeaders.VERDICT, verdict.wireName());
   }
 
   /**
@@ -76,15 +77,15 @@
     boolean keyed = key != null && IdempotencyKey.parse(key).isRight();
     Verdict v = keyed && p.verdict() == Verdict.NOT_RUN ? Verdict.MAY_HAVE_RUN : p.verdict();
     Problem said = new Problem(p.status(), p.reason(), p.detail(), v, p.retryAfterMillis());
-    write(said, null, callback);
+    write(said, null);
   }
 
   /** Answers with the issuer's word on a keyed request, and a fresh key if there is one. */
-  void keyedProblem(Problem p, @Nullable String freshKey, Callback whenWritten) {
-    write(p, freshKey, whenWritten);
+  void keyedProblem(Problem p, @Nullable String freshKey) {
+    write(p, freshKey);
   }
 
-  private void write(Problem p, @Nullable String freshKey, Callback whenWritten) {
+  private void write(Problem p, @Nullable String freshKey) {
     response.reset();
     response.setStatus(p.status());
     response.getHeaders().put(HttpHeader.CONTENT_TYPE, Problem.MEDIA_TYPE);
@@ -97,6 +98,6 @@
     if (freshKey != null) {
       response.getHeaders().put(RelayHeaders.IDEMPOTENCY_KEY, freshKey);
     }
-    response.write(true, ByteBuffer.wrap(p.toJson(id.toString())), whenWritten);
+    response.write(true, ByteBuffer.wrap(p.toJson(id.toString())), callback);
   }
 }
--- a/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/KeyedExecution.java
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/KeyedExecution.java
@@ -4,14 +4,12 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Predicate;
-import org.eclipse.jetty.client.HttpClient;
 import org.wigeonwharf.config.AccountSpec;
 import org.wigeonwharf.config.ClassSpec;
 import org.wigeonwharf.config.ConfigStore;
 import org.wigeonwharf.config.PublishedConfig;
 import org.wigeonwharf.config.ServiceSpec;
 import org.wigeonwharf.config.Snapshot;
-import org.wigeonwharf.model.Clock;
 import org.wigeonwharf.model.FailureDomain;
 import org.wigeonwharf.model.RefusalReason;
 import org.wigeonwharf.model.RequestId;
@@ -24,7 +22,6 @@
 import org.wigeonwharf.relay.keys.KeyedExecutor;
 import org.wigeonwharf.relay.keys.KeyedRequest;
 import org.wigeonwharf.schedule.ShardMap;
-import org.wigeonwharf.schedule.SlotSource;
 
 /**
  * A KeyedExecution runs the requests whose keys this process issued, whether their callers are here
@@ -33,9 +30,7 @@
 public final class KeyedExecution implements KeyedExecutor {
   private final FailureDomain domain;
   private final ConfigStore store;
-  private final SlotSource slots;
-  private final HttpClient client;
-  private final Clock clock;
+  private final RelayContext context;
   private final RequestIds ids;
 
   /**
@@ -43,23 +38,14 @@
    *
    * @param domain the own failure domain
    * @param store the configuration in force
-   * @param slots where leases come from
-   * @param client a client for backend servers, owned by the caller
-   * @param clock the process's clock
+   * @param context what all requests share
    * @param ids numbers the requests
    */
   public KeyedExecution(
-      FailureDomain domain,
-      ConfigStore store,
-      SlotSource slots,
-      HttpClient client,
-      Clock clock,
-      RequestIds ids) {
+      FailureDomain domain, ConfigStore store, RelayContext context, RequestIds ids) {
     this.domain = domain;
     this.store = store;
-    this.slots = slots;
-    this.client = client;
-    this.clock = clock;
+    this.context = context;
     this.ids = ids;
   }
 
@@ -74,7 +60,7 @@
       listener.ended(Either.left(Problem.refused(reason, Verdict.NOT_RUN, 0)));
       return;
     }
-    new KeyedRun(id, request, traits.get(), slots, client, clock, listener)
+    new KeyedRun(id, request, traits.get(), context, listener)
         .start(shard.get(), snapshot.revision());
   }
 
--- a/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/KeyedRelay.java
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/KeyedRelay.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
-import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
 import org.wigeonwharf.config.AccountSpec;
 import org.wigeonwharf.model.AccountId;
@@ -71,17 +70,17 @@
    *
    * @return false if the request is to be relayed without a key, in one attempt at most
    */
-  boolean take(CallerExchange caller, RequestTraits traits, byte[] body, Runnable whenDone) {
+  boolean take(CallerExchange caller, RequestTraits traits, byte[] body) {
     HttpFields headers = caller.request().getHeaders();
     String text = headers.get(RelayHeaders.IDEMPOTENCY_KEY);
     if (text != null) {
       IdempotencyKey.parse(text)
-          .peekLeft(p -> end(caller, traits.account().id(), p, whenDone))
-          .peek(k -> start(caller, traits, k, body, whenDone));
+          .peekLeft(p -> end(caller, traits.account().id(), p))
+          .peek(k -> start(caller, traits, k, body));
       return true;
     }
     if (Boolean.parseBoolean(headers.get(RelayHeaders.REQUIRE_KEY))) {
-      end(caller, traits.account().id(), keyRequired(), whenDone);
+      end(caller, traits.account().id(), keyRequired());
       return true;
     }
     return false;
@@ -94,12 +93,7 @@
         "Send the request again with the key in the " + RelayHeaders.IDEMPOTENCY_KEY + " header.");
   }
 
-  private void start(
-      CallerExchange caller,
-      RequestTraits traits,
-      IdempotencyKey key,
-      byte[] body,
-      Runnable whenDone) {
+  private void start(CallerExchange caller, RequestTraits traits, IdempotencyKey key, byte[] body) {
     KeyedRequest request =
         new KeyedRequest(
             key,
@@ -110,38 +104,40 @@
             traits.backendPath(),
             forwardedHeaders(caller.request().getHeaders()),
             ByteString.copyFrom(body));
-    keys.arrived(request, end -> ended(caller, traits, end, whenDone));
+    keys.arrived(request, end -> ended(caller, traits, end));
   }
 
   private static List<HeaderLine> forwardedHeaders(HttpFields fields) {
     return fields.stream()
-        .filter(f -> !HopByHop.contains(f) && f.getHeader() != HttpHeader.AUTHORIZATION)
+        .filter(f -> !HopByHop.contains(f) && !HopByHop.isListed(f, fields))
+        .filter(f -> f.getHeader() != HttpHeader.AUTHORIZATION)
         .filter(f -> !f.getName().equalsIgnoreCase(RelayHeaders.IDEMPOTENCY_KEY))
         .map(f -> new HeaderLine(f.getName(), String.valueOf(f.getValue())))
         .toList();
   }
 
   private void ended(
-      CallerExchange caller,
-      RequestTraits traits,
-      Either<Problem, KeyedAnswer> end,
-      Runnable whenDone) {
+      CallerExchange caller, RequestTraits traits, Either<Problem, KeyedAnswer> end) {
     if (end.isLeft()) {
-      end(caller, traits.account().id(), end.getLeft(), whenDone);
+      end(caller, traits.account().id(), end.getLeft());
       return;
     }
     KeyedAnswer answer = end.get();
     HttpFields.Mutable fields = HttpFields.build();
     answer.headers().forEach(h -> fields.add(h.name(), h.value()));
     fields.put(HttpHeader.CONTENT_LENGTH, answer.body().size());
-    caller.head(answer.status(), fields, traits.serviceClass().id().value(), answer.server());
-    Callback written = Callback.from(caller.callback(), whenDone);
-    caller.response().write(true, answer.body().asReadOnlyByteBuffer(), written);
+    caller.head(
+        answer.status(),
+        fields,
+        traits.serviceClass().id().value(),
+        answer.server(),
+        answer.verdict());
+    caller.response().write(true, answer.body().asReadOnlyByteBuffer(), caller.callback());
   }
 
   /** Answers with a problem; where nothing ran, with a fresh key for the next try. */
-  private void end(CallerExchange caller, AccountId account, Problem p, Runnable whenDone) {
+  private void end(CallerExchange caller, AccountId account, Problem p) {
     @Nullable String fresh = p.verdict() == Verdict.NOT_RUN ? keys.issue(account).toText() : null;
-    caller.keyedProblem(p, fresh, Callback.from(caller.callback(), whenDone));
+    caller.keyedProblem(p, fresh);
   }
 }
