--- a/org.wigeonwharf.router.test/src/test/java/org/wigeonwharf/router/BookingFleet.java
+++ b/org.wigeonwharf.router.test/src/test/java/org/wigeonwharf/router/bookings/BookingFleet.java
@@ -1,5 +1,6 @@
-package org.wigeonwharf.router;
+package org.wigeonwharf.router.bookings;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -47,13 +48,20 @@
     fleet.post(booking, "/control/cut?on=" + on, "");
   }
 
-  int actions() throws IOException, InterruptedException {
-    return new ObjectMapper().readTree(fleet.get(booking, "/control/actions")).size();
+  /** Returns how often a slot was booked. */
+  int actions(String slot) throws IOException, InterruptedException {
+    int count = 0;
+    for (JsonNode action : new ObjectMapper().readTree(fleet.get(booking, "/control/actions"))) {
+      if (action.asText().equals(body(slot))) {
+        count++;
+      }
+    }
+    return count;
   }
 
-  void awaitFirstAction() throws IOException, InterruptedException {
+  void awaitAction(String slot) throws IOException, InterruptedException {
     long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(ACTION_SECONDS);
-    while (actions() == 0) {
+    while (actions(slot) == 0) {
       if (System.nanoTime() > end) {
         throw new IOException("no booking was made");
       }
@@ -62,46 +70,57 @@
   }
 
   String issueAt(String router) throws IOException, InterruptedException {
+    return issueAt(router, TOKEN);
+  }
+
+  String issueAt(String router, String token) throws IOException, InterruptedException {
     HttpRequest request =
-        request(router, "/v1/idempotency-keys").POST(HttpRequest.BodyPublishers.noBody()).build();
+        request(router, "/v1/idempotency-keys", token)
+            .POST(HttpRequest.BodyPublishers.noBody())
+            .build();
     return http.send(request, HttpResponse.BodyHandlers.ofString())
         .headers()
         .firstValue(KEY)
         .orElseThrow(() -> new IOException("no key was issued"));
   }
 
-  HttpResponse<String> book(String router, String key) throws IOException, InterruptedException {
-    return http.send(booking(router, key), HttpResponse.BodyHandlers.ofString());
+  HttpResponse<String> book(String router, String key, String slot)
+      throws IOException, InterruptedException {
+    return http.send(booking(router, key, slot), HttpResponse.BodyHandlers.ofString());
   }
 
-  CompletableFuture<HttpResponse<String>> startBooking(String router, String key) {
-    return http.sendAsync(booking(router, key), HttpResponse.BodyHandlers.ofString());
+  CompletableFuture<HttpResponse<String>> startBooking(String router, String key, String slot) {
+    return http.sendAsync(booking(router, key, slot), HttpResponse.BodyHandlers.ofString());
   }
 
-  HttpResponse<String> bookWithoutKeyThoughRequired(String router)
+  HttpResponse<String> bookWithoutKeyThoughRequired(String router, String slot)
       throws IOException, InterruptedException {
     HttpRequest request =
-        request(router, BOOKINGS)
+        request(router, BOOKINGS, TOKEN)
             .header("Wigeonwharf-Require-Key", "true")
-            .POST(HttpRequest.BodyPublishers.ofString("{\"slot\":\"nine\"}"))
+            .POST(HttpRequest.BodyPublishers.ofString(body(slot)))
             .build();
     return http.send(request, HttpResponse.BodyHandlers.ofString());
   }
 
-  private HttpRequest booking(String router, String key) {
-    return request(router, BOOKINGS)
+  private HttpRequest booking(String router, String key, String slot) {
+    return request(router, BOOKINGS, TOKEN)
         .header(KEY, key)
-        .POST(HttpRequest.BodyPublishers.ofString("{\"slot\":\"nine\"}"))
+        .POST(HttpRequest.BodyPublishers.ofString(body(slot)))
         .build();
   }
 
-  private HttpRequest.Builder request(String router, String path) {
+  private static String body(String slot) {
+    return "{\"slot\":\"" + slot + "\"}";
+  }
+
+  private HttpRequest.Builder request(String router, String path, String token) {
     Fleet.RouterAddresses a = fleet.routers().get(router);
     if (a == null) {
       throw new IllegalArgumentException("no router is named " + router);
     }
     return HttpRequest.newBuilder(Fleet.uri(a.callers(), path))
-        .header("Authorization", "Bearer " + TOKEN);
+        .header("Authorization", "Bearer " + token);
   }
 
   static String verdict(HttpResponse<String> answer) {
--- a/org.wigeonwharf.router.test/src/test/java/org/wigeonwharf/router/KeyedBookingProcessTest.java
+++ b/org.wigeonwharf.router.test/src/test/java/org/wigeonwharf/router/bookings/KeyedBookingProcessTest.java
@@ -1,4 +1,4 @@
-package org.wigeonwharf.router;
+package org.wigeonwharf.router.bookings;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 
 class KeyedBookingProcessTest {
+  private static final String SLOT = "nine";
   private static final long SLOW_MILLIS = 6_000;
   private static final long ANSWER_SECONDS = 30;
 
@@ -29,53 +30,53 @@
   void retryAtAnotherRouterGetsTheFirstAnswerAndBooksOnce() throws Exception {
     String key =
         fleet
-            .bookWithoutKeyThoughRequired("vm1")
+            .bookWithoutKeyThoughRequired("vm1", SLOT)
             .headers()
             .firstValue("Idempotency-Key")
             .orElseThrow();
-    HttpResponse<String> first = fleet.book("vm1", key);
-    HttpResponse<String> retry = fleet.book("vm2", key);
+    HttpResponse<String> first = fleet.book("vm1", key, SLOT);
+    HttpResponse<String> retry = fleet.book("vm2", key, SLOT);
     assertEquals(201, first.statusCode(), first.body());
     assertEquals(201, retry.statusCode(), retry.body());
     assertEquals(first.body(), retry.body());
     assertEquals("ran", BookingFleet.verdict(retry));
-    assertEquals(1, fleet.actions());
+    assertEquals(1, fleet.actions(SLOT));
   }
 
   @Test
   void keyOfRouterKilledMidBookingIsNeverRunAgain() throws Exception {
     String key = fleet.issueAt("vm1");
     fleet.bookingIsSlow(SLOW_MILLIS);
-    CompletableFuture<HttpResponse<String>> waiting = fleet.startBooking("vm2", key);
-    fleet.awaitFirstAction();
+    CompletableFuture<HttpResponse<String>> waiting = fleet.startBooking("vm2", key, SLOT);
+    fleet.awaitAction(SLOT);
     fleet.router("vm1").kill();
     assertMayHaveRun(waiting.get(ANSWER_SECONDS, TimeUnit.SECONDS));
-    assertMayHaveRun(fleet.book("vm2", key));
-    assertEquals(1, fleet.actions());
+    assertMayHaveRun(fleet.book("vm2", key, SLOT));
+    assertEquals(1, fleet.actions(SLOT));
   }
 
   @Test
   void frozenIssuerIsNotReplacedAndAnswersOnceItWakes() throws Exception {
     String key = fleet.issueAt("vm1");
     fleet.router("vm1").freeze();
-    HttpResponse<String> whileFrozen = fleet.book("vm2", key);
+    HttpResponse<String> whileFrozen = fleet.book("vm2", key, SLOT);
     assertMayHaveRun(whileFrozen);
-    assertEquals(0, fleet.actions());
+    assertEquals(0, fleet.actions(SLOT));
     fleet.router("vm1").thaw();
-    fleet.awaitFirstAction();
-    HttpResponse<String> retry = fleet.book("vm1", key);
+    fleet.awaitAction(SLOT);
+    HttpResponse<String> retry = fleet.book("vm1", key, SLOT);
     assertEquals(201, retry.statusCode(), retry.body());
-    assertEquals(1, fleet.actions());
+    assertEquals(1, fleet.actions(SLOT));
   }
 
   @Test
   void bookingWhoseAnswerWasCutIsNotRepeated() throws Exception {
     String key = fleet.issueAt("vm1");
     fleet.bookingActsAndCuts(true);
-    assertEquals("may-have-run", BookingFleet.verdict(fleet.book("vm1", key)));
+    assertEquals("may-have-run", BookingFleet.verdict(fleet.book("vm1", key, SLOT)));
     fleet.bookingActsAndCuts(false);
-    assertEquals("may-have-run", BookingFleet.verdict(fleet.book("vm2", key)));
-    assertEquals(1, fleet.actions());
+    assertEquals("may-have-run", BookingFleet.verdict(fleet.book("vm2", key, SLOT)));
+    assertEquals(1, fleet.actions(SLOT));
   }
 
   private static void assertMayHaveRun(HttpResponse<String> answer) {
--- /dev/null
+++ b/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/restart/RouterCalls.java
@@ -0,0 +1,51 @@
+package org.wigeonwharf.standin.restart;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import org.jspecify.annotations.Nullable;
+import org.wigeonwharf.standin.fleet.Fleet;
+
+/** RouterCalls send callers' requests; a refused connection goes on to the next router. */
+final class RouterCalls {
+  static final String KEY = "Idempotency-Key";
+  private static final String TOKEN = "demo-theatre-royal";
+  private static final int MAX_REFUSED_CONNECTIONS = 20;
+  private static final long REFUSED_PAUSE_MILLIS = 50;
+
+  private final RouterChoice routers;
+  private final HttpClient http = HttpClient.newHttpClient();
+
+  RouterCalls(RouterChoice routers) {
+    this.routers = routers;
+  }
+
+  HttpResponse<String> post(String path, String body, @Nullable String key, Duration timeout)
+      throws IOException, InterruptedException {
+    for (int refused = 0; ; refused++) {
+      try {
+        return http.send(request(path, body, key, timeout), HttpResponse.BodyHandlers.ofString());
+      } catch (ConnectException e) {
+        if (refused == MAX_REFUSED_CONNECTIONS) {
+          throw e;
+        }
+        Thread.sleep(REFUSED_PAUSE_MILLIS);
+      }
+    }
+  }
+
+  private HttpRequest request(String path, String body, @Nullable String key, Duration timeout) {
+    HttpRequest.Builder b =
+        HttpRequest.newBuilder(Fleet.uri(routers.next(), path))
+            .timeout(timeout)
+            .header("Authorization", "Bearer " + TOKEN)
+            .POST(HttpRequest.BodyPublishers.ofString(body));
+    if (key != null) {
+      b.header(KEY, key);
+    }
+    return b.build();
+  }
+}
