--- a/org.wigeonwharf.relay.test/src/test/java/org/wigeonwharf/relay/RelayBench.java
+++ b/org.wigeonwharf.relay.test/src/test/java/org/wigeonwharf/relay/RelayBench.java
@@ -14,6 +14,7 @@
 import org.wigeonwharf.model.Clock;
 import org.wigeonwharf.model.FailureDomain;
 import org.wigeonwharf.model.NodeId;
+import org.wigeonwharf.peer.FleetSecret;
 
 /** A RelayBench is a started relay in front of given backend servers, with fake slots. */
 final class RelayBench implements AutoCloseable {
@@ -92,7 +93,18 @@
     InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
     FailureDomain domain = new FailureDomain("hobart-a");
     NodeId self = new NodeId("vm1", 1);
-    relay = new RelayService(self, domain, any, store, slots, Clock.system(), metrics, limits);
+    relay =
+        new RelayService(
+            self,
+            domain,
+            any,
+            store,
+            slots,
+            Clock.system(),
+            metrics,
+            limits,
+            new NoPeers(),
+            new FleetSecret("a-secret-for-tests"));
     relay.start();
   }
 
--- a/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/RelayService.java
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/RelayService.java
@@ -15,9 +15,14 @@
 import org.wigeonwharf.model.FailureDomain;
 import org.wigeonwharf.model.Lifecycle;
 import org.wigeonwharf.model.NodeId;
+import org.wigeonwharf.peer.FleetSecret;
+import org.wigeonwharf.peer.PeerTransport;
+import org.wigeonwharf.relay.internal.KeyedExecution;
 import org.wigeonwharf.relay.internal.RelayContext;
 import org.wigeonwharf.relay.internal.RelayHandler;
+import org.wigeonwharf.relay.internal.RequestIds;
 import org.wigeonwharf.relay.internal.RetryBudgets;
+import org.wigeonwharf.relay.keys.KeyService;
 import org.wigeonwharf.schedule.SlotSource;
 
 /** A RelayService listens for callers and relays their requests to backend servers. */
@@ -34,6 +39,7 @@
   private final Server server = new Server(new QueuedThreadPool(THREADS));
   private final ServerConnector connector;
   private final RelayHandler handler;
+  private final KeyService keys;
 
   /**
    * Creates a service that is not yet bound.
@@ -46,6 +52,8 @@
    * @param clock the process's clock
    * @param metrics where the relay's metrics are registered
    * @param limits bounds on size, number and time
+   * @param transport connections to peers; not yet started
+   * @param secret signs idempotency keys
    */
   public RelayService(
       NodeId self,
@@ -55,13 +63,18 @@
       SlotSource slots,
       Clock clock,
       MetricRegistry metrics,
-      RelayLimits limits) {
+      RelayLimits limits,
+      PeerTransport transport,
+      FleetSecret secret) {
     this.bindAddress = bindAddress;
     this.limits = limits;
     RelayContext context =
         new RelayContext(
             slots, pooled, fresh, clock, limits, new RelayMetrics(metrics), new RetryBudgets());
-    this.handler = new RelayHandler(self, domain, store, context);
+    RequestIds ids = new RequestIds(self);
+    KeyedExecution execution = new KeyedExecution(domain, store, context, ids);
+    this.keys = new KeyService(self, secret, transport, clock, execution);
+    this.handler = new RelayHandler(ids, domain, store, context, keys);
     HttpConfiguration http = new HttpConfiguration();
     http.setSendServerVersion(false);
     http.setRequestHeaderSize(limits.maxHeadBytes());
@@ -74,6 +87,7 @@
     startClient(pooled);
     fresh.setIdleTimeout(FRESH_IDLE_MILLIS);
     startClient(fresh);
+    keys.start();
     connector.setHost(bindAddress.getAddress().getHostAddress());
     connector.setPort(bindAddress.getPort());
     connector.setIdleTimeout(limits.callerIdleMillis());
@@ -119,6 +133,12 @@
    */
   public void drain() throws InterruptedException {
     connector.shutdown();
+    awaitIdle();
+    keys.drain();
+    awaitIdle();
+  }
+
+  private void awaitIdle() throws InterruptedException {
     while (inFlight() > 0) {
       Thread.sleep(DRAIN_POLL_MILLIS);
     }
@@ -130,6 +150,7 @@
       server.stop();
       pooled.stop();
       fresh.stop();
+      keys.stop();
     } catch (Exception e) {
       throw new IllegalStateException("the relay did not stop cleanly", e);
     }
--- a/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/RelayHandler.java
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/RelayHandler.java
@@ -17,25 +17,25 @@
 import org.wigeonwharf.config.PublishedConfig;
 import org.wigeonwharf.config.Snapshot;
 import org.wigeonwharf.model.FailureDomain;
-import org.wigeonwharf.model.NodeId;
 import org.wigeonwharf.model.RefusalReason;
-import org.wigeonwharf.model.RequestId;
 import org.wigeonwharf.model.ServiceId;
 import org.wigeonwharf.model.ShardId;
 import org.wigeonwharf.model.Verdict;
+import org.wigeonwharf.relay.CallerAuthenticator;
 import org.wigeonwharf.relay.Problem;
 import org.wigeonwharf.relay.RelayHeaders;
 import org.wigeonwharf.relay.RequestClassifier;
 import org.wigeonwharf.relay.RequestTraits;
+import org.wigeonwharf.relay.keys.KeyService;
 import org.wigeonwharf.schedule.ShardMap;
 
 /** A RelayHandler takes callers' requests in, checks them and starts their relay. */
 public final class RelayHandler extends Handler.Abstract {
-  private final NodeId self;
+  private final RequestIds ids;
   private final FailureDomain domain;
   private final ConfigStore store;
   private final RelayContext context;
-  private final AtomicLong sequence = new AtomicLong();
+  private final KeyedRelay keyed;
   private final AtomicLong inFlight = new AtomicLong();
   private volatile Routes routes = new Routes(Snapshot.NONE);
 
@@ -43,12 +43,14 @@
   private static final class Routes {
     final Snapshot snapshot;
     final RequestClassifier classifier;
+    final CallerAuthenticator authenticator;
     final ShardMap shards;
 
     Routes(Snapshot snapshot) {
       PublishedConfig config = snapshot.config();
       this.snapshot = snapshot;
       this.classifier = new RequestClassifier(config);
+      this.authenticator = new CallerAuthenticator(config);
       this.shards = ShardMap.of(config);
     }
   }
@@ -56,16 +58,23 @@
   /**
    * Creates a handler that follows the configuration.
    *
-   * @param self the own process
+   * @param ids numbers the requests
    * @param domain the own failure domain
    * @param store the configuration in force
    * @param context what all requests share; its clients are owned by the caller
+   * @param keys decides about keyed requests
    */
-  public RelayHandler(NodeId self, FailureDomain domain, ConfigStore store, RelayContext context) {
-    this.self = self;
+  public RelayHandler(
+      RequestIds ids,
+      FailureDomain domain,
+      ConfigStore store,
+      RelayContext context,
+      KeyService keys) {
+    this.ids = ids;
     this.domain = domain;
     this.store = store;
     this.context = context;
+    this.keyed = new KeyedRelay(keys);
   }
 
   /**
@@ -79,11 +88,14 @@
 
   @Override
   public boolean handle(Request request, Response response, Callback callback) {
-    RequestId id = new RequestId(self, sequence.incrementAndGet());
     inFlight.incrementAndGet();
     Callback last = Callback.from(callback, inFlight::decrementAndGet);
-    CallerExchange caller = new CallerExchange(request, response, last, id);
+    CallerExchange caller = new CallerExchange(request, response, last, ids.next());
     Routes r = currentRoutes();
+    if (KeyedRelay.isKeysPath(Request.getPathInContext(request))) {
+      keyed.issue(caller, r.authenticator);
+      return true;
+    }
     Either<Problem, RequestTraits> traits = r.classifier.classify(head(request));
     if (traits.isLeft()) {
       caller.problem(traits.getLeft());
@@ -142,6 +154,9 @@
       caller.callback().failed(failure == null ? new EOFException("no body") : failure);
       return;
     }
+    if (!traits.repeatable() && keyed.take(caller, traits, body)) {
+      return;
+    }
     ShardId shard = chooseShard(r.shards, traits.service().id(), caller.id().sequence());
     if (shard == null) {
       caller.problem(Problem.refused(RefusalReason.NO_SERVER, Verdict.NOT_RUN, 1_000));
