Bound bad input and stop without cutting idle or slow callers

Bad input: heads that are no HTTP now get a problem body with a verdict in place of Jetty's page; a body has a longest time (408), a bad framing is 400, bodies held at once are bounded over all requests (503, not-run), connections per account are bounded (429), all connections too, and a connection whose head trickles in is closed after headMillis.

Graceful stop: answers say Connection: close from the start of the stop on; the listener closes, but open connections stay usable until they were quiet for drainLingerMillis; in-flight counts to the last byte. Jetty's own connector.shutdown() was tried and ruled out: it lowers the idle timeout of every open connection to 1 s, which cuts slow readers, and once closed an idle connection that a request was on its way to.

--- /dev/null
+++ b/org.wigeonwharf.relay.test/src/test/java/org/wigeonwharf/relay/BadInputTest.java
@@ -0,0 +1,201 @@
+package org.wigeonwharf.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.EOFException;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import net.jqwik.api.lifecycle.AfterProperty;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class BadInputTest {
+  private static final InetSocketAddress NOBODY =
+      new InetSocketAddress(InetAddress.getLoopbackAddress(), 9);
+  private static final String CHAT = "POST /v1/chat/completions HTTP/1.1\r\nHost: r\r\n";
+  private static final String TOKEN = "Authorization: Bearer crew\r\n";
+
+  private RelayBench bench;
+
+  private RelayBench bench() throws Exception {
+    if (bench == null) {
+      bench = new RelayBench(NOBODY);
+    }
+    return bench;
+  }
+
+  @AfterProperty
+  @AfterEach
+  void stop() {
+    if (bench != null) {
+      bench.close();
+      bench = null;
+    }
+  }
+
+  private void assertRejected(int status, String request) throws Exception {
+    RelayBench.Answer a = bench().call(request);
+    assertEquals(status, a.status(), request.substring(0, Math.min(80, request.length())));
+    assertEquals("not-run", a.verdict(), a.head());
+    assertEquals(Problem.MEDIA_TYPE, a.header("Content-Type"));
+    assertTrue(a.body().contains("\"verdict\":\"not-run\""), a.body());
+    assertEquals(0, bench().slots.grants(), "nothing was run");
+  }
+
+  @Test
+  void unknownCallersServicesAndClassesAreRejectedByName() throws Exception {
+    assertRejected(401, CHAT + "Content-Length: 0\r\n\r\n");
+    assertRejected(401, CHAT + "Authorization: Bearer wrong\r\nContent-Length: 0\r\n\r\n");
+    assertRejected(404, RelayBench.post("/v1/services/none/x", "", ""));
+    assertRejected(404, RelayBench.post("/v2", "", ""));
+    assertRejected(400, RelayBench.chat("Wigeonwharf-Class: none\r\n"));
+    assertRejected(404, RelayBench.chat("Wigeonwharf-Service: none\r\n"));
+    assertRejected(400, RelayBench.chat("Wigeonwharf-Repeatable: maybe\r\n"));
+  }
+
+  @Test
+  void oversizeHeadsAndBodiesAreRejected() throws Exception {
+    assertRejected(431, RelayBench.chat("X: " + "x".repeat(9_000) + "\r\n"));
+    assertRejected(413, CHAT + TOKEN + "Content-Length: 65537\r\n\r\n");
+    String chunk = "11000\r\n" + "x".repeat(0x11000) + "\r\n";
+    assertRejected(413, CHAT + TOKEN + "Transfer-Encoding: chunked\r\n\r\n" + chunk);
+  }
+
+  @Test
+  void wrongFramingIsRejected() throws Exception {
+    assertRejected(400, CHAT + TOKEN + "Content-Length: x\r\n\r\n");
+    assertRejected(400, CHAT + TOKEN + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab");
+    assertRejected(400, CHAT + TOKEN + "Transfer-Encoding: chunked\r\n\r\nzz\r\n");
+    assertRejected(
+        400, CHAT + TOKEN + "Transfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n0\r\n\r\n");
+    assertRejected(400, "nonsense\r\n\r\n");
+  }
+
+  @Test
+  void bodyThatTricklesTooSlowlyIsRejected() throws Exception {
+    try (Socket s = bench().connect()) {
+      write(s, CHAT + TOKEN + "Content-Length: 1000\r\n\r\n");
+      Thread trickle = new Thread(() -> trickle(s));
+      trickle.setDaemon(true);
+      trickle.start();
+      RelayBench.Answer a = AnswerReader.readFrom(s);
+      assertEquals(408, a.status());
+      assertEquals("not-run", a.verdict());
+    }
+  }
+
+  @Test
+  void headThatTricklesTooSlowlyLosesItsConnection() throws Exception {
+    try (Socket s = bench().connect()) {
+      write(s, CHAT);
+      Thread trickle = new Thread(() -> trickle(s));
+      trickle.setDaemon(true);
+      trickle.start();
+      RelayBench.await(() -> isClosed(s));
+    }
+  }
+
+  private static boolean isClosed(Socket s) {
+    try {
+      return s.getInputStream().read() < 0;
+    } catch (SocketTimeoutException e) {
+      return false;
+    } catch (IOException e) {
+      return true;
+    }
+  }
+
+  private static void trickle(Socket s) {
+    try {
+      while (true) {
+        write(s, "x");
+        Thread.sleep(20);
+      }
+    } catch (IOException | InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static void write(Socket s, String text) throws IOException {
+    s.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+  }
+
+  @Test
+  void accountMayHoldOnlySoManyConnections() throws Exception {
+    List<Socket> held = new ArrayList<>();
+    try {
+      String valid = RelayBench.post("/v1/services/booking/x", "", "");
+      for (int i = 0; i < RelayBench.LIMITS.maxConnectionsPerAccount(); i++) {
+        Socket s = bench().connect();
+        held.add(s);
+        write(s, valid);
+        assertEquals(502, AnswerReader.readFrom(s).status());
+      }
+      int grants = bench().slots.grants();
+      RelayBench.Answer a = bench().call(valid);
+      assertEquals(429, a.status());
+      assertEquals("not-run", a.verdict());
+      assertEquals(grants, bench().slots.grants());
+      assertEquals(400, bench().call(RelayBench.chat("Wigeonwharf-Class: none\r\n")).status());
+    } finally {
+      for (Socket s : held) {
+        s.close();
+      }
+    }
+  }
+
+  @Property(tries = 150, seed = "4711", shrinking = ShrinkingMode.OFF)
+  void garbledHeadsNeverRunMoreThanTheyAnswerFor(
+      @ForAll @Size(min = 1, max = 6) List<@IntRange(max = 1_000_000) Integer> edits)
+      throws Exception {
+    StringBuilder text = new StringBuilder(RelayBench.chat("Wigeonwharf-Class: crew\r\n"));
+    for (int e : edits) {
+      edit(text, e % text.length(), (char) (e % 251), e % 3);
+    }
+    int before = bench().slots.grants();
+    try (Socket s = bench().connect()) {
+      write(s, text.toString());
+      s.shutdownOutput();
+      RelayBench.Answer a = new AnswerReader(s.getInputStream()).read();
+      boolean relayed = a.status() == 502;
+      assertTrue(relayed || a.status() >= 400 && a.status() < 506, a.head());
+      assertEquals("not-run", a.verdict(), a.head());
+      assertTrue(relayed || bench().slots.grants() == before, "run, but answered " + a.head());
+    } catch (EOFException | SocketException e) {
+      assertEquals(before, bench().slots.grants(), "run without an answer");
+    }
+  }
+
+  private static void edit(StringBuilder text, int at, char c, int kind) {
+    switch (kind) {
+      case 0 -> text.insert(at, c);
+      case 1 -> text.setCharAt(at, c);
+      default -> text.deleteCharAt(at);
+    }
+  }
+
+  @Property(tries = 500, seed = "4711")
+  void classifierAnswersEveryHead(
+      @ForAll String path, @ForAll String service, @ForAll String token, @ForAll String method)
+      throws Exception {
+    RequestClassifier c = new RequestClassifier(bench().store.current().config());
+    for (String p : List.of(path, "/v1/services/" + path, RequestClassifier.CHAT_PATH)) {
+      for (String t : List.of("Bearer " + token, "Bearer crew")) {
+        c.classify(new RequestClassifier.Head(method, p, path, t, service, service, token));
+      }
+    }
+  }
+}
--- a/org.wigeonwharf.relay.test/src/test/java/org/wigeonwharf/relay/RelayBench.java
+++ b/org.wigeonwharf.relay.test/src/test/java/org/wigeonwharf/relay/RelayBench.java
@@ -25,6 +25,10 @@
   static final RelayLimits PATIENT =
       new RelayLimits(8_192, 65_536, 200_000, 100, 4, 9_000, 9_000, 9_000, 9_000, 9_000, 300);
 
+  /** Patient limits with idle connections that stay usable for a while in a stop. */
+  static final RelayLimits LINGERING =
+      new RelayLimits(8_192, 65_536, 200_000, 100, 4, 9_000, 9_000, 9_000, 9_000, 9_000, 9_000);
+
   private static final long WAIT_SECONDS = 10;
   private static final String CONFIG =
       """
--- a/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/RelayService.java
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/RelayService.java
@@ -7,6 +7,7 @@
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.NetworkConnectionLimit;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -15,6 +16,8 @@
 import org.wigeonwharf.model.FailureDomain;
 import org.wigeonwharf.model.Lifecycle;
 import org.wigeonwharf.model.NodeId;
+import org.wigeonwharf.relay.internal.ConnectionGuard;
+import org.wigeonwharf.relay.internal.ProblemErrorHandler;
 import org.wigeonwharf.relay.internal.RelayContext;
 import org.wigeonwharf.relay.internal.RelayHandler;
 import org.wigeonwharf.relay.internal.RetryBudgets;
@@ -29,11 +32,14 @@
 
   private final InetSocketAddress bindAddress;
   private final RelayLimits limits;
+  private final Clock clock;
   private final HttpClient pooled = new HttpClient();
   private final HttpClient fresh = new HttpClient();
   private final Server server = new Server(new QueuedThreadPool(THREADS));
   private final ServerConnector connector;
+  private final ConnectionGuard connections;
   private final RelayHandler handler;
+  private volatile int boundPort;
 
   /**
    * Creates a service that is not yet bound.
@@ -58,10 +64,12 @@
       RelayLimits limits) {
     this.bindAddress = bindAddress;
     this.limits = limits;
+    this.clock = clock;
     RelayContext context =
         new RelayContext(
             slots, pooled, fresh, clock, limits, new RelayMetrics(metrics), new RetryBudgets());
-    this.handler = new RelayHandler(self, domain, store, context);
+    this.connections = new ConnectionGuard(clock, limits);
+    this.handler = new RelayHandler(self, domain, store, context, connections);
     HttpConfiguration http = new HttpConfiguration();
     http.setSendServerVersion(false);
     http.setRequestHeaderSize(limits.maxHeadBytes());
@@ -77,9 +85,14 @@
     connector.setHost(bindAddress.getAddress().getHostAddress());
     connector.setPort(bindAddress.getPort());
     connector.setIdleTimeout(limits.callerIdleMillis());
+    connector.addBean(connections);
     server.addConnector(connector);
+    server.addBean(new NetworkConnectionLimit(limits.maxConnections(), connector));
+    server.setErrorHandler(new ProblemErrorHandler());
     server.setHandler(handler);
     server.start();
+    boundPort = connector.getLocalPort();
+    connections.start(connector.getScheduler());
   }
 
   /** Starts a client that sends each request as it is, once, and remembers nothing of it. */
@@ -100,7 +113,7 @@
    * @return the bound address
    */
   public InetSocketAddress address() {
-    return new InetSocketAddress(bindAddress.getAddress(), connector.getLocalPort());
+    return new InetSocketAddress(bindAddress.getAddress(), boundPort);
   }
 
   /**
@@ -115,15 +128,29 @@
   /**
    * Accepts no new connections and waits until every request in flight has ended.
    *
+   * <p>Callers' open connections stay usable for a while and are told to close by their answers, so
+   * that a request that is already on its way to an idle connection is served.
+   *
    * @throws InterruptedException if the waiting thread is interrupted
    */
   public void drain() throws InterruptedException {
-    connector.shutdown();
-    while (inFlight() > 0) {
+    handler.startDraining();
+    connector.setAccepting(false);
+    connector.close();
+    long quietSinceNanos = clock.nanos();
+    while (connections.count() > 0 && !isQuiet(quietSinceNanos)) {
       Thread.sleep(DRAIN_POLL_MILLIS);
+      if (inFlight() > 0) {
+        quietSinceNanos = clock.nanos();
+      }
     }
   }
 
+  private boolean isQuiet(long sinceNanos) {
+    long quiet = clock.nanos() - sinceNanos;
+    return inFlight() == 0 && quiet >= limits.drainLingerMillis() * Clock.NANOS_PER_MILLI;
+  }
+
   @Override
   public void stop() {
     try {
--- a/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/CallerExchange.java
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/CallerExchange.java
@@ -1,9 +1,12 @@
 package org.wigeonwharf.relay.internal;
 
 import java.nio.ByteBuffer;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
@@ -17,17 +20,36 @@
  */
 final class CallerExchange {
   private static final long MILLIS_PER_SECOND = 1_000;
+  private static final Set<Integer> CLOSING_STATUSES = Set.of(401, 408, 413, 429);
 
   private final Request request;
   private final Response response;
-  private final Callback callback;
   private final RequestId id;
+  private final BooleanSupplier closing;
+  private Callback callback;
 
-  CallerExchange(Request request, Response response, Callback callback, RequestId id) {
+  CallerExchange(
+      Request request,
+      Response response,
+      Callback callback,
+      RequestId id,
+      BooleanSupplier closing) {
     this.request = request;
     this.response = response;
     this.callback = callback;
     this.id = id;
+    this.closing = closing;
+  }
+
+  /** Adds work for the moment when the last byte was written or the exchange failed. */
+  void whenEnded(Runnable work) {
+    callback = Callback.from(callback, work);
+  }
+
+  private void closeIfDraining() {
+    if (closing.getAsBoolean()) {
+      response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE);
+    }
   }
 
   RequestId id() {
@@ -49,6 +71,7 @@
   /** Copies an answer's head, without the fields that belong to the backend connection. */
   void head(int status, HttpFields fields, String serviceClass, String server, Verdict verdict) {
     response.reset();
+    closeIfDraining();
     response.setStatus(status);
     for (HttpField f : fields) {
       if (!HopByHop.contains(f) && !HopByHop.isListed(f, fields)) {
@@ -68,6 +91,10 @@
   /** Answers with a problem; only possible while nothing was sent. */
   void problem(Problem p) {
     response.reset();
+    closeIfDraining();
+    if (CLOSING_STATUSES.contains(p.status())) {
+      response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE);
+    }
     response.setStatus(p.status());
     response.getHeaders().put(HttpHeader.CONTENT_TYPE, Problem.MEDIA_TYPE);
     response.getHeaders().put(RelayHeaders.REQUEST_ID, id.toString());
--- a/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/RelayHandler.java
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/RelayHandler.java
@@ -1,13 +1,12 @@
 package org.wigeonwharf.relay.internal;
 
 import io.vavr.control.Either;
-import java.io.EOFException;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Predicate;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
-import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -35,8 +34,11 @@
   private final FailureDomain domain;
   private final ConfigStore store;
   private final RelayContext context;
+  private final ConnectionGuard connections;
+  private final BodyReader bodies;
   private final AtomicLong sequence = new AtomicLong();
   private final AtomicLong inFlight = new AtomicLong();
+  private volatile boolean draining;
   private volatile Routes routes = new Routes(Snapshot.NONE);
 
   /** What follows from one configuration. */
@@ -60,12 +62,20 @@
    * @param domain the own failure domain
    * @param store the configuration in force
    * @param context what all requests share; its clients are owned by the caller
+   * @param connections watches the callers' connections
    */
-  public RelayHandler(NodeId self, FailureDomain domain, ConfigStore store, RelayContext context) {
+  public RelayHandler(
+      NodeId self,
+      FailureDomain domain,
+      ConfigStore store,
+      RelayContext context,
+      ConnectionGuard connections) {
     this.self = self;
     this.domain = domain;
     this.store = store;
     this.context = context;
+    this.connections = connections;
+    this.bodies = new BodyReader(context.limits());
   }
 
   /**
@@ -77,26 +87,55 @@
     return inFlight.get();
   }
 
+  /** Lets every further answer close its connection. */
+  public void startDraining() {
+    draining = true;
+  }
+
   @Override
   public boolean handle(Request request, Response response, Callback callback) {
     RequestId id = new RequestId(self, sequence.incrementAndGet());
+    Connection connection = request.getConnectionMetaData().getConnection();
     inFlight.incrementAndGet();
-    Callback last = Callback.from(callback, inFlight::decrementAndGet);
-    CallerExchange caller = new CallerExchange(request, response, last, id);
+    connections.began(connection);
+    Callback last = Callback.from(callback, () -> ended(connection));
+    CallerExchange caller = new CallerExchange(request, response, last, id, () -> draining);
     Routes r = currentRoutes();
     Either<Problem, RequestTraits> traits = r.classifier.classify(head(request));
     if (traits.isLeft()) {
       caller.problem(traits.getLeft());
-      return true;
+    } else if (!connections.admit(connection, traits.get().account().id())) {
+      caller.problem(tooManyConnections());
+    } else if (request.getLength() > context.limits().maxBodyBytes()) {
+      caller.problem(bodies.tooLarge());
+    } else {
+      readBody(caller, traits.get(), r);
     }
-    if (request.getLength() > context.limits().maxBodyBytes()) {
-      caller.problem(tooLarge());
-      return true;
+    return true;
+  }
+
+  private void ended(Connection connection) {
+    connections.ended(connection);
+    inFlight.decrementAndGet();
+  }
+
+  private static Problem tooManyConnections() {
+    return Problem.badRequest(
+        429, "account-connections", "The client account has too many connections open.");
+  }
+
+  private void readBody(CallerExchange caller, RequestTraits traits, Routes r) {
+    Request request = caller.request();
+    long reserved = bodies.reservationOf(request);
+    if (!bodies.tryReserve(reserved)) {
+      caller.problem(bodies.noRoom());
+      return;
     }
+    caller.whenEnded(() -> bodies.release(reserved));
     request.addIdleTimeoutListener(t -> false);
-    Content.Source.asByteArrayAsync(request, context.limits().maxBodyBytes())
-        .whenComplete((body, failure) -> bodyRead(caller, traits.get(), r, body, failure));
-    return true;
+    bodies
+        .read(request)
+        .whenComplete((body, failure) -> bodyRead(caller, traits, r, body, failure));
   }
 
   private Routes currentRoutes() {
@@ -121,25 +160,14 @@
         h.get(RelayHeaders.REPEATABLE));
   }
 
-  private Problem tooLarge() {
-    return Problem.badRequest(
-        413,
-        "body-too-large",
-        "The body is longer than " + context.limits().maxBodyBytes() + " bytes.");
-  }
-
   private void bodyRead(
       CallerExchange caller,
       RequestTraits traits,
       Routes r,
       byte @Nullable [] body,
       @Nullable Throwable failure) {
-    if (failure instanceof IllegalStateException) {
-      caller.problem(tooLarge());
-      return;
-    }
-    if (failure != null || body == null) {
-      caller.callback().failed(failure == null ? new EOFException("no body") : failure);
+    if (body == null) {
+      caller.problem(bodies.problem(failure));
       return;
     }
     ShardId shard = chooseShard(r.shards, traits.service().id(), caller.id().sequence());
