--- a/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/RelayService.java
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/RelayService.java
@@ -158,7 +158,7 @@
 
   private void awaitQuiet() throws InterruptedException {
     long quietSinceNanos = clock.nanos();
-    while (connections.count() > 0 && !isQuiet(quietSinceNanos)) {
+    while (inFlight() > 0 || (connections.count() > 0 && !isQuiet(quietSinceNanos))) {
       Thread.sleep(DRAIN_POLL_MILLIS);
       if (inFlight() > 0) {
         quietSinceNanos = clock.nanos();
