--- a/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/RouterModule.java
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/RouterModule.java
@@ -141,7 +141,8 @@
       ConfigStore store,
       ScheduleService schedule,
       Clock clock,
-      MetricRegistry metrics) {
+      MetricRegistry metrics,
+      PeerTransport transport) {
     return new RelayService(
         self,
         settings.domain(),
@@ -150,7 +151,9 @@
         schedule,
         clock,
         metrics,
-        RelayLimits.DEFAULT);
+        RelayLimits.DEFAULT,
+        transport,
+        settings.secret());
   }
 
   @Provides
