--- a/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/SectionReader.java
+++ b/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/SectionReader.java
@@ -24,7 +24,6 @@
  */
 public final class SectionReader {
   private static final Pattern DURATION = Pattern.compile("([0-9]{1,9})(ms|s|m|h)");
-  private static final int MAX_HINT_DISTANCE = 3;
   private static final String OCTET = "(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])";
   // Nothing else is handed to the JDK, which would ask a name server for what is no literal.
   private static final Pattern IP_LITERAL =
@@ -371,7 +370,7 @@
   public void finish() {
     for (String key : (Iterable<String>) table::fieldNames) {
       if (!known.contains(key)) {
-        String hint = nearest(key);
+        String hint = SpellingHint.nearest(key, known);
         fault(key, hint == null ? "unknown key" : "unknown key; did you mean '" + hint + "'?");
       }
     }
@@ -385,34 +384,4 @@
   private String fullKey(String key) {
     return SettingsKey.child(path, key);
   }
-
-  private @Nullable String nearest(String key) {
-    String best = null;
-    int bestDistance = MAX_HINT_DISTANCE + 1;
-    for (String k : known) {
-      int d = distance(key, k);
-      if (d < bestDistance) {
-        best = k;
-        bestDistance = d;
-      }
-    }
-    return best;
-  }
-
-  private static int distance(String a, String b) {
-    int[] row = new int[b.length() + 1];
-    for (int j = 0; j <= b.length(); j++) {
-      row[j] = j;
-    }
-    for (int i = 1; i <= a.length(); i++) {
-      int diagonal = row[0];
-      row[0] = i;
-      for (int j = 1; j <= b.length(); j++) {
-        int substitution = diagonal + (a.charAt(i - 1) == b.charAt(j - 1) ? 0 : 1);
-        diagonal = row[j];
-        row[j] = Math.min(substitution, 1 + Math.min(row[j], row[j - 1]));
-      }
-    }
-    return row[b.length()];
-  }
 }
