--- a/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/GrantChooser.java
+++ b/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/GrantChooser.java
@@ -77,7 +77,7 @@
    */
   void configure(PublishedConfig next, @Nullable ServiceSpec service) {
     config = next;
-    keepsHeadroom = service != null && service.kind() == ServiceKind.MODEL;
+    keepsHeadroom = service != null && service.kind() == ServiceKind.MODEL && !service.resumable();
     topRank = next.classes().values().stream().mapToInt(c -> c.tier().rank()).min().orElse(0);
   }
 
@@ -180,27 +180,22 @@
 
   private Candidate candidate(Lane lane, long nowNanos) {
     double use = options.fairAccounts() ? times(lane.rank()).of(lane.account()) : 0;
-    Waiter onTime = options.lateLast() ? lane.firstOnTime(onTimeNanos(nowNanos)) : null;
+    Waiter onTime = options.lateLast() ? lane.firstOnTime(onTimeNanos(lane, nowNanos)) : null;
     return onTime != null
         ? new Candidate(lane, onTime, false, use)
         : new Candidate(lane, Objects.requireNonNull(lane.first()), options.lateLast(), use);
   }
 
-  /**
-   * Returns the earliest target that a request granted now can meet.
-   *
-   * @param nowNanos the time
-   * @return that target
-   */
-  long onTimeNanos(long nowNanos) {
-    return nowNanos + (long) (pool.medianFirstTokenMillis() * Clock.NANOS_PER_MILLI);
+  private long onTimeNanos(Lane lane, long nowNanos) {
+    return nowNanos + (long) (lengths.firstTokenMillis(lane.spec()) * Clock.NANOS_PER_MILLI);
   }
 
   private ServerPool.Need need(Candidate c, boolean background, long nowNanos) {
     Waiter w = c.waiter();
     boolean hurried = !c.late() && !w.resumed();
     long left = hurried ? (w.targetNanos() - nowNanos) / Clock.NANOS_PER_MILLI : -1;
-    return new ServerPool.Need(background, keepsHeadroom, left, w.request().affinity());
+    double usual = lengths.firstTokenMillis(w.spec());
+    return new ServerPool.Need(background, keepsHeadroom, left, usual, w.request().affinity());
   }
 
   /**
--- a/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/LengthEstimates.java
+++ b/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/LengthEstimates.java
@@ -7,10 +7,10 @@
 import org.wigeonwharf.model.ClassId;
 
 /**
- * LengthEstimates learn how long answers are and how long they hold a slot.
+ * LengthEstimates learn how long answers are, how soon they begin and how long they hold a slot.
  *
- * <p>The output length is a high quantile per class and client account; the slot time is a moving
- * mean per class. Not thread-safe.
+ * <p>The output length is a high quantile per class and client account; the slot time and
+ * first-token time are a moving mean per class. Not thread-safe.
  */
 final class LengthEstimates {
   /** Part of the answers that the length estimate should cover. */
@@ -28,6 +28,8 @@
   private final Map<Key, Double> lengths = new HashMap<>();
   private final Map<ClassId, Double> millis = new HashMap<>();
 
+  private final Map<ClassId, Double> firstTokens = new HashMap<>();
+
   private record Key(ClassId serviceClass, AccountId account) {}
 
   /**
@@ -57,6 +59,26 @@
     return Math.max(DEFAULT_MILLIS, spec.estimatedTokens() * gap);
   }
 
+  /**
+   * Returns the mean time to the first token of a class.
+   *
+   * @param spec the class
+   * @return milliseconds, 0 if none was seen
+   */
+  double firstTokenMillis(ClassSpec spec) {
+    return firstTokens.getOrDefault(spec.id(), 0.0);
+  }
+
+  /**
+   * Learns from the start of an answer.
+   *
+   * @param spec its class
+   * @param millis time to the first token in milliseconds
+   */
+  void began(ClassSpec spec, double millis) {
+    firstTokens.merge(spec.id(), millis, (mean, next) -> mean + MEAN_STEP * (next - mean));
+  }
+
   /**
    * Learns from a finished answer.
    *
--- a/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/Observations.java
+++ b/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/Observations.java
@@ -18,10 +18,13 @@
    * @param nowNanos the time
    */
   void firstToken(RunningLease r, long millis, long nowNanos) {
-    if (!r.firstTokenSeen) {
-      r.firstTokenSeen = true;
-      pool.sawFirstToken(r.server, millis, nowNanos);
+    if (r.firstTokenSeen || r.spec == null) {
+      return;
     }
+    r.firstTokenSeen = true;
+    lengths.began(r.spec, millis);
+    double usual = Math.max(1, lengths.firstTokenMillis(r.spec));
+    pool.sawFirstToken(r.server, millis / usual, nowNanos);
   }
 
   /**
--- a/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/Preemptor.java
+++ b/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/Preemptor.java
@@ -89,7 +89,7 @@
   }
 
   private boolean isAtRisk(Lane lane, int covered, long nowNanos) {
-    long firstToken = (long) (pool.medianFirstTokenMillis() * Clock.NANOS_PER_MILLI);
+    long firstToken = (long) (lengths.firstTokenMillis(lane.spec()) * Clock.NANOS_PER_MILLI);
     Waiter w = lane.firstOnTime(nowNanos + firstToken);
     if (w == null || w.resumed() || !limiter.mayStart(lane.account(), nowNanos)) {
       return false;
--- a/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/RunningLeases.java
+++ b/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/RunningLeases.java
@@ -15,6 +15,9 @@
 
 /** RunningLeases are the leases that are out, and the slots they take. Not thread-safe. */
 final class RunningLeases {
+  /** Age from which short work counts as long, in milliseconds. */
+  static final long SHORT_MILLIS = 10_000;
+
   private final Map<RequestId, RunningLease> byId = new HashMap<>();
   private final TreeSet<RunningLease> preemptible = new TreeSet<>(RunningLease.BY_PREEMPTION);
   private final Deque<RunningLease> foreground = new ArrayDeque<>();
@@ -89,13 +92,12 @@
   }
 
   /**
-   * Counts as long what short work has outrun the given time.
+   * Counts short work as long that has outrun what short work takes.
    *
    * @param nowNanos the time
-   * @param limitMillis age from which a request is long, in milliseconds
    */
-  void reclassify(long nowNanos, long limitMillis) {
-    long limitNanos = limitMillis * Clock.NANOS_PER_MILLI;
+  void reclassify(long nowNanos) {
+    long limitNanos = SHORT_MILLIS * Clock.NANOS_PER_MILLI;
     while (!foreground.isEmpty()) {
       RunningLease r = foreground.peek();
       boolean out = byId.get(r.request) == r;
--- a/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/ServerPool.java
+++ b/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/ServerPool.java
@@ -47,9 +47,15 @@
    * @param keepsHeadroom true if the service keeps headroom at all
    * @param firstTokenMillis time left to the first token in milliseconds, or a negative number if
    *     its target is missed already or does not matter
+   * @param usualMillis its class's mean time to the first token in milliseconds
    * @param affinity hash of the prompt's start, or 0
    */
-  record Need(boolean background, boolean keepsHeadroom, long firstTokenMillis, long affinity) {}
+  record Need(
+      boolean background,
+      boolean keepsHeadroom,
+      long firstTokenMillis,
+      double usualMillis,
+      long affinity) {}
 
   ServerPool(PolicyOptions options) {
     this.options = options;
@@ -175,7 +181,7 @@
     double factor = factor(s, nowNanos);
     boolean slow = factor >= PROBATION_FACTOR && need.firstTokenMillis() >= 0;
     return !slow
-        || factor * medianFirstToken <= need.firstTokenMillis()
+        || factor * need.usualMillis() <= need.firstTokenMillis()
         || s.isProbeDue(PROBE_MILLIS, nowNanos);
   }
 
@@ -205,7 +211,7 @@
     if (!options.stragglers() || s.speed.ageMillis(nowNanos) > SPEED_MILLIS) {
       return 1;
     }
-    double first = ratio(s.speed.firstTokenMillis(), medianFirstToken);
+    double first = ratio(s.speed.firstTokenRatio(), medianFirstToken);
     double gap = ratio(s.speed.gapMillis(), medianGap);
     return Math.max(1, Math.max(first, gap));
   }
@@ -218,12 +224,12 @@
    * Notes how soon an answer began.
    *
    * @param s the server
-   * @param millis time to the first token in milliseconds
+   * @param ratio time to the first token against the mean of its class
    * @param nowNanos the time
    */
-  void sawFirstToken(ServerState s, double millis, long nowNanos) {
-    s.speed.sawFirstToken(millis, nowNanos);
-    medianFirstToken = median(e -> e.firstTokenMillis());
+  void sawFirstToken(ServerState s, double ratio, long nowNanos) {
+    s.speed.sawFirstToken(ratio, nowNanos);
+    medianFirstToken = median(e -> e.firstTokenRatio());
   }
 
   /**
@@ -255,15 +261,6 @@
     return known[(known.length - 1) / 2];
   }
 
-  /**
-   * Returns the pool's median time to the first token.
-   *
-   * @return milliseconds, 0 if none was seen
-   */
-  double medianFirstTokenMillis() {
-    return Math.max(0, medianFirstToken);
-  }
-
   /**
    * Returns how many slots are in service.
    *
--- a/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/ShardScheduler.java
+++ b/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/ShardScheduler.java
@@ -289,6 +289,7 @@
       decisions.add(refuse(w.request(), reason));
     }
     preemptor.forget(now);
+    running.reclassify(now);
     decisions.addAll(dispatch());
     return decisions;
   }
--- a/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/SpeedEstimate.java
+++ b/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/SpeedEstimate.java
@@ -3,18 +3,18 @@
 import org.wigeonwharf.model.Clock;
 
 /**
- * A SpeedEstimate follows a server's first-token time and token gap, as moving means that weigh the
- * newest most. Not thread-safe.
+ * A SpeedEstimate follows a server's first-token times, each against its class's mean, and its
+ * token gaps, as moving means that weigh the newest most. Not thread-safe.
  */
 final class SpeedEstimate {
   private static final double STEP = 0.4;
 
-  private double firstTokenMillis = -1;
+  private double firstTokenRatio = -1;
   private double gapMillis = -1;
   private long seenNanos;
 
-  void sawFirstToken(double millis, long nowNanos) {
-    firstTokenMillis = mix(firstTokenMillis, millis);
+  void sawFirstToken(double ratio, long nowNanos) {
+    firstTokenRatio = mix(firstTokenRatio, ratio);
     seenNanos = nowNanos;
   }
 
@@ -28,12 +28,12 @@
   }
 
   /**
-   * Returns the mean time to the first token.
+   * Returns the mean time to the first token against the usual.
    *
-   * @return milliseconds, or below 0 if none was seen
+   * @return 1 for the usual time, or below 0 if none was seen
    */
-  double firstTokenMillis() {
-    return firstTokenMillis;
+  double firstTokenRatio() {
+    return firstTokenRatio;
   }
 
   /**
--- a/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/measure/MeasureMain.java
+++ b/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/measure/MeasureMain.java
@@ -15,6 +15,7 @@
 import org.wigeonwharf.config.CheckCommand;
 import org.wigeonwharf.config.Fault;
 import org.wigeonwharf.config.PublishedConfig;
+import org.wigeonwharf.schedule.PolicyOptions;
 
 /**
  * MeasureMain prints the measures of the brief, the policy beside the naive version.
@@ -34,21 +35,28 @@
   private final PublishedConfig config;
   private final Workload workload;
   private final List<Long> seeds;
+  private final PolicyOptions options;
 
   private record Pair(List<RunResult> policy, List<RunResult> naive) {}
 
   private MeasureMain(
-      PrintStream out, PublishedConfig config, Workload workload, List<Long> seeds) {
+      PrintStream out,
+      PublishedConfig config,
+      Workload workload,
+      List<Long> seeds,
+      PolicyOptions options) {
     this.out = out;
     this.config = config;
     this.workload = workload;
     this.seeds = seeds;
+    this.options = options;
   }
 
   /**
    * Runs the measurement.
    *
-   * @param args {@code --config DIR [--seed N | --tuning] [--user authority|liitto]}
+   * @param args {@code --config DIR [--seed N | --tuning] [--user authority|liitto] [--without
+   *     PART]}
    */
   public static void main(String[] args) {
     System.exit(run(args, System.out, System.err));
@@ -65,7 +73,7 @@
           config.getLeft().forEach(f -> err.println(f));
           return EXIT_FAILURE;
         }
-        new MeasureMain(out, config.get(), w, seeds(line)).report();
+        new MeasureMain(out, config.get(), w, seeds(line), policy(line)).report();
       }
       return EXIT_OK;
     } catch (ParseException | NumberFormatException e) {
@@ -79,9 +87,16 @@
         .addOption(Option.builder().longOpt("config").hasArg().desc("folder").get())
         .addOption(Option.builder().longOpt("seed").hasArg().desc("one seed").get())
         .addOption(Option.builder().longOpt("tuning").desc("the tuning seeds").get())
+        .addOption(Option.builder().longOpt("without").hasArg().desc("a part of the policy").get())
         .addOption(Option.builder().longOpt("user").hasArg().desc("authority or liitto").get());
   }
 
+  private static PolicyOptions policy(CommandLine line) throws ParseException {
+    String part = line.getOptionValue("without", "");
+    return PolicyParts.without(part)
+        .orElseThrow(() -> new ParseException("no part of the policy is named " + part));
+  }
+
   private static List<Workload> workloads(String user) throws ParseException {
     List<Workload> all = List.of(Workload.authority(), Workload.liitto());
     List<Workload> chosen =
@@ -112,7 +127,8 @@
     for (Scenario s : List.of(Scenario.STEADY, Scenario.CREST, Scenario.STRAGGLERS)) {
       Pair pair =
           new Pair(
-              runAll(s, SchedulerDispatcher::new), runAll(s, (t, f) -> new NaiveDispatcher(f)));
+              runAll(s, (t, f) -> new SchedulerDispatcher(t, f, options)),
+              runAll(s, (t, f) -> new NaiveDispatcher(f)));
       workload.classes().forEach(c -> classRows(s, c.name(), pair));
       row(s, "all", "wasted work %", pair, RunResult::wasted);
     }
--- a/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/measure/SchedulerDispatcher.java
+++ b/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/measure/SchedulerDispatcher.java
@@ -12,6 +12,7 @@
 import org.wigeonwharf.schedule.Decision;
 import org.wigeonwharf.schedule.LeaseEnd;
 import org.wigeonwharf.schedule.Outcome;
+import org.wigeonwharf.schedule.PolicyOptions;
 import org.wigeonwharf.schedule.ShardMap;
 import org.wigeonwharf.schedule.ShardScheduler;
 import org.wigeonwharf.schedule.SlotRequest;
@@ -30,7 +31,7 @@
 
   private record Granted(ShardId shard, Decision.Grant grant, long atNanos, int tokensBefore) {}
 
-  SchedulerDispatcher(VirtualTime time, Fleet fleet) {
+  SchedulerDispatcher(VirtualTime time, Fleet fleet, PolicyOptions options) {
     this.time = time;
     this.fleet = fleet;
     this.shards = ShardMap.of(fleet.config());
@@ -38,7 +39,7 @@
         .shards()
         .forEach(
             (id, servers) -> {
-              ShardScheduler s = new ShardScheduler(id, time);
+              ShardScheduler s = new ShardScheduler(id, time, options);
               s.configure(fleet.config(), servers);
               schedulers.put(id, s);
             });
