Hold a slot request back while its router knows a newer configuration

Cause: the revision rode on slot requests but nobody read it, so a limit raised in a revision that the router held could be refused by a scheduler still on the old one. Ruled out: waiting for the newer one without bound, which a lost peer would turn into a stuck queue.

--- a/org.wigeonwharf.router/src/gen/java/org/wigeonwharf/router/DaggerRouterComponent.java
+++ b/org.wigeonwharf.router/src/gen/java/org/wigeonwharf/router/DaggerRouterComponent.java
@@ -108,7 +108,7 @@
       this.vmListSourceProvider = DoubleCheck.provider(RouterModule_VmListSourceFactory.create(settingsProvider, platformHttpProvider));
       this.membershipProvider = DoubleCheck.provider(RouterModule_MembershipFactory.create(transportProvider, vmListSourceProvider, configStoreProvider, platformContactProvider, clockProvider));
       this.configServiceProvider = DoubleCheck.provider(RouterModule_ConfigServiceFactory.create(settingsProvider, configStoreProvider, configSourceProvider, platformContactProvider, transportProvider, membershipProvider, clockProvider));
-      this.scheduleProvider = DoubleCheck.provider(RouterModule_ScheduleFactory.create(nodeIdProvider, transportProvider, membershipProvider, configStoreProvider, clockProvider));
+      this.scheduleProvider = DoubleCheck.provider(RouterModule_ScheduleFactory.create(nodeIdProvider, transportProvider, membershipProvider, configStoreProvider, configServiceProvider, clockProvider));
       this.metricsProvider = DoubleCheck.provider(RouterModule_MetricsFactory.create());
       this.relayProvider = DoubleCheck.provider(RouterModule_RelayFactory.create(settingsProvider, nodeIdProvider, configStoreProvider, scheduleProvider, clockProvider, metricsProvider, transportProvider));
       this.stateDumpProvider = DoubleCheck.provider(RouterModule_StateDumpFactory.create(nodeIdProvider, settingsProvider, configStoreProvider, configServiceProvider, membershipProvider, scheduleProvider, relayProvider));
--- a/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/RouterModule.java
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/RouterModule.java
@@ -129,8 +129,9 @@
       PeerTransport transport,
       MembershipService membership,
       ConfigStore store,
+      ConfigService config,
       Clock clock) {
-    return new ScheduleService(self, transport, membership, store, clock);
+    return new ScheduleService(self, transport, membership, store, config::heard, clock);
   }
 
   @Provides
--- a/org.wigeonwharf.schedule.test/src/test/java/org/wigeonwharf/schedule/internal/SimulatedRouter.java
+++ b/org.wigeonwharf.schedule.test/src/test/java/org/wigeonwharf/schedule/internal/SimulatedRouter.java
@@ -81,7 +81,9 @@
   SimulatedRouter(SimulatedFleet fleet, Peer peer) {
     this.fleet = fleet;
     this.peer = peer;
-    host = new SchedulerHost(node(), fleet::nanos, (to, m) -> fleet.send(this, to, m));
+    host =
+        new SchedulerHost(
+            node(), fleet::nanos, (to, m) -> fleet.send(this, to, m), (from, revision) -> {});
     client = new SlotClient(node(), fleet::nanos, (to, m) -> fleet.send(this, to, m));
     messages = new ScheduleMessages(host, client);
     pauses = new PauseDetector(fleet.nanos());
--- a/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/ScheduleService.java
+++ b/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/ScheduleService.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.ObjLongConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.wigeonwharf.config.ConfigStore;
@@ -56,6 +57,7 @@
    * @param transport connections to peers
    * @param membership the view of the fleet
    * @param store the configuration in force
+   * @param newerRevision hears of peers that know a newer configuration than this process
    * @param clock the process's clock
    */
   public ScheduleService(
@@ -63,11 +65,12 @@
       PeerTransport transport,
       MembershipService membership,
       ConfigStore store,
+      ObjLongConsumer<NodeId> newerRevision,
       Clock clock) {
     this.transport = transport;
     this.clock = clock;
     this.pauses = new PauseDetector(clock.nanos());
-    this.host = new SchedulerHost(self, clock, this::send);
+    this.host = new SchedulerHost(self, clock, this::send, newerRevision);
     this.client = new SlotClient(self, clock, this::send);
     this.messages = new ScheduleMessages(host, client);
     transport.handle(Topic.SCHEDULE, this::received);
--- a/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/SlotRequest.java
+++ b/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/SlotRequest.java
@@ -27,4 +27,23 @@
     long affinity,
     long waitedMillis,
     boolean repeatable,
-    long configRevision) {}
+    long configRevision) {
+  /**
+   * Returns the same request after it has waited longer.
+   *
+   * @param millis the further wait
+   * @return a copy
+   */
+  public SlotRequest waitedLonger(long millis) {
+    return new SlotRequest(
+        id,
+        shard,
+        serviceClass,
+        account,
+        estimatedTokens,
+        affinity,
+        waitedMillis + millis,
+        repeatable,
+        configRevision);
+  }
+}
--- a/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/internal/HostedShard.java
+++ b/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/internal/HostedShard.java
@@ -5,9 +5,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.ObjLongConsumer;
 import org.jspecify.annotations.Nullable;
 import org.wigeonwharf.config.BackendServer;
-import org.wigeonwharf.config.PublishedConfig;
+import org.wigeonwharf.config.Snapshot;
 import org.wigeonwharf.model.Clock;
 import org.wigeonwharf.model.NodeId;
 import org.wigeonwharf.model.RequestId;
@@ -40,13 +41,18 @@
   private final MessageSender sender;
   private final ShardScheduler scheduler;
   private final long settledAtNanos;
+  private final ObjLongConsumer<NodeId> newerRevision;
   private final Map<NodeId, RouterSession> routers = new HashMap<>();
+  private final DeferredRequests deferred = new DeferredRequests();
+  private long revision;
   private boolean settled;
 
-  HostedShard(ShardId shard, Clock clock, MessageSender sender) {
+  HostedShard(
+      ShardId shard, Clock clock, MessageSender sender, ObjLongConsumer<NodeId> newerRevision) {
     this.shard = shard;
     this.clock = clock;
     this.sender = sender;
+    this.newerRevision = newerRevision;
     this.scheduler = new ShardScheduler(shard, clock);
     this.settledAtNanos = clock.nanos() + SETTLE_NANOS;
     scheduler.setGranting(false);
@@ -56,8 +62,10 @@
     return scheduler;
   }
 
-  void configure(PublishedConfig config, List<BackendServer> servers) {
-    apply(scheduler.configure(config, servers));
+  void configure(Snapshot snapshot, List<BackendServer> servers) {
+    revision = snapshot.revision();
+    apply(scheduler.configure(snapshot.config(), servers));
+    admitDeferred();
   }
 
   /** Starts granting once all expected routers have registered, or the settle time is over. */
@@ -114,7 +122,7 @@
     for (long ticket : Set.copyOf(r.waiting)) {
       if (!waiting.contains(ticket)) {
         r.waiting.remove(ticket);
-        scheduler.cancel(new RequestId(from, ticket));
+        withdraw(new RequestId(from, ticket));
       }
     }
   }
@@ -131,8 +139,26 @@
     if (granted != null && granted.grant() != null) {
       send(r, granted.grant());
     } else if (r.waiting.add(request.id().sequence())) {
+      decideOrDefer(request);
+    }
+  }
+
+  private void decideOrDefer(SlotRequest request) {
+    if (request.configRevision() <= revision) {
       apply(scheduler.request(request));
+      return;
     }
+    deferred.add(request, clock.nanos());
+    newerRevision.accept(request.id().origin(), request.configRevision());
+  }
+
+  private void admitDeferred() {
+    deferred.takeDue(revision, clock.nanos()).forEach(r -> apply(scheduler.request(r)));
+  }
+
+  private void withdraw(RequestId id) {
+    deferred.remove(id);
+    scheduler.cancel(id);
   }
 
   void request(long session, SlotRequest request) {
@@ -153,7 +179,7 @@
     }
     count(r, session);
     if (r.waiting.remove(id.sequence())) {
-      scheduler.cancel(id);
+      withdraw(id);
     }
   }
 
@@ -198,6 +224,7 @@
     RouterSession r = routers.get(node);
     if (r != null && r.goneSinceNanos == null) {
       r.gone(clock.nanos());
+      deferred.removeAllOf(node);
       scheduler.nodeGone(node);
     }
   }
@@ -207,6 +234,7 @@
     long now = clock.nanos();
     routers.forEach((node, r) -> r.seen(live.contains(node), now));
     expireOrphans(now);
+    admitDeferred();
     apply(scheduler.tick());
   }
 
@@ -215,6 +243,7 @@
       @Nullable Long since = e.getValue().goneSinceNanos;
       if (since != null && now - since >= ORPHAN_NANOS) {
         routers.remove(e.getKey());
+        deferred.removeAllOf(e.getKey());
         scheduler.nodeGone(e.getKey());
         apply(scheduler.expire(e.getKey()));
       }
--- a/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/internal/SchedulerHost.java
+++ b/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/internal/SchedulerHost.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.ObjLongConsumer;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -35,6 +36,7 @@
   private final NodeId self;
   private final Clock clock;
   private final MessageSender sender;
+  private final ObjLongConsumer<NodeId> newerRevision;
   private final Map<ShardId, HostedShard> hosted = new TreeMap<>();
   private Set<NodeId> known = Set.of();
   private @Nullable MembershipView view;
@@ -48,11 +50,14 @@
    * @param self the own process
    * @param clock monotonic time
    * @param sender passes decisions to routers
+   * @param newerRevision hears of peers that know a newer configuration than this process
    */
-  public SchedulerHost(NodeId self, Clock clock, MessageSender sender) {
+  public SchedulerHost(
+      NodeId self, Clock clock, MessageSender sender, ObjLongConsumer<NodeId> newerRevision) {
     this.self = self;
     this.clock = clock;
     this.sender = sender;
+    this.newerRevision = newerRevision;
   }
 
   /**
@@ -64,7 +69,7 @@
     snapshot = next;
     shards = ShardMap.of(next.config());
     updateRoles();
-    hosted.forEach((shard, h) -> h.configure(next.config(), serversOf(shard)));
+    hosted.forEach((shard, h) -> h.configure(next, serversOf(shard)));
   }
 
   private List<BackendServer> serversOf(ShardId shard) {
@@ -112,8 +117,8 @@
         .addKeyValue("event", "scheduler.taken")
         .addKeyValue("shard", shard)
         .log("scheduler role taken");
-    HostedShard h = new HostedShard(shard, clock, sender);
-    h.configure(snapshot.config(), serversOf(shard));
+    HostedShard h = new HostedShard(shard, clock, sender, newerRevision);
+    h.configure(snapshot, serversOf(shard));
     hosted.put(shard, h);
     known.forEach(n -> h.askToRegister(n, 0));
   }
