--- a/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/restart/BookingCaller.java
+++ b/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/restart/BookingCaller.java
@@ -18,18 +18,19 @@
   private static final Duration PATIENT = Duration.ofSeconds(10);
   private static final int IMPATIENT_EVERY = 4;
   private static final int MAX_TRIES = 6;
-  private static final long PAUSE_MILLIS = 300;
   private static final int CREATED = 201;
 
   private final RouterCalls calls;
   private final RestartTally tally;
   private final boolean keyed;
+  private final long pauseMillis;
   private final AtomicInteger numbers = new AtomicInteger();
 
-  BookingCaller(RouterCalls calls, RestartTally tally, boolean keyed) {
+  BookingCaller(RouterCalls calls, RestartTally tally, boolean keyed, long pauseMillis) {
     this.calls = calls;
     this.tally = tally;
     this.keyed = keyed;
+    this.pauseMillis = pauseMillis;
   }
 
   void call() throws InterruptedException {
@@ -50,7 +51,7 @@
       mayBeSent |= end != BookingEnd.NOT_RUN;
       key = keyed && answer != null ? freshKey(answer, key) : key;
       if (end != BookingEnd.CONFIRMED) {
-        Thread.sleep(PAUSE_MILLIS);
+        Thread.sleep(pauseMillis);
       }
     }
     tally.booking(slot, end, retried);
--- a/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/restart/RestartRun.java
+++ b/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/restart/RestartRun.java
@@ -28,6 +28,7 @@
   private static final long CALLERS_END_SECONDS = 90;
 
   private final Fleet fleet;
+  private final long pauseMillis;
   private final InetSocketAddress booking;
   private final RouterChoice choice = new RouterChoice();
   private final RestartTally tally = new RestartTally();
@@ -40,7 +41,8 @@
     void run() throws InterruptedException;
   }
 
-  RestartRun(Path config) throws IOException, InterruptedException {
+  RestartRun(Path config, long pauseMillis) throws IOException, InterruptedException {
+    this.pauseMillis = pauseMillis;
     fleet = new Fleet(config);
     fleet.addEngine("assistant", "a1", DOMAIN, ENGINE_SLOTS, TOKEN_MILLIS);
     fleet.addEngine("assistant", "a2", DOMAIN, ENGINE_SLOTS, TOKEN_MILLIS);
@@ -63,7 +65,7 @@
       throws IOException, InterruptedException {
     RouterCalls calls = new RouterCalls(choice);
     StreamCaller streams = new StreamCaller(calls, tally);
-    BookingCaller bookings = new BookingCaller(calls, tally, keyed);
+    BookingCaller bookings = new BookingCaller(calls, tally, keyed, pauseMillis);
     repeat(STREAM_CALLERS, streams::call);
     repeat(BOOKING_CALLERS, bookings::call);
     for (String name : ROUTERS) {
