--- a/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/RelayHandler.java
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/RelayHandler.java
@@ -1,13 +1,12 @@
 package org.wigeonwharf.relay.internal;
 
 import io.vavr.control.Either;
-import java.io.EOFException;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Predicate;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
-import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -36,7 +35,10 @@
   private final ConfigStore store;
   private final RelayContext context;
   private final KeyedRelay keyed;
+  private final ConnectionGuard connections;
+  private final BodyReader bodies;
   private final AtomicLong inFlight = new AtomicLong();
+  private volatile boolean draining;
   private volatile Routes routes = new Routes(Snapshot.NONE);
 
   /** What follows from one configuration. */
@@ -63,18 +65,22 @@
    * @param store the configuration in force
    * @param context what all requests share; its clients are owned by the caller
    * @param keys decides about keyed requests
+   * @param connections watches the callers' connections
    */
   public RelayHandler(
       RequestIds ids,
       FailureDomain domain,
       ConfigStore store,
       RelayContext context,
-      KeyService keys) {
+      KeyService keys,
+      ConnectionGuard connections) {
     this.ids = ids;
     this.domain = domain;
     this.store = store;
     this.context = context;
     this.keyed = new KeyedRelay(keys);
+    this.connections = connections;
+    this.bodies = new BodyReader(context.limits());
   }
 
   /**
@@ -86,11 +92,18 @@
     return inFlight.get();
   }
 
+  /** Lets every further answer close its connection. */
+  public void startDraining() {
+    draining = true;
+  }
+
   @Override
   public boolean handle(Request request, Response response, Callback callback) {
+    Connection connection = request.getConnectionMetaData().getConnection();
     inFlight.incrementAndGet();
-    Callback last = Callback.from(callback, inFlight::decrementAndGet);
-    CallerExchange caller = new CallerExchange(request, response, last, ids.next());
+    connections.began(connection);
+    Callback last = Callback.from(callback, () -> ended(connection));
+    CallerExchange caller = new CallerExchange(request, response, last, ids.next(), () -> draining);
     Routes r = currentRoutes();
     if (KeyedRelay.isKeysPath(Request.getPathInContext(request))) {
       keyed.issue(caller, r.authenticator);
@@ -99,16 +112,38 @@
     Either<Problem, RequestTraits> traits = r.classifier.classify(head(request));
     if (traits.isLeft()) {
       caller.problem(traits.getLeft());
-      return true;
+    } else if (!connections.admit(connection, traits.get().account().id())) {
+      caller.problem(tooManyConnections());
+    } else if (request.getLength() > context.limits().maxBodyBytes()) {
+      caller.problem(bodies.tooLarge());
+    } else {
+      readBody(caller, traits.get(), r);
     }
-    if (request.getLength() > context.limits().maxBodyBytes()) {
-      caller.problem(tooLarge());
-      return true;
+    return true;
+  }
+
+  private void ended(Connection connection) {
+    connections.ended(connection);
+    inFlight.decrementAndGet();
+  }
+
+  private static Problem tooManyConnections() {
+    return Problem.badRequest(
+        429, "account-connections", "The client account has too many connections open.");
+  }
+
+  private void readBody(CallerExchange caller, RequestTraits traits, Routes r) {
+    Request request = caller.request();
+    long reserved = bodies.reservationOf(request);
+    if (!bodies.tryReserve(reserved)) {
+      caller.problem(bodies.noRoom());
+      return;
     }
+    caller.whenEnded(() -> bodies.release(reserved));
     request.addIdleTimeoutListener(t -> false);
-    Content.Source.asByteArrayAsync(request, context.limits().maxBodyBytes())
-        .whenComplete((body, failure) -> bodyRead(caller, traits.get(), r, body, failure));
-    return true;
+    bodies
+        .read(request)
+        .whenComplete((body, failure) -> bodyRead(caller, traits, r, body, failure));
   }
 
   private Routes currentRoutes() {
@@ -133,25 +168,14 @@
         h.get(RelayHeaders.REPEATABLE));
   }
 
-  private Problem tooLarge() {
-    return Problem.badRequest(
-        413,
-        "body-too-large",
-        "The body is longer than " + context.limits().maxBodyBytes() + " bytes.");
-  }
-
   private void bodyRead(
       CallerExchange caller,
       RequestTraits traits,
       Routes r,
       byte @Nullable [] body,
       @Nullable Throwable failure) {
-    if (failure instanceof IllegalStateException) {
-      caller.problem(tooLarge());
-      return;
-    }
-    if (failure != null || body == null) {
-      caller.callback().failed(failure == null ? new EOFException("no body") : failure);
+    if (body == null) {
+      caller.problem(bodies.problem(failure));
       return;
     }
     if (!traits.repeatable() && keyed.take(caller, traits, body)) {
