Bound forwarded bodies, and give no keys out of a stopping router

An issuer took up to 10,000 forwarded requests of 4 MiB from each peer; all that wait now hold 64 MiB at most, and one too many is left unanswered, so that its caller hears may-have-run after 2 s. A router that is stopping issues no key, which would be of no use a moment later. The choice of a shard stands once, for keyed and other requests, and the keyed executor computes the shard map once per configuration. The rolling restart asks for a key again and ends its processes when it is interrupted.

Shown by IdempotencyKeysTest.bodiesOfForwardedRequestsAreBoundedInAll.

--- a/org.wigeonwharf.relay.test/src/test/java/org/wigeonwharf/relay/keys/IdempotencyKeysTest.java
+++ b/org.wigeonwharf.relay.test/src/test/java/org/wigeonwharf/relay/keys/IdempotencyKeysTest.java
@@ -121,6 +121,21 @@
     assertRefused(503, Verdict.MAY_HAVE_RUN);
   }
 
+  @Test
+  void bodiesOfForwardedRequestsAreBoundedInAll() {
+    RemoteArrivals remote = new RemoteArrivals((to, m) -> true);
+    NodeId peer = new NodeId("vm2", 1);
+    int half = (int) (RemoteArrivals.MAX_BODY_BYTES / 2);
+    assertTrue(remote.add(peer, 1, half));
+    assertTrue(remote.add(peer, 2, half));
+    assertFalse(remote.add(peer, 3, 1));
+    remote.ended(peer, 1, Either.left(KeyProblems.stopping()));
+    remote.ended(peer, 1, Either.left(KeyProblems.stopping()));
+    assertTrue(remote.add(peer, 3, half));
+    remote.peerDown(peer);
+    assertTrue(remote.add(new NodeId("vm3", 1), 1, 2 * half));
+  }
+
   @Test
   void keyIsReadBackAndOnlyItsAccountCanUseIt() {
     IdempotencyKey key = issuer.issue(ALICE);
--- a/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/CallerExchange.java
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/CallerExchange.java
@@ -48,8 +48,13 @@
     callback = Callback.from(callback, work);
   }
 
+  /** Tells whether the process is stopping, so that its keys will be of no use. */
+  boolean isClosing() {
+    return closing.getAsBoolean();
+  }
+
   private void closeIfDraining() {
-    if (closing.getAsBoolean()) {
+    if (isClosing()) {
       response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE);
     }
   }
--- a/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/KeyedExecution.java
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/KeyedExecution.java
@@ -1,9 +1,8 @@
 package org.wigeonwharf.relay.internal;
 
 import io.vavr.control.Either;
-import java.util.List;
 import java.util.Optional;
-import java.util.function.Predicate;
+import org.jspecify.annotations.Nullable;
 import org.wigeonwharf.config.AccountSpec;
 import org.wigeonwharf.config.ClassSpec;
 import org.wigeonwharf.config.ConfigStore;
@@ -32,6 +31,8 @@
   private final ConfigStore store;
   private final RelayContext context;
   private final RequestIds ids;
+  private Snapshot shardsOf = Snapshot.NONE;
+  private ShardMap shards = ShardMap.of(Snapshot.NONE.config());
 
   /**
    * Creates the execution of one process.
@@ -50,18 +51,17 @@
   }
 
   @Override
-  public void execute(KeyedRequest request, EndListener listener) {
+  public synchronized void execute(KeyedRequest request, EndListener listener) {
     Snapshot snapshot = store.current();
     RequestId id = ids.next();
     Optional<RequestTraits> traits = traits(request, snapshot.config());
-    Optional<ShardId> shard = shard(snapshot.config(), request.service(), id.sequence());
-    if (traits.isEmpty() || shard.isEmpty()) {
+    ShardId shard = shard(snapshot, request.service(), id.sequence());
+    if (traits.isEmpty() || shard == null) {
       RefusalReason reason = traits.isEmpty() ? RefusalReason.UNKNOWN : RefusalReason.NO_SERVER;
       listener.ended(Either.left(Problem.refused(reason, Verdict.NOT_RUN, 0)));
       return;
     }
-    new KeyedRun(id, request, traits.get(), context, listener)
-        .start(shard.get(), snapshot.revision());
+    new KeyedRun(id, request, traits.get(), context, listener).start(shard, snapshot.revision());
   }
 
   private static Optional<RequestTraits> traits(KeyedRequest r, PublishedConfig config) {
@@ -74,14 +74,11 @@
     return Optional.of(new RequestTraits(account, service, serviceClass, r.path(), false));
   }
 
-  private Optional<ShardId> shard(PublishedConfig config, ServiceId service, long number) {
-    ShardMap shards = ShardMap.of(config);
-    List<ShardId> local = shards.shardsOf(service, domain);
-    Predicate<ShardId> ofService = s -> s.service().equals(service);
-    List<ShardId> choice =
-        local.isEmpty() ? shards.shards().keySet().stream().filter(ofService).toList() : local;
-    return choice.isEmpty()
-        ? Optional.empty()
-        : Optional.of(choice.get((int) (number % choice.size())));
+  private @Nullable ShardId shard(Snapshot snapshot, ServiceId service, long number) {
+    if (shardsOf != snapshot) {
+      shards = ShardMap.of(snapshot.config());
+      shardsOf = snapshot;
+    }
+    return ShardChoice.choose(shards, domain, service, number);
   }
 }
--- a/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/KeyedRelay.java
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/KeyedRelay.java
@@ -10,6 +10,7 @@
 import org.jspecify.annotations.Nullable;
 import org.wigeonwharf.config.AccountSpec;
 import org.wigeonwharf.model.AccountId;
+import org.wigeonwharf.model.RefusalReason;
 import org.wigeonwharf.model.Verdict;
 import org.wigeonwharf.relay.CallerAuthenticator;
 import org.wigeonwharf.relay.Problem;
@@ -25,6 +26,7 @@
 final class KeyedRelay {
   private static final String KEYS_PATH = "/v1/idempotency-keys";
   private static final int CREATED = 201;
+  private static final long RETRY_MILLIS = 1_000;
   private static final int METHOD_NOT_ALLOWED = 405;
   private static final int PRECONDITION_REQUIRED = 428;
 
@@ -45,6 +47,10 @@
           Problem.badRequest(METHOD_NOT_ALLOWED, "method", "Idempotency keys take POST."));
       return;
     }
+    if (caller.isClosing()) {
+      caller.problem(Problem.refused(RefusalReason.STOPPING, Verdict.NOT_RUN, RETRY_MILLIS));
+      return;
+    }
     String authorization = caller.request().getHeaders().get(HttpHeader.AUTHORIZATION);
     authenticator
         .authenticate(authorization)
@@ -137,7 +143,8 @@
 
   /** Answers with a problem; where nothing ran, with a fresh key for the next try. */
   private void end(CallerExchange caller, AccountId account, Problem p) {
-    @Nullable String fresh = p.verdict() == Verdict.NOT_RUN ? keys.issue(account).toText() : null;
+    boolean mayGoOn = p.verdict() == Verdict.NOT_RUN && !caller.isClosing();
+    @Nullable String fresh = mayGoOn ? keys.issue(account).toText() : null;
     caller.keyedProblem(p, fresh);
   }
 }
--- a/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/RelayHandler.java
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/RelayHandler.java
@@ -1,9 +1,7 @@
 package org.wigeonwharf.relay.internal;
 
 import io.vavr.control.Either;
-import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.Predicate;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Connection;
@@ -17,7 +15,6 @@
 import org.wigeonwharf.config.Snapshot;
 import org.wigeonwharf.model.FailureDomain;
 import org.wigeonwharf.model.RefusalReason;
-import org.wigeonwharf.model.ServiceId;
 import org.wigeonwharf.model.ShardId;
 import org.wigeonwharf.model.Verdict;
 import org.wigeonwharf.relay.CallerAuthenticator;
@@ -181,19 +178,12 @@
     if (!traits.repeatable() && keyed.take(caller, traits, body)) {
       return;
     }
-    ShardId shard = chooseShard(r.shards, traits.service().id(), caller.id().sequence());
+    ShardId shard =
+        ShardChoice.choose(r.shards, domain, traits.service().id(), caller.id().sequence());
     if (shard == null) {
       caller.problem(Problem.refused(RefusalReason.NO_SERVER, Verdict.NOT_RUN, 1_000));
       return;
     }
     new RelayedRequest(caller, traits, body, shard, context, r.snapshot.revision()).start();
   }
-
-  private @Nullable ShardId chooseShard(ShardMap shards, ServiceId service, long number) {
-    List<ShardId> local = shards.shardsOf(service, domain);
-    Predicate<ShardId> ofService = s -> s.service().equals(service);
-    List<ShardId> choice =
-        local.isEmpty() ? shards.shards().keySet().stream().filter(ofService).toList() : local;
-    return choice.isEmpty() ? null : choice.get((int) (number % choice.size()));
-  }
 }
--- a/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/keys/KeyedRequests.java
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/keys/KeyedRequests.java
@@ -78,7 +78,7 @@
   }
 
   private void forwardReceived(NodeId from, ForwardMessage message) {
-    if (!remote.add(from, message.getNumber())) {
+    if (!remote.add(from, message.getNumber(), message.getBody().size())) {
       return;
     }
     EndListener back = end -> remote.ended(from, message.getNumber(), end);
--- a/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/restart/BookingCaller.java
+++ b/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/restart/BookingCaller.java
@@ -69,19 +69,26 @@
     return verdict.equals("not-run") ? BookingEnd.NOT_RUN : BookingEnd.UNKNOWN;
   }
 
+  /** Asks for a key, at most at {@link #MAX_TRIES} routers. */
   private @Nullable String issue() throws InterruptedException {
-    try {
-      HttpResponse<String> answer = calls.post(KEYS, "", null, PATIENT);
-      return answer.headers().firstValue(RouterCalls.KEY).orElse(null);
-    } catch (IOException e) {
-      return null;
+    String key = null;
+    for (int i = 0; i < MAX_TRIES && key == null; i++) {
+      HttpResponse<String> answer = post(KEYS, "", null, PATIENT);
+      key = answer == null ? null : freshKey(answer, null);
     }
+    return key;
   }
 
   private @Nullable HttpResponse<String> book(String slot, @Nullable String key, Duration timeout)
       throws InterruptedException {
+    return post(BOOKINGS, "{\"slot\":\"" + slot + "\"}", key, timeout);
+  }
+
+  private @Nullable HttpResponse<String> post(
+      String path, String body, @Nullable String key, Duration timeout)
+      throws InterruptedException {
     try {
-      return calls.post(BOOKINGS, "{\"slot\":\"" + slot + "\"}", key, timeout);
+      return calls.post(path, body, key, timeout);
     } catch (IOException e) {
       return null;
     }
--- a/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/restart/RestartMain.java
+++ b/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/restart/RestartMain.java
@@ -33,6 +33,7 @@
   private static void print(Path config, long pause, String title, boolean keyed, boolean graceful)
       throws Exception {
     try (RestartRun run = new RestartRun(config, pause)) {
+      Runtime.getRuntime().addShutdownHook(new Thread(run::close, "restart-end"));
       System.out.println(run.run(title, keyed, graceful));
     }
   }
--- a/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/restart/RestartRun.java
+++ b/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/restart/RestartRun.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.wigeonwharf.standin.fleet.Fleet;
 import org.wigeonwharf.standin.fleet.FleetProcess;
 
@@ -34,6 +35,7 @@
   private final RestartTally tally = new RestartTally();
   private final ExecutorService callers =
       Executors.newFixedThreadPool(STREAM_CALLERS + BOOKING_CALLERS);
+  private final AtomicBoolean closed = new AtomicBoolean();
   private volatile boolean ended;
 
   /** One call of a caller. */
@@ -124,6 +126,8 @@
   public void close() {
     ended = true;
     callers.shutdownNow();
-    fleet.close();
+    if (closed.compareAndSet(false, true)) {
+      fleet.close();
+    }
   }
 }
