--- a/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/restart/BookingCaller.java
+++ b/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/restart/BookingCaller.java
@@ -18,18 +18,19 @@
   private static final Duration PATIENT = Duration.ofSeconds(10);
   private static final int IMPATIENT_EVERY = 4;
   private static final int MAX_TRIES = 6;
-  private static final long PAUSE_MILLIS = 300;
   private static final int CREATED = 201;
 
   private final RouterCalls calls;
   private final RestartTally tally;
   private final boolean keyed;
+  private final long pauseMillis;
   private final AtomicInteger numbers = new AtomicInteger();
 
-  BookingCaller(RouterCalls calls, RestartTally tally, boolean keyed) {
+  BookingCaller(RouterCalls calls, RestartTally tally, boolean keyed, long pauseMillis) {
     this.calls = calls;
     this.tally = tally;
     this.keyed = keyed;
+    this.pauseMillis = pauseMillis;
   }
 
   void call() throws InterruptedException {
@@ -50,7 +51,7 @@
       mayBeSent |= end != BookingEnd.NOT_RUN;
       key = keyed && answer != null ? freshKey(answer, key) : key;
       if (end != BookingEnd.CONFIRMED) {
-        Thread.sleep(PAUSE_MILLIS);
+        Thread.sleep(pauseMillis);
       }
     }
     tally.booking(slot, end, retried);
@@ -68,19 +69,26 @@
     return verdict.equals("not-run") ? BookingEnd.NOT_RUN : BookingEnd.UNKNOWN;
   }
 
+  /** Asks for a key, at most at {@link #MAX_TRIES} routers. */
   private @Nullable String issue() throws InterruptedException {
-    try {
-      HttpResponse<String> answer = calls.post(KEYS, "", null, PATIENT);
-      return answer.headers().firstValue(RouterCalls.KEY).orElse(null);
-    } catch (IOException e) {
-      return null;
+    String key = null;
+    for (int i = 0; i < MAX_TRIES && key == null; i++) {
+      HttpResponse<String> answer = post(KEYS, "", null, PATIENT);
+      key = answer == null ? null : freshKey(answer, null);
     }
+    return key;
   }
 
   private @Nullable HttpResponse<String> book(String slot, @Nullable String key, Duration timeout)
       throws InterruptedException {
+    return post(BOOKINGS, "{\"slot\":\"" + slot + "\"}", key, timeout);
+  }
+
+  private @Nullable HttpResponse<String> post(
+      String path, String body, @Nullable String key, Duration timeout)
+      throws InterruptedException {
     try {
-      return calls.post(BOOKINGS, "{\"slot\":\"" + slot + "\"}", key, timeout);
+      return calls.post(path, body, key, timeout);
     } catch (IOException e) {
       return null;
     }
--- a/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/restart/RestartRun.java
+++ b/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/restart/RestartRun.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.wigeonwharf.standin.fleet.Fleet;
 import org.wigeonwharf.standin.fleet.FleetProcess;
 
@@ -28,11 +29,13 @@
   private static final long CALLERS_END_SECONDS = 90;
 
   private final Fleet fleet;
+  private final long pauseMillis;
   private final InetSocketAddress booking;
   private final RouterChoice choice = new RouterChoice();
   private final RestartTally tally = new RestartTally();
   private final ExecutorService callers =
       Executors.newFixedThreadPool(STREAM_CALLERS + BOOKING_CALLERS);
+  private final AtomicBoolean closed = new AtomicBoolean();
   private volatile boolean ended;
 
   /** One call of a caller. */
@@ -40,7 +43,8 @@
     void run() throws InterruptedException;
   }
 
-  RestartRun(Path config) throws IOException, InterruptedException {
+  RestartRun(Path config, long pauseMillis) throws IOException, InterruptedException {
+    this.pauseMillis = pauseMillis;
     fleet = new Fleet(config);
     fleet.addEngine("assistant", "a1", DOMAIN, ENGINE_SLOTS, TOKEN_MILLIS);
     fleet.addEngine("assistant", "a2", DOMAIN, ENGINE_SLOTS, TOKEN_MILLIS);
@@ -63,7 +67,7 @@
       throws IOException, InterruptedException {
     RouterCalls calls = new RouterCalls(choice);
     StreamCaller streams = new StreamCaller(calls, tally);
-    BookingCaller bookings = new BookingCaller(calls, tally, keyed);
+    BookingCaller bookings = new BookingCaller(calls, tally, keyed, pauseMillis);
     repeat(STREAM_CALLERS, streams::call);
     repeat(BOOKING_CALLERS, bookings::call);
     for (String name : ROUTERS) {
@@ -122,6 +126,8 @@
   public void close() {
     ended = true;
     callers.shutdownNow();
-    fleet.close();
+    if (closed.compareAndSet(false, true)) {
+      fleet.close();
+    }
   }
 }
