Tell a router that is alone of itself, so that it takes its roles

Cause: listeners heard only of changes to the first view, and a router without peers never changes it, so its scheduler side had no view and every request was refused for want of a scheduler (found while measuring the relay with one router). The first view is now told too. Ruled out: rendezvous over one node. The new test waits for ever without the fix and passes with it.

--- /dev/null
+++ b/org.wigeonwharf.membership.test/src/test/java/org/wigeonwharf/membership/MembershipServiceTest.java
@@ -0,0 +1,70 @@
+package org.wigeonwharf.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.net.InetSocketAddress;
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.wigeonwharf.model.Clock;
+import org.wigeonwharf.model.FailureDomain;
+import org.wigeonwharf.model.NodeId;
+import org.wigeonwharf.peer.Peer;
+import org.wigeonwharf.peer.PeerHandler;
+import org.wigeonwharf.peer.PeerListener;
+import org.wigeonwharf.peer.PeerTransport;
+import org.wigeonwharf.peer.Topic;
+
+class MembershipServiceTest {
+  private static final Peer SELF =
+      new Peer(
+          new NodeId("vm0", 1), new FailureDomain("d0"), new InetSocketAddress("127.0.0.1", 1));
+
+  /** A transport to which nobody ever connects. */
+  private static final class Alone implements PeerTransport {
+    @Override
+    public Peer self() {
+      return SELF;
+    }
+
+    @Override
+    public void handle(Topic topic, PeerHandler handler) {}
+
+    @Override
+    public void listen(PeerListener listener) {}
+
+    @Override
+    public void connectTo(Collection<InetSocketAddress> addresses) {}
+
+    @Override
+    public boolean send(NodeId to, Topic topic, byte[] body) {
+      return false;
+    }
+
+    @Override
+    public Collection<Peer> peers() {
+      return List.of();
+    }
+
+    @Override
+    public void start() {}
+
+    @Override
+    public void stop() {}
+  }
+
+  @Test
+  void routerThatIsAloneHearsOfItselfAndSoTakesItsRoles() throws Exception {
+    CompletableFuture<MembershipView> heard = new CompletableFuture<>();
+    MembershipService service =
+        new MembershipService(new Alone(), List::of, () -> 0, () -> 0, Clock.system());
+    service.listen(heard::complete);
+    service.start();
+    try {
+      assertEquals(List.of(SELF.node()), heard.get().candidates(SELF.domain()));
+    } finally {
+      service.stop();
+    }
+  }
+}
--- a/org.wigeonwharf.membership/src/main/java/org/wigeonwharf/membership/MembershipService.java
+++ b/org.wigeonwharf.membership/src/main/java/org/wigeonwharf/membership/MembershipService.java
@@ -86,7 +86,10 @@
   public void start() {
     LiveSet set = new LiveSet(transport.self());
     liveSet = set;
-    view = set.view(clock.nanos(), configRevision.getAsLong(), platformContactAge.getAsLong());
+    MembershipView first =
+        set.view(clock.nanos(), configRevision.getAsLong(), platformContactAge.getAsLong());
+    view = first;
+    executor.execute(() -> listeners.forEach(l -> l.accept(first)));
     executor.scheduleWithFixedDelay(
         this::sendHeartbeats, 0, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
     executor.scheduleWithFixedDelay(this::checkSilence, 0, CHECK_MILLIS, TimeUnit.MILLISECONDS);
