--- /dev/null
+++ b/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/capacity/FleetCost.java
@@ -0,0 +1,102 @@
+package org.wigeonwharf.standin.capacity;
+
+import com.google.protobuf.ByteString;
+import java.lang.ref.Reference;
+import java.net.InetSocketAddress;
+import java.util.List;
+import org.wigeonwharf.config.PublishedConfig;
+import org.wigeonwharf.config.SettingsFile;
+import org.wigeonwharf.membership.LiveSet;
+import org.wigeonwharf.membership.Rendezvous;
+import org.wigeonwharf.membership.wire.Heartbeat;
+import org.wigeonwharf.membership.wire.MembershipMessage;
+import org.wigeonwharf.model.FailureDomain;
+import org.wigeonwharf.model.NodeId;
+import org.wigeonwharf.peer.Peer;
+import org.wigeonwharf.peer.Topic;
+import org.wigeonwharf.peer.wire.Frame;
+import org.wigeonwharf.peer.wire.Packet;
+import org.wigeonwharf.schedule.ShardMap;
+
+/** FleetCost measures heartbeats, views and configuration changes. */
+final class FleetCost {
+  private static final int LENGTH_FIELD_BYTES = 4;
+  private static final int DOMAINS = 14;
+  private static final int SERVERS = 1_200;
+  private static final int ACCOUNTS = 79;
+  private static final int ROUNDS = 2_000;
+  private static final FailureDomain DOMAIN = new FailureDomain("domain-00");
+
+  private FleetCost() {}
+
+  static void heartbeats() {
+    Heartbeat h =
+        Heartbeat.newBuilder()
+            .setSequence(1_000_000)
+            .setConfigRevision(59_000)
+            .setPlatformContactAgeMillis(250)
+            .build();
+    byte[] body = MembershipMessage.newBuilder().setHeartbeat(h).build().toByteArray();
+    Packet packet =
+        Packet.newBuilder()
+            .setTopic(Topic.MEMBERSHIP.number())
+            .setBody(ByteString.copyFrom(body))
+            .build();
+    int bytes = Frame.newBuilder().setPacket(packet).build().toByteArray().length;
+    Meter.print("heartbeat: bytes", bytes + LENGTH_FIELD_BYTES, "bytes");
+    view(38);
+    view(530);
+  }
+
+  private static void view(int peers) {
+    LiveSet set = new LiveSet(peer(0));
+    for (int i = 1; i < peers; i++) {
+      set.peerUp(peer(i), 0);
+    }
+    Peer sender = peer(1);
+    Meter.cpuMicros(ROUNDS, () -> set.view(1, 1, 0));
+    Meter.print(
+        "view of %d routers: CPU".formatted(peers),
+        Meter.cpuMicros(ROUNDS, () -> set.view(1, 1, 0)),
+        "us");
+    Meter.print(
+        "heartbeat noted among %d routers: CPU".formatted(peers),
+        Meter.cpuMicros(ROUNDS, () -> set.heartbeat(sender, false, 1, 0, 1)),
+        "us");
+    List<NodeId> nodes = set.view(1, 1, 0).candidates(DOMAIN);
+    Meter.print(
+        "scheduler of a shard among %d routers: CPU".formatted(peers),
+        Meter.cpuMicros(ROUNDS, () -> Rendezvous.choose("s0/domain-00/7", nodes)),
+        "us");
+  }
+
+  private static Peer peer(int i) {
+    NodeId node = new NodeId("entry-vm-%04d".formatted(i), 77);
+    return new Peer(node, DOMAIN, new InetSocketAddress("127.0.0.1", 1 + i));
+  }
+
+  static void configuration() {
+    List<SettingsFile> files = FleetConfig.files(DOMAINS, SERVERS, ACCOUNTS);
+    long size = files.stream().mapToLong(f -> f.bytes().length).sum();
+    Meter.print("configuration of a tenth: bytes", size, "bytes");
+    FleetConfig.parse(files);
+    Meter.print(
+        "configuration of a tenth parsed and checked: CPU",
+        Meter.cpuMicros(5, () -> FleetConfig.parse(files)),
+        "us");
+    PublishedConfig config = FleetConfig.parse(files);
+    Meter.print("shards computed: CPU", Meter.cpuMicros(5, () -> ShardMap.of(config)), "us");
+    heap("server in the configuration: heap", SERVERS, FleetConfig.files(DOMAINS, SERVERS, 1));
+    int accounts = ACCOUNTS;
+    heap("account in the configuration: heap", accounts, FleetConfig.files(DOMAINS, 4, accounts));
+  }
+
+  private static void heap(String what, int count, List<SettingsFile> files) {
+    FleetConfig.parse(files);
+    long before = Meter.liveHeapBytes();
+    PublishedConfig config = FleetConfig.parse(files);
+    Meter.print(what, (Meter.liveHeapBytes() - before) / (double) count, "bytes");
+    Reference.reachabilityFence(config);
+    Reference.reachabilityFence(files);
+  }
+}
