--- a/org.wigeonwharf.relay.test/src/test/java/org/wigeonwharf/relay/RelayBench.java
+++ b/org.wigeonwharf.relay.test/src/test/java/org/wigeonwharf/relay/RelayBench.java
@@ -14,6 +14,7 @@
 import org.wigeonwharf.model.Clock;
 import org.wigeonwharf.model.FailureDomain;
 import org.wigeonwharf.model.NodeId;
+import org.wigeonwharf.peer.FleetSecret;
 
 /** A RelayBench is a started relay in front of given backend servers, with fake slots. */
 final class RelayBench implements AutoCloseable {
@@ -25,6 +26,10 @@
   static final RelayLimits PATIENT =
       new RelayLimits(8_192, 65_536, 200_000, 100, 4, 9_000, 9_000, 9_000, 9_000, 9_000, 300);
 
+  /** Patient limits with idle connections that stay usable for a while in a stop. */
+  static final RelayLimits LINGERING =
+      new RelayLimits(8_192, 65_536, 200_000, 100, 4, 9_000, 9_000, 9_000, 9_000, 9_000, 9_000);
+
   private static final long WAIT_SECONDS = 10;
   private static final String CONFIG =
       """
@@ -92,7 +97,18 @@
     InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
     FailureDomain domain = new FailureDomain("hobart-a");
     NodeId self = new NodeId("vm1", 1);
-    relay = new RelayService(self, domain, any, store, slots, Clock.system(), metrics, limits);
+    relay =
+        new RelayService(
+            self,
+            domain,
+            any,
+            store,
+            slots,
+            Clock.system(),
+            metrics,
+            limits,
+            new NoPeers(),
+            new FleetSecret("a-secret-for-tests"));
     relay.start();
   }
 
--- a/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/BackendRequest.java
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/BackendRequest.java
@@ -5,9 +5,11 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.jspecify.annotations.Nullable;
 import org.wigeonwharf.model.Addresses;
+import org.wigeonwharf.model.RequestId;
 import org.wigeonwharf.relay.EngineHeaders;
 import org.wigeonwharf.relay.RelayHeaders;
 import org.wigeonwharf.relay.RequestTraits;
+import org.wigeonwharf.relay.keys.KeyedRequest;
 
 /** A BackendRequest is what one attempt sends to a backend server. */
 final class BackendRequest {
@@ -53,6 +55,19 @@
         caller.request().getMethod(), traits.backendPath(), headers, body, mediaType);
   }
 
+  /** Returns a keyed request's; its header fields are end-to-end already. */
+  static BackendRequest of(RequestId id, KeyedRequest request) {
+    HttpFields.Mutable headers = HttpFields.build();
+    request.headers().forEach(h -> headers.add(h.name(), h.value()));
+    headers.put(RelayHeaders.REQUEST_ID, id.toString());
+    headers.put(RelayHeaders.SERVICE_CLASS, request.serviceClass().value());
+    headers.put(HttpHeader.CONNECTION, "close");
+    String mediaType = headers.get(HttpHeader.CONTENT_TYPE);
+    headers.remove(HttpHeader.CONTENT_TYPE);
+    byte[] body = request.body().toByteArray();
+    return new BackendRequest(request.method(), request.path(), headers, body, mediaType);
+  }
+
   /** Returns the request that continues a stream, on whichever engine the next lease names. */
   static BackendRequest resume(ResumePoint point) {
     HttpFields.Mutable headers = HttpFields.build();
--- a/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/CallerExchange.java
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/CallerExchange.java
@@ -1,33 +1,62 @@
 package org.wigeonwharf.relay.internal;
 
 import java.nio.ByteBuffer;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
+import org.jspecify.annotations.Nullable;
 import org.wigeonwharf.model.RequestId;
 import org.wigeonwharf.model.Verdict;
 import org.wigeonwharf.relay.Problem;
 import org.wigeonwharf.relay.RelayHeaders;
+import org.wigeonwharf.relay.keys.IdempotencyKey;
 
 /**
  * A CallerExchange is the caller's side of one request: its HTTP request, response and callback.
  */
 final class CallerExchange {
   private static final long MILLIS_PER_SECOND = 1_000;
+  private static final Set<Integer> CLOSING_STATUSES = Set.of(401, 408, 413, 429);
 
   private final Request request;
   private final Response response;
-  private final Callback callback;
   private final RequestId id;
+  private final BooleanSupplier closing;
+  private Callback callback;
 
-  CallerExchange(Request request, Response response, Callback callback, RequestId id) {
+  CallerExchange(
+      Request request,
+      Response response,
+      Callback callback,
+      RequestId id,
+      BooleanSupplier closing) {
     this.request = request;
     this.response = response;
     this.callback = callback;
     this.id = id;
+    this.closing = closing;
+  }
+
+  /** Adds work for the moment when the last byte was written or the exchange failed. */
+  void whenEnded(Runnable work) {
+    callback = Callback.from(callback, work);
+  }
+
+  /** Tells whether the process is stopping, so that its keys will be of no use. */
+  boolean isClosing() {
+    return closing.getAsBoolean();
+  }
+
+  private void closeIfDraining() {
+    if (isClosing()) {
+      response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE);
+    }
   }
 
   RequestId id() {
@@ -49,6 +78,7 @@
   /** Copies an answer's head, without the fields that belong to the backend connection. */
   void head(int status, HttpFields fields, String serviceClass, String server, Verdict verdict) {
     response.reset();
+    closeIfDraining();
     response.setStatus(status);
     for (HttpField f : fields) {
       if (!HopByHop.contains(f) && !HopByHop.isListed(f, fields)) {
@@ -65,9 +95,30 @@
     response.getHeaders().put(RelayHeaders.VERDICT, verdict.wireName());
   }
 
-  /** Answers with a problem; only possible while nothing was sent. */
+  /**
+   * Answers with a problem; only possible while nothing was sent.
+   *
+   * <p>A request with a key may have run in an earlier arrival that only the key's issuer knows of.
+   */
   void problem(Problem p) {
+    String key = request.getHeaders().get(RelayHeaders.IDEMPOTENCY_KEY);
+    boolean keyed = key != null && IdempotencyKey.parse(key).isRight();
+    Verdict v = keyed && p.verdict() == Verdict.NOT_RUN ? Verdict.MAY_HAVE_RUN : p.verdict();
+    Problem said = new Problem(p.status(), p.reason(), p.detail(), v, p.retryAfterMillis());
+    write(said, null);
+  }
+
+  /** Answers with the issuer's word on a keyed request, and a fresh key if there is one. */
+  void keyedProblem(Problem p, @Nullable String freshKey) {
+    write(p, freshKey);
+  }
+
+  private void write(Problem p, @Nullable String freshKey) {
     response.reset();
+    closeIfDraining();
+    if (CLOSING_STATUSES.contains(p.status())) {
+      response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE);
+    }
     response.setStatus(p.status());
     response.getHeaders().put(HttpHeader.CONTENT_TYPE, Problem.MEDIA_TYPE);
     response.getHeaders().put(RelayHeaders.REQUEST_ID, id.toString());
@@ -76,6 +127,9 @@
       long seconds = (p.retryAfterMillis() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
       response.getHeaders().put(HttpHeader.RETRY_AFTER, Long.toString(seconds));
     }
+    if (freshKey != null) {
+      response.getHeaders().put(RelayHeaders.IDEMPOTENCY_KEY, freshKey);
+    }
     response.write(true, ByteBuffer.wrap(p.toJson(id.toString())), callback);
   }
 }
--- /dev/null
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/KeyedExecution.java
@@ -0,0 +1,84 @@
+package org.wigeonwharf.relay.internal;
+
+import io.vavr.control.Either;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.wigeonwharf.config.AccountSpec;
+import org.wigeonwharf.config.ClassSpec;
+import org.wigeonwharf.config.ConfigStore;
+import org.wigeonwharf.config.PublishedConfig;
+import org.wigeonwharf.config.ServiceSpec;
+import org.wigeonwharf.config.Snapshot;
+import org.wigeonwharf.model.FailureDomain;
+import org.wigeonwharf.model.RefusalReason;
+import org.wigeonwharf.model.RequestId;
+import org.wigeonwharf.model.ServiceId;
+import org.wigeonwharf.model.ShardId;
+import org.wigeonwharf.model.Verdict;
+import org.wigeonwharf.relay.Problem;
+import org.wigeonwharf.relay.RequestTraits;
+import org.wigeonwharf.relay.keys.EndListener;
+import org.wigeonwharf.relay.keys.KeyedExecutor;
+import org.wigeonwharf.relay.keys.KeyedRequest;
+import org.wigeonwharf.schedule.ShardMap;
+
+/**
+ * A KeyedExecution runs the requests whose keys this process issued, whether their callers are here
+ * or at another router, by the configuration in force here.
+ */
+public final class KeyedExecution implements KeyedExecutor {
+  private final FailureDomain domain;
+  private final ConfigStore store;
+  private final RelayContext context;
+  private final RequestIds ids;
+  private Snapshot shardsOf = Snapshot.NONE;
+  private ShardMap shards = ShardMap.of(Snapshot.NONE.config());
+
+  /**
+   * Creates the execution of one process.
+   *
+   * @param domain the own failure domain
+   * @param store the configuration in force
+   * @param context what all requests share
+   * @param ids numbers the requests
+   */
+  public KeyedExecution(
+      FailureDomain domain, ConfigStore store, RelayContext context, RequestIds ids) {
+    this.domain = domain;
+    this.store = store;
+    this.context = context;
+    this.ids = ids;
+  }
+
+  @Override
+  public synchronized void execute(KeyedRequest request, EndListener listener) {
+    Snapshot snapshot = store.current();
+    RequestId id = ids.next();
+    Optional<RequestTraits> traits = traits(request, snapshot.config());
+    ShardId shard = shard(snapshot, request.service(), id.sequence());
+    if (traits.isEmpty() || shard == null) {
+      RefusalReason reason = traits.isEmpty() ? RefusalReason.UNKNOWN : RefusalReason.NO_SERVER;
+      listener.ended(Either.left(Problem.refused(reason, Verdict.NOT_RUN, 0)));
+      return;
+    }
+    new KeyedRun(id, request, traits.get(), context, listener).start(shard, snapshot.revision());
+  }
+
+  private static Optional<RequestTraits> traits(KeyedRequest r, PublishedConfig config) {
+    AccountSpec account = config.accounts().get(r.account());
+    ServiceSpec service = config.services().get(r.service());
+    ClassSpec serviceClass = config.classes().get(r.serviceClass());
+    if (account == null || service == null || serviceClass == null) {
+      return Optional.empty();
+    }
+    return Optional.of(new RequestTraits(account, service, serviceClass, r.path(), false));
+  }
+
+  private @Nullable ShardId shard(Snapshot snapshot, ServiceId service, long number) {
+    if (shardsOf != snapshot) {
+      shards = ShardMap.of(snapshot.config());
+      shardsOf = snapshot;
+    }
+    return ShardChoice.choose(shards, domain, service, number);
+  }
+}
--- a/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/RouterModule.java
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/RouterModule.java
@@ -129,8 +129,9 @@
       PeerTransport transport,
       MembershipService membership,
       ConfigStore store,
+      ConfigService config,
       Clock clock) {
-    return new ScheduleService(self, transport, membership, store, clock);
+    return new ScheduleService(self, transport, membership, store, config::heard, clock);
   }
 
   @Provides
@@ -141,7 +142,8 @@
       ConfigStore store,
       ScheduleService schedule,
       Clock clock,
-      MetricRegistry metrics) {
+      MetricRegistry metrics,
+      PeerTransport transport) {
     return new RelayService(
         self,
         settings.domain(),
@@ -150,7 +152,9 @@
         schedule,
         clock,
         metrics,
-        RelayLimits.DEFAULT);
+        RelayLimits.DEFAULT,
+        transport,
+        settings.secret());
   }
 
   @Provides
