Parse the two-year folder in time linear in its size, and fill shards evenly

Each leaf swept the whole history for keys that a value replaced, and each account indexed all accounts' tokens anew. Ruled out: the TOML reader, which is linear.

Cause, shards: the index of a server came from a CRC, which is linear in its input, so names with a common start fell into one shard (x0 to x9 all into shard 1 of 2), past the shard size. Servers are now placed by the fleet's rendezvous weight into the best shard with room. The new property of the shard size failed on the old code; few servers move when one joins.

--- a/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/ConfigParser.java
+++ b/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/ConfigParser.java
@@ -50,6 +50,7 @@
   private final Map<ClassId, ClassSpec> classes = new LinkedHashMap<>();
   private final Map<ServiceId, ServiceSpec> services = new LinkedHashMap<>();
   private final Map<AccountId, AccountSpec> accounts = new LinkedHashMap<>();
+  private final Map<String, AccountId> tokenOwners = new HashMap<>();
 
   private ConfigParser() {}
 
@@ -220,7 +221,7 @@
         id,
         new AccountSpec(
             id,
-            readTokenHashes(s),
+            readTokenHashes(id, s),
             allowed,
             defaultClass == null ? new ClassId("none") : defaultClass,
             s.flag("repeatable", true),
@@ -229,15 +230,14 @@
     s.finish();
   }
 
-  private Set<String> readTokenHashes(SectionReader s) {
+  private Set<String> readTokenHashes(AccountId account, SectionReader s) {
     Set<String> hashes = new LinkedHashSet<>();
-    Map<String, AccountId> taken = new HashMap<>();
-    accounts.values().forEach(a -> a.tokenHashes().forEach(h -> taken.put(h, a.id())));
     for (String h : s.texts("token_sha256")) {
+      AccountId owner = tokenOwners.putIfAbsent(h, account);
       if (!SHA256.matcher(h).matches()) {
         s.fault("token_sha256", "expected 64 lower-case hex digits");
-      } else if (taken.containsKey(h)) {
-        s.fault("token_sha256", "client account '" + taken.get(h) + "' has the same token");
+      } else if (owner != null && !owner.equals(account)) {
+        s.fault("token_sha256", "client account '" + owner + "' has the same token");
       }
       hashes.add(h);
     }
--- a/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/MergedSettings.java
+++ b/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/MergedSettings.java
@@ -96,7 +96,9 @@
       JsonNode value = e.getValue();
       history.computeIfAbsent(key, k -> new ArrayList<>()).add(new Setting(file, describe(value)));
       if (!(value instanceof ObjectNode table)) {
-        history.keySet().removeIf(k -> SettingsKey.isWithin(k, key));
+        if (into.get(e.getKey()) instanceof ObjectNode) {
+          history.keySet().removeIf(k -> SettingsKey.isWithin(k, key));
+        }
         into.set(e.getKey(), value);
         continue;
       }
--- a/org.wigeonwharf.membership/src/main/java/org/wigeonwharf/membership/Rendezvous.java
+++ b/org.wigeonwharf.membership/src/main/java/org/wigeonwharf/membership/Rendezvous.java
@@ -46,7 +46,14 @@
         .thenComparing(Comparator.naturalOrder());
   }
 
-  private static long weight(String key, String node) {
+  /**
+   * Returns the weight of a node for a key; the highest weight is the choice.
+   *
+   * @param key the key
+   * @param node the node's name
+   * @return a well-mixed number that depends on both texts only
+   */
+  public static long weight(String key, String node) {
     long h = FNV_OFFSET;
     for (byte b : (key + "|" + node).getBytes(StandardCharsets.UTF_8)) {
       h = (h ^ (b & 0xff)) * FNV_PRIME;
--- a/org.wigeonwharf.schedule.test/src/test/java/org/wigeonwharf/schedule/ShardMapTest.java
+++ b/org.wigeonwharf.schedule.test/src/test/java/org/wigeonwharf/schedule/ShardMapTest.java
@@ -1,16 +1,24 @@
 package org.wigeonwharf.schedule;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import org.wigeonwharf.config.BackendServer;
 import org.wigeonwharf.config.ConfigParser;
 import org.wigeonwharf.config.PublishedConfig;
 import org.wigeonwharf.config.SettingsFile;
+import org.wigeonwharf.model.ShardId;
 
 class ShardMapTest {
+  private static final int SHARD_SIZE = 4;
+
   private static PublishedConfig config(int servers) {
     StringBuilder text = new StringBuilder("[services.s]\nkind = \"model\"\nshard_size = 4\n");
     for (int i = 0; i < servers; i++) {
@@ -29,4 +37,24 @@
     map.shards()
         .forEach((shard, list) -> list.forEach(s -> assertEquals(shard.domain(), s.domain())));
   }
+
+  @Property(tries = 60)
+  void noShardIsLargerThanTheShardSize(@ForAll @IntRange(min = 0, max = 60) int servers) {
+    ShardMap map = ShardMap.of(config(servers));
+    map.shards().values().forEach(list -> assertTrue(list.size() <= SHARD_SIZE));
+  }
+
+  @Test
+  void oneMoreServerMovesFewOthers() {
+    Map<BackendServer, ShardId> before = placed(ShardMap.of(config(50)));
+    Map<BackendServer, ShardId> after = placed(ShardMap.of(config(51)));
+    long moved = before.keySet().stream().filter(s -> !before.get(s).equals(after.get(s))).count();
+    assertTrue(moved <= 2 * SHARD_SIZE, "moved " + moved);
+  }
+
+  private static Map<BackendServer, ShardId> placed(ShardMap map) {
+    Map<BackendServer, ShardId> result = new HashMap<>();
+    map.shards().forEach((shard, list) -> list.forEach(s -> result.put(s, shard)));
+    return result;
+  }
 }
--- a/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/ShardMap.java
+++ b/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/ShardMap.java
@@ -1,14 +1,14 @@
 package org.wigeonwharf.schedule;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.zip.CRC32;
 import org.wigeonwharf.config.BackendServer;
 import org.wigeonwharf.config.PublishedConfig;
 import org.wigeonwharf.config.ServiceSpec;
+import org.wigeonwharf.membership.Rendezvous;
 import org.wigeonwharf.model.FailureDomain;
 import org.wigeonwharf.model.ServiceId;
 import org.wigeonwharf.model.ShardId;
@@ -45,27 +45,31 @@
       List<BackendServer> servers,
       Map<ShardId, List<BackendServer>> shards) {
     int count = (servers.size() + service.shardSize() - 1) / service.shardSize();
+    Map<ShardId, List<BackendServer>> own = new TreeMap<>();
     for (int i = 0; i < count; i++) {
-      shards.put(new ShardId(service.id(), domain, i), new ArrayList<>());
+      own.put(new ShardId(service.id(), domain, i), new ArrayList<>());
     }
-    for (BackendServer s : servers) {
-      ShardId shard = new ShardId(service.id(), domain, indexOf(s, count));
-      shards.computeIfAbsent(shard, k -> new ArrayList<>()).add(s);
+    shards.putAll(own);
+    List<BackendServer> inOrder = new ArrayList<>(servers);
+    inOrder.sort(Comparator.comparing(BackendServer::id));
+    for (BackendServer s : inOrder) {
+      place(s, own, service.shardSize());
     }
   }
 
-  private static int indexOf(BackendServer server, int count) {
-    int best = 0;
-    long bestWeight = -1;
-    for (int i = 0; i < count; i++) {
-      CRC32 crc = new CRC32();
-      crc.update((server.id() + "|" + i).getBytes(StandardCharsets.UTF_8));
-      if (crc.getValue() > bestWeight) {
-        best = i;
-        bestWeight = crc.getValue();
-      }
-    }
-    return best;
+  /** Places a server into the shard that rendezvous hashing prefers among those with room. */
+  private static void place(
+      BackendServer server, Map<ShardId, List<BackendServer>> own, int shardSize) {
+    own.entrySet().stream()
+        .filter(e -> e.getValue().size() < shardSize)
+        .max(Comparator.comparingLong(e -> weight(server, e.getKey())))
+        .orElseThrow(() -> new IllegalStateException("the shards have no room for all servers"))
+        .getValue()
+        .add(server);
+  }
+
+  private static long weight(BackendServer server, ShardId shard) {
+    return Rendezvous.weight(server.id().value(), Integer.toString(shard.index()));
   }
 
   /**
--- a/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/capacity/ScheduleCost.java
+++ b/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/capacity/ScheduleCost.java
@@ -58,10 +58,12 @@
   private long sequence;
 
   ScheduleCost() {
-    host = new SchedulerHost(scheduler, clock, (to, m) -> deliver(scheduler, m));
+    host = new SchedulerHost(scheduler, clock, (to, m) -> deliver(scheduler, m), (n, r) -> {});
     client = new SlotClient(router, clock, (to, m) -> deliver(router, m));
     atScheduler = new ScheduleMessages(host, new SlotClient(scheduler, clock, (to, m) -> true));
-    atRouter = new ScheduleMessages(new SchedulerHost(router, clock, (to, m) -> true), client);
+    atRouter =
+        new ScheduleMessages(
+            new SchedulerHost(router, clock, (to, m) -> true, (n, r) -> {}), client);
     Snapshot snapshot = FleetConfig.snapshot(1, SERVERS, 57);
     host.configure(snapshot);
     client.configure(snapshot);
