Let the engine stand-in honour priorities and report its load late

Work that waits starts by its Priority field's urgency, then in order of arrival; the load report can be made as late as a test likes. The priority test failed on the former first-in, first-out queue (it would wait for the endless patient request).

--- a/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/EngineJob.java
+++ b/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/EngineJob.java
@@ -39,6 +39,9 @@
   /** When a job without a connection is forgotten, in monotonic nanoseconds. */
   long expiryNanos;
 
+  /** Order among waiting jobs, 0 first. */
+  int urgency;
+
   /** The connection that carries the answer. */
   private static final class Carrier {
     final Request request;
--- a/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/EngineStandIn.java
+++ b/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/EngineStandIn.java
@@ -10,6 +10,8 @@
 import java.net.http.HttpResponse;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -18,6 +20,8 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -31,15 +35,19 @@
  *
  * <p>{@code POST /v1/chat/completions} takes {@code max_tokens} and {@code stream}; token number
  * <i>i</i> of every answer is {@code t}<i>i</i>. Streams can be continued and given up as {@link
- * EngineHeaders} says; {@code POST /v1/streams/ID/export} hands one over to another engine. {@code
- * GET /v1/load} reports load. {@code POST /control/slow?factor=F}, {@code /control/crash}, {@code
- * /control/cut} and {@code /control/refuse?on=B} bring faults.
+ * EngineHeaders} says; {@code POST /v1/streams/ID/export} hands one over to another engine. Work
+ * that waits starts by its {@code Priority: u=N}, 0 first. {@code GET /v1/load} reports load, as
+ * late as {@code POST /control/lag?ms=N} says. {@code POST /control/slow?factor=F}, {@code
+ * /control/crash}, {@code /control/cut} and {@code /control/refuse?on=B} bring faults.
  */
 public final class EngineStandIn extends StandInServer {
   private static final long TICK_MILLIS = 2;
   private static final long NANOS_PER_MILLI = 1_000_000;
   private static final long KEPT_NANOS = TimeUnit.SECONDS.toNanos(30);
   private static final int DEFAULT_TOKENS = 20;
+  private static final String PRIORITY = "Priority";
+  private static final Pattern URGENCY = Pattern.compile("\\bu=([0-7])\\b");
+  private static final int DEFAULT_URGENCY = 3;
 
   private final int slots;
   private final long tokenMillis;
@@ -58,6 +66,8 @@
             t.setDaemon(true);
             return t;
           });
+  private final LoadHistory history = new LoadHistory();
+  private volatile long reportLagMillis;
   private volatile int slowFactor = 1;
   private volatile boolean refusing;
 
@@ -131,6 +141,15 @@
     this.refusing = refusing;
   }
 
+  /**
+   * Makes the load report show what was true some time ago.
+   *
+   * @param millis how late the report is
+   */
+  public void setReportLagMillis(long millis) {
+    reportLagMillis = millis;
+  }
+
   /** Breaks off every answer and forgets all streams, as a crash of the engine process does. */
   public synchronized void crash() {
     List<EngineJob> all = new ArrayList<>(running);
@@ -167,6 +186,7 @@
   private void control(String path, Request request, Response response, Callback callback) {
     switch (path) {
       case "/control/slow" -> setSlowFactor((int) number(request, "factor", 1));
+      case "/control/lag" -> setReportLagMillis(number(request, "ms", 0));
       case "/control/crash" -> crash();
       case "/control/cut" -> cut();
       case "/control/refuse" -> setRefusing(Boolean.parseBoolean(text(request, "on", "true")));
@@ -179,6 +199,13 @@
   }
 
   private synchronized String load() {
+    if (reportLagMillis == 0) {
+      return currentLoad();
+    }
+    return history.at(System.nanoTime() - reportLagMillis * NANOS_PER_MILLI);
+  }
+
+  private String currentLoad() {
     return "{\"running\":%d,\"waiting\":%d,\"slots\":%d,\"started\":%d,\"cancelled\":%d}"
         .formatted(running.size(), waiting.size(), slots, started.get(), cancelled.get());
   }
@@ -205,9 +232,16 @@
       response.getHeaders().put(EngineHeaders.STREAM_OFFSET, Integer.toString(fromByte));
     }
     job.carry(request, response, callback, fromByte);
+    job.urgency = urgency(request);
     waiting.add(job);
   }
 
+  private static int urgency(Request request) {
+    String field = request.getHeaders().get(PRIORITY);
+    Matcher m = URGENCY.matcher(field == null ? "" : field);
+    return m.find() ? Integer.parseInt(m.group(1)) : DEFAULT_URGENCY;
+  }
+
   private void stream(String rest, Request request, Response response, Callback callback)
       throws IOException, InterruptedException {
     String[] parts = rest.split("/");
@@ -281,8 +315,10 @@
   private synchronized void tick() {
     long now = System.nanoTime();
     kept.values().removeIf(j -> now - j.expiryNanos >= 0);
+    history.note(now, currentLoad());
     while (running.size() < slots && !waiting.isEmpty()) {
-      EngineJob j = waiting.poll();
+      EngineJob j = Collections.min(waiting, Comparator.comparingInt(w -> w.urgency));
+      waiting.remove(j);
       j.nextNanos = now + tokenNanos();
       if (j.begin()) {
         started.incrementAndGet();
