Part the slot client from its tickets

SlotClient had grown to 500 lines and two jobs: following schedulers, and keeping what waits and is held. The second is now SlotTickets. No behaviour changes; the tests of scheduler changes under faults pass as before.

--- a/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/internal/SlotClient.java
+++ b/org.wigeonwharf.schedule/src/main/java/org/wigeonwharf/schedule/internal/SlotClient.java
@@ -1,8 +1,6 @@
 package org.wigeonwharf.schedule.internal;
 
-import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -20,14 +18,14 @@
 import org.wigeonwharf.model.RequestId;
 import org.wigeonwharf.model.ServerId;
 import org.wigeonwharf.model.ShardId;
-import org.wigeonwharf.schedule.HeldLease;
 import org.wigeonwharf.schedule.Lease;
 import org.wigeonwharf.schedule.LeaseEnd;
 import org.wigeonwharf.schedule.Outcome;
 import org.wigeonwharf.schedule.ShardMap;
 import org.wigeonwharf.schedule.SlotListener;
 import org.wigeonwharf.schedule.SlotRequest;
-import org.wigeonwharf.schedule.internal.Registration.NumberedLease;
+import org.wigeonwharf.schedule.internal.SlotTickets.Held;
+import org.wigeonwharf.schedule.internal.SlotTickets.Waiting;
 import org.wigeonwharf.schedule.wire.GrantMessage;
 import org.wigeonwharf.schedule.wire.PreemptMessage;
 import org.wigeonwharf.schedule.wire.RefusalMessage;
@@ -54,33 +52,13 @@
   private final NodeId self;
   private final Clock clock;
   private final MessageSender sender;
-  private final Map<Long, Waiting> waiting = new LinkedHashMap<>();
-  private final Map<Long, Held> held = new LinkedHashMap<>();
+  private final SlotTickets tickets;
   private final Map<ShardId, FollowedShard> followed = new TreeMap<>();
   private @Nullable MembershipView view;
   private Snapshot snapshot = Snapshot.NONE;
   private ShardMap shards = ShardMap.of(Snapshot.NONE.config());
-  private long tickets;
   private long sessions;
 
-  private static final class Waiting {
-    final SlotRequest request;
-    final SlotListener listener;
-    final long sinceNanos;
-    long ticket;
-    long sentInSession;
-
-    Waiting(SlotRequest request, SlotListener listener, long sinceNanos, long ticket) {
-      this.request = request;
-      this.listener = listener;
-      this.sinceNanos = sinceNanos;
-      this.ticket = ticket;
-    }
-  }
-
-  private record Held(
-      long ticket, SlotRequest request, SlotListener listener, long lease, ServerId server) {}
-
   /**
    * Creates a client.
    *
@@ -92,6 +70,7 @@
     this.self = self;
     this.clock = clock;
     this.sender = sender;
+    this.tickets = new SlotTickets(self, clock);
   }
 
   /**
@@ -132,17 +111,10 @@
     shards.shards().keySet().stream()
         .filter(s -> domain.filter(s.domain()::equals).isPresent())
         .forEach(wanted::add);
-    wanted.addAll(shardsInUse());
+    wanted.addAll(tickets.shardsInUse());
     return wanted;
   }
 
-  private Set<ShardId> shardsInUse() {
-    Set<ShardId> used = new HashSet<>();
-    waiting.values().forEach(w -> used.add(w.request.shard()));
-    held.values().forEach(h -> used.add(h.request().shard()));
-    return used;
-  }
-
   private Optional<FailureDomain> ownDomain() {
     return view == null
         ? Optional.empty()
@@ -168,50 +140,12 @@
 
   private void register(FollowedShard f) {
     long session = ++sessions;
-    List<NumberedLease> leases = new ArrayList<>();
-    for (Held h : held.values()) {
-      if (h.request().shard().equals(f.shard)) {
-        leases.add(toNumberedLease(h));
-      }
-    }
-    List<SlotRequest> requests = new ArrayList<>();
-    for (Waiting w : waiting.values()) {
-      if (w.request.shard().equals(f.shard)) {
-        w.sentInSession = session;
-        requests.add(toWireRequest(w));
-      }
-    }
-    Registration all = new Registration(leases, requests);
+    Registration all = tickets.registration(f.shard, session, snapshot.revision());
     ScheduleMessage m = ScheduleCodec.registration(f.shard, snapshot.revision(), all);
     boolean reached = sender.send(f.scheduler, ScheduleCodec.inSession(m, session));
     f.opened(session, reached, clock.nanos());
   }
 
-  private NumberedLease toNumberedLease(Held h) {
-    SlotRequest r = h.request();
-    RequestId id = new RequestId(self, h.ticket());
-    return new NumberedLease(
-        new HeldLease(id, h.server(), r.serviceClass(), r.account()), h.lease());
-  }
-
-  private SlotRequest toWireRequest(Waiting w) {
-    SlotRequest r = w.request;
-    return new SlotRequest(
-        new RequestId(self, w.ticket),
-        r.shard(),
-        r.serviceClass(),
-        r.account(),
-        r.estimatedTokens(),
-        r.affinity(),
-        waitedMillis(w),
-        r.repeatable(),
-        snapshot.revision());
-  }
-
-  private long waitedMillis(Waiting w) {
-    return w.request.waitedMillis() + (clock.nanos() - w.sinceNanos) / Clock.NANOS_PER_MILLI;
-  }
-
   private void send(FollowedShard f, ScheduleMessage m) {
     f.countSent();
     sender.send(f.scheduler, ScheduleCodec.inSession(m, f.session));
@@ -224,8 +158,7 @@
    * @param listener hears the decision
    */
   public void acquire(SlotRequest request, SlotListener listener) {
-    Waiting w = new Waiting(request, listener, clock.nanos(), ++tickets);
-    waiting.put(w.ticket, w);
+    Waiting w = tickets.add(request, listener);
     FollowedShard f = followed.get(request.shard());
     if (f == null) {
       follow(request.shard());
@@ -237,7 +170,7 @@
   private void sendIfOpen(FollowedShard f, Waiting w) {
     if (f.isOpen() && w.sentInSession != f.session) {
       w.sentInSession = f.session;
-      send(f, ScheduleCodec.request(toWireRequest(w)));
+      send(f, ScheduleCodec.request(tickets.toWireRequest(w, snapshot.revision())));
     }
   }
 
@@ -247,7 +180,7 @@
    * @param id the request
    */
   public void cancel(RequestId id) {
-    for (Waiting w : List.copyOf(waiting.values())) {
+    for (Waiting w : tickets.allWaiting()) {
       if (w.request.id().equals(id)) {
         withdraw(w);
       }
@@ -255,10 +188,10 @@
   }
 
   private void withdraw(Waiting w) {
-    waiting.remove(w.ticket);
+    tickets.removeWaiting(w.ticket);
     FollowedShard f = followed.get(w.request.shard());
     if (f != null && f.isOpen() && w.sentInSession == f.session) {
-      send(f, ScheduleCodec.cancel(f.shard, new RequestId(self, w.ticket)));
+      send(f, ScheduleCodec.cancel(f.shard, tickets.idOf(w.ticket)));
     }
   }
 
@@ -268,25 +201,13 @@
    * @param outcome how it ended
    */
   public void end(Outcome outcome) {
-    Held h = held.remove(outcome.lease());
+    Held h = tickets.removeHeld(outcome.lease());
     FollowedShard f = h == null ? null : followed.get(outcome.shard());
     if (h != null && f != null && f.isOpen()) {
-      send(f, ScheduleCodec.outcome(toWireOutcome(h, outcome)));
+      send(f, ScheduleCodec.outcome(tickets.toWireOutcome(h, outcome)));
     }
   }
 
-  private Outcome toWireOutcome(Held h, Outcome o) {
-    return new Outcome(
-        new RequestId(self, h.ticket()),
-        o.shard(),
-        h.lease(),
-        h.server(),
-        o.end(),
-        o.firstTokenMillis(),
-        o.tokens(),
-        o.totalMillis());
-  }
-
   /**
    * Takes a grant.
    *
@@ -304,7 +225,7 @@
       return;
     }
     f.countReceived();
-    Waiting w = waiting.get(m.getSequence());
+    Waiting w = tickets.findWaiting(m.getSequence());
     if (w != null) {
       use(f, w, m);
     } else if (!isHeld(m)) {
@@ -313,22 +234,19 @@
   }
 
   private boolean isHeld(GrantMessage m) {
-    Held h = held.get(m.getSequence());
-    return h != null && h.lease() == m.getLease();
+    Held h = tickets.findHeld(m.getSequence());
+    return h != null && h.isOf(m.getLease());
   }
 
   private void use(FollowedShard f, Waiting w, GrantMessage m) {
     ServerId server = new ServerId(m.getServer());
     Optional<BackendServer> known = snapshot.config().server(f.shard.service(), server);
-    waiting.remove(w.ticket);
     if (known.isEmpty()) {
       send(f, returned(m));
-      w.ticket = ++tickets;
-      w.sentInSession = 0;
-      waiting.put(w.ticket, w);
+      tickets.renew(w);
       return;
     }
-    held.put(w.ticket, new Held(w.ticket, w.request, w.listener, m.getLease(), server));
+    tickets.hold(w, m.getLease(), server);
     long voidAt = clock.nanos() + m.getStartWithinMillis() * Clock.NANOS_PER_MILLI;
     w.listener.granted(new Lease(w.request, w.ticket, known.get(), voidAt));
   }
@@ -336,7 +254,7 @@
   private ScheduleMessage returned(GrantMessage m) {
     return ScheduleCodec.outcome(
         new Outcome(
-            new RequestId(self, m.getSequence()),
+            tickets.idOf(m.getSequence()),
             ScheduleCodec.fromWire(m.getShard()),
             m.getLease(),
             new ServerId(m.getServer()),
@@ -357,7 +275,7 @@
     if (!counts(ScheduleCodec.fromWire(m.getShard()), from, session)) {
       return;
     }
-    Waiting w = waiting.remove(m.getSequence());
+    Waiting w = tickets.removeWaiting(m.getSequence());
     if (w != null) {
       w.listener.refused(ScheduleCodec.reason(m.getReason()), m.getRetryAfterMillis());
     }
@@ -383,8 +301,8 @@
     if (!counts(ScheduleCodec.fromWire(m.getShard()), from, session)) {
       return;
     }
-    Held h = held.get(m.getSequence());
-    if (h != null && h.lease() == m.getLease()) {
+    Held h = tickets.findHeld(m.getSequence());
+    if (h != null && h.isOf(m.getLease())) {
       h.listener().preempted();
     }
   }
@@ -437,13 +355,13 @@
   /** Opens sessions, sends checkpoints and what waits unsent, and refuses what is too late. */
   public void tick() {
     long now = clock.nanos();
-    Set<ShardId> busy = shardsInUse();
+    Set<ShardId> busy = tickets.shardsInUse();
     for (FollowedShard f : List.copyOf(followed.values())) {
       if (f.isDue(now)) {
         renew(f, busy.contains(f.shard), now);
       }
     }
-    for (Waiting w : List.copyOf(waiting.values())) {
+    for (Waiting w : tickets.allWaiting()) {
       FollowedShard f = followed.get(w.request.shard());
       boolean open = f != null && f.isOpen();
       if (isPastDeadline(w, open)) {
@@ -477,7 +395,7 @@
   private boolean isPastDeadline(Waiting w, boolean open) {
     ClassSpec spec = snapshot.config().classes().get(w.request.serviceClass());
     long deadline = spec == null ? UNKNOWN_CLASS_DEADLINE_MILLIS : spec.deadline().toMillis();
-    return waitedMillis(w) >= deadline + (open ? REFUSAL_GRACE_MILLIS : 0);
+    return tickets.waitedMillis(w) >= deadline + (open ? REFUSAL_GRACE_MILLIS : 0);
   }
 
   /**
@@ -486,7 +404,7 @@
    * @return a count
    */
   public int waiting() {
-    return waiting.size();
+    return tickets.waitingCount();
   }
 
   /**
@@ -495,6 +413,6 @@
    * @return a count
    */
   public int held() {
-    return held.size();
+    return tickets.heldCount();
   }
 }
