Count a router that never had contact as silent in the configuration test

Cause: in a fresh clone the configuration process test waited in vain for silence during a failing platform. The test took the age of the last contact as above 3 s, but a router started during the outage may never have had contact, which the dump shows as -1. That it passed before was chance: mostly that router read once itself before the next fault. Never having had contact is silence too; nothing else in the test changes, and it still fails if any router hears from the platform. Ruled out: a reader that gets answers in a failing mode; the modes give none.

--- a/org.wigeonwharf.router.test/src/test/java/org/wigeonwharf/router/ConfigSpreadProcessTest.java
+++ b/org.wigeonwharf.router.test/src/test/java/org/wigeonwharf/router/ConfigSpreadProcessTest.java
@@ -26,6 +26,10 @@
   private static final long PROMISE_SECONDS = 5;
   private static final long SETTLE_SECONDS = 30;
   private static final long SILENT_MILLIS = 3_000;
+
+  /** What the dump shows as age of a contact that never was. */
+  private static final long NEVER_CONTACTED = -1;
+
   private static final long POLL_MILLIS = 20;
   private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -101,7 +105,8 @@
   }
 
   private static boolean silent(Fleet fleet, String name) {
-    return config(fleet, name).path("platform_contact_age_ms").asLong() > SILENT_MILLIS;
+    long age = config(fleet, name).path("platform_contact_age_ms").asLong();
+    return age == NEVER_CONTACTED || age > SILENT_MILLIS;
   }
 
   private void frozenReadersOfEveryFailureDomainAreReplaced(Fleet fleet) throws Exception {
