End the demo's processes also when their start fails or is interrupted

Cause: the fleet ended its processes in close(), which nobody calls when a process fails to start or the demo is interrupted before all have started; five stand-ins of an early failed demo were still running an hour later. Each process is now ended by the JVM's shutdown as well.

--- a/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/fleet/FleetProcess.java
+++ b/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/fleet/FleetProcess.java
@@ -27,6 +27,7 @@
   private FleetProcess(String name, Process process) {
     this.name = name;
     this.process = process;
+    Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly, "end-" + name));
     Thread t = new Thread(this::readLog, "log-" + name);
     t.setDaemon(true);
     t.start();
