--- a/org.wigeonwharf.relay.test/src/test/java/org/wigeonwharf/relay/GracefulStopTest.java
+++ b/org.wigeonwharf.relay.test/src/test/java/org/wigeonwharf/relay/GracefulStopTest.java
@@ -105,6 +105,7 @@
       RelayBench.await(() -> bench.metrics.timer("relay.first-byte.crew").getCount() == 1);
       CompletableFuture<Void> drained = drain(bench);
       RelayBench.await(() -> isRefused(bench));
+      // Well past the linger of these limits: a drain that forgets a slow reader has ended by then.
       Thread.sleep(2_000);
       assertFalse(drained.isDone());
       RelayBench.Answer a = AnswerReader.readFrom(s);
