--- /dev/null
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
@@ -0,0 +1,279 @@
+package org.wigeonwharf.gateway;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.wigeonwharf.gateway.backend.BackendServer;
+import org.wigeonwharf.gateway.backend.ServerDirectory;
+import org.wigeonwharf.gateway.feed.PublishedStore;
+import org.wigeonwharf.gateway.feed.StoreFeed;
+import org.wigeonwharf.gateway.http.CallerListener;
+import org.wigeonwharf.gateway.http.EventLoopTimers;
+import org.wigeonwharf.gateway.http.ExchangeProtocol;
+import org.wigeonwharf.gateway.http.ExchangeSettings;
+import org.wigeonwharf.gateway.http.Exchanges;
+import org.wigeonwharf.gateway.http.NettyBackendConnector;
+import org.wigeonwharf.gateway.http.RequestLog;
+import org.wigeonwharf.gateway.http.StatusPages;
+import org.wigeonwharf.gateway.peer.PeerExchange;
+import org.wigeonwharf.gateway.placement.ServerChooser;
+import org.wigeonwharf.gateway.placement.ServerPenalties;
+import org.wigeonwharf.gateway.placement.WorkLedger;
+import org.wigeonwharf.gateway.retry.RetryBudget;
+import org.wigeonwharf.gateway.route.RouteTable;
+import org.wigeonwharf.model.Addresses;
+import org.wigeonwharf.model.Clock;
+import org.wigeonwharf.model.Lifecycle;
+import org.wigeonwharf.model.NodeId;
+
+/**
+ * A Gateway is one router process that serves routes by host and path to the servers of a published
+ * directory. All its work runs on one event loop, so that decisions need no locks.
+ */
+public final class Gateway implements Lifecycle {
+  /**
+   * How long, in ms, a lapsed entry is believed after the store's return: the time in which living
+   * servers are listed again, with some slack.
+   */
+  private static final long RETURN_GRACE_MILLIS = 2_000;
+
+  /** How long, in ms, a silent peer's work counts. */
+  private static final long PEER_WORK_MILLIS = 1_500;
+
+  /** Time in ms between two looks at held requests and lapsed entries. */
+  private static final long TICK_MILLIS = 20;
+
+  /** Routers that the slack of the retry budget is divided by: more than today's largest fleet. */
+  private static final double RETRY_SHARES = 20;
+
+  /**
+   * How long, in ms, requests are still taken after the signal to stop: the balancer needs two
+   * missed questions, a second apart, to notice.
+   */
+  private static final long TAKE_MILLIS = 3_000;
+
+  /** Time in ms before the end of the grace at which what still runs is cut. */
+  private static final long CUT_MARGIN_MILLIS = 700;
+
+  private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
+
+  private final GatewaySettings settings;
+  private final NodeId self;
+  private final EventLoopGroup loops;
+  private final EventLoop loop;
+  private final Clock clock;
+  private final ServerDirectory directory;
+  private final ServerChooser chooser;
+  private final StoreFeed feed;
+  private final Exchanges exchanges;
+  private final CallerListener callers;
+  private final PeerExchange peers;
+  private final StatusPages readiness;
+  private final StatusPages status;
+  private final AtomicBoolean stopping = new AtomicBoolean();
+  private @Nullable Future<?> ticks;
+
+  /**
+   * Creates a gateway; nothing is started.
+   *
+   * @param settings the process settings
+   * @param self the own process
+   * @param loops a group of one event loop, owned by the gateway
+   * @param store the platform's store
+   * @param protocol spells headers
+   * @param clock monotonic time
+   * @param random spreads retries and split routes
+   * @param metrics counts what happens
+   */
+  public Gateway(
+      GatewaySettings settings,
+      NodeId self,
+      EventLoopGroup loops,
+      PublishedStore store,
+      ExchangeProtocol protocol,
+      Clock clock,
+      RandomGenerator random,
+      MetricRegistry metrics) {
+    this.settings = settings;
+    this.self = self;
+    this.loops = loops;
+    this.loop = loops.next();
+    this.clock = clock;
+    this.directory = new ServerDirectory(RETURN_GRACE_MILLIS * Clock.NANOS_PER_MILLI);
+    WorkLedger ledger = new WorkLedger(PEER_WORK_MILLIS * Clock.NANOS_PER_MILLI);
+    this.chooser = new ServerChooser(settings.domain(), ledger, ServerPenalties.DEFAULT);
+    this.feed = new StoreFeed(store, directory, loop, clock, random, this::changed);
+    EventLoopTimers timers = new EventLoopTimers(loop, clock);
+    RetryBudget budget =
+        new RetryBudget(
+            settings.retryRatio(),
+            settings.retrySlack() / RETRY_SHARES,
+            settings.retryWindowMillis() * Clock.NANOS_PER_MILLI);
+    this.exchanges =
+        new Exchanges(
+            feed::routes,
+            directory,
+            chooser,
+            budget,
+            protocol,
+            new NettyBackendConnector(loop),
+            timers,
+            new RequestLog(clock, metrics),
+            ExchangeSettings.DEFAULT,
+            random::nextDouble);
+    this.callers = new CallerListener(loop, settings.callerAddress(), exchanges, timers);
+    this.peers =
+        new PeerExchange(
+            loop,
+            self,
+            settings.domain(),
+            settings.peerAddress(),
+            settings.seeds(),
+            ledger,
+            settings.secret(),
+            clock,
+            this::configVersion,
+            feed::newerVersion);
+    this.readiness =
+        new StatusPages(loop, settings.readyAddress(), Map.of("/readyz", this::readyPage));
+    MetricsText text = new MetricsText(metrics);
+    this.status =
+        new StatusPages(
+            loop,
+            settings.metricsAddress(),
+            Map.of(
+                "/metrics",
+                () -> new StatusPages.Page(true, text.render(gauges())),
+                "/dump",
+                () -> new StatusPages.Page(true, dump())));
+  }
+
+  private long configVersion() {
+    RouteTable t = feed.routes();
+    return t == null ? 0 : t.version();
+  }
+
+  private void changed() {
+    chooser.retain(directory.all().stream().map(BackendServer::id).toList());
+    exchanges.retryHeld();
+  }
+
+  private boolean isReady() {
+    return !stopping.get() && feed.isSettled();
+  }
+
+  private StatusPages.Page readyPage() {
+    boolean ready = isReady();
+    return new StatusPages.Page(ready, ready ? "ready\n" : "not ready\n");
+  }
+
+  private Map<String, Number> gauges() {
+    return Map.of(
+        "requests.active", exchanges.active(),
+        "requests.held", exchanges.heldCount(),
+        "config.version", configVersion(),
+        "store.contact_age_ms", feed.contactAgeMillis(),
+        "servers.known", directory.all().size(),
+        "peers.known", peers.board().size());
+  }
+
+  private String dump() {
+    StringBuilder text = new StringBuilder();
+    text.append("node ").append(self).append('\n');
+    gauges().forEach((k, v) -> text.append(k).append(' ').append(v).append('\n'));
+    directory.all().forEach(s -> text.append(s).append('\n'));
+    return text.toString();
+  }
+
+  @Override
+  public void start() throws InterruptedException {
+    loop.execute(feed::start);
+    callers.start();
+    readiness.start();
+    status.start();
+    peers.start();
+    ticks =
+        loop.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    LOG.atInfo()
+        .addKeyValue("event", "router.started")
+        .addKeyValue("name", settings.name())
+        .addKeyValue("incarnation", self.incarnation())
+        .addKeyValue("failure_domain", settings.domain().value())
+        .addKeyValue("callers", Addresses.format(callers.address()))
+        .log("router started");
+  }
+
+  private void tick() {
+    directory.expire(clock.nanos());
+    if (exchanges.heldCount() > 0) {
+      exchanges.retryHeld();
+    }
+  }
+
+  /**
+   * Stops gracefully: takes requests until the balancer has noticed, lets every answer end, and
+   * cuts what is left shortly before the process would be killed.
+   */
+  @Override
+  public void stop() {
+    if (!stopping.compareAndSet(false, true)) {
+      return;
+    }
+    long begun = clock.nanos();
+    LOG.atInfo().addKeyValue("event", "router.stopping").log("router stopping");
+    try {
+      loop.execute(callers::drain);
+      sleepUntil(begun + TAKE_MILLIS * Clock.NANOS_PER_MILLI);
+      loop.execute(callers::closeIdle);
+      long cutAt = begun + (settings.stopGraceMillis() - CUT_MARGIN_MILLIS) * Clock.NANOS_PER_MILLI;
+      while (exchanges.active() > 0 && cutAt - clock.nanos() > 0) {
+        sleepUntil(clock.nanos() + TICK_MILLIS * Clock.NANOS_PER_MILLI);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    LOG.atInfo()
+        .addKeyValue("event", "router.stopped")
+        .addKeyValue("cut", exchanges.active())
+        .log("router stopped");
+    closeAll();
+  }
+
+  private void sleepUntil(long at) throws InterruptedException {
+    long left = at - clock.nanos();
+    if (left > 0) {
+      TimeUnit.NANOSECONDS.sleep(left);
+    }
+  }
+
+  private void closeAll() {
+    CountDownLatch closed = new CountDownLatch(1);
+    loop.execute(
+        () -> {
+          if (ticks != null) {
+            ticks.cancel(false);
+          }
+          feed.stop();
+          callers.stop();
+          peers.stop();
+          readiness.stop();
+          status.stop();
+          closed.countDown();
+        });
+    try {
+      closed.await(CUT_MARGIN_MILLIS / 2, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    loops.shutdownGracefully(0, CUT_MARGIN_MILLIS / 2, TimeUnit.MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/backend/ServerDirectory.java
@@ -0,0 +1,208 @@
+package org.wigeonwharf.gateway.backend;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A ServerDirectory holds the backend servers that this router believes in.
+ *
+ * <p>Entries that vanish while the store is away may have lapsed only because their servers could
+ * not reach it; they stay in use for a bounded time after its return. Not safe for threads: the
+ * owner's event loop makes all calls.
+ */
+public final class ServerDirectory {
+  private static final Logger LOG = LoggerFactory.getLogger(ServerDirectory.class);
+
+  private final long returnGraceNanos;
+  private final Map<String, Entry> entries = new HashMap<>();
+  private final Map<String, List<BackendServer>> usable = new HashMap<>();
+  private long storeReturnedAt;
+  private boolean storeWasAway;
+
+  /** An Entry is one server with what is believed of it beyond its published state. */
+  private static final class Entry {
+    private BackendServer server;
+    private boolean misdirected;
+    private boolean vanished;
+    private long vanishedUntil;
+
+    Entry(BackendServer server) {
+      this.server = server;
+    }
+
+    boolean isUsable() {
+      return !server.draining() && !misdirected;
+    }
+  }
+
+  /**
+   * Creates an empty directory.
+   *
+   * @param returnGraceNanos how long after the store's return a lapsed entry is still believed
+   */
+  public ServerDirectory(long returnGraceNanos) {
+    this.returnGraceNanos = returnGraceNanos;
+  }
+
+  /**
+   * Notes that the store answers again after it was away.
+   *
+   * @param now the current time in nanoseconds
+   */
+  public void storeReturned(long now) {
+    storeWasAway = true;
+    storeReturnedAt = now;
+  }
+
+  /**
+   * Takes a published server, new or changed.
+   *
+   * @param server its published state
+   */
+  public void put(BackendServer server) {
+    Entry e = entries.get(server.id());
+    if (e == null || isAnotherLife(e.server, server)) {
+      e = new Entry(server);
+      entries.put(server.id(), e);
+      logChange("server.added", server, "published");
+    } else if (!e.server.equals(server)) {
+      logChange(server.draining() ? "server.draining" : "server.changed", server, "published");
+      e.misdirected &= e.server.address().equals(server.address());
+    }
+    e.server = server;
+    e.vanished = false;
+    usable.clear();
+  }
+
+  private static boolean isAnotherLife(BackendServer known, BackendServer now) {
+    return known.startedAt() != now.startedAt();
+  }
+
+  /**
+   * Takes the news that a server's entry is gone.
+   *
+   * @param id the server
+   * @param now the current time in nanoseconds
+   */
+  public void withdraw(String id, long now) {
+    Entry e = entries.get(id);
+    if (e == null) {
+      return;
+    }
+    if (storeWasAway && now - storeReturnedAt < returnGraceNanos && !e.server.draining()) {
+      e.vanished = true;
+      e.vanishedUntil = storeReturnedAt + returnGraceNanos;
+      logChange("server.unconfirmed", e.server, "entry lapsed while the store was away");
+      return;
+    }
+    remove(e, "entry removed");
+  }
+
+  /**
+   * Takes the complete list of published servers.
+   *
+   * @param servers all entries that the store holds
+   * @param now the current time in nanoseconds
+   */
+  public void replaceAll(Collection<BackendServer> servers, long now) {
+    Set<String> listed = new HashSet<>();
+    for (BackendServer s : servers) {
+      listed.add(s.id());
+      put(s);
+    }
+    for (String id : List.copyOf(entries.keySet())) {
+      if (!listed.contains(id)) {
+        withdraw(id, now);
+      }
+    }
+  }
+
+  /**
+   * Drops entries that were not confirmed in time after the store's return.
+   *
+   * @param now the current time in nanoseconds
+   */
+  public void expire(long now) {
+    for (Entry e : List.copyOf(entries.values())) {
+      if (e.vanished && now - e.vanishedUntil >= 0) {
+        remove(e, "not back in time after the store's return");
+      }
+    }
+  }
+
+  private void remove(Entry e, String reason) {
+    entries.remove(e.server.id());
+    usable.clear();
+    logChange("server.removed", e.server, reason);
+  }
+
+  /**
+   * Takes a server out of use because another instance answers at its address.
+   *
+   * @param id the server that was expected there
+   */
+  public void misdirected(String id) {
+    Entry e = entries.get(id);
+    if (e != null && !e.misdirected) {
+      e.misdirected = true;
+      usable.clear();
+      logChange("server.misdirected", e.server, "another instance has its address");
+    }
+  }
+
+  /**
+   * Returns the servers of a service that may get new requests.
+   *
+   * @param service the service's name
+   * @return servers in the order of their ids; empty if there is none
+   */
+  public List<BackendServer> usable(String service) {
+    return usable.computeIfAbsent(service, this::collect);
+  }
+
+  private List<BackendServer> collect(String service) {
+    List<BackendServer> found = new ArrayList<>();
+    for (Entry e : entries.values()) {
+      if (e.isUsable() && e.server.service().equals(service)) {
+        found.add(e.server);
+      }
+    }
+    found.sort((a, b) -> a.id().compareTo(b.id()));
+    return List.copyOf(found);
+  }
+
+  /**
+   * Finds a server, usable or not.
+   *
+   * @param id the server's id
+   * @return the server, or null if it is unknown
+   */
+  public @Nullable BackendServer find(String id) {
+    Entry e = entries.get(id);
+    return e == null ? null : e.server;
+  }
+
+  /** Returns all servers that are believed in, usable or not. */
+  public List<BackendServer> all() {
+    return entries.values().stream().map(e -> e.server).toList();
+  }
+
+  private static void logChange(String event, BackendServer server, String reason) {
+    LOG.atInfo()
+        .addKeyValue("event", event)
+        .addKeyValue("server", server.id())
+        .addKeyValue("service", server.service())
+        .addKeyValue("failure_domain", server.domain().value())
+        .addKeyValue("started_at", server.startedAt())
+        .addKeyValue("reason", reason)
+        .log("backend server");
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/package-info.java
@@ -0,0 +1,5 @@
+/** Reads the platform's published configuration and servers. */
+@NullMarked
+package org.wigeonwharf.gateway.feed;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/CallerListener.java
@@ -0,0 +1,127 @@
+package org.wigeonwharf.gateway.http;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.wigeonwharf.gateway.route.CallerLimits;
+import org.wigeonwharf.gateway.route.RouteTable;
+
+/** A CallerListener accepts callers' connections. */
+public final class CallerListener {
+  /** Connections that may wait to be accepted; all callers of a failure domain may come at once. */
+  private static final int BACKLOG = 1_024;
+
+  private final EventLoop loop;
+  private final InetSocketAddress bindAddress;
+  private final Exchanges exchanges;
+  private final Timers timers;
+  private final Set<CallerConnection> connections = new HashSet<>();
+  private @Nullable Channel server;
+  private boolean stopping;
+
+  /**
+   * Creates a listener that is not yet bound.
+   *
+   * @param loop runs all connections
+   * @param bindAddress where callers connect; port 0 lets the system choose
+   * @param exchanges serves the requests
+   * @param timers time and timers
+   */
+  public CallerListener(
+      EventLoop loop, InetSocketAddress bindAddress, Exchanges exchanges, Timers timers) {
+    this.loop = loop;
+    this.bindAddress = bindAddress;
+    this.exchanges = exchanges;
+    this.timers = timers;
+  }
+
+  /**
+   * Binds and begins to accept.
+   *
+   * @throws InterruptedException if the waiting thread is interrupted
+   */
+  public void start() throws InterruptedException {
+    server =
+        new ServerBootstrap()
+            .group(loop, loop)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel ch) {
+                    accept(ch);
+                  }
+                })
+            .bind(bindAddress)
+            .sync()
+            .channel();
+  }
+
+  private void accept(SocketChannel channel) {
+    RouteTable routes = exchanges.routes();
+    CallerLimits limits = routes == null ? CallerLimits.DEFAULT : routes.limits();
+    CallerConnection connection = new CallerConnection(exchanges, limits, () -> stopping, timers);
+    connections.add(connection);
+    channel.closeFuture().addListener(f -> connections.remove(connection));
+    HttpDecoderConfig decoder =
+        new HttpDecoderConfig()
+            .setMaxInitialLineLength(limits.maxHeaderBytes())
+            .setMaxHeaderSize(limits.maxHeaderBytes());
+    channel
+        .pipeline()
+        .addLast(
+            new ChannelInboundHandlerAdapter() {
+              @Override
+              public void channelRead(ChannelHandlerContext ctx, Object message) {
+                connection.bytesCame();
+                ctx.fireChannelRead(message);
+              }
+            },
+            new HttpServerCodec(decoder),
+            connection);
+  }
+
+  /**
+   * Returns where callers connect.
+   *
+   * @return the bound address
+   */
+  public InetSocketAddress address() {
+    Channel s = server;
+    return s == null ? bindAddress : (InetSocketAddress) s.localAddress();
+  }
+
+  /** Lets each connection end with its next answer; called on the event loop. */
+  public void drain() {
+    stopping = true;
+  }
+
+  /** Closes connections without a request; called on the event loop. */
+  public void closeIdle() {
+    List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
+  }
+
+  /** Ends all requests and closes everything; called on the event loop. */
+  public void stop() {
+    if (server != null) {
+      server.close();
+    }
+    List.copyOf(connections).forEach(CallerConnection::stopNow);
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/EventFramer.java
@@ -0,0 +1,81 @@
+package org.wigeonwharf.gateway.http;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.function.BiConsumer;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * An EventFramer cuts a stream of server-sent events into whole events, so that a stream that
+ * breaks off can be continued after its last whole event.
+ */
+final class EventFramer {
+  private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+
+  private final BiConsumer<byte[], @Nullable String> events;
+  private final ByteArrayOutputStream event = new ByteArrayOutputStream(128);
+  private final ByteArrayOutputStream line = new ByteArrayOutputStream(128);
+  private @Nullable String id;
+
+  /**
+   * Creates a framer.
+   *
+   * @param events takes each whole event's bytes, its blank line included, and its id or null
+   */
+  EventFramer(BiConsumer<byte[], @Nullable String> events) {
+    this.events = events;
+  }
+
+  /**
+   * Takes the next bytes.
+   *
+   * @param bytes bytes of the stream
+   */
+  void add(byte[] bytes) {
+    for (byte b : bytes) {
+      event.write(b);
+      if (b == '\n') {
+        endLine();
+      } else if (b != '\r') {
+        line.write(b);
+      }
+    }
+  }
+
+  private void endLine() {
+    byte[] text = line.toByteArray();
+    line.reset();
+    if (text.length > 0) {
+      readId(text);
+      return;
+    }
+    byte[] whole = event.toByteArray();
+    event.reset();
+    String of = id;
+    id = null;
+    events.accept(whole, of);
+  }
+
+  private void readId(byte[] text) {
+    if (text.length < ID_FIELD.length) {
+      return;
+    }
+    for (int i = 0; i < ID_FIELD.length; i++) {
+      if (text[i] != ID_FIELD[i]) {
+        return;
+      }
+    }
+    id =
+        new String(text, ID_FIELD.length, text.length - ID_FIELD.length, StandardCharsets.UTF_8)
+            .strip();
+  }
+
+  /**
+   * Returns the bytes after the last whole event.
+   *
+   * @return a copy; empty if the stream stands between two events
+   */
+  byte[] rest() {
+    return event.toByteArray();
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/EventLoopTimers.java
@@ -0,0 +1,34 @@
+package org.wigeonwharf.gateway.http;
+
+import io.netty.channel.EventLoop;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.wigeonwharf.model.Clock;
+
+/** EventLoopTimers run actions on one event loop by monotonic time. */
+public final class EventLoopTimers implements Timers {
+  private final EventLoop loop;
+  private final Clock clock;
+
+  /**
+   * Creates timers.
+   *
+   * @param loop runs the actions
+   * @param clock monotonic time
+   */
+  public EventLoopTimers(EventLoop loop, Clock clock) {
+    this.loop = loop;
+    this.clock = clock;
+  }
+
+  @Override
+  public long nanos() {
+    return clock.nanos();
+  }
+
+  @Override
+  public Timer after(long delayNanos, Runnable action) {
+    Future<?> f = loop.schedule(action, Math.max(0, delayNanos), TimeUnit.NANOSECONDS);
+    return () -> f.cancel(false);
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/ExchangeSettings.java
@@ -0,0 +1,25 @@
+package org.wigeonwharf.gateway.http;
+
+/**
+ * ExchangeSettings are the limits that a router sets itself for requests.
+ *
+ * @param maxHoldMillis longest time that a request is held for lack of a server that may get it
+ * @param holdPart part of a request's remaining time that it may be held at the most
+ * @param minSendMillis least remaining time with which a request is sent to a server
+ * @param retryAfterMillis when a refused caller should come back
+ * @param maxBufferedAnswer bytes of an answer that are kept back until it is complete, so that a
+ *     broken one can be replaced by another server's
+ */
+public record ExchangeSettings(
+    long maxHoldMillis,
+    double holdPart,
+    long minSendMillis,
+    long retryAfterMillis,
+    int maxBufferedAnswer) {
+  /**
+   * Holds long enough for a full server to free a slot and for a replaced one to appear; callers
+   * who are refused come back after about the time of one more such wait.
+   */
+  public static final ExchangeSettings DEFAULT =
+      new ExchangeSettings(1_500, 0.4, 10, 500, 256 * 1024);
+}
--- /dev/null
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/HeldRequests.java
@@ -0,0 +1,50 @@
+package org.wigeonwharf.gateway.http;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.TreeSet;
+
+/**
+ * HeldRequests are requests that no server may get at the moment, the most urgent first and within
+ * a rank the one that has waited longest.
+ */
+final class HeldRequests {
+  private static final Comparator<Exchange> ORDER =
+      Comparator.comparingInt(Exchange::urgency)
+          .thenComparingLong(Exchange::arrivedAt)
+          .thenComparingLong(Exchange::number);
+
+  private final TreeSet<Exchange> held = new TreeSet<>(ORDER);
+
+  void add(Exchange e) {
+    held.add(e);
+  }
+
+  void remove(Exchange e) {
+    held.remove(e);
+  }
+
+  /** Lets each held request try again in order; those that still find no server come back. */
+  void retry() {
+    for (Exchange e : List.copyOf(held)) {
+      if (held.remove(e)) {
+        e.dispatch();
+      }
+    }
+  }
+
+  /** Counts the requests of a rank or a more urgent one that wait for a service. */
+  int ahead(String service, int urgency) {
+    int n = 0;
+    for (Exchange e : held) {
+      if (e.urgency() <= urgency && e.service().equals(service)) {
+        n++;
+      }
+    }
+    return n;
+  }
+
+  int size() {
+    return held.size();
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/HopHeaders.java
@@ -0,0 +1,41 @@
+package org.wigeonwharf.gateway.http;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
+
+/** HopHeaders knows the headers that concern one connection only. */
+final class HopHeaders {
+  private static final List<CharSequence> NAMES =
+      List.of(
+          HttpHeaderNames.CONNECTION,
+          "Keep-Alive",
+          HttpHeaderNames.PROXY_AUTHENTICATE,
+          HttpHeaderNames.PROXY_AUTHORIZATION,
+          "Proxy-Connection",
+          HttpHeaderNames.TE,
+          HttpHeaderNames.TRAILER,
+          HttpHeaderNames.TRANSFER_ENCODING,
+          HttpHeaderNames.CONTENT_LENGTH,
+          HttpHeaderNames.UPGRADE,
+          HttpHeaderNames.EXPECT);
+
+  private HopHeaders() {}
+
+  /**
+   * Removes all headers that concern one connection only, with those that it names itself.
+   *
+   * @param headers changed in place
+   */
+  static void remove(HttpHeaders headers) {
+    for (String line : headers.getAll(HttpHeaderNames.CONNECTION)) {
+      for (String name : line.split(",")) {
+        String n = name.strip();
+        if (!n.isEmpty() && !HttpHeaderNames.HOST.contentEqualsIgnoreCase(n)) {
+          headers.remove(n);
+        }
+      }
+    }
+    NAMES.forEach(headers::remove);
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/NettyBackendConnector.java
@@ -0,0 +1,184 @@
+package org.wigeonwharf.gateway.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import org.wigeonwharf.gateway.backend.BackendServer;
+
+/**
+ * A NettyBackendConnector sends each request on a connection of its own.
+ *
+ * <p>A fresh connection can't meet the server's close of an idle one, nor bytes that belong to an
+ * earlier request.
+ */
+public final class NettyBackendConnector implements BackendConnector {
+  /**
+   * Longest wait for a connection, in ms: some round trips between regions. A lost opening packet
+   * would be sent again only after a second.
+   */
+  private static final int CONNECT_TIMEOUT_MILLIS = 250;
+
+  private final EventLoop loop;
+
+  /**
+   * Creates a connector.
+   *
+   * @param loop runs all connections
+   */
+  public NettyBackendConnector(EventLoop loop) {
+    this.loop = loop;
+  }
+
+  @Override
+  public Attempt send(BackendServer server, OutboundRequest request, AttemptListener listener) {
+    Connection connection = new Connection(request, listener);
+    ChannelFuture connect =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+            .handler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel ch) {
+                    ch.pipeline().addLast(new HttpClientCodec(), connection);
+                  }
+                })
+            .connect(server.address());
+    connection.channel = connect.channel();
+    connect.addListener(
+        f -> {
+          if (!f.isSuccess()) {
+            connection.unreachable(f.cause());
+          }
+        });
+    return connection;
+  }
+
+  /** A Connection carries one request and its answer. */
+  private static final class Connection extends ChannelInboundHandlerAdapter implements Attempt {
+    private final OutboundRequest request;
+    private final AttemptListener listener;
+    private Channel channel;
+    private boolean over;
+    private boolean informational;
+    private boolean headSeen;
+
+    @SuppressWarnings("NullAway.Init") // The channel is set before the first event.
+    Connection(OutboundRequest request, AttemptListener listener) {
+      this.request = request;
+      this.listener = listener;
+    }
+
+    @Override
+    public void cancel() {
+      over = true;
+      channel.close();
+    }
+
+    @Override
+    public void pause(boolean paused) {
+      channel.config().setAutoRead(!paused);
+    }
+
+    private void unreachable(Throwable cause) {
+      if (!over) {
+        over = true;
+        listener.unreachable(String.valueOf(cause.getMessage()));
+      }
+    }
+
+    private void broken(String reason) {
+      if (!over) {
+        over = true;
+        channel.close();
+        listener.broken(reason);
+      }
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+      if (over) {
+        ctx.close();
+        return;
+      }
+      ctx.writeAndFlush(
+          new DefaultFullHttpRequest(
+              HttpVersion.HTTP_1_1,
+              request.method(),
+              request.target(),
+              Unpooled.wrappedBuffer(request.body()),
+              request.headers(),
+              new DefaultHttpHeaders()));
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+      try {
+        if (!over && message instanceof HttpObject part) {
+          read(part);
+        }
+      } finally {
+        ReferenceCountUtil.release(message);
+      }
+    }
+
+    private void read(HttpObject part) {
+      if (part.decoderResult().isFailure()) {
+        broken("not HTTP: " + part.decoderResult().cause().getMessage());
+        return;
+      }
+      if (part instanceof HttpResponse response) {
+        informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        if (!informational) {
+          headSeen = true;
+          listener.head(response.status().code(), response.headers());
+        }
+      }
+      if (part instanceof HttpContent content && !informational && !over) {
+        readContent(content);
+      }
+    }
+
+    private void readContent(HttpContent content) {
+      if (content.content().isReadable()) {
+        listener.data(ByteBufUtil.getBytes(content.content()));
+      }
+      if (content instanceof LastHttpContent && !over) {
+        over = true;
+        channel.close();
+        listener.complete();
+      }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+      broken(headSeen ? "connection closed within the answer" : "connection closed unanswered");
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      broken("connection broke: " + cause.getMessage());
+    }
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Refusals.java
@@ -0,0 +1,34 @@
+package org.wigeonwharf.gateway.http;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+
+/** Refusals makes the answers that the router gives itself. */
+final class Refusals {
+  private static final double MILLIS_PER_SECOND = 1_000;
+
+  private Refusals() {}
+
+  /**
+   * Makes the headers of an own answer.
+   *
+   * @param retryAfterMillis when the caller should come back; 0 or less says nothing
+   * @return the headers
+   */
+  static HttpHeaders headers(long retryAfterMillis) {
+    HttpHeaders h = new DefaultHttpHeaders();
+    h.set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
+    if (retryAfterMillis > 0) {
+      String seconds = String.format(Locale.ROOT, "%.2f", retryAfterMillis / MILLIS_PER_SECOND);
+      h.set(HttpHeaderNames.RETRY_AFTER, seconds);
+    }
+    return h;
+  }
+
+  static byte[] body(String reason) {
+    return (reason + "\n").getBytes(StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/RequestCheck.java
@@ -0,0 +1,55 @@
+package org.wigeonwharf.gateway.http;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/** A RequestCheck refuses requests whose extent or target two parties could read differently. */
+final class RequestCheck {
+  private RequestCheck() {}
+
+  /**
+   * Checks the head of a request.
+   *
+   * @param request the head
+   * @param maxBodyBytes largest body
+   * @return the status to refuse it with, or null if it is sound
+   */
+  static @Nullable HttpResponseStatus fault(HttpRequest request, int maxBodyBytes) {
+    if (!request.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
+      return HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED;
+    }
+    HttpHeaders h = request.headers();
+    if (!request.uri().startsWith("/") || h.getAll(HttpHeaderNames.HOST).size() != 1) {
+      return HttpResponseStatus.BAD_REQUEST;
+    }
+    return bodyFault(h, maxBodyBytes);
+  }
+
+  private static @Nullable HttpResponseStatus bodyFault(HttpHeaders h, int maxBodyBytes) {
+    List<String> lengths = h.getAll(HttpHeaderNames.CONTENT_LENGTH);
+    List<String> encodings = h.getAll(HttpHeaderNames.TRANSFER_ENCODING);
+    if (lengths.size() > 1 || encodings.size() > 1) {
+      return HttpResponseStatus.BAD_REQUEST;
+    }
+    if (!encodings.isEmpty()) {
+      boolean chunked = HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encodings.get(0).strip());
+      return chunked && lengths.isEmpty() ? null : HttpResponseStatus.BAD_REQUEST;
+    }
+    if (lengths.isEmpty()) {
+      return null;
+    }
+    String length = lengths.get(0);
+    if (!length.matches("[0-9]{1,18}")) {
+      return HttpResponseStatus.BAD_REQUEST;
+    }
+    return Long.parseLong(length) > maxBodyBytes
+        ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE
+        : null;
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/StatusPages.java
@@ -0,0 +1,138 @@
+package org.wigeonwharf.gateway.http;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+
+/** StatusPages answer short questions about the process as plain text. */
+public final class StatusPages {
+  /** Longest silence on a connection, in seconds; questions come once a second or less often. */
+  private static final int IDLE_SECONDS = 30;
+
+  private static final int MAX_QUESTION_BYTES = 8_192;
+
+  private final EventLoop loop;
+  private final InetSocketAddress bindAddress;
+  private final Map<String, Supplier<Page>> pages;
+  private @Nullable Channel server;
+
+  /**
+   * A Page is one answer.
+   *
+   * @param found true for status 200, false for 503
+   * @param text the body
+   */
+  public record Page(boolean found, String text) {}
+
+  /**
+   * Creates pages that are not yet bound.
+   *
+   * @param loop runs all connections
+   * @param bindAddress where questions come in; port 0 lets the system choose
+   * @param pages makes the pages, by path
+   */
+  public StatusPages(
+      EventLoop loop, InetSocketAddress bindAddress, Map<String, Supplier<Page>> pages) {
+    this.loop = loop;
+    this.bindAddress = bindAddress;
+    this.pages = Map.copyOf(pages);
+  }
+
+  /**
+   * Binds and begins to answer.
+   *
+   * @throws InterruptedException if the waiting thread is interrupted
+   */
+  public void start() throws InterruptedException {
+    server =
+        new ServerBootstrap()
+            .group(loop, loop)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel ch) {
+                    ch.pipeline()
+                        .addLast(
+                            new ReadTimeoutHandler(IDLE_SECONDS, TimeUnit.SECONDS),
+                            new HttpServerCodec(),
+                            new HttpObjectAggregator(MAX_QUESTION_BYTES),
+                            new Answers());
+                  }
+                })
+            .bind(bindAddress)
+            .sync()
+            .channel();
+  }
+
+  /**
+   * Returns where questions come in.
+   *
+   * @return the bound address
+   */
+  public InetSocketAddress address() {
+    Channel s = server;
+    return s == null ? bindAddress : (InetSocketAddress) s.localAddress();
+  }
+
+  /** Stops answering. */
+  public void stop() {
+    if (server != null) {
+      server.close();
+    }
+  }
+
+  private final class Answers extends SimpleChannelInboundHandler<FullHttpRequest> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+      Supplier<Page> page = pages.get(request.uri());
+      if (page == null) {
+        write(ctx, HttpResponseStatus.NOT_FOUND, "no such page\n");
+        return;
+      }
+      Page p = page.get();
+      HttpResponseStatus status =
+          p.found() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
+      write(ctx, status, p.text());
+    }
+
+    private void write(ChannelHandlerContext ctx, HttpResponseStatus status, String text) {
+      byte[] body = text.getBytes(StandardCharsets.UTF_8);
+      var response =
+          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body));
+      response
+          .headers()
+          .set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8")
+          .set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+      ctx.writeAndFlush(response);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      // Silent or broken askers are of no interest.
+      ctx.close();
+    }
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/package-info.java
@@ -0,0 +1,5 @@
+/** The gateway: forwards requests by host and path to servers of a published directory. */
+@NullMarked
+package org.wigeonwharf.gateway;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/NewsCodec.java
@@ -0,0 +1,71 @@
+package org.wigeonwharf.gateway.peer;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.HashMap;
+import java.util.Map;
+import org.wigeonwharf.gateway.peer.wire.RouterNews;
+import org.wigeonwharf.gateway.peer.wire.ServerWorkNews;
+import org.wigeonwharf.gateway.peer.wire.SignedNews;
+import org.wigeonwharf.gateway.placement.ServerWork;
+import org.wigeonwharf.peer.FleetSecret;
+
+/** A NewsCodec turns a router's news into signed datagrams and back. */
+final class NewsCodec {
+  private static final double THOUSANDTHS = 1_000;
+
+  private final FleetSecret secret;
+
+  NewsCodec(FleetSecret secret) {
+    this.secret = secret;
+  }
+
+  byte[] encode(RouterNews news) {
+    byte[] bytes = news.toByteArray();
+    return SignedNews.newBuilder()
+        .setNews(ByteString.copyFrom(bytes))
+        .setSignature(ByteString.copyFrom(secret.sign(bytes)))
+        .build()
+        .toByteArray();
+  }
+
+  /**
+   * Decodes a datagram.
+   *
+   * @param datagram the received bytes
+   * @return the news
+   * @throws InvalidProtocolBufferException if it is broken or not signed with the fleet's secret
+   */
+  RouterNews decode(byte[] datagram) throws InvalidProtocolBufferException {
+    SignedNews signed = SignedNews.parseFrom(datagram);
+    byte[] bytes = signed.getNews().toByteArray();
+    if (!secret.verify(signed.getSignature().toByteArray(), bytes)) {
+      throw new InvalidProtocolBufferException("wrong signature");
+    }
+    return RouterNews.parseFrom(bytes);
+  }
+
+  static ServerWorkNews encode(String server, ServerWork work) {
+    return ServerWorkNews.newBuilder()
+        .setServer(server)
+        .setRunning(work.running())
+        .setTightness((int) Math.round(work.tightness() * THOUSANDTHS))
+        .setPrefillTokens(work.prefillTokens())
+        .setMemoryTokens(work.memoryTokens())
+        .build();
+  }
+
+  static Map<String, ServerWork> decodeWork(RouterNews news) {
+    Map<String, ServerWork> work = new HashMap<>();
+    for (ServerWorkNews w : news.getWorkList()) {
+      work.put(
+          w.getServer(),
+          new ServerWork(
+              Math.max(0, w.getRunning()),
+              Math.max(0, w.getTightness()) / THOUSANDTHS,
+              Math.max(0, w.getPrefillTokens()),
+              Math.max(0, w.getMemoryTokens())));
+    }
+    return work;
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/Demand.java
@@ -0,0 +1,49 @@
+package org.wigeonwharf.gateway.placement;
+
+import java.util.List;
+
+/**
+ * A Demand is what placement has to know of a request.
+ *
+ * @param service the service that serves it
+ * @param urgency rank among requests; 0 goes first
+ * @param parts the prompt's parts in order; empty for plain requests
+ * @param promptTokens the prompt's length; 0 for plain requests
+ * @param outputTokens most tokens that may be generated; 0 for plain requests
+ * @param objectiveMillis latency objective for the answer or the first event
+ * @param gapMillis longest pause between events within the objective; 0 if there is none
+ */
+public record Demand(
+    String service,
+    int urgency,
+    List<PromptPart> parts,
+    int promptTokens,
+    int outputTokens,
+    long objectiveMillis,
+    long gapMillis) {
+  /** The gap objective, in ms, that counts as one whole tight stream: that of interactive chat. */
+  private static final double REFERENCE_GAP_MILLIS = 200;
+
+  /** Copies the parts. */
+  public Demand {
+    parts = List.copyOf(parts);
+  }
+
+  /** Tells whether the request is for a model engine. */
+  public boolean isPrompt() {
+    return promptTokens > 0;
+  }
+
+  /**
+   * Returns how much a pause of its stream hurts.
+   *
+   * @return 1 for a stream with an interactive gap objective, towards 0 for tolerant ones
+   */
+  public double tightness() {
+    if (gapMillis <= 0) {
+      return 0;
+    }
+    double t = REFERENCE_GAP_MILLIS / gapMillis;
+    return Math.min(1, t * t);
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/PlacementPolicy.java
@@ -0,0 +1,14 @@
+package org.wigeonwharf.gateway.placement;
+
+/** A PlacementPolicy prices sending a request to a server. */
+public interface PlacementPolicy {
+  /**
+   * Prices one candidate.
+   *
+   * @param demand the request
+   * @param candidate the server
+   * @return the cost in milliseconds, comparable between the candidates of one request; infinite if
+   *     the server must not get it now
+   */
+  double cost(Demand demand, Candidate candidate);
+}
--- /dev/null
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/PromptMemory.java
@@ -0,0 +1,65 @@
+package org.wigeonwharf.gateway.placement;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A PromptMemory remembers which prompt parts a server has read lately, the least recently used
+ * ones giving way.
+ */
+public final class PromptMemory {
+  private final long capacityTokens;
+  private final LinkedHashMap<String, Integer> parts = new LinkedHashMap<>(16, 0.75f, true);
+  private long tokens;
+
+  /**
+   * Creates an empty memory.
+   *
+   * @param capacityTokens tokens that the server is expected to keep beside running work
+   */
+  public PromptMemory(long capacityTokens) {
+    this.capacityTokens = capacityTokens;
+  }
+
+  /**
+   * Counts the tokens of a prompt that need no reading: its leading parts that are remembered.
+   *
+   * @param prompt the prompt's parts in order
+   * @return tokens from the prompt's start
+   */
+  public int remembered(List<PromptPart> prompt) {
+    int n = 0;
+    for (PromptPart p : prompt) {
+      if (!parts.containsKey(p.id())) {
+        break;
+      }
+      n += p.tokens();
+    }
+    return n;
+  }
+
+  /**
+   * Notes that the server reads a prompt.
+   *
+   * @param prompt the prompt's parts in order
+   */
+  public void read(List<PromptPart> prompt) {
+    for (PromptPart p : prompt) {
+      Integer old = parts.put(p.id(), p.tokens());
+      tokens += p.tokens() - (old == null ? 0 : old);
+    }
+    Iterator<Map.Entry<String, Integer>> oldest = parts.entrySet().iterator();
+    while (tokens > capacityTokens && oldest.hasNext()) {
+      tokens -= oldest.next().getValue();
+      oldest.remove();
+    }
+  }
+
+  /** Forgets everything: the server started anew. */
+  public void clear() {
+    parts.clear();
+    tokens = 0;
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/route/Route.java
@@ -0,0 +1,57 @@
+package org.wigeonwharf.gateway.route;
+
+import java.util.List;
+
+/**
+ * A Route says where the requests of one host and path prefix go and how they are treated.
+ *
+ * @param name the route's name, for logs and metrics
+ * @param host the host that callers name, in lower case and without a port
+ * @param prefix the path prefix, with a slash at both ends
+ * @param kind what may be repeated
+ * @param timeoutMillis longest wait for the whole answer, from the request's arrival
+ * @param objectiveMillis latency objective for the answer, or for a stream's first event
+ * @param gapObjectiveMillis longest pause between a stream's events within the objective; 0 if none
+ * @param urgency rank among routes; 0 goes first
+ * @param split the services that share the requests, at least one
+ * @param maxAttempts most backend servers that one request may be sent to
+ * @param open true if callers need no key
+ */
+public record Route(
+    String name,
+    String host,
+    String prefix,
+    RequestKind kind,
+    long timeoutMillis,
+    long objectiveMillis,
+    long gapObjectiveMillis,
+    int urgency,
+    List<ServiceShare> split,
+    int maxAttempts,
+    boolean open) {
+  /** Copies the split. */
+  public Route {
+    split = List.copyOf(split);
+  }
+
+  /**
+   * Picks the service for one request.
+   *
+   * @param point a number from 0 (inclusive) to 1 (exclusive), spread evenly over requests
+   * @return the service's name
+   */
+  public String pickService(double point) {
+    long total = 0;
+    for (ServiceShare s : split) {
+      total += s.weight();
+    }
+    double rest = point * total;
+    for (ServiceShare s : split) {
+      rest -= s.weight();
+      if (rest < 0) {
+        return s.service();
+      }
+    }
+    return split.get(split.size() - 1).service();
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/route/RouteTable.java
@@ -0,0 +1,124 @@
+package org.wigeonwharf.gateway.route;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/** A RouteTable is one complete published version of routes, services, accounts and limits. */
+public final class RouteTable {
+  private final long version;
+  private final Map<String, List<Route>> byHost;
+  private final Map<String, ServiceSpec> services;
+  private final CallerLimits limits;
+  private final @Nullable Map<String, Account> byKey;
+  private final int size;
+
+  /**
+   * Creates a table.
+   *
+   * @param version the published version; a higher one replaces a lower one
+   * @param routes all routes
+   * @param services all services
+   * @param limits what callers may send
+   * @param byKey the accounts by their keys, or null if callers need no keys at all
+   */
+  public RouteTable(
+      long version,
+      List<Route> routes,
+      List<ServiceSpec> services,
+      CallerLimits limits,
+      @Nullable Map<String, Account> byKey) {
+    this.version = version;
+    this.byHost = group(routes);
+    this.services = new HashMap<>();
+    services.forEach(s -> this.services.put(s.name(), s));
+    this.limits = limits;
+    this.byKey = byKey == null ? null : Map.copyOf(byKey);
+    this.size = routes.size();
+  }
+
+  private static Map<String, List<Route>> group(List<Route> routes) {
+    Map<String, List<Route>> grouped = new HashMap<>();
+    for (Route r : routes) {
+      grouped.computeIfAbsent(r.host().toLowerCase(Locale.ROOT), h -> new ArrayList<>()).add(r);
+    }
+    Comparator<Route> longestFirst = Comparator.comparingInt(r -> -r.prefix().length());
+    grouped.values().forEach(list -> list.sort(longestFirst));
+    return grouped;
+  }
+
+  /**
+   * Finds the route of a request: the longest prefix of its path among the host's routes.
+   *
+   * @param host the host that the caller names, with or without a port
+   * @param path the path, with or without a query
+   * @return the route, or null if none fits
+   */
+  public @Nullable Route find(String host, String path) {
+    List<Route> routes = byHost.get(withoutPort(host).toLowerCase(Locale.ROOT));
+    if (routes == null) {
+      return null;
+    }
+    int query = path.indexOf('?');
+    String bare = query < 0 ? path : path.substring(0, query);
+    for (Route r : routes) {
+      if (bare.startsWith(r.prefix())) {
+        return r;
+      }
+    }
+    return null;
+  }
+
+  private static String withoutPort(String host) {
+    int colon = host.lastIndexOf(':');
+    return colon > host.lastIndexOf(']') ? host.substring(0, colon) : host;
+  }
+
+  /**
+   * Finds the account that holds a key.
+   *
+   * @param key the caller's key
+   * @return the account, or null if no account holds the key
+   */
+  public @Nullable Account account(String key) {
+    return byKey == null ? null : byKey.get(key);
+  }
+
+  /**
+   * Tells whether callers of routes that are not open must prove an account.
+   *
+   * @return false if the configuration has no accounts at all
+   */
+  public boolean needsKeys() {
+    return byKey != null;
+  }
+
+  /**
+   * Finds a service.
+   *
+   * @param name the service's name
+   * @return its description, or null if there is none of that name
+   */
+  public @Nullable ServiceSpec service(String name) {
+    return services.get(name);
+  }
+
+  /** Returns the published version. */
+  public long version() {
+    return version;
+  }
+
+  /** Returns what callers may send. */
+  public CallerLimits limits() {
+    return limits;
+  }
+
+  /** Returns the number of routes. */
+  public int size() {
+    return size;
+  }
+}
--- a/org.wigeonwharf.router/src/gen/java/org/wigeonwharf/router/DaggerRouterComponent.java
+++ b/org.wigeonwharf.router/src/gen/java/org/wigeonwharf/router/DaggerRouterComponent.java
@@ -6,8 +6,8 @@
 import dagger.internal.InstanceFactory;
 import dagger.internal.Preconditions;
 import dagger.internal.Provider;
+import io.netty.channel.EventLoopGroup;
 import javax.annotation.processing.Generated;
-import org.eclipse.jetty.client.HttpClient;
 import org.wigeonwharf.config.ConfigService;
 import org.wigeonwharf.config.ConfigSource;
 import org.wigeonwharf.config.ConfigStore;
@@ -57,7 +57,7 @@
 
     Provider<RouterSettings> settingsProvider;
 
-    Provider<HttpClient> platformHttpProvider;
+    Provider<EventLoopGroup> platformLoopsProvider;
 
     Provider<NodeId> nodeIdProvider;
 
@@ -98,14 +98,14 @@
     @SuppressWarnings("unchecked")
     private void initialize(final RouterSettings settingsParam) {
       this.settingsProvider = InstanceFactory.create(settingsParam);
-      this.platformHttpProvider = DoubleCheck.provider(RouterModule_PlatformHttpFactory.create());
+      this.platformLoopsProvider = DoubleCheck.provider(RouterModule_PlatformLoopsFactory.create());
       this.nodeIdProvider = DoubleCheck.provider(RouterModule_NodeIdFactory.create(settingsProvider));
       this.transportProvider = DoubleCheck.provider(RouterModule_TransportFactory.create(settingsProvider, nodeIdProvider));
       this.configStoreProvider = DoubleCheck.provider(RouterModule_ConfigStoreFactory.create());
-      this.configSourceProvider = DoubleCheck.provider(RouterModule_ConfigSourceFactory.create(settingsProvider, platformHttpProvider));
+      this.configSourceProvider = DoubleCheck.provider(RouterModule_ConfigSourceFactory.create(settingsProvider, platformLoopsProvider));
       this.clockProvider = DoubleCheck.provider(RouterModule_ClockFactory.create());
       this.platformContactProvider = DoubleCheck.provider(RouterModule_PlatformContactFactory.create(clockProvider));
-      this.vmListSourceProvider = DoubleCheck.provider(RouterModule_VmListSourceFactory.create(settingsProvider, platformHttpProvider));
+      this.vmListSourceProvider = DoubleCheck.provider(RouterModule_VmListSourceFactory.create(settingsProvider, platformLoopsProvider));
       this.membershipProvider = DoubleCheck.provider(RouterModule_MembershipFactory.create(transportProvider, vmListSourceProvider, configStoreProvider, platformContactProvider, clockProvider));
       this.configServiceProvider = DoubleCheck.provider(RouterModule_ConfigServiceFactory.create(settingsProvider, configStoreProvider, configSourceProvider, platformContactProvider, transportProvider, membershipProvider, clockProvider));
       this.scheduleProvider = DoubleCheck.provider(RouterModule_ScheduleFactory.create(nodeIdProvider, transportProvider, membershipProvider, configStoreProvider, configServiceProvider, clockProvider));
@@ -113,7 +113,7 @@
       this.relayProvider = DoubleCheck.provider(RouterModule_RelayFactory.create(settingsProvider, nodeIdProvider, configStoreProvider, scheduleProvider, clockProvider, metricsProvider, transportProvider));
       this.stateDumpProvider = DoubleCheck.provider(RouterModule_StateDumpFactory.create(nodeIdProvider, settingsProvider, configStoreProvider, configServiceProvider, membershipProvider, scheduleProvider, relayProvider));
       this.operatorProvider = DoubleCheck.provider(RouterModule_OperatorFactory.create(settingsProvider, stateDumpProvider, metricsProvider));
-      this.routerProvider = DoubleCheck.provider(RouterModule_RouterFactory.create(settingsProvider, platformHttpProvider, transportProvider, configServiceProvider, membershipProvider, scheduleProvider, relayProvider, operatorProvider));
+      this.routerProvider = DoubleCheck.provider(RouterModule_RouterFactory.create(settingsProvider, platformLoopsProvider, transportProvider, configServiceProvider, membershipProvider, scheduleProvider, relayProvider, operatorProvider));
     }
 
     @Override
--- a/org.wigeonwharf.router/src/gen/java/org/wigeonwharf/router/RouterModule_RouterFactory.java
+++ b/org.wigeonwharf.router/src/gen/java/org/wigeonwharf/router/RouterModule_RouterFactory.java
@@ -6,8 +6,8 @@
 import dagger.internal.Provider;
 import dagger.internal.QualifierMetadata;
 import dagger.internal.ScopeMetadata;
+import io.netty.channel.EventLoopGroup;
 import javax.annotation.processing.Generated;
-import org.eclipse.jetty.client.HttpClient;
 import org.wigeonwharf.config.ConfigService;
 import org.wigeonwharf.membership.MembershipService;
 import org.wigeonwharf.peer.PeerTransport;
@@ -34,7 +34,7 @@
 public final class RouterModule_RouterFactory implements Factory<Router> {
   private final Provider<RouterSettings> settingsProvider;
 
-  private final Provider<HttpClient> platformHttpProvider;
+  private final Provider<EventLoopGroup> platformLoopsProvider;
 
   private final Provider<PeerTransport> transportProvider;
 
@@ -49,12 +49,12 @@
   private final Provider<OperatorService> operatorProvider;
 
   private RouterModule_RouterFactory(Provider<RouterSettings> settingsProvider,
-      Provider<HttpClient> platformHttpProvider, Provider<PeerTransport> transportProvider,
+      Provider<EventLoopGroup> platformLoopsProvider, Provider<PeerTransport> transportProvider,
       Provider<ConfigService> configProvider, Provider<MembershipService> membershipProvider,
       Provider<ScheduleService> scheduleProvider, Provider<RelayService> relayProvider,
       Provider<OperatorService> operatorProvider) {
     this.settingsProvider = settingsProvider;
-    this.platformHttpProvider = platformHttpProvider;
+    this.platformLoopsProvider = platformLoopsProvider;
     this.transportProvider = transportProvider;
     this.configProvider = configProvider;
     this.membershipProvider = membershipProvider;
@@ -65,20 +65,20 @@
 
   @Override
   public Router get() {
-    return router(settingsProvider.get(), platformHttpProvider.get(), transportProvider.get(), configProvider.get(), membershipProvider.get(), scheduleProvider.get(), relayProvider.get(), operatorProvider.get());
+    return router(settingsProvider.get(), platformLoopsProvider.get(), transportProvider.get(), configProvider.get(), membershipProvider.get(), scheduleProvider.get(), relayProvider.get(), operatorProvider.get());
   }
 
   public static RouterModule_RouterFactory create(Provider<RouterSettings> settingsProvider,
-      Provider<HttpClient> platformHttpProvider, Provider<PeerTransport> transportProvider,
+      Provider<EventLoopGroup> platformLoopsProvider, Provider<PeerTransport> transportProvider,
       Provider<ConfigService> configProvider, Provider<MembershipService> membershipProvider,
       Provider<ScheduleService> scheduleProvider, Provider<RelayService> relayProvider,
       Provider<OperatorService> operatorProvider) {
-    return new RouterModule_RouterFactory(settingsProvider, platformHttpProvider, transportProvider, configProvider, membershipProvider, scheduleProvider, relayProvider, operatorProvider);
+    return new RouterModule_RouterFactory(settingsProvider, platformLoopsProvider, transportProvider, configProvider, membershipProvider, scheduleProvider, relayProvider, operatorProvider);
   }
 
-  public static Router router(RouterSettings settings, HttpClient platformHttp,
+  public static Router router(RouterSettings settings, EventLoopGroup platformLoops,
       PeerTransport transport, ConfigService config, MembershipService membership,
       ScheduleService schedule, RelayService relay, OperatorService operator) {
-    return Preconditions.checkNotNullFromProvides(RouterModule.router(settings, platformHttp, transport, config, membership, schedule, relay, operator));
+    return Preconditions.checkNotNullFromProvides(RouterModule.router(settings, platformLoops, transport, config, membership, schedule, relay, operator));
   }
 }
--- /dev/null
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/GatewaySettingsReader.java
@@ -0,0 +1,96 @@
+package org.wigeonwharf.router;
+
+import io.vavr.control.Either;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import org.wigeonwharf.config.Fault;
+import org.wigeonwharf.config.MergedSettings;
+import org.wigeonwharf.config.SectionReader;
+import org.wigeonwharf.gateway.GatewaySettings;
+import org.wigeonwharf.model.Addresses;
+import org.wigeonwharf.model.FailureDomain;
+
+/** A GatewaySettingsReader checks the process settings of a gateway. */
+final class GatewaySettingsReader {
+  /** The section that only settings of a gateway have. */
+  static final String STORE = "store";
+
+  private static final double MAX_RATIO = 10;
+  private static final int MAX_SLACK = 100_000;
+  private static final int MAX_WINDOW_MILLIS = 3_600_000;
+  private static final int MIN_GRACE_MILLIS = 1_000;
+
+  private GatewaySettingsReader() {}
+
+  /**
+   * Tells whether settings are those of a gateway.
+   *
+   * @param merged the settings
+   * @return true if they name a store
+   */
+  static boolean fits(MergedSettings merged) {
+    return SectionReader.root(merged, new ArrayList<>()).has(STORE);
+  }
+
+  /**
+   * Checks settings.
+   *
+   * @param merged the settings
+   * @return the settings, or every fault found
+   */
+  static Either<List<Fault>, GatewaySettings> check(MergedSettings merged) {
+    List<Fault> faults = new ArrayList<>();
+    SectionReader root = SectionReader.root(merged, faults);
+    final String name = root.requireText("name");
+    final String domain = root.requireText("failure_domain");
+    SectionReader listen = root.section("listen");
+    final InetSocketAddress callers = listen.address("callers", 0);
+    final InetSocketAddress ready = listen.address("ready", 0);
+    final InetSocketAddress peers = listen.address("peers", 0);
+    final InetSocketAddress metrics = listen.address("metrics", 0);
+    listen.finish();
+    SectionReader store = root.section(STORE);
+    final InetSocketAddress storeAddress = store.address("address", 1);
+    store.finish();
+    SectionReader retry = root.section("retry");
+    final double ratio = retry.decimal("ratio", 0, 0, MAX_RATIO);
+    final double slack = retry.decimal("slack", 0, 0, MAX_SLACK);
+    final int window = retry.integer("window_ms", 10_000, 1, MAX_WINDOW_MILLIS);
+    retry.finish();
+    final int grace = root.integer("stop_grace_ms", 8_000, MIN_GRACE_MILLIS, MAX_WINDOW_MILLIS);
+    final List<InetSocketAddress> seeds = seeds(root);
+    final var secret = RouterSettings.secret(root);
+    root.finish();
+    if (!faults.isEmpty()) {
+      return Either.left(faults);
+    }
+    return Either.right(
+        new GatewaySettings(
+            name,
+            new FailureDomain(domain),
+            callers,
+            ready,
+            peers,
+            metrics,
+            storeAddress,
+            seeds,
+            secret,
+            ratio,
+            slack,
+            window,
+            grace));
+  }
+
+  private static List<InetSocketAddress> seeds(SectionReader root) {
+    List<InetSocketAddress> seeds = new ArrayList<>();
+    for (String text : root.texts("seeds")) {
+      try {
+        seeds.add(Addresses.parse(text));
+      } catch (IllegalArgumentException e) {
+        root.fault("seeds", String.valueOf(e.getMessage()));
+      }
+    }
+    return seeds;
+  }
+}
--- a/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/Main.java
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/Main.java
@@ -18,6 +18,8 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.wigeonwharf.config.Fault;
+import org.wigeonwharf.gateway.GatewaySettings;
+import org.wigeonwharf.model.Lifecycle;
 
 /** Main is the command line of the wigeonwharf binary. */
 public final class Main {
@@ -96,16 +98,33 @@
   }
 
   private static int serve(Path file, PrintStream err) {
-    Either<List<Fault>, RouterSettings> settings = RouterSettings.read(file);
-    if (settings.isLeft()) {
-      settings.getLeft().forEach(f -> err.println(f));
+    Either<List<Fault>, Lifecycle> process =
+        RouterSettings.load(file)
+            .flatMap(
+                merged ->
+                    GatewaySettingsReader.fits(merged)
+                        ? GatewaySettingsReader.check(merged).map(Main::gateway)
+                        : RouterSettings.check(merged).map(Main::router));
+    if (process.isLeft()) {
+      process.getLeft().forEach(f -> err.println(f));
       return EXIT_FAILURE;
     }
-    Router router = DaggerRouterComponent.factory().create(settings.get()).router();
+    return run(process.get(), err);
+  }
+
+  private static Lifecycle router(RouterSettings settings) {
+    return DaggerRouterComponent.factory().create(settings).router();
+  }
+
+  private static Lifecycle gateway(GatewaySettings settings) {
+    return DaggerGatewayComponent.factory().create(settings).gateway();
+  }
+
+  private static int run(Lifecycle process, PrintStream err) {
     CountDownLatch ended = new CountDownLatch(1);
-    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(router, ended), "shutdown"));
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(process, ended), "shutdown"));
     try {
-      router.start();
+      process.start();
       ended.await();
       return EXIT_OK;
     } catch (Exception e) {
@@ -115,8 +134,8 @@
     }
   }
 
-  private static void stop(Router router, CountDownLatch ended) {
-    router.stop();
+  private static void stop(Lifecycle process, CountDownLatch ended) {
+    process.stop();
     ended.countDown();
   }
 }
--- a/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/Router.java
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/Router.java
@@ -1,7 +1,7 @@
 package org.wigeonwharf.router;
 
+import io.netty.channel.EventLoopGroup;
 import java.util.concurrent.atomic.AtomicBoolean;
-import org.eclipse.jetty.client.HttpClient;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.wigeonwharf.config.ConfigService;
@@ -18,7 +18,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Router.class);
 
   private final RouterSettings settings;
-  private final HttpClient platformHttp;
+  private final EventLoopGroup platformLoops;
   private final PeerTransport transport;
   private final ConfigService config;
   private final MembershipService membership;
@@ -31,7 +31,7 @@
    * Creates a router; nothing is started.
    *
    * @param settings the process settings
-   * @param platformHttp the client for the platform's services
+   * @param platformLoops runs the calls to the platform; owned by the router
    * @param transport connections to peers
    * @param config reads and spreads the configuration
    * @param membership the view of the fleet
@@ -41,7 +41,7 @@
    */
   public Router(
       RouterSettings settings,
-      HttpClient platformHttp,
+      EventLoopGroup platformLoops,
       PeerTransport transport,
       ConfigService config,
       MembershipService membership,
@@ -49,7 +49,7 @@
       RelayService relay,
       OperatorService operator) {
     this.settings = settings;
-    this.platformHttp = platformHttp;
+    this.platformLoops = platformLoops;
     this.transport = transport;
     this.config = config;
     this.membership = membership;
@@ -60,7 +60,6 @@
 
   @Override
   public void start() throws Exception {
-    platformHttp.start();
     transport.start();
     schedule.start();
     membership.start();
@@ -96,15 +95,7 @@
     membership.stop();
     operator.stop();
     transport.stop();
-    stopPlatformHttp();
+    platformLoops.shutdownGracefully();
     LOG.atInfo().addKeyValue("event", "router.stopped").log("router stopped");
   }
-
-  private void stopPlatformHttp() {
-    try {
-      platformHttp.stop();
-    } catch (Exception e) {
-      LOG.atWarn().setCause(e).addKeyValue("event", "router.stop.failed").log("client not closed");
-    }
-  }
 }
--- a/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/RouterModule.java
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/RouterModule.java
@@ -3,10 +3,12 @@
 import com.codahale.metrics.MetricRegistry;
 import dagger.Module;
 import dagger.Provides;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import jakarta.inject.Named;
 import jakarta.inject.Singleton;
 import java.security.SecureRandom;
-import org.eclipse.jetty.client.HttpClient;
 import org.wigeonwharf.config.ConfigService;
 import org.wigeonwharf.config.ConfigSource;
 import org.wigeonwharf.config.ConfigStore;
@@ -61,20 +63,20 @@
   @Provides
   @Singleton
   @Named(PLATFORM)
-  static HttpClient platformHttp() {
-    return new HttpClient();
+  static EventLoopGroup platformLoops() {
+    return new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   }
 
   @Provides
   @Singleton
-  static ConfigSource configSource(RouterSettings settings, @Named(PLATFORM) HttpClient http) {
-    return new HttpConfigSource(new PlatformClient(http, settings.configAddress()));
+  static ConfigSource configSource(RouterSettings settings, @Named(PLATFORM) EventLoopGroup loops) {
+    return new HttpConfigSource(new PlatformClient(loops, settings.configAddress()));
   }
 
   @Provides
   @Singleton
-  static VmListSource vmListSource(RouterSettings settings, @Named(PLATFORM) HttpClient http) {
-    return new HttpVmListSource(new PlatformClient(http, settings.vmListAddress()));
+  static VmListSource vmListSource(RouterSettings settings, @Named(PLATFORM) EventLoopGroup loops) {
+    return new HttpVmListSource(new PlatformClient(loops, settings.vmListAddress()));
   }
 
   @Provides
@@ -180,7 +182,7 @@
   @Singleton
   static Router router(
       RouterSettings settings,
-      @Named(PLATFORM) HttpClient platformHttp,
+      @Named(PLATFORM) EventLoopGroup platformLoops,
       PeerTransport transport,
       ConfigService config,
       MembershipService membership,
@@ -188,6 +190,6 @@
       RelayService relay,
       OperatorService operator) {
     return new Router(
-        settings, platformHttp, transport, config, membership, schedule, relay, operator);
+        settings, platformLoops, transport, config, membership, schedule, relay, operator);
   }
 }
--- a/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/RouterSettings.java
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/RouterSettings.java
@@ -46,11 +46,20 @@
    * @return the settings, or every fault found
    */
   public static Either<List<Fault>, RouterSettings> read(Path file) {
+    return load(file).flatMap(RouterSettings::check);
+  }
+
+  /**
+   * Reads a settings file of either kind of process.
+   *
+   * @param file the TOML file
+   * @return its content, or the faults that keep it from being read
+   */
+  static Either<List<Fault>, MergedSettings> load(Path file) {
     String name = String.valueOf(file.getFileName());
     try {
       String text = Files.readString(file);
-      return MergedSettings.merge(List.of(new SettingsFile(name, text)))
-          .flatMap(RouterSettings::check);
+      return MergedSettings.merge(List.of(new SettingsFile(name, text)));
     } catch (MalformedInputException e) {
       return Either.left(List.of(new Fault(name, UNSET, "is not UTF-8")));
     } catch (IOException e) {
@@ -58,7 +67,7 @@
     }
   }
 
-  private static Either<List<Fault>, RouterSettings> check(MergedSettings merged) {
+  static Either<List<Fault>, RouterSettings> check(MergedSettings merged) {
     List<Fault> faults = new ArrayList<>();
     SectionReader root = SectionReader.root(merged, faults);
     final String name = root.requireText("name");
@@ -82,7 +91,7 @@
             name, new FailureDomain(domain), callers, peers, operators, config, vms, secret));
   }
 
-  private static FleetSecret secret(SectionReader root) {
+  static FleetSecret secret(SectionReader root) {
     String text = root.requireText("fleet_secret");
     try {
       return new FleetSecret(text);
