Read settings again on a hang-up signal and refuse new work late in a stop

Settings are now read again on the signal and by a look every 2 s; after 3 s a stopping router refuses with a true 503.

--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
@@ -66,7 +66,7 @@
 
   private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
 
-  private final GatewaySettings settings;
+  private volatile GatewaySettings settings;
   private final NodeId self;
   private final EventLoopGroup loops;
   private final EventLoop loop;
@@ -74,6 +74,7 @@
   private final ServerDirectory directory;
   private final ServerChooser chooser;
   private final StoreFeed feed;
+  private final RetryBudget budget;
   private final Exchanges exchanges;
   private final CallerListener callers;
   private final PeerExchange peers;
@@ -113,11 +114,8 @@
     this.chooser = new ServerChooser(settings.domain(), ledger, ServerPenalties.DEFAULT);
     this.feed = new StoreFeed(store, directory, loop, clock, random, this::changed);
     EventLoopTimers timers = new EventLoopTimers(loop, clock);
-    RetryBudget budget =
-        new RetryBudget(
-            settings.retryRatio(),
-            settings.retrySlack() / RETRY_SHARES,
-            settings.retryWindowMillis() * Clock.NANOS_PER_MILLI);
+    this.budget = new RetryBudget(settings.retryWindowMillis() * Clock.NANOS_PER_MILLI);
+    budget.allow(settings.retryRatio(), settings.retrySlack() / RETRY_SHARES);
     this.exchanges =
         new Exchanges(
             feed::routes,
@@ -212,6 +210,28 @@
         .log("router started");
   }
 
+  /**
+   * Takes changed settings. Retry limits and the grace change at once; addresses, the name and the
+   * failure domain stay until the next start.
+   *
+   * @param next the checked settings
+   */
+  public void reload(GatewaySettings next) {
+    LOG.atInfo()
+        .addKeyValue("event", "settings.reloaded")
+        .addKeyValue("retry_ratio", next.retryRatio())
+        .addKeyValue("retry_slack", next.retrySlack())
+        .addKeyValue("stop_grace_ms", next.stopGraceMillis())
+        .addKeyValue("seeds", next.seeds().stream().map(Addresses::format).toList())
+        .log("settings in force");
+    loop.execute(
+        () -> {
+          budget.allow(next.retryRatio(), next.retrySlack() / RETRY_SHARES);
+          peers.board().seeds(next.seeds());
+          settings = next;
+        });
+  }
+
   private void tick() {
     directory.expire(clock.nanos());
     if (exchanges.heldCount() > 0) {
@@ -233,7 +253,11 @@
     try {
       loop.execute(callers::drain);
       sleepUntil(begun + TAKE_MILLIS * Clock.NANOS_PER_MILLI);
-      loop.execute(callers::closeIdle);
+      loop.execute(
+          () -> {
+            exchanges.close();
+            callers.closeIdle();
+          });
       long cutAt = begun + (settings.stopGraceMillis() - CUT_MARGIN_MILLIS) * Clock.NANOS_PER_MILLI;
       while (exchanges.active() > 0 && cutAt - clock.nanos() > 0) {
         sleepUntil(clock.nanos() + TICK_MILLIS * Clock.NANOS_PER_MILLI);
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
@@ -101,8 +101,8 @@
   /** Finds the route and the account, then sends the request. */
   void start() {
     RouteTable t = shared.routes();
-    if (t == null) {
-      refuse("no configuration is known yet");
+    if (t == null || shared.isClosed()) {
+      refuse(t == null ? "no configuration is known yet" : "the router stops");
       return;
     }
     table = t;
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchanges.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchanges.java
@@ -25,6 +25,7 @@
   private final HeldRequests held = new HeldRequests();
   private long count;
   private int active;
+  private boolean closed;
 
   /**
    * Creates the shared parts.
@@ -77,6 +78,15 @@
     return e;
   }
 
+  /** Refuses all requests that come from now on; those under way go on. */
+  public void close() {
+    closed = true;
+  }
+
+  boolean isClosed() {
+    return closed;
+  }
+
   /** Lets held requests try again after something changed. */
   public void retryHeld() {
     held.retry();
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerBoard.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerBoard.java
@@ -57,7 +57,7 @@
   private final NodeId self;
   private final FailureDomain domain;
   private final InetSocketAddress address;
-  private final List<InetSocketAddress> seeds;
+  private List<InetSocketAddress> seeds;
   private final WorkLedger ledger;
   private final NewsCodec codec;
   private final Clock clock;
@@ -270,6 +270,15 @@
     }
   }
 
+  /**
+   * Replaces the seeds.
+   *
+   * @param next where some routers may be found
+   */
+  public void seeds(List<InetSocketAddress> next) {
+    seeds = List.copyOf(next);
+  }
+
   /** Tells all known routers that this one leaves. */
   void leave() {
     leaving = true;
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/retry/RetryBudget.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/retry/RetryBudget.java
@@ -1,5 +1,6 @@
 package org.wigeonwharf.gateway.retry;
 
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -16,8 +17,8 @@
   /** Part of the ratio that is used: arrivals reach servers up to a bucket later than counted. */
   private static final double SAFETY = 0.9;
 
-  private final double ratio;
-  private final double slack;
+  private double ratio;
+  private double slack;
   private final long bucketNanos;
   private final Map<String, Window> services = new HashMap<>();
 
@@ -29,8 +30,8 @@
 
     void advance(long bucket) {
       if (newest == Long.MIN_VALUE || bucket - newest >= BUCKETS) {
-        java.util.Arrays.fill(requests, 0);
-        java.util.Arrays.fill(extras, 0);
+        Arrays.fill(requests, 0);
+        Arrays.fill(extras, 0);
         newest = bucket;
         return;
       }
@@ -55,16 +56,23 @@
   }
 
   /**
-   * Creates a budget.
+   * Creates a budget that allows nothing yet.
+   *
+   * @param windowNanos the length of the window
+   */
+  public RetryBudget(long windowNanos) {
+    this.bucketNanos = Math.max(1, windowNanos / BUCKETS);
+  }
+
+  /**
+   * Sets what is allowed.
    *
    * @param ratio extra sends per request that the fleet may make
    * @param slack extra sends per window that this router may make beyond the ratio
-   * @param windowNanos the length of the window
    */
-  public RetryBudget(double ratio, double slack, long windowNanos) {
+  public void allow(double ratio, double slack) {
     this.ratio = ratio;
     this.slack = slack;
-    this.bucketNanos = Math.max(1, windowNanos / BUCKETS);
   }
 
   /**
--- a/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/Main.java
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/Main.java
@@ -18,8 +18,10 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.wigeonwharf.config.Fault;
+import org.wigeonwharf.gateway.Gateway;
 import org.wigeonwharf.gateway.GatewaySettings;
 import org.wigeonwharf.model.Lifecycle;
+import org.wigeonwharf.router.internal.SettingsWatch;
 
 /** Main is the command line of the wigeonwharf binary. */
 public final class Main {
@@ -109,9 +111,30 @@
       process.getLeft().forEach(f -> err.println(f));
       return EXIT_FAILURE;
     }
+    SettingsWatch watch = new SettingsWatch(file, f -> reload(f, process.get()));
+    watch.start();
     return run(process.get(), err);
   }
 
+  private static void reload(Path file, Lifecycle process) {
+    if (!(process instanceof Gateway gateway)) {
+      LOG.atWarn()
+          .addKeyValue("event", "settings.ignored")
+          .log("the settings changed; they take force with the next start");
+      return;
+    }
+    Either<List<Fault>, GatewaySettings> settings =
+        RouterSettings.load(file).flatMap(GatewaySettingsReader::check);
+    if (settings.isLeft()) {
+      LOG.atError()
+          .addKeyValue("event", "settings.refused")
+          .addKeyValue("faults", settings.getLeft().toString())
+          .log("settings kept as they were");
+      return;
+    }
+    gateway.reload(settings.get());
+  }
+
   private static Lifecycle router(RouterSettings settings) {
     return DaggerRouterComponent.factory().create(settings).router();
   }
--- /dev/null
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/internal/SettingsWatch.java
@@ -0,0 +1,80 @@
+package org.wigeonwharf.router.internal;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.wigeonwharf.model.Lifecycle;
+import sun.misc.Signal;
+
+/**
+ * A SettingsWatch notices that the settings file has other content, by the hang-up signal or by
+ * looking at it now and then.
+ */
+public final class SettingsWatch implements Lifecycle {
+  /** Time in ms between two looks; settings without a signal are in no haste. */
+  private static final long LOOK_MILLIS = 2_000;
+
+  private static final Logger LOG = LoggerFactory.getLogger(SettingsWatch.class);
+
+  private final Path file;
+  private final Consumer<Path> onChange;
+  private final ScheduledExecutorService executor =
+      Executors.newSingleThreadScheduledExecutor(r -> new Thread(r, "settings"));
+  private String content;
+
+  /**
+   * Creates a watch that does nothing yet.
+   *
+   * @param file the settings file
+   * @param onChange called with the file when its content is another one
+   */
+  public SettingsWatch(Path file, Consumer<Path> onChange) {
+    this.file = file;
+    this.onChange = onChange;
+    this.content = read();
+  }
+
+  @Override
+  public void start() {
+    Signal.handle(new Signal("HUP"), s -> executor.execute(this::hangUp));
+    executor.scheduleWithFixedDelay(this::look, LOOK_MILLIS, LOOK_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private void hangUp() {
+    LOG.atInfo().addKeyValue("event", "settings.signal").log("asked to read the settings again");
+    look();
+  }
+
+  private void look() {
+    String now = read();
+    if (now.isEmpty() || now.equals(content)) {
+      return;
+    }
+    content = now;
+    onChange.accept(file);
+  }
+
+  private String read() {
+    try {
+      return Files.readString(file, StandardCharsets.UTF_8);
+    } catch (IOException e) {
+      LOG.atWarn()
+          .addKeyValue("event", "settings.unreadable")
+          .addKeyValue("reason", String.valueOf(e.getMessage()))
+          .log("settings kept as they are");
+      return "";
+    }
+  }
+
+  @Override
+  public void stop() {
+    executor.shutdownNow();
+  }
+}
