Keep long prompts off the engines that run tight streams

Cause of late crew questions: pauses, not first tokens. Every prompt is now priced by its own unread tokens: what it does to tight streams there, what it reads again, and what it suffers. Prompts with a long shared beginning keep to one engine, named alike by all routers.

--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
@@ -57,6 +57,8 @@
   private boolean begun;
   private boolean ended;
   private long firstMillis = -1;
+  private long passedAt;
+  private long longestGapNanos;
   private @Nullable String lastEvent;
   private String lastReason = "";
 
@@ -176,7 +178,7 @@
     tried.add(server.id());
     SentRequest s = new SentRequest(this, shared, server, d, choice, now);
     sent = s;
-    shared.log().placed(id(), choice, sends, leftMillis(now));
+    shared.log().placed(id(), choice, d.promptTokens(), sends, leftMillis(now));
     HttpHeaders headers = new DefaultHttpHeaders().set(request.headers());
     Account a = account;
     shared
@@ -320,6 +322,11 @@
     if (event != null) {
       lastEvent = event;
     }
+    long now = timers.nanos();
+    if (passedAt != 0) {
+      longestGapNanos = Math.max(longestGapNanos, now - passedAt);
+    }
+    passedAt = now;
     caller.send(bytes);
   }
 
@@ -447,6 +454,7 @@
             sends,
             elapsedMillis(),
             firstMillis,
+            longestGapNanos / Clock.NANOS_PER_MILLI,
             t == null ? 0 : t.version());
     shared.ended();
   }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/RequestLog.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/RequestLog.java
@@ -76,7 +76,7 @@
     return l;
   }
 
-  void placed(@Nullable String request, Choice choice, int sends, long leftMillis) {
+  void placed(@Nullable String request, Choice choice, int promptTokens, int sends, long leftMillis) {
     LoggingEventBuilder l = line("request.sent", request);
     if (l == null) {
       return;
@@ -84,6 +84,7 @@
     Candidate c = choice.candidate();
     l.addKeyValue("server", c.server().id())
         .addKeyValue("send", sends)
+        .addKeyValue("prompt_tokens", promptTokens)
         .addKeyValue("cost_ms", Math.round(choice.costMillis()))
         .addKeyValue("penalty_ms", Math.round(ServerPenalties.DEFAULT.of(c)))
         .addKeyValue("running", c.work().running())
@@ -91,6 +92,10 @@
         .addKeyValue("report_age_ms", c.reportAgeMillis())
         .addKeyValue("slowdown", c.slowdown())
         .addKeyValue("unread_tokens", c.work().prefillTokens())
+        .addKeyValue("tightness", c.work().tightness())
+        .addKeyValue("usual_tightness", c.usualTightness())
+        .addKeyValue("bulk_share", c.bulkShare())
+        .addKeyValue("affinity_rank", c.affinityRank())
         .addKeyValue("remembered_tokens", c.rememberedTokens())
         .addKeyValue("failure_rate", c.failureRate())
         .addKeyValue("state", c.state())
@@ -136,6 +141,7 @@
       int sends,
       long millis,
       long firstMillis,
+      long gapMillis,
       long configVersion) {
     metrics.counter(MetricRegistry.name("requests", outcome.word())).inc();
     metrics.timer(MetricRegistry.name("request", "time")).update(millis, TimeUnit.MILLISECONDS);
@@ -147,6 +153,7 @@
           .addKeyValue("sends", sends)
           .addKeyValue("ms", millis)
           .addKeyValue("first_ms", firstMillis)
+          .addKeyValue("longest_gap_ms", gapMillis)
           .addKeyValue("config_version", configVersion)
           .log("ended");
     }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/Candidate.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/Candidate.java
@@ -7,8 +7,10 @@
  *
  * @param server the server
  * @param local true if it runs in the router's own failure domain
- * @param rank its place among the service's servers of its failure domain, from 0, alike at all
- *     routers
+ * @param behind how many of the service's servers in its failure domain stand behind it in the order
+ *     of ids, alike at all routers
+ * @param affinityRank its place in the order in which servers are tried for the prompt's shared
+ *     beginning, from 0, alike at all routers
  * @param work work that routers have under way there
  * @param reportedLoad running and waiting requests by its own report, or 0 if that is old
  * @param slowdown how much longer work takes there than usual, discounted by the report's age
@@ -16,12 +18,14 @@
  * @param failureRate part of its latest answers that failed, from 0 to 1
  * @param state whether it seems to take requests
  * @param rememberedTokens leading prompt tokens that it needs not read
+ * @param usualTightness the tightness of its running streams, averaged over the last seconds
  * @param bulkShare part of the last seconds in which it had long prompts to read, from 0 to 1
  */
 public record Candidate(
     BackendServer server,
     boolean local,
-    int rank,
+    int behind,
+    int affinityRank,
     ServerWork work,
     int reportedLoad,
     double slowdown,
@@ -29,6 +33,7 @@
     double failureRate,
     State state,
     int rememberedTokens,
+    double usualTightness,
     double bulkShare) {
   /** A State says whether a server seems to take requests. */
   public enum State {
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/Demand.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/Demand.java
@@ -24,11 +24,23 @@
   /** The gap objective, in ms, that counts as one whole tight stream: that of interactive chat. */
   private static final double REFERENCE_GAP_MILLIS = 200;
 
+  /** Tightness below which a stream bears the pauses that long prompts make. */
+  private static final double LOOSE = 0.1;
+
   /** Copies the parts. */
   public Demand {
     parts = List.copyOf(parts);
   }
 
+  /** Returns the tokens of all parts but the last, which is the request's own. */
+  public int sharedTokens() {
+    int n = 0;
+    for (int i = 0; i + 1 < parts.size(); i++) {
+      n += parts.get(i).tokens();
+    }
+    return n;
+  }
+
   /** Tells whether the request is for a model engine. */
   public boolean isPrompt() {
     return promptTokens > 0;
@@ -37,13 +49,14 @@
   /**
    * Returns how much a pause of its stream hurts.
    *
-   * @return 1 for a stream with an interactive gap objective, towards 0 for tolerant ones
+   * @return 1 for a stream with an interactive gap objective, 0 for tolerant ones
    */
   public double tightness() {
     if (gapMillis <= 0) {
       return 0;
     }
     double t = REFERENCE_GAP_MILLIS / gapMillis;
-    return Math.min(1, t * t);
+    double square = t * t;
+    return square < LOOSE ? 0 : Math.min(1, square);
   }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/PromptPlacement.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/PromptPlacement.java
@@ -4,30 +4,52 @@
  * A PromptPlacement prices model engines for requests with prompts.
  *
  * <p>Answers mixes of long prompts, which hold up every stream of their engine while they are read,
- * and of short ones with tight gap objectives. Long prompts gather on the first engines of each
- * failure domain for as long as their wait there stays within their objective, and move on to the
- * next when it does not; streams with tight gaps keep off engines that read long prompts. So the
- * split follows the load.
+ * and of short ones with tight gap objectives, at loads near what the engines can read. An engine
+ * runs many short streams side by side at little cost, but a single long prompt beside them makes
+ * most of them late. So tight streams gather on the last engines of each failure domain and spread
+ * only as those fill up; long prompts go to engines without tight streams, those that share a
+ * beginning to the same one. No engine is set aside: the split follows from the load.
  */
 public final class PromptPlacement implements PlacementPolicy {
-  /** Reading time in ms from which a prompt holds up other streams noticeably: two chunks. */
-  private static final double BULK_MILLIS = 30;
+  /** Reading time in ms that streams beside it hardly notice: one or two chunks. */
+  private static final double HARMLESS_MILLIS = 20;
 
-  /** Cost in ms of a ms of reading beside one tight stream. */
-  private static final double HARM = 0.6;
+  /** Cost in ms of a ms of reading beside one tight stream: most likely it becomes late. */
+  private static final double HARM = 8;
 
   /** Cost in ms, to a tight stream, of a ms of prompts that are still to be read. */
   private static final double HELD_UP = 1.5;
 
   /** Cost in ms, to a tight stream, of an engine that always has long prompts to read. */
-  private static final double BULK_NEIGHBOUR_MILLIS = 150;
+  private static final double BULK_NEIGHBOUR_MILLIS = 400;
 
-  /** Part of its objective that a long prompt waits rather than move on to the next engine. */
-  private static final double PACKING = 0.08;
+  /**
+   * Cost in ms, to a tight stream, of each engine that stands behind this one in its failure domain:
+   * the slowdown by a hundred streams.
+   */
+  private static final double GATHERING_MILLIS = 100;
 
   /** Cost in ms of each request that runs beside: a step takes longer with each. */
   private static final double RUNNING_MILLIS = 0.8;
 
+  /** Part of an engine's slots beyond which requests soon wait for one. */
+  private static final double SLOT_FILL = 0.85;
+
+  /** Cost in ms of each request beyond that part. */
+  private static final double CROWDED_MILLIS = 30;
+
+  /** Cost in ms of a shared token that another engine has read and this one reads again. */
+  private static final double REREAD_MILLIS = 0.25;
+
+  /** Shared tokens from which a prompt has an engine of its own choice; shorter ones cost little. */
+  private static final int MIN_SHARED_TOKENS = 1_000;
+
+  /**
+   * Cost in ms, to each request that generates, of an engine that always has long prompts to read:
+   * its steps take several times as long, and long outputs may miss their deadline.
+   */
+  private static final double SLOW_STEPS_MILLIS = 600;
+
   /** Part of an engine's memory that running requests may claim before preemption is near. */
   private static final double MEMORY_FILL = 0.95;
 
@@ -50,24 +72,46 @@
 
   @Override
   public double cost(Demand demand, Candidate c) {
-    ServerWork w = c.work();
-    if (c.load() >= 2 * Math.max(1, c.server().slots())) {
+    int slots = Math.max(1, c.server().slots());
+    if (c.load() >= 2 * slots) {
       return Double.POSITIVE_INFINITY;
     }
-    final double own = speed.millis(demand.promptTokens() - c.rememberedTokens()) * c.slowdown();
-    final double backlog = speed.millis(w.prefillTokens()) * c.slowdown();
-    double cost = own + backlog + RUNNING_MILLIS * c.load() * c.slowdown();
-    cost += demand.tightness() * (HELD_UP * backlog + BULK_NEIGHBOUR_MILLIS * c.bulkShare());
-    if (isBulk(demand, own)) {
-      cost += HARM * own * w.tightness() + PACKING * demand.objectiveMillis() * c.rank();
-    }
-    if (w.memoryTokens() + demand.promptTokens() > MEMORY_FILL * memoryTokens) {
+    int unread = Math.max(0, demand.promptTokens() - c.rememberedTokens());
+    double own = speed.millis(unread) * c.slowdown();
+    double backlog = speed.millis(c.work().prefillTokens()) * c.slowdown();
+    double cost = own + backlog + crowding(c, slots) + penalties.of(c);
+    cost += SLOW_STEPS_MILLIS * c.bulkShare();
+    cost += harm(c, own) + strangeness(demand, c) + heldUp(demand, c, backlog);
+    if (c.work().memoryTokens() + demand.promptTokens() > MEMORY_FILL * memoryTokens) {
       cost += demand.objectiveMillis();
     }
-    return cost + penalties.of(c);
+    return cost;
+  }
+
+  private static double crowding(Candidate c, int slots) {
+    double beyond = Math.max(0, c.load() - SLOT_FILL * slots);
+    return RUNNING_MILLIS * c.load() * c.slowdown() + CROWDED_MILLIS * beyond;
+  }
+
+  /** Prices the streams that reading the prompt makes late. */
+  private static double harm(Candidate c, double own) {
+    double tight = Math.max(c.work().tightness(), c.usualTightness());
+    return HARM * Math.max(0, own - HARMLESS_MILLIS) * tight;
+  }
+
+  /** Prices reading again what another engine has read. */
+  private static double strangeness(Demand demand, Candidate c) {
+    int shared = demand.sharedTokens();
+    if (shared < MIN_SHARED_TOKENS) {
+      return 0;
+    }
+    int strange = Math.max(0, shared - c.rememberedTokens());
+    return REREAD_MILLIS * strange * (1 - Math.pow(0.5, c.affinityRank()));
   }
 
-  private static boolean isBulk(Demand demand, double ownMillis) {
-    return ownMillis >= BULK_MILLIS && demand.tightness() < 0.5;
+  /** Prices the pauses that long prompts make in the request's own stream. */
+  private static double heldUp(Demand demand, Candidate c, double backlog) {
+    double waits = HELD_UP * backlog + BULK_NEIGHBOUR_MILLIS * c.bulkShare();
+    return demand.tightness() * (waits + GATHERING_MILLIS * c.behind());
   }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerChooser.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerChooser.java
@@ -24,7 +24,7 @@
   private static final long NO_MEMORY = 0;
 
   /** Unread tokens from which an engine counts as reading long prompts: some chunks. */
-  private static final int BULK_TOKENS = 3_000;
+  private static final int BULK_TOKENS = 6_000;
 
   private final FailureDomain domain;
   private final WorkLedger ledger;
@@ -85,23 +85,32 @@
 
   private List<Candidate> candidates(
       Demand demand, @Nullable ServiceSpec service, List<BackendServer> servers, long now) {
-    Map<FailureDomain, Integer> ranks = new HashMap<>();
+    Map<FailureDomain, Integer> behind = new HashMap<>();
+    servers.forEach(s -> behind.merge(s.domain(), 1, Integer::sum));
+    List<String> order = AffinityOrder.of(demand.parts(), servers);
     List<Candidate> found = new ArrayList<>(servers.size());
     for (BackendServer s : servers) {
-      int rank = ranks.merge(s.domain(), 1, Integer::sum) - 1;
-      found.add(look(demand, service, s, rank, now));
+      int rest = behind.merge(s.domain(), -1, Integer::sum);
+      found.add(look(demand, service, s, rest, order.indexOf(s.id()), now));
     }
     return found;
   }
 
   private Candidate look(
-      Demand demand, @Nullable ServiceSpec service, BackendServer server, int rank, long now) {
+      Demand demand,
+      @Nullable ServiceSpec service,
+      BackendServer server,
+      int behind,
+      int affinityRank,
+      long now) {
     ServerStats s = stats(server.id(), service, now);
     ServerWork work = ledger.at(server.id(), now);
+    s.look(work.prefillTokens() >= BULK_TOKENS, work.tightness(), now);
     return new Candidate(
         server,
         server.domain().equals(domain),
-        rank,
+        behind,
+        Math.max(0, affinityRank),
         work,
         s.reportedLoad(now),
         s.slowdown(now),
@@ -109,7 +118,8 @@
         s.failureRate(now),
         s.state(now),
         s.memory().remembered(demand.parts()),
-        s.bulkShare(work.prefillTokens() >= BULK_TOKENS, now));
+        s.usualTightness(),
+        s.bulkShare());
   }
 
   /**
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerStats.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerStats.java
@@ -28,8 +28,8 @@
   /** Silence in ms, with requests sent, from which a server counts as silent. */
   private static final long SILENCE_MILLIS = 900;
 
-  /** Time in ms over which the share of long prompts is averaged. */
-  private static final double BULK_HALF_LIFE_MILLIS = 1_500;
+  /** Time in ms over which the kind of work is averaged: about the life of a stream. */
+  private static final double USUAL_HALF_LIFE_MILLIS = 1_500;
 
   private final PromptMemory memory;
   private @Nullable LoadReport report;
@@ -42,14 +42,15 @@
   private int unanswered;
   private long silentSince;
   private double bulkShare;
-  private long bulkAt;
+  private double usualTightness;
+  private long lookedAt;
 
   ServerStats(PromptMemory memory, long now) {
     this.memory = memory;
     this.failuresAt = now;
     this.fullUntil = now;
     this.avoidUntil = now;
-    this.bulkAt = now;
+    this.lookedAt = now;
   }
 
   PromptMemory memory() {
@@ -123,14 +124,22 @@
     return 1 + (r.slowdown() - 1) * halved(now - reportAt, REPORT_HALF_LIFE_MILLIS);
   }
 
-  /** Averages whether the server has long prompts to read; called at each look at it. */
-  double bulkShare(boolean hasBulk, long now) {
-    double keep = halved(now - bulkAt, BULK_HALF_LIFE_MILLIS);
+  /** Averages what the server has to do; called at each look at it. */
+  void look(boolean hasBulk, double tightness, long now) {
+    double keep = halved(now - lookedAt, USUAL_HALF_LIFE_MILLIS);
     bulkShare = bulkShare * keep + (hasBulk ? 1 - keep : 0);
-    bulkAt = now;
+    usualTightness = usualTightness * keep + tightness * (1 - keep);
+    lookedAt = now;
+  }
+
+  double bulkShare() {
     return bulkShare;
   }
 
+  double usualTightness() {
+    return usualTightness;
+  }
+
   private static double halved(long ageNanos, double halfLifeMillis) {
     double millis = Math.max(0, ageNanos) / (double) Clock.NANOS_PER_MILLI;
     return Math.pow(0.5, millis / halfLifeMillis);
