--- /dev/null
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreFeedTest.java
@@ -0,0 +1,213 @@
+package org.wigeonwharf.gateway.feed;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.wigeonwharf.gateway.backend.BackendServer;
+import org.wigeonwharf.gateway.backend.ServerDirectory;
+import org.wigeonwharf.gateway.http.VirtualTimers;
+import org.wigeonwharf.gateway.route.CallerLimits;
+import org.wigeonwharf.gateway.route.RouteTable;
+import org.wigeonwharf.model.Clock;
+import org.wigeonwharf.model.FailureDomain;
+
+class StoreFeedTest {
+  private static final long GRACE_MILLIS = 2_000;
+
+  private final VirtualTimers timers = new VirtualTimers();
+  private final ServerDirectory directory =
+      new ServerDirectory(GRACE_MILLIS * Clock.NANOS_PER_MILLI);
+  private final List<Call> calls = new ArrayList<>();
+  private final StoreFeed feed =
+      new StoreFeed(new FakeStore(), directory, timers, new SplittableRandom(1), () -> {});
+
+  /** A Call is one call of the feed that waits for the test's answer. */
+  private static final class Call {
+    private final long after;
+    private final CompletableFuture<Batch> answer = new CompletableFuture<>();
+
+    Call(long after) {
+      this.after = after;
+    }
+  }
+
+  private final class FakeStore implements PublishedStore {
+    @Override
+    public CompletableFuture<Batch> readAll(Duration timeout) {
+      return call(-1);
+    }
+
+    @Override
+    public CompletableFuture<Batch> changesAfter(long revision, Duration wait, Duration timeout) {
+      return call(revision);
+    }
+
+    private CompletableFuture<Batch> call(long after) {
+      Call c = new Call(after);
+      calls.add(c);
+      return c.answer;
+    }
+  }
+
+  private static Published routes(long version) {
+    return new Published.Routes(
+        new RouteTable(version, List.of(), List.of(), CallerLimits.DEFAULT, null));
+  }
+
+  private static Published server(String id) {
+    return new Published.Server(
+        new BackendServer(
+            id,
+            "service",
+            new InetSocketAddress("127.0.0.1", 9),
+            new FailureDomain("d"),
+            6,
+            false,
+            1));
+  }
+
+  private Call last() {
+    return calls.get(calls.size() - 1);
+  }
+
+  private void answer(long revision, Published... items) {
+    last().answer.complete(new Batch(List.of(items), revision));
+    timers.advanceMillis(0);
+  }
+
+  private void fail(IOException e) {
+    last().answer.completeExceptionally(e);
+    timers.advanceMillis(0);
+  }
+
+  private void startWith(Published... items) {
+    feed.start();
+    answer(5, items);
+  }
+
+  private int usable() {
+    return directory.usable("service").size();
+  }
+
+  @Test
+  void readsAllAndThenWaitsForChangesAfterIt() {
+    startWith(routes(3), server("a"));
+    assertTrue(feed.isSettled());
+    assertEquals(5, last().after);
+    answer(7, routes(4), new Published.ServerGone("a"));
+    assertEquals(4, feed.routes().version());
+    assertEquals(0, usable());
+    assertEquals(7, last().after);
+  }
+
+  @Test
+  void lowerVersionNeverReplacesHigherOne() {
+    startWith(routes(3));
+    answer(6, routes(2));
+    assertEquals(3, feed.routes().version());
+  }
+
+  @Test
+  void unusableItemLeavesWhatWasKnown() {
+    startWith(routes(3));
+    answer(6, new Published.Unusable("key", "broken"));
+    assertEquals(3, feed.routes().version());
+  }
+
+  @Test
+  void lostHistoryIsReadAnewAtOnce() {
+    startWith(routes(3), server("a"), server("b"));
+    fail(new HistoryLostException());
+    assertEquals(-1, last().after);
+    answer(20, routes(9), server("b"));
+    assertEquals(9, feed.routes().version());
+    assertEquals(1, usable());
+    assertEquals(20, last().after);
+  }
+
+  @Test
+  void whatWasKnownStaysInForceWhileTheStoreIsAway() {
+    startWith(routes(3), server("a"));
+    for (int i = 0; i < 20; i++) {
+      fail(new IOException("no answer"));
+      timers.advanceMillis(2_000);
+    }
+    assertEquals(3, feed.routes().version());
+    assertEquals(1, usable());
+  }
+
+  @Test
+  void callsToAStoreThatIsAwayGrowRare() {
+    startWith(routes(3));
+    int before = calls.size();
+    for (int i = 0; i < 600; i++) {
+      if (!last().answer.isDone()) {
+        fail(new IOException("refused"));
+      }
+      timers.advanceMillis(10);
+    }
+    assertTrue(calls.size() - before < 20, "calls in 6 s: " + (calls.size() - before));
+  }
+
+  @Test
+  void lapsedEntryIsGoneOnlyAfterTheGraceOfTheStoresReturn() {
+    startWith(routes(3), server("a"));
+    fail(new IOException("no answer"));
+    timers.advanceMillis(2_000);
+    answer(30, routes(3));
+    assertEquals(1, usable());
+    timers.advanceMillis(GRACE_MILLIS);
+    directory.expire(timers.nanos());
+    assertEquals(0, usable());
+  }
+
+  @Test
+  void otherRoutersNewerVersionIsReadWithoutWaiting() {
+    startWith(routes(3));
+    timers.advanceMillis(1_000);
+    feed.newerVersion(4);
+    assertEquals(-1, last().after);
+    answer(8, routes(4));
+    assertEquals(4, feed.routes().version());
+  }
+
+  @Test
+  void hintsDoNotAddUpToAFloodOfCalls() {
+    startWith(routes(3));
+    timers.advanceMillis(1_000);
+    int before = calls.size();
+    for (int i = 0; i < 100; i++) {
+      feed.newerVersion(4);
+    }
+    assertEquals(before + 1, calls.size());
+  }
+
+  @Test
+  void readThatIsOlderThanTheChangesSinceIsDropped() {
+    startWith(routes(3), server("a"));
+    final Call watch = last();
+    timers.advanceMillis(1_000);
+    feed.newerVersion(4);
+    final Call read = last();
+    watch.answer.complete(new Batch(List.of(new Published.ServerGone("a")), 9));
+    timers.advanceMillis(0);
+    read.answer.complete(new Batch(List.of(server("a")), 7));
+    timers.advanceMillis(0);
+    assertEquals(0, usable());
+  }
+
+  @Test
+  void feedWithoutRoutesIsNotSettled() {
+    startWith(server("a"));
+    assertFalse(feed.isSettled());
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeWorld.java
@@ -0,0 +1,210 @@
+package org.wigeonwharf.gateway.http;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
+import org.wigeonwharf.gateway.backend.BackendServer;
+import org.wigeonwharf.gateway.backend.ServerDirectory;
+import org.wigeonwharf.gateway.placement.ServerChooser;
+import org.wigeonwharf.gateway.placement.ServerPenalties;
+import org.wigeonwharf.gateway.placement.WorkLedger;
+import org.wigeonwharf.gateway.retry.RetryBudget;
+import org.wigeonwharf.gateway.route.Account;
+import org.wigeonwharf.gateway.route.CallerLimits;
+import org.wigeonwharf.gateway.route.RequestKind;
+import org.wigeonwharf.gateway.route.Route;
+import org.wigeonwharf.gateway.route.RouteTable;
+import org.wigeonwharf.gateway.route.ServiceShare;
+import org.wigeonwharf.gateway.route.ServiceSpec;
+import org.wigeonwharf.model.Clock;
+import org.wigeonwharf.model.FailureDomain;
+
+/** An ExchangeWorld serves requests in virtual time with backend servers that a test plays. */
+final class ExchangeWorld {
+  static final String SERVICE = "service";
+  static final long TIMEOUT_MILLIS = 2_000;
+  private static final FailureDomain DOMAIN = new FailureDomain("here");
+  private static final long WINDOW_NANOS = 10 * Clock.NANOS_PER_SECOND;
+
+  final VirtualTimers timers = new VirtualTimers();
+  final ServerDirectory directory = new ServerDirectory(0);
+  final RetryBudget budget = new RetryBudget(WINDOW_NANOS);
+  final List<Send> sends = new ArrayList<>();
+  final Exchanges exchanges;
+  private RouteTable routes;
+
+  /** A Send is one request that reached the connector, with the test's hand on its answer. */
+  static final class Send implements Attempt {
+    final BackendServer server;
+    final OutboundRequest request;
+    final AttemptListener answer;
+    boolean cancelled;
+    boolean paused;
+
+    Send(BackendServer server, OutboundRequest request, AttemptListener answer) {
+      this.server = server;
+      this.request = request;
+      this.answer = answer;
+    }
+
+    @Override
+    public void cancel() {
+      cancelled = true;
+    }
+
+    @Override
+    public void pause(boolean paused) {
+      this.paused = paused;
+    }
+
+    void head(int status, String... headers) {
+      HttpHeaders h = new DefaultHttpHeaders();
+      for (String name : headers) {
+        h.set(name, "1");
+      }
+      answer.head(status, h);
+    }
+
+    void data(String text) {
+      answer.data(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    void whole(int status, String body, String... headers) {
+      head(status, headers);
+      data(body);
+      answer.complete();
+    }
+  }
+
+  /** A Caller records what it is sent. */
+  static final class Caller implements CallerChannel {
+    int status;
+    HttpHeaders headers = new DefaultHttpHeaders();
+    final StringBuilder body = new StringBuilder();
+    boolean complete;
+    boolean aborted;
+
+    @Override
+    public void answer(int status, HttpHeaders headers, byte[] bytes) {
+      begin(status, headers);
+      send(bytes);
+      end();
+    }
+
+    @Override
+    public void begin(int status, HttpHeaders headers) {
+      if (this.status != 0) {
+        throw new AssertionError("two answers");
+      }
+      this.status = status;
+      this.headers = headers;
+    }
+
+    @Override
+    public void send(byte[] bytes) {
+      body.append(new String(bytes, StandardCharsets.UTF_8));
+    }
+
+    @Override
+    public void end() {
+      complete = true;
+    }
+
+    @Override
+    public void abort() {
+      aborted = true;
+    }
+  }
+
+  ExchangeWorld() {
+    budget.allow(0.5, 100);
+    exchanges =
+        new Exchanges(
+            () -> routes,
+            directory,
+            new ServerChooser(DOMAIN, new WorkLedger(0), ServerPenalties.DEFAULT),
+            budget,
+            new TestProtocol(),
+            this::connect,
+            timers,
+            new RequestLog(timers, new MetricRegistry()),
+            ExchangeSettings.DEFAULT,
+            () -> 0.5);
+    routes = table(1);
+  }
+
+  private Attempt connect(BackendServer server, OutboundRequest request, AttemptListener l) {
+    Send s = new Send(server, request, l);
+    sends.add(s);
+    return s;
+  }
+
+  static RouteTable table(long version) {
+    List<Route> routes = new ArrayList<>();
+    for (RequestKind kind : RequestKind.values()) {
+      routes.add(
+          new Route(
+              kind.name(),
+              "host",
+              "/" + kind.name() + "/",
+              kind,
+              TIMEOUT_MILLIS,
+              200,
+              0,
+              1,
+              List.of(new ServiceShare(SERVICE, 1)),
+              2,
+              false));
+    }
+    return new RouteTable(
+        version,
+        routes,
+        List.of(new ServiceSpec(SERVICE, 100, null)),
+        CallerLimits.DEFAULT,
+        Map.of("key-1", new Account("account-1", OptionalInt.empty())));
+  }
+
+  void routes(RouteTable table) {
+    routes = table;
+  }
+
+  ExchangeWorld servers(int n) {
+    for (int i = 1; i <= n; i++) {
+      directory.put(server("s" + i, false));
+    }
+    return this;
+  }
+
+  static BackendServer server(String id, boolean draining) {
+    return new BackendServer(
+        id, SERVICE, new InetSocketAddress("127.0.0.1", 9), DOMAIN, 6, draining, 1);
+  }
+
+  Exchange ask(RequestKind kind, Caller caller, String... headers) {
+    HttpHeaders h = new DefaultHttpHeaders();
+    h.set(TestProtocol.ID, "1").set(TestProtocol.KEY, "key-1");
+    for (int i = 0; i < headers.length; i += 2) {
+      h.set(headers[i], headers[i + 1]);
+    }
+    return exchanges.begin(
+        new CallerRequest(
+            HttpMethod.POST,
+            "/" + kind.name() + "/x?q=1",
+            h,
+            "body".getBytes(StandardCharsets.UTF_8),
+            "host:80",
+            timers.nanos()),
+        caller);
+  }
+
+  Send send(int i) {
+    return sends.get(i);
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerBoardTest.java
@@ -0,0 +1,166 @@
+package org.wigeonwharf.gateway.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.wigeonwharf.gateway.placement.Demand;
+import org.wigeonwharf.gateway.placement.WorkLedger;
+import org.wigeonwharf.model.Clock;
+import org.wigeonwharf.model.FailureDomain;
+import org.wigeonwharf.model.NodeId;
+import org.wigeonwharf.peer.FleetSecret;
+
+class PeerBoardTest {
+  private static final Demand REQUEST = new Demand("s", 0, List.of(), 1_000, 0, 100, 200);
+  private static final InetSocketAddress SEED = address(1);
+
+  private final Map<InetSocketAddress, Node> nodes = new HashMap<>();
+  private final Random random = new Random(7);
+  private double loss;
+  private long now = Clock.NANOS_PER_SECOND;
+  private long messages;
+
+  /** A Node is one router on the test's network. */
+  private final class Node {
+    private final WorkLedger ledger = new WorkLedger(1_500 * Clock.NANOS_PER_MILLI);
+    private final List<Long> hints = new ArrayList<>();
+    private final PeerBoard board;
+    private long version = 1;
+
+    Node(int number, String domain, String secret) {
+      board =
+          new PeerBoard(
+              new NodeId("vm" + number, number),
+              new FailureDomain(domain),
+              address(number),
+              List.of(SEED),
+              ledger,
+              new FleetSecret(secret),
+              () -> now,
+              new Random(number),
+              this::send,
+              () -> version,
+              hints::add);
+      nodes.put(address(number), this);
+    }
+
+    private void send(InetSocketAddress to, byte[] bytes) {
+      messages++;
+      Node receiver = nodes.get(to);
+      if (receiver != null && random.nextDouble() >= loss) {
+        receiver.board.receive(bytes);
+      }
+    }
+  }
+
+  private static InetSocketAddress address(int number) {
+    return new InetSocketAddress("127.0.0.1", 7_000 + number);
+  }
+
+  private Node node(int number, String domain) {
+    return new Node(number, domain, "secret-of-this-fleet");
+  }
+
+  private void pass(long millis) {
+    for (long t = 0; t < millis; t += 20) {
+      now += 20 * Clock.NANOS_PER_MILLI;
+      List.copyOf(nodes.values()).forEach(n -> n.board.tick());
+    }
+  }
+
+  @Test
+  void routersFindEachOtherThroughOneSeed() {
+    List<Node> all = new ArrayList<>();
+    for (int i = 1; i <= 8; i++) {
+      all.add(node(i, "d" + i % 3));
+    }
+    pass(4_000);
+    all.forEach(n -> assertEquals(7, n.board.size()));
+  }
+
+  @Test
+  void workShowsAtNeighboursAtOnceAlsoUnderLoss() {
+    Node a = node(1, "d");
+    Node b = node(2, "d");
+    pass(2_000);
+    loss = 0.3;
+    WorkLedger.Ticket t = a.ledger.enter("server", REQUEST, 900);
+    pass(1_000);
+    assertEquals(1, b.ledger.at("server", now).running());
+    assertEquals(900, b.ledger.at("server", now).prefillTokens());
+    t.end();
+    pass(1_000);
+    assertEquals(0, b.ledger.at("server", now).running());
+  }
+
+  @Test
+  void workOfASilentRouterIsForgotten() {
+    Node a = node(1, "d");
+    Node b = node(2, "d");
+    pass(2_000);
+    a.ledger.enter("server", REQUEST, 900);
+    pass(100);
+    nodes.remove(address(1));
+    pass(5_000);
+    assertEquals(0, b.ledger.at("server", now).running());
+    assertEquals(0, b.board.size());
+  }
+
+  @Test
+  void leavingRouterIsForgottenAtOnce() {
+    Node a = node(1, "d");
+    Node b = node(2, "d");
+    pass(2_000);
+    a.board.leave();
+    assertEquals(0, b.board.size());
+  }
+
+  @Test
+  void newerConfigurationOfAnotherRouterIsNoticed() {
+    Node a = node(1, "d");
+    Node b = node(2, "e");
+    pass(2_000);
+    a.version = 5;
+    pass(1_000);
+    assertTrue(b.hints.contains(5L));
+    assertTrue(a.hints.isEmpty());
+  }
+
+  @Test
+  void strangersWithoutTheSecretAreNotBelieved() {
+    Node a = node(1, "d");
+    new Node(2, "d", "some-other-secret");
+    pass(3_000);
+    assertEquals(0, a.board.size());
+  }
+
+  @Test
+  void brokenMessagesAreIgnored() {
+    Node a = node(1, "d");
+    for (int i = 0; i < 200; i++) {
+      byte[] bytes = new byte[random.nextInt(80)];
+      random.nextBytes(bytes);
+      a.board.receive(bytes);
+    }
+    assertEquals(0, a.board.size());
+  }
+
+  @Test
+  void idleFleetSendsFewMessages() {
+    for (int i = 1; i <= 8; i++) {
+      node(i, "d" + i % 3);
+    }
+    pass(4_000);
+    messages = 0;
+    pass(10_000);
+    double perRouterAndSecond = messages / 8.0 / 10;
+    assertTrue(perRouterAndSecond < 25, "messages a second and router: " + perRouterAndSecond);
+  }
+}
--- /dev/null
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/route/RouteTableTest.java
@@ -0,0 +1,60 @@
+package org.wigeonwharf.gateway.route;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class RouteTableTest {
+  private static Route route(String host, String prefix, ServiceShare... split) {
+    return new Route(
+        prefix, host, prefix, RequestKind.IDEMPOTENT, 1, 1, 0, 0, List.of(split), 1, true);
+  }
+
+  private static final ServiceShare ALL = new ServiceShare("a", 1);
+
+  private final RouteTable table =
+      new RouteTable(
+          1,
+          List.of(route("h", "/a/", ALL), route("h", "/a/b/", ALL), route("other", "/", ALL)),
+          List.of(),
+          CallerLimits.DEFAULT,
+          null);
+
+  private String find(String host, String path) {
+    Route r = table.find(host, path);
+    return r == null ? "none" : r.name();
+  }
+
+  @Test
+  void longestPrefixOfTheHostWins() {
+    assertEquals("/a/b/", find("h", "/a/b/c"));
+    assertEquals("/a/", find("h", "/a/bc"));
+    assertEquals("/", find("other", "/a/b/c"));
+  }
+
+  @Test
+  void hostIgnoresCaseAndPort() {
+    assertEquals("/a/", find("H:8080", "/a/x"));
+  }
+
+  @Test
+  void prefixMatchesThePathOnly() {
+    assertNull(table.find("h", "/x?y=/a/"));
+    assertNull(table.find("h", "/a?b"));
+    assertEquals("/a/", find("h", "/a/?x"));
+  }
+
+  @Test
+  void splitFollowsItsWeights() {
+    Route r = route("h", "/", new ServiceShare("a", 90), new ServiceShare("b", 10));
+    int b = 0;
+    for (int i = 0; i < 1_000; i++) {
+      b += r.pickService(i / 1_000.0).equals("b") ? 1 : 0;
+    }
+    assertEquals(100, b);
+    assertTrue(route("h", "/", new ServiceShare("a", 0), ALL).pickService(0).equals("a"));
+  }
+}
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
@@ -112,8 +112,8 @@
     this.directory = new ServerDirectory(RETURN_GRACE_MILLIS * Clock.NANOS_PER_MILLI);
     WorkLedger ledger = new WorkLedger(PEER_WORK_MILLIS * Clock.NANOS_PER_MILLI);
     this.chooser = new ServerChooser(settings.domain(), ledger, ServerPenalties.DEFAULT);
-    this.feed = new StoreFeed(store, directory, loop, clock, random, this::changed);
     EventLoopTimers timers = new EventLoopTimers(loop, clock);
+    this.feed = new StoreFeed(store, directory, timers, random, this::changed);
     this.budget = new RetryBudget(settings.retryWindowMillis() * Clock.NANOS_PER_MILLI);
     budget.allow(settings.retryRatio(), settings.retrySlack() / RETRY_SHARES);
     this.exchanges =
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/StoreFeed.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/StoreFeed.java
@@ -1,17 +1,17 @@
 package org.wigeonwharf.gateway.feed;
 
-import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletionException;
-import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.wigeonwharf.gateway.backend.BackendServer;
 import org.wigeonwharf.gateway.backend.ServerDirectory;
+import org.wigeonwharf.gateway.http.Timers;
 import org.wigeonwharf.gateway.route.RouteTable;
 import org.wigeonwharf.model.Clock;
 
@@ -20,7 +20,7 @@
  *
  * <p>It reads everything once and then waits for changes; after lost history or an outage it reads
  * everything anew. What was known stays in force while the store is away, and a lower version of
- * the routes never replaces a higher one. All work runs on one event loop.
+ * the routes never replaces a higher one. All work runs on the thread of the timers.
  */
 public final class StoreFeed {
   /**
@@ -47,8 +47,7 @@
 
   private final PublishedStore store;
   private final ServerDirectory directory;
-  private final EventLoop loop;
-  private final Clock clock;
+  private final Timers timers;
   private final RandomGenerator random;
   private final Runnable onChange;
   private @Nullable RouteTable routes;
@@ -64,34 +63,31 @@
    *
    * @param store the platform's store
    * @param directory the servers to keep up to date
-   * @param loop runs all work
-   * @param clock monotonic time
+   * @param timers run all work
    * @param random spreads retries
    * @param onChange called after each change of routes or servers
    */
   public StoreFeed(
       PublishedStore store,
       ServerDirectory directory,
-      EventLoop loop,
-      Clock clock,
+      Timers timers,
       RandomGenerator random,
       Runnable onChange) {
     this.store = store;
     this.directory = directory;
-    this.loop = loop;
-    this.clock = clock;
+    this.timers = timers;
     this.random = random;
     this.onChange = onChange;
-    this.contactAt = clock.nanos();
+    this.contactAt = timers.nanos();
     this.hintAt = contactAt;
   }
 
-  /** Begins to read; called on the event loop. */
+  /** Begins to read; called on the thread of the timers. */
   public void start() {
     readAll();
   }
 
-  /** Stops reading; called on the event loop. */
+  /** Stops reading; called on the thread of the timers. */
   public void stop() {
     stopped = true;
   }
@@ -112,17 +108,17 @@
 
   /** Returns the time in ms since the store last answered. */
   public long contactAgeMillis() {
-    return (clock.nanos() - contactAt) / Clock.NANOS_PER_MILLI;
+    return (timers.nanos() - contactAt) / Clock.NANOS_PER_MILLI;
   }
 
   /**
-   * Reads everything at once because another router knows of a newer version; called on the event
-   * loop. The wait for changes may be on a connection that went silent.
+   * Reads everything at once because another router knows of a newer version; called on the thread
+   * of the timers. The wait for changes may be on a connection that went silent.
    *
    * @param version the version that the other router has
    */
   public void newerVersion(long version) {
-    long now = clock.nanos();
+    long now = timers.nanos();
     if (!reachable || now - hintAt < HINT_PAUSE.toNanos()) {
       return;
     }
@@ -132,7 +128,7 @@
         .addKeyValue("version", version)
         .addKeyValue("own", routes == null ? 0 : routes.version())
         .log("another router has a newer configuration");
-    store.readAll(ANSWER_TIMEOUT).whenCompleteAsync((batch, e) -> onHinted(batch, e), loop);
+    store.readAll(ANSWER_TIMEOUT).whenComplete(onTimers(this::onHinted));
   }
 
   private void onHinted(@Nullable Batch batch, @Nullable Throwable error) {
@@ -151,7 +147,7 @@
 
   private void readAll() {
     if (!stopped) {
-      store.readAll(ANSWER_TIMEOUT).whenCompleteAsync((batch, e) -> onAll(batch, e), loop);
+      store.readAll(ANSWER_TIMEOUT).whenComplete(onTimers(this::onAll));
     }
   }
 
@@ -183,7 +179,7 @@
     if (!stopped) {
       store
           .changesAfter(revision, WATCH_WAIT, WATCH_WAIT.plus(ANSWER_TIMEOUT))
-          .whenCompleteAsync((batch, e) -> onChanges(batch, e), loop);
+          .whenComplete(onTimers(this::onChanges));
     }
   }
 
@@ -210,7 +206,7 @@
   }
 
   private long contact() {
-    long now = clock.nanos();
+    long now = timers.nanos();
     if (!reachable) {
       reachable = true;
       directory.storeReturned(now);
@@ -235,7 +231,12 @@
     }
     long millis = (long) (pause.toMillis() * (0.5 + random.nextDouble()));
     pause = pause.multipliedBy(2).compareTo(MAX_PAUSE) > 0 ? MAX_PAUSE : pause.multipliedBy(2);
-    loop.schedule(next, millis, TimeUnit.MILLISECONDS);
+    timers.after(millis * Clock.NANOS_PER_MILLI, next);
+  }
+
+  private BiConsumer<@Nullable Batch, @Nullable Throwable> onTimers(
+      BiConsumer<@Nullable Batch, @Nullable Throwable> action) {
+    return (batch, error) -> timers.after(0, () -> action.accept(batch, error));
   }
 
   private static @Nullable Throwable cause(@Nullable Throwable error) {
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/RequestLog.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/RequestLog.java
@@ -76,7 +76,8 @@
     return l;
   }
 
-  void placed(@Nullable String request, Choice choice, int promptTokens, int sends, long leftMillis) {
+  void placed(
+      @Nullable String request, Choice choice, int promptTokens, int sends, long leftMillis) {
     LoggingEventBuilder l = line("request.sent", request);
     if (l == null) {
       return;
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/Candidate.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/Candidate.java
@@ -7,8 +7,8 @@
  *
  * @param server the server
  * @param local true if it runs in the router's own failure domain
- * @param behind how many of the service's servers in its failure domain stand behind it in the order
- *     of ids, alike at all routers
+ * @param behind how many of the service's servers in its failure domain stand behind it in the
+ *     order of ids, alike at all routers
  * @param affinityRank its place in the order in which servers are tried for the prompt's shared
  *     beginning, from 0, alike at all routers
  * @param work work that routers have under way there
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/PromptPlacement.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/PromptPlacement.java
@@ -24,8 +24,8 @@
   private static final double BULK_NEIGHBOUR_MILLIS = 400;
 
   /**
-   * Cost in ms, to a tight stream, of each engine that stands behind this one in its failure domain:
-   * the slowdown by a hundred streams.
+   * Cost in ms, to a tight stream, of each engine that stands behind this one in its failure
+   * domain: the slowdown by a hundred streams.
    */
   private static final double GATHERING_MILLIS = 100;
 
@@ -41,7 +41,9 @@
   /** Cost in ms of a shared token that another engine has read and this one reads again. */
   private static final double REREAD_MILLIS = 0.25;
 
-  /** Shared tokens from which a prompt has an engine of its own choice; shorter ones cost little. */
+  /**
+   * Shared tokens from which a prompt has an engine of its own choice; shorter ones cost little.
+   */
   private static final int MIN_SHARED_TOKENS = 1_000;
 
   /**
--- a/org.wigeonwharf.router.test/src/test/java/org/wigeonwharf/router/ArchitectureTest.java
+++ b/org.wigeonwharf.router.test/src/test/java/org/wigeonwharf/router/ArchitectureTest.java
@@ -12,7 +12,7 @@
 class ArchitectureTest {
   private static final String ROOT = "org.wigeonwharf.";
   private static final List<String> SLICES =
-      List.of("peer", "platform", "membership", "config", "schedule", "relay");
+      List.of("peer", "platform", "membership", "config", "schedule", "relay", "gateway");
   private static final JavaClasses CLASSES =
       new ClassFileImporter().importPackages("org.wigeonwharf");
 
@@ -58,7 +58,10 @@
   void decisionsReadNoWallClock() {
     noClasses()
         .that()
-        .resideInAnyPackage("org.wigeonwharf.schedule..", "org.wigeonwharf.membership..")
+        .resideInAnyPackage(
+            "org.wigeonwharf.schedule..",
+            "org.wigeonwharf.membership..",
+            "org.wigeonwharf.gateway..")
         .should()
         .callMethod(System.class, "currentTimeMillis")
         .orShould()
--- a/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/fleet/FleetProcess.java
+++ b/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/fleet/FleetProcess.java
@@ -177,7 +177,14 @@
     signal("-CONT");
   }
 
-  private void signal(String signal) throws IOException, InterruptedException {
+  /**
+   * Sends a signal and keeps reading the log, unlike {@link #terminate()}.
+   *
+   * @param signal the signal as the kill command takes it, for example {@code -HUP}
+   * @throws IOException if the signal can't be sent
+   * @throws InterruptedException if the waiting thread is interrupted
+   */
+  public void signal(String signal) throws IOException, InterruptedException {
     int rc = new ProcessBuilder("kill", signal, Long.toString(process.pid())).start().waitFor();
     if (rc != 0) {
       throw new IOException("kill " + signal + " failed for " + name);
--- /dev/null
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/BackendStandIn.java
@@ -0,0 +1,86 @@
+package org.wigeonwharf.platform;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+/** A BackendStandIn is a backend server that keeps what it was asked and streams on command. */
+final class BackendStandIn implements AutoCloseable {
+  private final String id;
+  private final ExecutorService executor = Executors.newCachedThreadPool();
+  private final HttpServer server;
+  final List<Asked> asked = new CopyOnWriteArrayList<>();
+  private volatile CountDownLatch hold = new CountDownLatch(0);
+
+  /**
+   * One request as the server got it.
+   *
+   * @param exchange the request's head
+   * @param body its body
+   */
+  record Asked(HttpExchange exchange, String body) {
+    String header(String name) {
+      return exchange.getRequestHeaders().getFirst(name);
+    }
+  }
+
+  BackendStandIn(String id) throws IOException {
+    this.id = id;
+    server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+    server.setExecutor(executor);
+    server.createContext("/", this::answer);
+    server.start();
+  }
+
+  InetSocketAddress address() {
+    return server.getAddress();
+  }
+
+  /** Makes answers wait in their middle until {@link #release}. */
+  void hold() {
+    hold = new CountDownLatch(1);
+  }
+
+  void release() {
+    hold.countDown();
+  }
+
+  private void answer(HttpExchange x) throws IOException {
+    try (x) {
+      String body = new String(x.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
+      asked.add(new Asked(x, body));
+      if (!id.equals(x.getRequestHeaders().getFirst(Wire.EXPECTED_SERVER))) {
+        x.sendResponseHeaders(421, -1);
+        return;
+      }
+      x.getResponseHeaders().set(Wire.REQUEST_ID, x.getRequestHeaders().getFirst(Wire.REQUEST_ID));
+      x.getResponseHeaders().set(Wire.SIGNATURE, "signed");
+      x.getResponseHeaders().set(Wire.LOAD, "1,0,6,100");
+      x.getResponseHeaders().set("Content-Type", "text/event-stream");
+      x.sendResponseHeaders(200, 0);
+      OutputStream out = x.getResponseBody();
+      out.write("id: 1\ndata: a\n\n".getBytes(StandardCharsets.UTF_8));
+      out.flush();
+      hold.await();
+      out.write("id: 2\ndata: b\n\n".getBytes(StandardCharsets.UTF_8));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  @Override
+  public void close() {
+    release();
+    server.stop(0);
+    executor.shutdownNow();
+  }
+}
--- /dev/null
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/ConfigurationDecoderTest.java
@@ -0,0 +1,109 @@
+package org.wigeonwharf.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.wigeonwharf.gateway.route.EngineSpec;
+import org.wigeonwharf.gateway.route.RequestKind;
+import org.wigeonwharf.gateway.route.Route;
+import org.wigeonwharf.gateway.route.RouteTable;
+
+class ConfigurationDecoderTest {
+  static final String WHOLE =
+      """
+      {"version":7,"routes":[
+        {"name":"r1","host":"Host.Example","prefix":"/a/","kind":"streaming","timeout-ms":15000,
+         "slo-ms":2000,"priority":2,"split":[{"service":"s1","weight":90},
+         {"service":"s2","weight":10}],"max-attempts":1,"public":false,"sticky":true,
+         "can-resume":false,"gap-aim-ms":800},
+        {"name":"r2","host":"host.example","prefix":"/b/","kind":"streaming","timeout-ms":9000,
+         "slo-ms":400,"priority":0,"service":"s1","max-attempts":2,"can-resume":true},
+        {"name":"r3","host":"host.example","prefix":"/c/","kind":"safe","timeout-ms":2000,
+         "service":"s2","public":true},
+        {"name":"r4","host":"host.example","prefix":"/d/","kind":"keyed","timeout-ms":2000,
+         "service":"s2"}],
+       "services":[
+        {"name":"s1","max-conns":620,"engine":{"slots":128,"kv-capacity":797615}},
+        {"name":"s2","max-conns":110}],
+       "limits":{"max-header-bytes":16000,"max-body-bytes":4000000,"header-timeout-ms":3000,
+         "idle-timeout-ms":15000},
+       "tenants":[{"name":"t1","api-keys":["k1","k2"],"priority":1},
+         {"name":"t2","api-keys":["k3"]}]}""";
+
+  private final ConfigurationDecoder decoder = new ConfigurationDecoder(new ObjectMapper());
+
+  private RouteTable decode(String text) throws IOException {
+    return decoder.decode(text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  @Test
+  void readsEveryFieldThatDecidesSomething() throws IOException {
+    RouteTable t = decode(WHOLE);
+    assertEquals(7, t.version());
+    Route r1 = t.find("host.example", "/a/x");
+    assertEquals(RequestKind.STREAM, r1.kind());
+    assertEquals(15_000, r1.timeoutMillis());
+    assertEquals(2_000, r1.objectiveMillis());
+    assertEquals(800, r1.gapObjectiveMillis());
+    assertEquals(2, r1.urgency());
+    assertEquals(2, r1.split().size());
+    assertEquals(90, r1.split().get(0).weight());
+    Route r2 = t.find("host.example", "/b/x");
+    assertEquals(RequestKind.RESUMABLE_STREAM, r2.kind());
+    assertEquals(2, r2.maxAttempts());
+    assertTrue(t.find("host.example", "/c/").open());
+    assertEquals(new EngineSpec(128, 797_615), t.service("s1").engine());
+    assertEquals(16_000, t.limits().maxHeaderBytes());
+    assertEquals(1, t.account("k2").urgency().getAsInt());
+    assertFalse(t.account("k3").urgency().isPresent());
+    assertTrue(t.needsKeys());
+  }
+
+  @Test
+  void unknownKindIsNeverRepeated() throws IOException {
+    assertEquals(RequestKind.UNREPEATABLE, decode(WHOLE).find("host.example", "/d/").kind());
+  }
+
+  @Test
+  void configurationWithoutAccountsNeedsNoKeys() throws IOException {
+    assertFalse(decode("{\"version\":1,\"routes\":[],\"services\":[]}").needsKeys());
+  }
+
+  @Test
+  void brokenConfigurationIsRefusedWhole() {
+    for (String[] change :
+        List.of(
+            new String[] {"\"version\":7", "\"version\":\"7\""},
+            new String[] {"\"version\":7,", ""},
+            new String[] {"\"prefix\":\"/b/\"", "\"prefix\":\"b/\""},
+            new String[] {"\"prefix\":\"/b/\"", "\"prefix\":3"},
+            new String[] {"\"timeout-ms\":9000", "\"timeout-ms\":-1"},
+            new String[] {"\"timeout-ms\":9000,", ""},
+            new String[] {"\"timeout-ms\":9000", "\"timeout-ms\":1e99"},
+            new String[] {"\"service\":\"s1\"", "\"service\":\"nowhere\""},
+            new String[] {"\"weight\":90", "\"weight\":\"all\""},
+            new String[] {"\"kind\":\"safe\"", "\"kind\":null"},
+            new String[] {"\"kv-capacity\":797615", "\"kv-capacity\":0"},
+            new String[] {"\"api-keys\":[\"k3\"]", "\"api-keys\":\"k3\""},
+            new String[] {"\"max-body-bytes\":4000000", "\"max-body-bytes\":99999999999"})) {
+      String broken = WHOLE.replace(change[0], change[1]);
+      assertFalse(broken.equals(WHOLE), change[0]);
+      assertThrows(IOException.class, () -> decode(broken), change[1]);
+    }
+  }
+
+  @Test
+  void cutConfigurationIsRefusedAtEveryLength() {
+    for (int n = 0; n < WHOLE.length(); n += 7) {
+      String cut = WHOLE.substring(0, n);
+      assertThrows(IOException.class, () -> decode(cut));
+    }
+  }
+}
--- /dev/null
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/GatewayProcessTest.java
@@ -0,0 +1,169 @@
+package org.wigeonwharf.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.wigeonwharf.model.Addresses;
+import org.wigeonwharf.standin.fleet.FleetProcess;
+
+class GatewayProcessTest {
+  private static final long SECONDS = 60;
+  private static final String CONFIG =
+      """
+      {"version":%d,"routes":[{"name":"r1","host":"host.example","prefix":"/%s/",
+       "kind":"streaming","timeout-ms":60000,"slo-ms":400,"priority":0,"service":"s1",
+       "max-attempts":2,"can-resume":false}],
+       "services":[{"name":"s1","max-conns":100}],
+       "tenants":[{"name":"t1","api-keys":["k1"]}]}""";
+
+  private final HttpClient http = HttpClient.newHttpClient();
+  @TempDir private Path folder;
+  private StoreStandIn store;
+  private BackendStandIn backend;
+  private FleetProcess router;
+  private InetSocketAddress callers;
+
+  @BeforeEach
+  void start() throws Exception {
+    store = new StoreStandIn();
+    backend = new BackendStandIn("i-1");
+    store.put("op/config", CONFIG.formatted(1, "a"));
+    store.putServer("i-1", "s1", backend.address(), "ready");
+    writeSettings(0.2);
+    router =
+        FleetProcess.start(
+            "router",
+            "org.wigeonwharf.router.Main",
+            List.of("--settings", folder.resolve("node.toml").toString()));
+    callers = router.address("router.started", "callers");
+    router.awaitEvent("config.adopted");
+    router.awaitEvent("server.added");
+  }
+
+  @AfterEach
+  void stop() throws InterruptedException {
+    backend.close();
+    store.close();
+    router.kill();
+    router.awaitExit(SECONDS);
+  }
+
+  private void writeSettings(double ratio) throws IOException {
+    Path next = folder.resolve("next.toml");
+    Files.writeString(
+        next,
+        """
+        name = "vm1"
+        failure_domain = "z1"
+        fleet_secret = "secret-for-this-test"
+        stop_grace_ms = 30000
+        [listen]
+        callers = "127.0.0.1:0"
+        ready = "127.0.0.1:0"
+        peers = "127.0.0.1:0"
+        metrics = "127.0.0.1:0"
+        [store]
+        address = "%s"
+        [retry]
+        ratio = %s
+        """
+            .formatted(Addresses.format(store.address()), ratio));
+    Files.move(next, folder.resolve("node.toml"), StandardCopyOption.REPLACE_EXISTING);
+  }
+
+  private CompletableFuture<HttpResponse<String>> ask(String path) {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://" + Addresses.format(callers) + path))
+            .header(Wire.REQUEST_ID, "9c41d07be2a35f68")
+            .header(Wire.DEADLINE, "50000")
+            .header(Wire.ACCOUNT, "forged")
+            .header("Authorization", "Bearer k1")
+            .POST(HttpRequest.BodyPublishers.ofString("body"))
+            .build();
+    return http.sendAsync(request, HttpResponse.BodyHandlers.ofString());
+  }
+
+  @Test
+  void requestIsServedFromEndToEndAndTranslated() throws Exception {
+    // The caller names the host of a route; the client library sets it from the address.
+    store.put("op/config", CONFIG.formatted(2, "b").replace("host.example", "127.0.0.1"));
+    awaitVersion(2);
+    HttpResponse<String> r = ask("/b/x?q=1").get(SECONDS, TimeUnit.SECONDS);
+    assertEquals(200, r.statusCode(), r.body());
+    assertEquals("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", r.body());
+    assertEquals("signed", r.headers().firstValue(Wire.SIGNATURE).orElse(""));
+    BackendStandIn.Asked asked = backend.asked.get(0);
+    assertEquals("body", asked.body());
+    assertEquals("/b/x?q=1", asked.exchange().getRequestURI().toString());
+    assertEquals("t1", asked.header(Wire.ACCOUNT));
+    assertEquals("i-1", asked.header(Wire.EXPECTED_SERVER));
+    assertNull(asked.header("Authorization"));
+    assertTrue(Integer.parseInt(asked.header(Wire.DEADLINE)) <= 50_000);
+  }
+
+  @Test
+  void newerVersionTakesTheOldRouteAway() throws Exception {
+    store.put("op/config", CONFIG.formatted(2, "b").replace("host.example", "127.0.0.1"));
+    awaitVersion(2);
+    assertEquals(404, ask("/a/x").get(SECONDS, TimeUnit.SECONDS).statusCode());
+  }
+
+  @Test
+  void stopEndsNoAnswerInFlight() throws Exception {
+    store.put("op/config", CONFIG.formatted(2, "b").replace("host.example", "127.0.0.1"));
+    awaitVersion(2);
+    backend.hold();
+    CompletableFuture<HttpResponse<String>> answer = ask("/b/x");
+    router.awaitEvent("request.sent");
+    router.signal("-TERM");
+    router.awaitEvent("router.stopping");
+    backend.release();
+    assertEquals(
+        "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", answer.get(SECONDS, TimeUnit.SECONDS).body());
+    assertTrue(router.awaitExit(SECONDS) >= 0);
+  }
+
+  @Test
+  void hangUpSignalReadsTheSettingsAndEndsNothing() throws Exception {
+    writeSettings(0.4);
+    router.signal("-HUP");
+    assertEquals(0.4, router.awaitEvent("settings.reloaded").path("retry_ratio").asDouble(), 1e-9);
+    assertEquals(-1, router.awaitExit(0));
+  }
+
+  @Test
+  void brokenSettingsLeaveTheOldOnesInForce() throws Exception {
+    Files.writeString(folder.resolve("node.toml"), "name = 3\n[store]\naddress = \"x\"\n");
+    router.signal("-HUP");
+    router.awaitEvent("settings.refused");
+    assertEquals(-1, router.awaitExit(0));
+    assertFalse(
+        router.log().stream().anyMatch(l -> l.path("event").asText().equals("settings.reloaded")));
+  }
+
+  private void awaitVersion(int version) throws Exception {
+    router.awaitLine(
+        l ->
+            l.path("event").asText().equals("config.adopted")
+                && l.path("version").asInt() == version,
+        "version " + version);
+  }
+}
--- /dev/null
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/HttpPublishedStoreTest.java
@@ -0,0 +1,92 @@
+package org.wigeonwharf.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.ExecutionException;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.wigeonwharf.gateway.feed.Batch;
+import org.wigeonwharf.gateway.feed.HistoryLostException;
+import org.wigeonwharf.gateway.feed.Published;
+
+class HttpPublishedStoreTest {
+  private static final Duration TIMEOUT = Duration.ofSeconds(20);
+  private static final InetSocketAddress SERVER = new InetSocketAddress("127.0.0.1", 9);
+
+  private final EventLoopGroup loops =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private StoreStandIn standIn;
+  private HttpPublishedStore store;
+
+  @BeforeEach
+  void start() throws IOException {
+    standIn = new StoreStandIn();
+    store = new HttpPublishedStore(new PlatformClient(loops, standIn.address()));
+  }
+
+  @AfterEach
+  void stop() {
+    standIn.close();
+    loops.shutdownGracefully();
+  }
+
+  private Batch readAll() throws Exception {
+    return store.readAll(TIMEOUT).get();
+  }
+
+  private Batch changes(long revision) throws Exception {
+    return store.changesAfter(revision, Duration.ofSeconds(10), TIMEOUT).get();
+  }
+
+  @Test
+  void readsAllPagesAndWhatChangedSince() throws Exception {
+    standIn.put("op/config", ConfigurationDecoderTest.WHOLE);
+    for (int i = 0; i < 5; i++) {
+      standIn.putServer("i-" + i, "s1", SERVER, "ready");
+    }
+    Batch all = readAll();
+    assertEquals(6, all.items().size());
+    standIn.delete("servers/i-3");
+    Batch more = changes(all.revision());
+    assertEquals(new Published.ServerGone("i-3"), more.items().get(0));
+    assertTrue(more.revision() > all.revision());
+  }
+
+  @Test
+  void itemsOfOtherWritersAreUnusableAndOtherKeysIgnored() throws Exception {
+    standIn.putBytes("servers/i-1", new byte[] {0, 1, 2});
+    standIn.put("servers/i-2", "{}");
+    standIn.put("op/config", "{\"version\":");
+    standIn.put("somewhere/else", "text");
+    Stream<Published> items = readAll().items().stream();
+    assertEquals(3, items.filter(p -> p instanceof Published.Unusable).count());
+  }
+
+  @Test
+  void lostHistoryIsToldApartFromOtherFailures() {
+    standIn.forget();
+    Exception e = assertThrows(ExecutionException.class, () -> changes(10));
+    assertInstanceOf(HistoryLostException.class, e.getCause());
+    standIn.refuse(503);
+    e = assertThrows(ExecutionException.class, () -> readAll());
+    assertInstanceOf(IOException.class, e.getCause());
+  }
+
+  @Test
+  void unreachableStoreFails() {
+    standIn.close();
+    Exception e = assertThrows(ExecutionException.class, () -> readAll());
+    assertInstanceOf(IOException.class, e.getCause());
+  }
+}
--- /dev/null
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/PlatformProtocolTest.java
@@ -0,0 +1,112 @@
+package org.wigeonwharf.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.wigeonwharf.gateway.http.AnswerFacts;
+import org.wigeonwharf.gateway.http.Forwarding;
+import org.wigeonwharf.gateway.http.RequestFacts;
+import org.wigeonwharf.gateway.placement.LoadReport;
+import org.wigeonwharf.gateway.placement.PromptPart;
+
+class PlatformProtocolTest {
+  private final PlatformProtocol protocol = new PlatformProtocol();
+
+  private static HttpHeaders headers(String... pairs) {
+    HttpHeaders h = new DefaultHttpHeaders();
+    for (int i = 0; i < pairs.length; i += 2) {
+      h.add(pairs[i], pairs[i + 1]);
+    }
+    return h;
+  }
+
+  @Test
+  void readsWhatCallersSay() {
+    RequestFacts f =
+        protocol.readRequest(
+            headers(
+                "X-Wigeonwharf-Request-Id", "9c41",
+                "x-wigeonwharf-token-count", "1460,80",
+                "X-Wigeonwharf-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250",
+                "X-Wigeonwharf-Request-Deadline", "15000",
+                "Authorization", "Bearer key"));
+    assertEquals("9c41", f.id());
+    assertEquals(1_460, f.promptTokens());
+    assertEquals(80, f.outputTokens());
+    assertEquals(3, f.parts().size());
+    assertEquals(new PromptPart("91bd3f06", 410), f.parts().get(1));
+    assertEquals(15_000, f.waitMillis());
+    assertEquals("key", f.key());
+  }
+
+  @Test
+  void brokenHeadersCountAsAbsent() {
+    RequestFacts f =
+        protocol.readRequest(
+            headers(
+                "X-Wigeonwharf-Token-Count", "many",
+                "X-Wigeonwharf-Prompt-Prefix", "no-number",
+                "X-Wigeonwharf-Request-Deadline", "-5",
+                "Authorization", "Basic abc"));
+    assertEquals(0, f.promptTokens());
+    assertEquals(List.of(), f.parts());
+    assertEquals(-1, f.waitMillis());
+    assertNull(f.key());
+    assertNull(f.id());
+  }
+
+  @Test
+  void callersCanNotSpeakForRouters() {
+    HttpHeaders h =
+        headers(
+            "Authorization", "Bearer key",
+            "X-Wigeonwharf-Tenant", "forged",
+            "X-Wigeonwharf-Expect-Instance", "forged",
+            "X-Wigeonwharf-Request-Priority", "0",
+            "X-Wigeonwharf-Hold", "forged",
+            "X-Wigeonwharf-Pin-Ms", "9",
+            "X-Wigeonwharf-Kv-Backup", "forged",
+            "Kv-From", "forged",
+            "Kv-Fetch", "forged",
+            "X-Wigeonwharf-Model", "m");
+    protocol.writeForwarding(h, new Forwarding("i-1", null, 250, 12, null));
+    assertEquals("i-1", h.get("X-Wigeonwharf-Expect-Instance"));
+    assertEquals("250", h.get("X-Wigeonwharf-Request-Deadline"));
+    assertEquals("9", h.get("X-Wigeonwharf-Request-Priority"));
+    assertEquals("m", h.get("X-Wigeonwharf-Model"));
+    assertEquals(4, h.size(), h.toString());
+  }
+
+  @Test
+  void serverIsToldTheAccountAndWhereToGoOn() {
+    HttpHeaders h = headers();
+    protocol.writeForwarding(h, new Forwarding("i-1", "account", 250, 1, "41"));
+    assertEquals("account", h.get("X-Wigeonwharf-Tenant"));
+    assertEquals("41", h.get("Last-Event-Id"));
+  }
+
+  @Test
+  void readsWhatServersSay() {
+    AnswerFacts f =
+        protocol.readAnswer(
+            200,
+            headers(
+                "X-Wigeonwharf-Server-Seal", "3e1b",
+                "X-Wigeonwharf-Request-Id", "9c41",
+                "X-Wigeonwharf-Server-Load", "3,1,8,250"));
+    assertTrue(f.signed());
+    assertEquals("9c41", f.requestId());
+    assertEquals(new LoadReport(3, 1, 8, 2.5), f.load());
+    assertFalse(f.notRun());
+    assertTrue(protocol.readAnswer(503, headers("X-Wigeonwharf-Not-Executed", "1")).notRun());
+    assertFalse(protocol.readAnswer(503, headers()).notRun());
+    assertTrue(protocol.readAnswer(421, headers()).misdirected());
+    assertNull(protocol.readAnswer(200, headers("X-Wigeonwharf-Server-Load", "x")).load());
+  }
+}
--- /dev/null
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/ServerEntryDecoderTest.java
@@ -0,0 +1,62 @@
+package org.wigeonwharf.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.wigeonwharf.gateway.backend.BackendServer;
+
+class ServerEntryDecoderTest {
+  private static final String WHOLE =
+      """
+      {"service":"s1","address":"10.128.0.9:8080","zone":"z1","version":"v1","slots":128,
+       "state":"ready","cold-left-ms":0,"stage":"unified","models":[],"sequence":4,"born":17}""";
+
+  private final ServerEntryDecoder decoder = new ServerEntryDecoder(new ObjectMapper());
+
+  private BackendServer decode(String text) throws IOException {
+    return decoder.decode("i-1", text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  @Test
+  void readsAnEntry() throws IOException {
+    BackendServer s = decode(WHOLE);
+    assertEquals("i-1", s.id());
+    assertEquals("s1", s.service());
+    assertEquals(8080, s.address().getPort());
+    assertEquals("z1", s.domain().value());
+    assertEquals(128, s.slots());
+    assertEquals(17, s.startedAt());
+    assertFalse(s.draining());
+    assertTrue(decode(WHOLE.replace("ready", "draining")).draining());
+    assertEquals(0, decode(WHOLE.replace(",\"born\":17", "")).startedAt());
+  }
+
+  @Test
+  void entriesOfOtherWritersNameNoServer() {
+    for (String[] change :
+        List.of(
+            new String[] {"\"state\":\"ready\"", "\"state\":\"broken\""},
+            new String[] {"\"state\":\"ready\"", "\"state\":1"},
+            new String[] {"10.128.0.9:8080", "example.org:80"},
+            new String[] {"10.128.0.9:8080", "10.128.0.9"},
+            new String[] {"10.128.0.9:8080", "10.128.0.9:99999"},
+            new String[] {"\"slots\":128", "\"slots\":\"many\""},
+            new String[] {"\"slots\":128", "\"slots\":0"},
+            new String[] {"\"service\":\"s1\",", ""},
+            new String[] {"\"zone\":\"z1\"", "\"zone\":[]"},
+            new String[] {"\"born\":17", "\"born\":1.5"},
+            new String[] {WHOLE, "[]"},
+            new String[] {WHOLE, "\u0000\u0001"},
+            new String[] {WHOLE, ""})) {
+      String broken = WHOLE.replace(change[0], change[1]);
+      assertThrows(IOException.class, () -> decode(broken), change[1]);
+    }
+  }
+}
--- /dev/null
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/StoreStandIn.java
@@ -0,0 +1,157 @@
+package org.wigeonwharf.platform;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.wigeonwharf.model.Addresses;
+
+/** A StoreStandIn is the platform's store as its protocol describes it, small and in memory. */
+final class StoreStandIn implements AutoCloseable {
+  private static final int PAGE = 2;
+
+  private final ObjectMapper json = new ObjectMapper();
+  private final TreeMap<String, ObjectNode> items = new TreeMap<>();
+  private final List<ObjectNode> history = new ArrayList<>();
+  private final ExecutorService executor = Executors.newCachedThreadPool();
+  private final HttpServer server;
+  private long revision = 10;
+  private long forgotten = 10;
+  private volatile int refusal;
+
+  StoreStandIn() throws IOException {
+    server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+    server.setExecutor(executor);
+    server.createContext("/kv-range", x -> answer(x, this::range));
+    server.createContext("/kv-watch", x -> answer(x, this::watch));
+    server.start();
+  }
+
+  private interface Page {
+    ObjectNode make(Map<String, String> query) throws InterruptedException;
+  }
+
+  InetSocketAddress address() {
+    return server.getAddress();
+  }
+
+  synchronized void put(String key, String value) {
+    putBytes(key, value.getBytes(StandardCharsets.UTF_8));
+  }
+
+  synchronized void putBytes(String key, byte[] value) {
+    ObjectNode item = json.createObjectNode();
+    item.put("key", key);
+    item.put("value", Base64.getEncoder().encodeToString(value));
+    item.put("revision", ++revision);
+    items.put(key, item);
+    history.add(item);
+    notifyAll();
+  }
+
+  synchronized void delete(String key) {
+    items.remove(key);
+    ObjectNode event = json.createObjectNode();
+    event.put("key", key).put("revision", ++revision).put("deleted", true);
+    history.add(event);
+    notifyAll();
+  }
+
+  /** Drops the history, so that waiting readers have to read everything anew. */
+  synchronized void forget() {
+    history.clear();
+    forgotten = ++revision;
+    notifyAll();
+  }
+
+  /** Answers every call with a status, or works again with 0. */
+  void refuse(int status) {
+    refusal = status;
+  }
+
+  void putServer(String id, String service, InetSocketAddress address, String state) {
+    put(
+        "servers/" + id,
+        """
+        {"service":"%s","address":"%s","zone":"z1","version":"v1","slots":6,"state":"%s",
+         "cold-left-ms":0,"sequence":1,"born":1700000000000}"""
+            .formatted(service, Addresses.format(address), state));
+  }
+
+  private void answer(HttpExchange x, Page page) throws IOException {
+    try (x) {
+      if (refusal != 0) {
+        x.sendResponseHeaders(refusal, -1);
+        return;
+      }
+      ObjectNode body = page.make(query(x));
+      if (body == null) {
+        x.sendResponseHeaders(410, -1);
+        return;
+      }
+      byte[] bytes = json.writeValueAsBytes(body);
+      x.sendResponseHeaders(200, bytes.length);
+      x.getResponseBody().write(bytes);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static Map<String, String> query(HttpExchange x) {
+    Map<String, String> fields = new HashMap<>();
+    String query = x.getRequestURI().getQuery();
+    for (String f : query == null ? new String[0] : query.split("&")) {
+      int eq = f.indexOf('=');
+      fields.put(f.substring(0, eq), f.substring(eq + 1));
+    }
+    return fields;
+  }
+
+  private synchronized ObjectNode range(Map<String, String> query) {
+    ObjectNode body = json.createObjectNode();
+    ArrayNode page = body.putArray("items");
+    String after = query.getOrDefault("after", "");
+    for (ObjectNode item : items.tailMap(after, false).values()) {
+      if (page.size() == PAGE) {
+        body.put("has-more", true);
+        break;
+      }
+      page.add(item);
+    }
+    return body.put("current-rev", revision);
+  }
+
+  private synchronized ObjectNode watch(Map<String, String> query) throws InterruptedException {
+    long after = Long.parseLong(query.get("after"));
+    long end = System.nanoTime() + Long.parseLong(query.get("wait-ms")) * 1_000_000;
+    while (after >= forgotten && revision <= after && System.nanoTime() < end) {
+      wait(Math.max(1, (end - System.nanoTime()) / 1_000_000));
+    }
+    if (after < forgotten) {
+      return null;
+    }
+    ObjectNode body = json.createObjectNode();
+    ArrayNode events = body.putArray("events");
+    history.stream().filter(e -> e.path("revision").asLong() > after).forEach(events::add);
+    return body.put("current-rev", revision);
+  }
+
+  @Override
+  public void close() {
+    server.stop(0);
+    executor.shutdownNow();
+  }
+}
