Hold requests for the first configuration and archive the classes of first requests

The archive now comes from a run that reads a store and serves requests, and a request that comes before the first configuration waits up to 0.8 s for it.

Found with it: a store that could be read but not watched was asked some ten times a second, because each read reset the pause (StoreFeedTest).

--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreFeedTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreFeedTest.java
@@ -158,6 +158,21 @@
     assertTrue(calls.size() - before < 20, "calls in 6 s: " + (calls.size() - before));
   }
 
+  @Test
+  void callsToAStoreThatCanOnlyBeReadGrowRare() {
+    startWith(routes(3));
+    int before = calls.size();
+    for (int i = 0; i < 600; i++) {
+      if (!last().answer.isDone() && last().after >= 0) {
+        fail(new IOException("refused"));
+      } else if (!last().answer.isDone()) {
+        answer(5, routes(3));
+      }
+      timers.advanceMillis(10);
+    }
+    assertTrue(calls.size() - before < 40, "calls in 6 s: " + (calls.size() - before));
+  }
+
   @Test
   void lapsedEntryIsGoneOnlyAfterTheGraceOfTheStoresReturn() {
     startWith(routes(3), server("a"));
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/StoreFeed.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/StoreFeed.java
@@ -197,6 +197,8 @@
       return;
     }
     long now = contact();
+    // Only now does everything work: a store that answers reads may still refuse to be watched.
+    pause = MIN_PAUSE;
     batch.items().forEach(p -> apply(p, now));
     revision = Math.max(revision, batch.revision());
     if (!batch.items().isEmpty()) {
@@ -216,7 +218,6 @@
           .log("the store answers again");
     }
     contactAt = now;
-    pause = MIN_PAUSE;
     return now;
   }
 
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
@@ -102,12 +102,17 @@
 
   /** Finds the route and the account, then sends the request. */
   void start() {
+    if (shared.isClosed()) {
+      refuse("the router stops");
+      return;
+    }
     RouteTable t = shared.routes();
-    if (t == null || shared.isClosed()) {
-      refuse(t == null ? "no configuration is known yet" : "the router stops");
+    if (t == null) {
+      awaitRoutes();
       return;
     }
     table = t;
+    cancelHold();
     Route r = t.find(request.host(), request.target());
     if (r == null) {
       finish(RequestOutcome.DENIED, NOT_FOUND, "no route", 0);
@@ -123,6 +128,21 @@
     dispatch();
   }
 
+  /** Waits for the first configuration: a router that has just started reads it within moments. */
+  private void awaitRoutes() {
+    if (holdTimer == null) {
+      long most = shared.settings().maxAwaitRoutesMillis() * Clock.NANOS_PER_MILLI;
+      holdTimer =
+          timers.after(
+              most,
+              () -> {
+                holdTimer = null;
+                refuse("no configuration is known yet");
+              });
+    }
+    shared.held().add(this);
+  }
+
   private void accept(Route r) {
     Account a = account;
     urgency = a == null ? r.urgency() : a.urgency().orElse(r.urgency());
@@ -147,6 +167,10 @@
 
   /** Sends the request to the cheapest server, or holds it if no server may get it now. */
   void dispatch() {
+    if (!ended && table == null) {
+      start();
+      return;
+    }
     Demand d = demand;
     RouteTable t = table;
     if (ended || sent != null || d == null || t == null) {
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/ExchangeSettings.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/ExchangeSettings.java
@@ -4,6 +4,8 @@
  * ExchangeSettings are the limits that a router sets itself for requests.
  *
  * @param maxHoldMillis longest time that a request is held for lack of a server that may get it
+ * @param maxAwaitRoutesMillis longest time that a request waits for the first configuration; callers
+ *     give up on a router that keeps them for a second
  * @param holdPart part of a request's remaining time that it may be held at the most
  * @param minSendMillis least remaining time with which a request is sent to a server
  * @param retryAfterMillis when a refused caller should come back
@@ -12,6 +14,7 @@
  */
 public record ExchangeSettings(
     long maxHoldMillis,
+    long maxAwaitRoutesMillis,
     double holdPart,
     long minSendMillis,
     long retryAfterMillis,
@@ -21,5 +24,5 @@
    * who are refused come back after about the time of one more such wait.
    */
   public static final ExchangeSettings DEFAULT =
-      new ExchangeSettings(1_500, 0.4, 10, 500, 256 * 1024);
+      new ExchangeSettings(1_500, 800, 0.4, 10, 500, 256 * 1024);
 }
--- /dev/null
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/internal/TrainingMain.java
@@ -0,0 +1,126 @@
+package org.wigeonwharf.router.internal;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
+import org.wigeonwharf.gateway.http.StatusPages;
+import org.wigeonwharf.model.Addresses;
+import org.wigeonwharf.router.Main;
+
+/**
+ * A TrainingMain runs a router against canned answers, so that the JVM writes an archive of the
+ * classes that a start and first requests need.
+ */
+public final class TrainingMain {
+  /** Requests sent; some come before the router knows its routes. */
+  private static final int REQUESTS = 20;
+
+  private static final int PAUSE_MILLIS = 100;
+
+  private TrainingMain() {}
+
+  /**
+   * Runs the router for some seconds.
+   *
+   * @param args the folder of the canned answers, and where to write the router's settings
+   * @throws Exception if a file can't be read or an address can't be bound
+   */
+  public static void main(String[] args) throws Exception {
+    Path folder = Path.of(args[0]);
+    Path settings = Path.of(args[1]);
+    EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    InetSocketAddress canned = freeAddress();
+    new StatusPages(loops.next(), canned, pages(folder, canned)).start();
+    InetSocketAddress callers = freeAddress();
+    Files.writeString(settings, settings(callers, canned));
+    Thread router =
+        new Thread(() -> Main.main(new String[] {"--settings", settings.toString()}), "router");
+    router.setDaemon(true);
+    router.start();
+    byte[] request = request(folder);
+    for (int i = 0; i < REQUESTS; i++) {
+      Thread.sleep(PAUSE_MILLIS);
+      ask(callers, request);
+    }
+    System.exit(0);
+  }
+
+  private static InetSocketAddress freeAddress() throws IOException {
+    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return new InetSocketAddress(s.getInetAddress(), s.getLocalPort());
+    }
+  }
+
+  /** Reads the answers: the first line of a file is the path, the others are the body. */
+  private static Map<String, Supplier<StatusPages.Page>> pages(
+      Path folder, InetSocketAddress canned) throws IOException {
+    String server =
+        Files.readString(folder.resolve("server.json"))
+            .replace("@address@", Addresses.format(canned));
+    String config = Files.readString(folder.resolve("config.json"));
+    Map<String, Supplier<StatusPages.Page>> pages = new HashMap<>();
+    try (Stream<Path> files = Files.list(folder)) {
+      for (Path p : files.filter(f -> f.toString().endsWith(".answer")).toList()) {
+        List<String> lines = Files.readAllLines(p);
+        String body =
+            String.join("\n", lines.subList(1, lines.size()))
+                .replace("@config@", base64(config))
+                .replace("@server@", base64(server));
+        pages.put(lines.get(0), () -> new StatusPages.Page(true, body));
+      }
+    }
+    return pages;
+  }
+
+  private static String base64(String text) {
+    return Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private static byte[] request(Path folder) throws IOException {
+    String text = Files.readString(folder.resolve("request.http"));
+    return text.replace("\n", "\r\n").getBytes(StandardCharsets.UTF_8);
+  }
+
+  private static String settings(InetSocketAddress callers, InetSocketAddress store) {
+    return """
+        name = "training"
+        failure_domain = "training"
+        fleet_secret = "only-for-the-class-archive"
+        seeds = ["127.0.0.1:9"]
+        stop_grace_ms = 1000
+        [listen]
+        callers = "%s"
+        ready = "127.0.0.1:0"
+        peers = "127.0.0.1:0"
+        metrics = "127.0.0.1:0"
+        [store]
+        address = "%s"
+        [retry]
+        ratio = 0.5
+        """
+        .formatted(Addresses.format(callers), Addresses.format(store));
+  }
+
+  private static void ask(InetSocketAddress callers, byte[] request) {
+    try (Socket s = new Socket(callers.getAddress(), callers.getPort())) {
+      s.getOutputStream().write(request);
+      s.getInputStream().readAllBytes();
+    } catch (IOException e) {
+      System.err.println("no answer yet: " + e.getMessage());
+    }
+  }
+}
