Hold long prompts back from engines that have enough to read

Long prompts went to an engine however many it had yet to read, so urgent short ones waited behind them and none could move to the engine that was done first. A long prompt now waits at its router, up to 0.4 of its objective, while the engine it would go to has over 0.3 s to read; then it is sent in any case.

--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/PromptPlacementTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/PromptPlacementTest.java
@@ -61,7 +61,7 @@
   }
 
   private String place(Demand d) {
-    Choice c = chooser.choose(d, ENGINES, servers, Set.of(), now);
+    Choice c = chooser.choose(d, ENGINES, servers, Set.of(), false, now);
     String id = c.candidate().server().id();
     WorkLedger.Ticket ticket = chooser.sent(d, c, now);
     chooser.settled(id, true, now);
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
@@ -59,6 +59,7 @@
   private long firstMillis = -1;
   private long passedAt;
   private long longestGapNanos;
+  private int events;
   private @Nullable String lastEvent;
   private String lastReason = "";
 
@@ -182,7 +183,8 @@
       return;
     }
     List<BackendServer> servers = shared.directory().usable(service);
-    Choice choice = shared.chooser().choose(d, t.service(service), servers, tried, now);
+    Choice choice =
+        shared.chooser().choose(d, t.service(service), servers, tried, isPatient(d, now), now);
     if (choice == null) {
       hold(servers.size());
       return;
@@ -195,6 +197,12 @@
     send(d, choice, now);
   }
 
+  private boolean isPatient(Demand d, long now) {
+    ExchangeSettings s = shared.settings();
+    double most = Math.min(s.patiencePart() * d.objectiveMillis(), s.maxHoldMillis() / 2.0);
+    return now - arrivedAt() < most * Clock.NANOS_PER_MILLI;
+  }
+
   private void send(Demand d, Choice choice, long now) {
     cancelHold();
     sends++;
@@ -202,7 +210,7 @@
     tried.add(server.id());
     SentRequest s = new SentRequest(this, shared, server, d, choice, now);
     sent = s;
-    shared.log().placed(id(), choice, d.promptTokens(), sends, leftMillis(now));
+    shared.log().placed(id(), choice, d, sends, leftMillis(now));
     HttpHeaders headers = new DefaultHttpHeaders().set(request.headers());
     Account a = account;
     shared
@@ -346,6 +354,7 @@
     if (event != null) {
       lastEvent = event;
     }
+    events++;
     long now = timers.nanos();
     if (passedAt != 0) {
       longestGapNanos = Math.max(longestGapNanos, now - passedAt);
@@ -479,6 +488,7 @@
             elapsedMillis(),
             firstMillis,
             longestGapNanos / Clock.NANOS_PER_MILLI,
+            events,
             t == null ? 0 : t.version());
     shared.ended();
   }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/ExchangeSettings.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/ExchangeSettings.java
@@ -7,6 +7,7 @@
  * @param maxAwaitRoutesMillis longest time that a request waits for the first configuration; callers
  *     give up on a router that keeps them for a second
  * @param holdPart part of a request's remaining time that it may be held at the most
+ * @param patiencePart part of its latency objective that a request waits for a less busy server
  * @param minSendMillis least remaining time with which a request is sent to a server
  * @param retryAfterMillis when a refused caller should come back
  * @param maxBufferedAnswer bytes of an answer that are kept back until it is complete, so that a
@@ -16,6 +17,7 @@
     long maxHoldMillis,
     long maxAwaitRoutesMillis,
     double holdPart,
+    double patiencePart,
     long minSendMillis,
     long retryAfterMillis,
     int maxBufferedAnswer) {
@@ -24,5 +26,5 @@
    * who are refused come back after about the time of one more such wait.
    */
   public static final ExchangeSettings DEFAULT =
-      new ExchangeSettings(1_500, 800, 0.4, 10, 500, 256 * 1024);
+      new ExchangeSettings(1_500, 800, 0.4, 0.4, 10, 500, 256 * 1024);
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/RequestLog.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/RequestLog.java
@@ -10,6 +10,7 @@
 import org.slf4j.spi.LoggingEventBuilder;
 import org.wigeonwharf.gateway.placement.Candidate;
 import org.wigeonwharf.gateway.placement.Choice;
+import org.wigeonwharf.gateway.placement.Demand;
 import org.wigeonwharf.gateway.placement.ServerPenalties;
 import org.wigeonwharf.model.Clock;
 
@@ -77,7 +78,7 @@
   }
 
   void placed(
-      @Nullable String request, Choice choice, int promptTokens, int sends, long leftMillis) {
+      @Nullable String request, Choice choice, Demand demand, int sends, long leftMillis) {
     LoggingEventBuilder l = line("request.sent", request);
     if (l == null) {
       return;
@@ -85,7 +86,8 @@
     Candidate c = choice.candidate();
     l.addKeyValue("server", c.server().id())
         .addKeyValue("send", sends)
-        .addKeyValue("prompt_tokens", promptTokens)
+        .addKeyValue("prompt_tokens", demand.promptTokens())
+        .addKeyValue("output_tokens", demand.outputTokens())
         .addKeyValue("cost_ms", Math.round(choice.costMillis()))
         .addKeyValue("penalty_ms", Math.round(ServerPenalties.DEFAULT.of(c)))
         .addKeyValue("running", c.work().running())
@@ -143,6 +145,7 @@
       long millis,
       long firstMillis,
       long gapMillis,
+      int events,
       long configVersion) {
     metrics.counter(MetricRegistry.name("requests", outcome.word())).inc();
     metrics.timer(MetricRegistry.name("request", "time")).update(millis, TimeUnit.MILLISECONDS);
@@ -155,6 +158,7 @@
           .addKeyValue("ms", millis)
           .addKeyValue("first_ms", firstMillis)
           .addKeyValue("longest_gap_ms", gapMillis)
+          .addKeyValue("events", events)
           .addKeyValue("config_version", configVersion)
           .log("ended");
     }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/PlacementPolicy.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/PlacementPolicy.java
@@ -11,4 +11,15 @@
    *     the server must not get it now
    */
   double cost(Demand demand, Candidate candidate);
+
+  /**
+   * Tells whether a request does better to wait a moment at the router than at the server.
+   *
+   * @param demand the request
+   * @param candidate the server
+   * @return true if the server has enough to do for now
+   */
+  default boolean isBusy(Demand demand, Candidate candidate) {
+    return false;
+  }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/PromptPlacement.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/PromptPlacement.java
@@ -14,6 +14,9 @@
   /** Reading time in ms that streams beside it hardly notice: one or two chunks. */
   private static final double HARMLESS_MILLIS = 20;
 
+  /** Reading time in ms that keeps an engine busy until routers hear that it has read something. */
+  private static final double BUSY_MILLIS = 300;
+
   /** Cost in ms of a ms of reading beside one tight stream: most likely it becomes late. */
   private static final double HARM = 8;
 
@@ -90,6 +93,16 @@
     return cost;
   }
 
+  /**
+   * Keeps long prompts back from engines that have enough to read, so that urgent short ones that
+   * come later need not wait behind them, and whichever engine is done first gets the next.
+   */
+  @Override
+  public boolean isBusy(Demand demand, Candidate c) {
+    double own = speed.millis(demand.promptTokens());
+    return own > HARMLESS_MILLIS && speed.millis(c.work().prefillTokens()) > BUSY_MILLIS;
+  }
+
   private static double crowding(Candidate c, int slots) {
     double beyond = Math.max(0, c.load() - SLOT_FILL * slots);
     return RUNNING_MILLIS * c.load() * c.slowdown() + CROWDED_MILLIS * beyond;
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerChooser.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerChooser.java
@@ -52,6 +52,7 @@
    * @param service the service's description, or null if it is not published
    * @param servers the usable servers in the order of their ids
    * @param tried ids that the request was already sent to
+   * @param patient true if the request can wait for a server that has less to do
    * @param now the current time in nanoseconds
    * @return the choice, or null if no server may get the request now
    */
@@ -60,6 +61,7 @@
       @Nullable ServiceSpec service,
       List<BackendServer> servers,
       Set<String> tried,
+      boolean patient,
       long now) {
     PlacementPolicy policy = policy(demand, service);
     Choice best = null;
@@ -72,7 +74,8 @@
         best = new Choice(c, cost);
       }
     }
-    return best;
+    boolean waits = patient && best != null && policy.isBusy(demand, best.candidate());
+    return waits ? null : best;
   }
 
   private PlacementPolicy policy(Demand demand, @Nullable ServiceSpec service) {
