Leave a silent server for another where the request may be repeated

A request at a server that accepts and stays silent waited for its deadline, and callers leave a stream after two seconds of silence. Idempotent requests and resumable streams now go to another server after three latency objectives without an answer, or five gap objectives without an event, within attempts and the retry budget; the last server and a spent budget keep what they have.

Log lines are written by a thread of their own and never block a request.

--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreFeedTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreFeedTest.java
@@ -146,7 +146,7 @@
   }
 
   @Test
-  void callsToAStoreThatIsAwayGrowRare() {
+  void callsToStoreThatIsAwayGrowRare() {
     startWith(routes(3));
     int before = calls.size();
     for (int i = 0; i < 600; i++) {
@@ -159,7 +159,7 @@
   }
 
   @Test
-  void callsToAStoreThatCanOnlyBeReadGrowRare() {
+  void callsToStoreThatCanOnlyBeReadGrowRare() {
     startWith(routes(3));
     int before = calls.size();
     for (int i = 0; i < 600; i++) {
@@ -196,7 +196,7 @@
   }
 
   @Test
-  void hintsDoNotAddUpToAFloodOfCalls() {
+  void hintsDoNotAddUpToManyCalls() {
     startWith(routes(3));
     timers.advanceMillis(1_000);
     int before = calls.size();
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeTest.java
@@ -205,6 +205,49 @@
     assertTrue(world.send(0).cancelled);
   }
 
+  @Test
+  void silentServerIsLeftForAnotherIfTheRequestMayBeRepeated() {
+    world.servers(2).ask(RequestKind.IDEMPOTENT, caller);
+    world.timers.advanceMillis(1_000);
+    assertTrue(world.send(0).cancelled);
+    world.send(1).whole(200, "ok", SIGNED);
+    assertEquals(200, caller.status);
+  }
+
+  @Test
+  void silentServerKeepsUnrepeatableRequestsAndTheLastOneOfItsService() {
+    world.servers(2).ask(RequestKind.UNREPEATABLE, caller);
+    world.timers.advanceMillis(1_500);
+    assertFalse(world.send(0).cancelled);
+    ExchangeWorld alone = new ExchangeWorld().servers(1);
+    alone.ask(RequestKind.IDEMPOTENT, new Caller());
+    alone.timers.advanceMillis(1_500);
+    assertFalse(alone.send(0).cancelled);
+  }
+
+  @Test
+  void silentServerIsKeptWhenTheRetryBudgetIsSpent() {
+    world.budget.allow(0, 0);
+    world.servers(2).ask(RequestKind.IDEMPOTENT, caller);
+    world.timers.advanceMillis(1_500);
+    assertFalse(world.send(0).cancelled);
+    world.send(0).whole(200, "late", SIGNED);
+    assertEquals(200, caller.status);
+  }
+
+  @Test
+  void streamThatStallsGoesOnAtAnotherServer() {
+    world.servers(2).ask(RequestKind.RESUMABLE_STREAM, caller);
+    world.send(0).head(200, SIGNED);
+    for (int i = 1; i <= 3; i++) {
+      world.timers.advanceMillis(300);
+      world.send(0).data("id: " + i + "\n\n");
+    }
+    assertEquals(1, world.sends.size());
+    world.timers.advanceMillis(800);
+    assertEquals("3", world.send(1).request.headers().get(TestProtocol.LAST));
+  }
+
   @Test
   void callersLeavingEndsUpstreamWorkAtOnce() {
     Exchange e = world.servers(1).ask(RequestKind.STREAM, caller);
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerBoardTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerBoardTest.java
@@ -88,10 +88,10 @@
   @Test
   void workShowsAtNeighboursAtOnceAlsoUnderLoss() {
     Node a = node(1, "d");
-    Node b = node(2, "d");
+    final Node b = node(2, "d");
     pass(2_000);
     loss = 0.3;
-    WorkLedger.Ticket t = a.ledger.enter("server", REQUEST, 900);
+    final WorkLedger.Ticket t = a.ledger.enter("server", REQUEST, 900);
     pass(1_000);
     assertEquals(1, b.ledger.at("server", now).running());
     assertEquals(900, b.ledger.at("server", now).prefillTokens());
@@ -101,9 +101,9 @@
   }
 
   @Test
-  void workOfASilentRouterIsForgotten() {
+  void workOfSilentRouterIsForgotten() {
     Node a = node(1, "d");
-    Node b = node(2, "d");
+    final Node b = node(2, "d");
     pass(2_000);
     a.ledger.enter("server", REQUEST, 900);
     pass(100);
@@ -116,7 +116,7 @@
   @Test
   void leavingRouterIsForgottenAtOnce() {
     Node a = node(1, "d");
-    Node b = node(2, "d");
+    final Node b = node(2, "d");
     pass(2_000);
     a.board.leave();
     assertEquals(0, b.board.size());
@@ -125,7 +125,7 @@
   @Test
   void newerConfigurationOfAnotherRouterIsNoticed() {
     Node a = node(1, "d");
-    Node b = node(2, "e");
+    final Node b = node(2, "e");
     pass(2_000);
     a.version = 5;
     pass(1_000);
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
@@ -47,6 +47,7 @@
   private @Nullable SentRequest sent;
   private Timers.@Nullable Timer deadlineTimer;
   private Timers.@Nullable Timer holdTimer;
+  private Timers.@Nullable Timer silenceTimer;
   private @Nullable WholeAnswer fallback;
   private String service = "";
   private long deadlineAt;
@@ -58,6 +59,9 @@
   private boolean ended;
   private long firstMillis = -1;
   private long passedAt;
+  private long progressAt;
+  private boolean callerPaused;
+  private boolean repeatPaidFor;
   private long longestGapNanos;
   private int events;
   private @Nullable String lastEvent;
@@ -189,7 +193,7 @@
       hold(servers.size());
       return;
     }
-    if (sends > 0 && !shared.budget().tryTake(service, now)) {
+    if (sends > 0 && !repeatPaidFor && !shared.budget().tryTake(service, now)) {
       shared.log().budgetSpent(id(), service);
       giveUp("the retry budget is spent; last: " + lastReason);
       return;
@@ -205,6 +209,7 @@
 
   private void send(Demand d, Choice choice, long now) {
     cancelHold();
+    repeatPaidFor = false;
     sends++;
     BackendServer server = choice.candidate().server();
     tried.add(server.id());
@@ -225,6 +230,53 @@
     s.open(
         new OutboundRequest(request.method(), request.target(), headers, request.body()),
         isStream());
+    progressAt = now;
+    watchSilence();
+  }
+
+  /** Gives a server up that stays silent, if another one may do the work instead. */
+  private void watchSilence() {
+    cancelSilenceTimer();
+    Route r = route;
+    if (r == null || !mayRepeat() || runs + 1 >= r.maxAttempts()) {
+      return;
+    }
+    long idle = timers.nanos() - progressAt;
+    silenceTimer = timers.after(silenceLimitNanos(r) - idle, () -> checkSilence(r));
+  }
+
+  private long silenceLimitNanos(Route r) {
+    ExchangeSettings s = shared.settings();
+    long millis = begun ? r.gapObjectiveMillis() : r.objectiveMillis();
+    double factor = begun ? s.silenceGaps() : s.silenceObjectives();
+    return (long) Math.max(s.minSilenceMillis(), factor * millis) * Clock.NANOS_PER_MILLI;
+  }
+
+  private void checkSilence(Route r) {
+    silenceTimer = null;
+    SentRequest s = sent;
+    long now = timers.nanos();
+    if (s == null) {
+      return;
+    }
+    boolean silent = now - progressAt >= silenceLimitNanos(r) && !callerPaused;
+    boolean another = shared.directory().usable(service).size() > tried.size();
+    if (silent && another && shared.budget().tryTake(service, now)) {
+      repeatPaidFor = true;
+      s.giveUp();
+      return;
+    }
+    if (now - progressAt >= silenceLimitNanos(r)) {
+      progressAt = now;
+    }
+    watchSilence();
+  }
+
+  private void cancelSilenceTimer() {
+    if (silenceTimer != null) {
+      silenceTimer.cancel();
+      silenceTimer = null;
+    }
   }
 
   private boolean hasBody() {
@@ -356,6 +408,7 @@
     }
     events++;
     long now = timers.nanos();
+    progressAt = now;
     if (passedAt != 0) {
       longestGapNanos = Math.max(longestGapNanos, now - passedAt);
     }
@@ -395,6 +448,7 @@
    * @param writable false while the caller's connection takes no more
    */
   public void callerWritable(boolean writable) {
+    callerPaused = !writable;
     if (sent != null) {
       sent.pause(!writable);
     }
@@ -469,6 +523,7 @@
   private void close(RequestOutcome outcome, int status, String reason) {
     ended = true;
     cancelHold();
+    cancelSilenceTimer();
     shared.held().remove(this);
     if (deadlineTimer != null) {
       deadlineTimer.cancel();
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/RequestLog.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/RequestLog.java
@@ -25,6 +25,9 @@
   /** Lines a second of one kind; a router at its peak writes some dozen. */
   private static final int LINES_PER_SECOND = 40;
 
+  /** Characters of a request's id that a line holds; callers choose ids freely. */
+  private static final int MAX_ID_LENGTH = 64;
+
   private static final Logger LOG = LoggerFactory.getLogger("org.wigeonwharf.gateway.request");
 
   private final Clock clock;
@@ -69,7 +72,7 @@
       return null;
     }
     LoggingEventBuilder l =
-        LOG.atInfo().addKeyValue("event", event).addKeyValue("request", String.valueOf(request));
+        LOG.atInfo().addKeyValue("event", event).addKeyValue("request", shortened(request));
     if (b.dropped > 0) {
       l = l.addKeyValue("dropped_before", b.dropped);
       b.dropped = 0;
@@ -77,8 +80,12 @@
     return l;
   }
 
-  void placed(
-      @Nullable String request, Choice choice, Demand demand, int sends, long leftMillis) {
+  private static String shortened(@Nullable String request) {
+    String id = String.valueOf(request);
+    return id.length() <= MAX_ID_LENGTH ? id : id.substring(0, MAX_ID_LENGTH);
+  }
+
+  void placed(@Nullable String request, Choice choice, Demand demand, int sends, long leftMillis) {
     LoggingEventBuilder l = line("request.sent", request);
     if (l == null) {
       return;
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/SentRequest.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/SentRequest.java
@@ -68,6 +68,11 @@
     }
   }
 
+  /** Ends this send because the server stays silent. */
+  void giveUp() {
+    fail("the server stays silent");
+  }
+
   void pause(boolean paused) {
     if (attempt != null) {
       attempt.pause(paused);
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/NewsCodec.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/NewsCodec.java
@@ -45,7 +45,7 @@
     return RouterNews.parseFrom(bytes);
   }
 
-  static ServerWorkNews encode(String server, ServerWork work) {
+  static ServerWorkNews encodeWork(String server, ServerWork work) {
     return ServerWorkNews.newBuilder()
         .setServer(server)
         .setRunning(work.running())
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerBoard.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerBoard.java
@@ -202,7 +202,7 @@
             .setSelf(member(address, domain))
             .setConfigVersion(configVersion.getAsLong())
             .setLeaving(leaving);
-    ledger.own().forEach((server, work) -> b.addWork(NewsCodec.encode(server, work)));
+    ledger.own().forEach((server, work) -> b.addWork(NewsCodec.encodeWork(server, work)));
     List<Member> named = new ArrayList<>(members.values());
     Collections.shuffle(named, random);
     named.stream().limit(NAMED_MEMBERS).forEach(m -> b.addMembers(member(m.address, m.domain)));
@@ -237,7 +237,6 @@
     if (node.equals(self)) {
       return;
     }
-    long now = clock.nanos();
     InetSocketAddress from = Addresses.parse(news.getSelf().getAddress());
     FailureDomain of = new FailureDomain(news.getSelf().getFailureDomain());
     Member m = members.get(from);
@@ -251,6 +250,7 @@
     m.node = node;
     m.domain = of;
     m.sequence = news.getSequence();
+    long now = clock.nanos();
     m.heardAt = now;
     if (news.getLeaving()) {
       drop(m, "leaving");
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/PromptPlacement.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/PromptPlacement.java
@@ -53,7 +53,7 @@
    * Cost in ms, to each request that generates, of an engine that always has long prompts to read:
    * its steps take several times as long, and long outputs may miss their deadline.
    */
-  private static final double SLOW_STEPS_MILLIS = 600;
+  private static final double SLOW_STEPS_MILLIS = 1_500;
 
   /** Part of an engine's memory that running requests may claim before preemption is near. */
   private static final double MEMORY_FILL = 0.95;
@@ -85,7 +85,7 @@
     double own = speed.millis(unread) * c.slowdown();
     double backlog = speed.millis(c.work().prefillTokens()) * c.slowdown();
     double cost = own + backlog + crowding(c, slots) + penalties.of(c);
-    cost += SLOW_STEPS_MILLIS * c.bulkShare();
+    cost += SLOW_STEPS_MILLIS * c.bulkShare() * c.bulkShare();
     cost += harm(c, own) + strangeness(demand, c) + heldUp(demand, c, backlog);
     if (c.work().memoryTokens() + demand.promptTokens() > MEMORY_FILL * memoryTokens) {
       cost += demand.objectiveMillis();
--- a/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/Main.java
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/Main.java
@@ -1,5 +1,6 @@
 package org.wigeonwharf.router;
 
+import ch.qos.logback.classic.LoggerContext;
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -113,7 +114,7 @@
     }
     SettingsWatch watch = new SettingsWatch(file, f -> reload(f, process.get()));
     watch.start();
-    return run(process.get(), err);
+    return runUntilStopped(process.get(), err);
   }
 
   private static void reload(Path file, Lifecycle process) {
@@ -143,7 +144,7 @@
     return DaggerGatewayComponent.factory().create(settings).gateway();
   }
 
-  private static int run(Lifecycle process, PrintStream err) {
+  private static int runUntilStopped(Lifecycle process, PrintStream err) {
     CountDownLatch ended = new CountDownLatch(1);
     Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(process, ended), "shutdown"));
     try {
@@ -153,12 +154,21 @@
     } catch (Exception e) {
       LOG.atError().setCause(e).addKeyValue("event", "router.start.failed").log("can't start");
       err.println("wigeonwharf: can't start: " + e.getMessage());
+      flushLog();
       return EXIT_FAILURE;
     }
   }
 
   private static void stop(Lifecycle process, CountDownLatch ended) {
     process.stop();
+    flushLog();
     ended.countDown();
   }
+
+  /** Writes out the lines that still wait, since log lines are written on a thread of their own. */
+  private static void flushLog() {
+    if (LoggerFactory.getILoggerFactory() instanceof LoggerContext context) {
+      context.stop();
+    }
+  }
 }
--- a/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/internal/TrainingMain.java
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/internal/TrainingMain.java
@@ -96,7 +96,8 @@
   }
 
   private static String settings(InetSocketAddress callers, InetSocketAddress store) {
-    return """
+    String text =
+        """
         name = "training"
         failure_domain = "training"
         fleet_secret = "only-for-the-class-archive"
@@ -111,8 +112,8 @@
         address = "%s"
         [retry]
         ratio = 0.5
-        """
-        .formatted(Addresses.format(callers), Addresses.format(store));
+        """;
+    return text.formatted(Addresses.format(callers), Addresses.format(store));
   }
 
   private static void ask(InetSocketAddress callers, byte[] request) {
