--- a/platform.test/src/test/java/org/wigeonwharf/platform/ConfigurationDecoderTest.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/ConfigurationDecoderTest.java
@@ -35,7 +35,9 @@
        "limits":{"max-header-bytes":16000,"max-body-bytes":4000000,"header-timeout-ms":3000,
          "idle-timeout-ms":15000},
        "tenants":[{"name":"t1","api-keys":["k1","k2"],"priority":1},
-         {"name":"t2","api-keys":["k3"]}]}""";
+         {"name":"t2","api-keys":["k3"]}]}
+      """
+          .strip();
 
   private final ConfigurationDecoder decoder = new ConfigurationDecoder(new ObjectMapper());
 
--- a/platform.test/src/test/java/org/wigeonwharf/platform/GatewayProcessTest.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/GatewayProcessTest.java
@@ -32,7 +32,9 @@
        "kind":"streaming","timeout-ms":60000,"slo-ms":400,"priority":0,"service":"s1",
        "max-attempts":2,"can-resume":false}],
        "services":[{"name":"s1","max-conns":100}],
-       "tenants":[{"name":"t1","api-keys":["k1"]}]}""";
+       "tenants":[{"name":"t1","api-keys":["k1"]}]}
+      """
+          .strip();
 
   private final HttpClient http = HttpClient.newHttpClient();
   @TempDir private Path folder;
@@ -131,7 +133,7 @@
     store.put("op/config", CONFIG.formatted(2, "b").replace("host.example", "127.0.0.1"));
     awaitVersion(2);
     backend.hold();
-    CompletableFuture<HttpResponse<String>> answer = ask("/b/x");
+    final CompletableFuture<HttpResponse<String>> answer = ask("/b/x");
     router.awaitEvent("request.sent");
     router.signal("-TERM");
     router.awaitEvent("router.stopping");
--- a/platform.test/src/test/java/org/wigeonwharf/platform/ServerEntryDecoderTest.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/ServerEntryDecoderTest.java
@@ -16,7 +16,9 @@
   private static final String WHOLE =
       """
       {"service":"s1","address":"10.128.0.9:8080","zone":"z1","version":"v1","slots":128,
-       "state":"ready","cold-left-ms":0,"stage":"unified","models":[],"sequence":4,"born":17}""";
+       "state":"ready","cold-left-ms":0,"stage":"unified","models":[],"sequence":4,"born":17}
+      """
+          .strip();
 
   private final ServerEntryDecoder decoder = new ServerEntryDecoder(new ObjectMapper());
 
--- a/platform.test/src/test/java/org/wigeonwharf/platform/StoreStandIn.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/StoreStandIn.java
@@ -87,7 +87,8 @@
         "servers/" + id,
         """
         {"service":"%s","address":"%s","zone":"z1","version":"v1","slots":6,"state":"%s",
-         "cold-left-ms":0,"sequence":1,"born":1700000000000}"""
+         "cold-left-ms":0,"sequence":1,"born":1700000000000}
+        """
             .formatted(service, Addresses.format(address), state));
   }
 
