Let a resumed stream try another server when one rejects its rest

A resumable stream whose second server answered that it did not run it, or could not be reached, was cut, though nothing was lost yet: notRun() cut every answer that had begun. Found by reading; ExchangeTest was red on the former code (IndexOutOfBounds: no third send).

--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeTest.java
@@ -187,6 +187,20 @@
     assertTrue(caller.complete);
   }
 
+  @Test
+  void resumableStreamOutlivesServersThatRejectItsRest() {
+    world.servers(3).ask(RequestKind.RESUMABLE_STREAM, caller);
+    world.send(0).head(200, SIGNED);
+    world.send(0).data("id: 1\n\n");
+    world.send(0).answer.broken("crashed");
+    world.send(1).head(503, NOT_RUN);
+    world.send(2).head(200, SIGNED);
+    world.send(2).data("id: 2\n\n");
+    world.send(2).answer.complete();
+    assertEquals("id: 1\n\nid: 2\n\n", caller.body.toString());
+    assertTrue(caller.complete);
+  }
+
   @Test
   void streamThatEndsWithinAnEventIsCutVisibly() {
     world.servers(1).ask(RequestKind.STREAM, caller);
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
@@ -333,10 +333,6 @@
   void notRun(String reason) {
     sent = null;
     lastReason = reason;
-    if (begun) {
-      cut(reason);
-      return;
-    }
     shared.log().retried(id(), lastServer(), reason, false);
     dispatch();
   }
@@ -471,7 +467,7 @@
       verdict = Verdict.MAY_HAVE_RUN;
     }
     Route r = route;
-    boolean byRoute = r != null && deadlineAt - arrivedAt() >= r.timeoutMillis() * 1_000_000L;
+    boolean byRoute = r != null && deadlineAt - arrivedAt() >= r.timeoutMillis() * Clock.NANOS_PER_MILLI;
     endUnserved(byRoute ? "the route's timeout is over" : "the caller's deadline is over", true);
   }
 
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/HeldRequests.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/HeldRequests.java
@@ -33,17 +33,6 @@
     }
   }
 
-  /** Counts the requests of a rank or a more urgent one that wait for a service. */
-  int ahead(String service, int urgency) {
-    int n = 0;
-    for (Exchange e : held) {
-      if (e.urgency() <= urgency && e.service().equals(service)) {
-        n++;
-      }
-    }
-    return n;
-  }
-
   int size() {
     return held.size();
   }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/StatusPages.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/StatusPages.java
@@ -40,10 +40,10 @@
   /**
    * A Page is one answer.
    *
-   * @param found true for status 200, false for 503
+   * @param ok true for status 200, false for 503
    * @param text the body
    */
-  public record Page(boolean found, String text) {}
+  public record Page(boolean ok, String text) {}
 
   /**
    * Creates pages that are not yet bound.
@@ -114,7 +114,7 @@
       }
       Page p = page.get();
       HttpResponseStatus status =
-          p.found() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
+          p.ok() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
       write(ctx, status, p.text());
     }
 
