Bound the memory of prompts against parts without tokens

Parts of length 0 were never evicted, so a caller could grow a router's memory for as long as it named new ones. Each part now counts for a block at the least (PromptMemoryTest, red on the former code).

--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/PromptMemoryTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/PromptMemoryTest.java
@@ -29,4 +29,15 @@
     assertEquals(100, memory.remembered(List.of(A)));
     assertEquals(0, memory.remembered(List.of(B)));
   }
+
+  @Test
+  void emptyPartsCanNotFillTheMemoryWithoutBound() {
+    PromptMemory memory = new PromptMemory(1_600);
+    PromptPart first = new PromptPart("first", 1);
+    memory.read(List.of(first));
+    for (int i = 0; i < 200; i++) {
+      memory.read(List.of(new PromptPart("empty" + i, 0)));
+    }
+    assertEquals(0, memory.remembered(List.of(first)));
+  }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/PromptMemory.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/PromptMemory.java
@@ -10,6 +10,9 @@
  * ones giving way.
  */
 public final class PromptMemory {
+  /** Tokens that a part counts for at the least: an engine's memory is dealt out in such blocks. */
+  private static final int BLOCK_TOKENS = 16;
+
   private final long capacityTokens;
   private final LinkedHashMap<String, Integer> parts = new LinkedHashMap<>(16, 0.75f, true);
   private long tokens;
@@ -47,8 +50,9 @@
    */
   public void read(List<PromptPart> prompt) {
     for (PromptPart p : prompt) {
-      Integer old = parts.put(p.id(), p.tokens());
-      tokens += p.tokens() - (old == null ? 0 : old);
+      int size = Math.max(BLOCK_TOKENS, p.tokens());
+      Integer old = parts.put(p.id(), size);
+      tokens += size - (old == null ? 0 : old);
     }
     Iterator<Map.Entry<String, Integer>> oldest = parts.entrySet().iterator();
     while (tokens > capacityTokens && oldest.hasNext()) {
