--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
@@ -467,7 +467,8 @@
       verdict = Verdict.MAY_HAVE_RUN;
     }
     Route r = route;
-    boolean byRoute = r != null && deadlineAt - arrivedAt() >= r.timeoutMillis() * Clock.NANOS_PER_MILLI;
+    boolean byRoute =
+        r != null && deadlineAt - arrivedAt() >= r.timeoutMillis() * Clock.NANOS_PER_MILLI;
     endUnserved(byRoute ? "the route's timeout is over" : "the caller's deadline is over", true);
   }
 
