--- /dev/null
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/CallerConnectionTest.java
@@ -0,0 +1,175 @@
+package org.wigeonwharf.gateway.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import org.junit.jupiter.api.Test;
+import org.wigeonwharf.gateway.route.CallerLimits;
+import org.wigeonwharf.gateway.route.RequestKind;
+
+class CallerConnectionTest {
+  private static final CallerLimits LIMITS = new CallerLimits(1_000, 2_000, 3_000, 15_000);
+  private static final String TARGET = "/" + RequestKind.UNREPEATABLE.name() + "/x";
+  private static final String HEAD =
+      "POST " + TARGET + " HTTP/1.1\r\nHost: host\r\nid: 1\r\nkey: key-1\r\n";
+  private static final String REQUEST = HEAD + "Content-Length: 4\r\n\r\nbody";
+
+  private final ExchangeWorld world = new ExchangeWorld().servers(2);
+  private boolean stopping;
+  private final EmbeddedChannel channel = connect();
+
+  private EmbeddedChannel connect() {
+    CallerConnection connection =
+        new CallerConnection(world.exchanges, LIMITS, () -> stopping, world.timers);
+    HttpDecoderConfig decoder = new HttpDecoderConfig().setMaxHeaderSize(LIMITS.maxHeaderBytes());
+    return new EmbeddedChannel(
+        new ChannelInboundHandlerAdapter() {
+          @Override
+          public void channelRead(ChannelHandlerContext ctx, Object message) {
+            connection.bytesCame();
+            ctx.fireChannelRead(message);
+          }
+        },
+        new HttpServerCodec(decoder),
+        connection);
+  }
+
+  private void send(String text) {
+    channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+  }
+
+  private String received() {
+    StringBuilder text = new StringBuilder();
+    for (ByteBuf b = channel.readOutbound(); b != null; b = channel.readOutbound()) {
+      text.append(b.toString(StandardCharsets.ISO_8859_1));
+      b.release();
+    }
+    return text.toString();
+  }
+
+  @Test
+  void requestsAreAnsweredInTheirOrderOnOneConnection() {
+    send(REQUEST + REQUEST);
+    assertEquals(1, world.sends.size());
+    world.send(0).whole(200, "first", TestProtocol.SIGNED);
+    world.send(1).whole(200, "second", TestProtocol.SIGNED);
+    String text = received();
+    assertTrue(text.indexOf("first") < text.indexOf("second"), text);
+    assertTrue(channel.isOpen());
+  }
+
+  @Test
+  void requestsThatCouldBeReadInTwoWaysRunNowhere() {
+    List<String> bad =
+        List.of(
+            HEAD + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            HEAD + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody1",
+            HEAD + "Content-Length: 4\r\nContent-Length: 4\r\n\r\nbody",
+            HEAD + "Content-Length: +4\r\n\r\nbody",
+            HEAD + "Content-Length: 4, 4\r\n\r\nbody",
+            HEAD + "Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n",
+            HEAD + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+            HEAD + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            HEAD + "Host: other\r\nContent-Length: 0\r\n\r\n",
+            HEAD + "Content-Length : 4\r\n\r\nbody",
+            HEAD + "Transfer-Encoding: chunked\r\n\r\nz\r\nbody\r\n0\r\n\r\n",
+            "POST http://host" + TARGET + " HTTP/1.1\r\nHost: host\r\nContent-Length: 0\r\n\r\n",
+            "POST " + TARGET + " HTTP/1.1\r\nid: 1\r\nContent-Length: 0\r\n\r\n",
+            "POST " + TARGET + " HTTP/1.0\r\nHost: host\r\nContent-Length: 0\r\n\r\n");
+    for (String text : bad) {
+      EmbeddedChannel c = connect();
+      c.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+      ByteBuf answer = c.readOutbound();
+      String status = answer.toString(StandardCharsets.ISO_8859_1).substring(9, 12);
+      assertTrue(status.equals("400") || status.equals("505"), status + " to " + text);
+      c.finishAndReleaseAll();
+    }
+    assertTrue(world.sends.isEmpty());
+  }
+
+  @Test
+  void requestInsideTheBodyOfAnotherIsBodyOnly() {
+    String inner = "POST " + TARGET + " HTTP/1.1\r\nHost: host\r\nid: 2\r\n\r\n";
+    send(HEAD + "Content-Length: " + inner.length() + "\r\n\r\n" + inner);
+    assertEquals(1, world.sends.size());
+    assertEquals(inner, new String(world.send(0).request.body(), StandardCharsets.ISO_8859_1));
+  }
+
+  @Test
+  void tooLargeHeadAndBodyAreRefusedByName() {
+    send(HEAD + "x: " + "y".repeat(2_000) + "\r\n\r\n");
+    assertTrue(received().startsWith("HTTP/1.1 431"));
+    EmbeddedChannel c = connect();
+    c.writeInbound(
+        Unpooled.copiedBuffer(HEAD + "Content-Length: 3000\r\n\r\n", StandardCharsets.ISO_8859_1));
+    ByteBuf answer = c.readOutbound();
+    assertTrue(answer.toString(StandardCharsets.ISO_8859_1).startsWith("HTTP/1.1 413"));
+    c.finishAndReleaseAll();
+  }
+
+  @Test
+  void chunkedBodyIsBoundedToo() {
+    send(HEAD + "Transfer-Encoding: chunked\r\n\r\n");
+    String chunk = "400\r\n" + "z".repeat(0x400) + "\r\n";
+    send(chunk + chunk);
+    assertTrue(received().startsWith("HTTP/1.1 413"));
+    assertTrue(world.sends.isEmpty());
+  }
+
+  @Test
+  void slowHeadEndsAtItsTimeoutAndIdleConnectionAtItsOwn() {
+    send("POST " + TARGET);
+    world.timers.advanceMillis(LIMITS.headerTimeoutMillis());
+    assertTrue(received().startsWith("HTTP/1.1 408"));
+    EmbeddedChannel idle = connect();
+    world.timers.advanceMillis(LIMITS.idleTimeoutMillis() - 1);
+    assertTrue(idle.isOpen());
+    world.timers.advanceMillis(1);
+    assertFalse(idle.isOpen());
+  }
+
+  @Test
+  void connectionOfCallerThatLeavesEndsTheWorkUpstream() {
+    send(REQUEST);
+    channel.close();
+    assertTrue(world.send(0).cancelled);
+  }
+
+  @Test
+  void closeIsAgreedWhenTheCallerAsksOrTheRouterStops() {
+    send(HEAD + "Connection: close\r\nContent-Length: 0\r\n\r\n");
+    world.send(0).whole(200, "ok", TestProtocol.SIGNED);
+    assertTrue(received().toLowerCase(Locale.ROOT).contains("connection: close"));
+    assertFalse(channel.isOpen());
+  }
+
+  @Test
+  void stoppingRouterEndsItsConnectionsWithTheirAnswers() {
+    send(REQUEST);
+    stopping = true;
+    world.send(0).whole(200, "ok", TestProtocol.SIGNED);
+    assertTrue(received().contains("ok"));
+    assertFalse(channel.isOpen());
+  }
+
+  @Test
+  void headersOfOneConnectionGoNoFurther() {
+    send(
+        HEAD
+            + "Connection: keep-alive, x-hop\r\nx-hop: 1\r\nx-end: 2\r\nContent-Length: 0\r\n\r\n");
+    assertFalse(world.send(0).request.headers().contains("x-hop"));
+    assertFalse(world.send(0).request.headers().contains("connection"));
+    assertTrue(world.send(0).request.headers().contains("x-end"));
+  }
+}
