Refuse requests in time before a stopping router is cut off

Requests were taken for 3.0 s from when the process noticed the signal, which is later than when it was sent. Ruled out: a late cut (it came 0.7 s before the end of the grace, as meant).

The order of the stop is now a class of its own on virtual time; it ends with the last byte to the last caller instead of a look every 20 ms.

--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
@@ -55,15 +55,6 @@
   /** Routers that the slack of the retry budget is divided by: more than today's largest fleet. */
   private static final double RETRY_SHARES = 20;
 
-  /**
-   * How long, in ms, requests are still taken after the signal to stop: the balancer needs two
-   * missed questions, a second apart, to notice.
-   */
-  private static final long TAKE_MILLIS = 3_000;
-
-  /** Time in ms before the end of the grace at which what still runs is cut. */
-  private static final long CUT_MARGIN_MILLIS = 700;
-
   private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
 
   private volatile GatewaySettings settings;
@@ -81,6 +72,8 @@
   private final StatusPages readiness;
   private final StatusPages status;
   private final AtomicBoolean stopping = new AtomicBoolean();
+  private final CountDownLatch stopped = new CountDownLatch(1);
+  private final StopSequence stop;
   private @Nullable Future<?> ticks;
 
   /**
@@ -141,6 +134,8 @@
             clock,
             this::configVersion,
             feed::newerVersion);
+    this.stop = new StopSequence(timers, new GracefulStages(), callers::answering);
+    callers.onClose(stop::callerLeft);
     this.readiness =
         new StatusPages(loop, settings.readyAddress(), Map.of("/readyz", this::readyPage));
     MetricsText text = new MetricsText(metrics);
@@ -248,56 +243,48 @@
     if (!stopping.compareAndSet(false, true)) {
       return;
     }
-    long begun = clock.nanos();
-    LOG.atInfo().addKeyValue("event", "router.stopping").log("router stopping");
+    long grace = settings.stopGraceMillis();
+    LOG.atInfo()
+        .addKeyValue("event", "router.stopping")
+        .addKeyValue("grace_ms", grace)
+        .log("router stopping");
+    loop.execute(() -> stop.begin(grace));
     try {
-      loop.execute(callers::drain);
-      sleepUntil(begun + TAKE_MILLIS * Clock.NANOS_PER_MILLI);
-      loop.execute(
-          () -> {
-            exchanges.close();
-            callers.closeIdle();
-          });
-      long cutAt = begun + (settings.stopGraceMillis() - CUT_MARGIN_MILLIS) * Clock.NANOS_PER_MILLI;
-      while (exchanges.active() > 0 && cutAt - clock.nanos() > 0) {
-        sleepUntil(clock.nanos() + TICK_MILLIS * Clock.NANOS_PER_MILLI);
-      }
+      stopped.await(grace, TimeUnit.MILLISECONDS);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    LOG.atInfo()
-        .addKeyValue("event", "router.stopped")
-        .addKeyValue("cut", exchanges.active())
-        .log("router stopped");
-    closeAll();
+    loops.shutdownGracefully(0, StopSequence.CUT_MARGIN_MILLIS / 2, TimeUnit.MILLISECONDS);
   }
 
-  private void sleepUntil(long at) throws InterruptedException {
-    long left = at - clock.nanos();
-    if (left > 0) {
-      TimeUnit.NANOSECONDS.sleep(left);
+  /** GracefulStages are the stages of a stop, run on the event loop. */
+  private final class GracefulStages implements StopSequence.Stages {
+    @Override
+    public void drain() {
+      callers.drain();
     }
-  }
 
-  private void closeAll() {
-    CountDownLatch closed = new CountDownLatch(1);
-    loop.execute(
-        () -> {
-          if (ticks != null) {
-            ticks.cancel(false);
-          }
-          feed.stop();
-          callers.stop();
-          peers.stop();
-          readiness.stop();
-          status.stop();
-          closed.countDown();
-        });
-    try {
-      closed.await(CUT_MARGIN_MILLIS / 2, TimeUnit.MILLISECONDS);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
+    @Override
+    public void refuse() {
+      exchanges.close();
+      callers.closeIdle();
+    }
+
+    @Override
+    public void end() {
+      LOG.atInfo()
+          .addKeyValue("event", "router.stopped")
+          .addKeyValue("cut", exchanges.active())
+          .log("router stopped");
+      if (ticks != null) {
+        ticks.cancel(false);
+      }
+      feed.stop();
+      callers.stop();
+      peers.stop();
+      readiness.stop();
+      status.stop();
+      stopped.countDown();
     }
-    loops.shutdownGracefully(0, CUT_MARGIN_MILLIS / 2, TimeUnit.MILLISECONDS);
   }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/CallerConnection.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/CallerConnection.java
@@ -320,6 +320,11 @@
     ctx().close();
   }
 
+  /** Tells whether an answer is due or not yet handed to the caller. */
+  boolean isAnswering() {
+    return serving || closed;
+  }
+
   /** Closes the connection if no request is under way or half read. */
   void closeIfIdle() {
     if (!serving && !reading) {
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/CallerListener.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/CallerListener.java
@@ -30,6 +30,7 @@
   private final Timers timers;
   private final Set<CallerConnection> connections = new HashSet<>();
   private @Nullable Channel server;
+  private Runnable onClose = () -> {};
   private boolean stopping;
 
   /**
@@ -78,7 +79,7 @@
     CallerLimits limits = routes == null ? CallerLimits.DEFAULT : routes.limits();
     CallerConnection connection = new CallerConnection(exchanges, limits, () -> stopping, timers);
     connections.add(connection);
-    channel.closeFuture().addListener(f -> connections.remove(connection));
+    channel.closeFuture().addListener(f -> removed(connection));
     HttpDecoderConfig decoder =
         new HttpDecoderConfig()
             .setMaxInitialLineLength(limits.maxHeaderBytes())
@@ -97,6 +98,25 @@
             connection);
   }
 
+  private void removed(CallerConnection connection) {
+    connections.remove(connection);
+    onClose.run();
+  }
+
+  /**
+   * Sets what is called after each connection that has closed.
+   *
+   * @param action the action
+   */
+  public void onClose(Runnable action) {
+    onClose = action;
+  }
+
+  /** Returns the number of connections whose callers wait for an answer or its last bytes. */
+  public int answering() {
+    return (int) connections.stream().filter(CallerConnection::isAnswering).count();
+  }
+
   /**
    * Returns where callers connect.
    *
