--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeWorld.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeWorld.java
@@ -12,6 +12,7 @@
 import java.util.OptionalInt;
 import org.wigeonwharf.gateway.backend.BackendServer;
 import org.wigeonwharf.gateway.backend.ServerDirectory;
+import org.wigeonwharf.gateway.placement.PromptLedger;
 import org.wigeonwharf.gateway.placement.ServerChooser;
 import org.wigeonwharf.gateway.placement.ServerPenalties;
 import org.wigeonwharf.gateway.placement.WorkLedger;
@@ -129,7 +130,8 @@
         new Exchanges(
             () -> routes,
             directory,
-            new ServerChooser(DOMAIN, new WorkLedger(0), ServerPenalties.DEFAULT),
+            new ServerChooser(
+                DOMAIN, new WorkLedger(0), new PromptLedger(), ServerPenalties.DEFAULT),
             budget,
             new TestProtocol(),
             this::connect,
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerBoardTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerBoardTest.java
@@ -11,6 +11,8 @@
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.wigeonwharf.gateway.placement.Demand;
+import org.wigeonwharf.gateway.placement.PromptLedger;
+import org.wigeonwharf.gateway.placement.PromptPart;
 import org.wigeonwharf.gateway.placement.WorkLedger;
 import org.wigeonwharf.model.Clock;
 import org.wigeonwharf.model.FailureDomain;
@@ -30,6 +32,7 @@
   /** A Node is one router on the test's network. */
   private final class Node {
     private final WorkLedger ledger = new WorkLedger(1_500 * Clock.NANOS_PER_MILLI);
+    private final PromptLedger prompts = new PromptLedger();
     private final List<Long> hints = new ArrayList<>();
     private final PeerBoard board;
     private long version = 1;
@@ -42,6 +45,7 @@
               address(number),
               List.of(SEED),
               ledger,
+              prompts,
               new FleetSecret(secret),
               () -> now,
               new Random(number),
@@ -85,6 +89,21 @@
     all.forEach(n -> assertEquals(7, n.board.size()));
   }
 
+  @Test
+  void promptsThatEnginesReadAreToldNearAndFar() {
+    Node a = node(1, "d");
+    Node b = node(2, "d");
+    Node c = node(3, "e");
+    pass(4_000);
+    List<PromptPart> prompt = List.of(new PromptPart("shared", 500), new PromptPart("own", 100));
+    a.prompts.sent("s", prompt, now);
+    a.ledger.enter("s", REQUEST, 500);
+    pass(60);
+    assertEquals(500, b.prompts.remembered("s", prompt));
+    pass(500);
+    assertEquals(500, c.prompts.remembered("s", prompt));
+  }
+
   @Test
   void workShowsAtNeighboursAtOnceAlsoUnderLoss() {
     Node a = node(1, "d");
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/PlainPlacementTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/PlainPlacementTest.java
@@ -26,7 +26,7 @@
             1),
         local,
         0,
-        0,
+        false,
         new ServerWork(running, 0, 0, 0),
         0,
         slowdown,
@@ -35,6 +35,7 @@
         Candidate.State.SOUND,
         0,
         0,
+        0,
         0);
   }
 
--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/GatewayProto.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/GatewayProto.java
@@ -31,6 +31,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_wigeonwharf_gateway_ServerWorkNews_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_wigeonwharf_gateway_PromptReadNews_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_wigeonwharf_gateway_PromptReadNews_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_wigeonwharf_gateway_MemberNews_descriptor;
   static final 
@@ -58,18 +63,21 @@
       "\n\rgateway.proto\022\023wigeonwharf.gateway\"s\n\016" +
       "ServerWorkNews\022\016\n\006server\030\001 \001(\t\022\017\n\007runnin" +
       "g\030\002 \001(\r\022\021\n\ttightness\030\003 \001(\r\022\026\n\016prefill_to" +
-      "kens\030\004 \001(\r\022\025\n\rmemory_tokens\030\005 \001(\004\"5\n\nMem" +
-      "berNews\022\017\n\007address\030\001 \001(\t\022\026\n\016failure_doma" +
-      "in\030\002 \001(\t\"\376\001\n\nRouterNews\022\014\n\004name\030\001 \001(\t\022\023\n" +
-      "\013incarnation\030\002 \001(\003\022\020\n\010sequence\030\003 \001(\003\022-\n\004" +
-      "self\030\004 \001(\0132\037.wigeonwharf.gateway.MemberN" +
-      "ews\022\026\n\016config_version\030\005 \001(\003\022\017\n\007leaving\030\006" +
-      " \001(\010\0221\n\004work\030\007 \003(\0132#.wigeonwharf.gateway" +
-      ".ServerWorkNews\0220\n\007members\030\010 \003(\0132\037.wigeo" +
-      "nwharf.gateway.MemberNews\"-\n\nSignedNews\022" +
-      "\014\n\004news\030\001 \001(\014\022\021\n\tsignature\030\002 \001(\014B3\n!org." +
-      "wigeonwharf.gateway.peer.wireB\014GatewayPr" +
-      "otoP\001b\006proto3"
+      "kens\030\004 \001(\r\022\025\n\rmemory_tokens\030\005 \001(\004\"?\n\016Pro" +
+      "mptReadNews\022\016\n\006server\030\001 \001(\t\022\r\n\005parts\030\002 \003" +
+      "(\t\022\016\n\006tokens\030\003 \003(\r\"5\n\nMemberNews\022\017\n\007addr" +
+      "ess\030\001 \001(\t\022\026\n\016failure_domain\030\002 \001(\t\"\262\002\n\nRo" +
+      "uterNews\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 " +
+      "\001(\003\022\020\n\010sequence\030\003 \001(\003\022-\n\004self\030\004 \001(\0132\037.wi" +
+      "geonwharf.gateway.MemberNews\022\026\n\016config_v" +
+      "ersion\030\005 \001(\003\022\017\n\007leaving\030\006 \001(\010\0221\n\004work\030\007 " +
+      "\003(\0132#.wigeonwharf.gateway.ServerWorkNews" +
+      "\0220\n\007members\030\010 \003(\0132\037.wigeonwharf.gateway." +
+      "MemberNews\0222\n\005reads\030\t \003(\0132#.wigeonwharf." +
+      "gateway.PromptReadNews\"-\n\nSignedNews\022\014\n\004" +
+      "news\030\001 \001(\014\022\021\n\tsignature\030\002 \001(\014B3\n!org.wig" +
+      "eonwharf.gateway.peer.wireB\014GatewayProto" +
+      "P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -81,20 +89,26 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_ServerWorkNews_descriptor,
         new java.lang.String[] { "Server", "Running", "Tightness", "PrefillTokens", "MemoryTokens", });
-    internal_static_wigeonwharf_gateway_MemberNews_descriptor =
+    internal_static_wigeonwharf_gateway_PromptReadNews_descriptor =
       getDescriptor().getMessageType(1);
+    internal_static_wigeonwharf_gateway_PromptReadNews_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_wigeonwharf_gateway_PromptReadNews_descriptor,
+        new java.lang.String[] { "Server", "Parts", "Tokens", });
+    internal_static_wigeonwharf_gateway_MemberNews_descriptor =
+      getDescriptor().getMessageType(2);
     internal_static_wigeonwharf_gateway_MemberNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_MemberNews_descriptor,
         new java.lang.String[] { "Address", "FailureDomain", });
     internal_static_wigeonwharf_gateway_RouterNews_descriptor =
-      getDescriptor().getMessageType(2);
+      getDescriptor().getMessageType(3);
     internal_static_wigeonwharf_gateway_RouterNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_RouterNews_descriptor,
-        new java.lang.String[] { "Name", "Incarnation", "Sequence", "Self", "ConfigVersion", "Leaving", "Work", "Members", });
+        new java.lang.String[] { "Name", "Incarnation", "Sequence", "Self", "ConfigVersion", "Leaving", "Work", "Members", "Reads", });
     internal_static_wigeonwharf_gateway_SignedNews_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(4);
     internal_static_wigeonwharf_gateway_SignedNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_SignedNews_descriptor,
--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNews.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNews.java
@@ -35,6 +35,7 @@
     name_ = "";
     work_ = java.util.Collections.emptyList();
     members_ = java.util.Collections.emptyList();
+    reads_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -242,6 +243,47 @@
     return members_.get(index);
   }
 
+  public static final int READS_FIELD_NUMBER = 9;
+  @SuppressWarnings("serial")
+  private java.util.List<org.wigeonwharf.gateway.peer.wire.PromptReadNews> reads_;
+  /**
+   * <code>repeated .wigeonwharf.gateway.PromptReadNews reads = 9;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.wigeonwharf.gateway.peer.wire.PromptReadNews> getReadsList() {
+    return reads_;
+  }
+  /**
+   * <code>repeated .wigeonwharf.gateway.PromptReadNews reads = 9;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.wigeonwharf.gateway.peer.wire.PromptReadNewsOrBuilder> 
+      getReadsOrBuilderList() {
+    return reads_;
+  }
+  /**
+   * <code>repeated .wigeonwharf.gateway.PromptReadNews reads = 9;</code>
+   */
+  @java.lang.Override
+  public int getReadsCount() {
+    return reads_.size();
+  }
+  /**
+   * <code>repeated .wigeonwharf.gateway.PromptReadNews reads = 9;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.gateway.peer.wire.PromptReadNews getReads(int index) {
+    return reads_.get(index);
+  }
+  /**
+   * <code>repeated .wigeonwharf.gateway.PromptReadNews reads = 9;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.gateway.peer.wire.PromptReadNewsOrBuilder getReadsOrBuilder(
+      int index) {
+    return reads_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -280,6 +322,9 @@
     for (int i = 0; i < members_.size(); i++) {
       output.writeMessage(8, members_.get(i));
     }
+    for (int i = 0; i < reads_.size(); i++) {
+      output.writeMessage(9, reads_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -320,6 +365,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(8, members_.get(i));
     }
+    for (int i = 0; i < reads_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(9, reads_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -354,6 +403,8 @@
         .equals(other.getWorkList())) return false;
     if (!getMembersList()
         .equals(other.getMembersList())) return false;
+    if (!getReadsList()
+        .equals(other.getReadsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -391,6 +442,10 @@
       hash = (37 * hash) + MEMBERS_FIELD_NUMBER;
       hash = (53 * hash) + getMembersList().hashCode();
     }
+    if (getReadsCount() > 0) {
+      hash = (37 * hash) + READS_FIELD_NUMBER;
+      hash = (53 * hash) + getReadsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -528,6 +583,7 @@
         internalGetSelfFieldBuilder();
         internalGetWorkFieldBuilder();
         internalGetMembersFieldBuilder();
+        internalGetReadsFieldBuilder();
       }
     }
     @java.lang.Override
@@ -558,6 +614,13 @@
         membersBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000080);
+      if (readsBuilder_ == null) {
+        reads_ = java.util.Collections.emptyList();
+      } else {
+        reads_ = null;
+        readsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000100);
       return this;
     }
 
@@ -609,6 +672,15 @@
       } else {
         result.members_ = membersBuilder_.build();
       }
+      if (readsBuilder_ == null) {
+        if (((bitField0_ & 0x00000100) != 0)) {
+          reads_ = java.util.Collections.unmodifiableList(reads_);
+          bitField0_ = (bitField0_ & ~0x00000100);
+        }
+        result.reads_ = reads_;
+      } else {
+        result.reads_ = readsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.wigeonwharf.gateway.peer.wire.RouterNews result) {
@@ -722,6 +794,32 @@
           }
         }
       }
+      if (readsBuilder_ == null) {
+        if (!other.reads_.isEmpty()) {
+          if (reads_.isEmpty()) {
+            reads_ = other.reads_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+          } else {
+            ensureReadsIsMutable();
+            reads_.addAll(other.reads_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.reads_.isEmpty()) {
+          if (readsBuilder_.isEmpty()) {
+            readsBuilder_.dispose();
+            readsBuilder_ = null;
+            reads_ = other.reads_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+            readsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetReadsFieldBuilder() : null;
+          } else {
+            readsBuilder_.addAllMessages(other.reads_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -806,6 +904,19 @@
               }
               break;
             } // case 66
+            case 74: {
+              org.wigeonwharf.gateway.peer.wire.PromptReadNews m =
+                  input.readMessage(
+                      org.wigeonwharf.gateway.peer.wire.PromptReadNews.parser(),
+                      extensionRegistry);
+              if (readsBuilder_ == null) {
+                ensureReadsIsMutable();
+                reads_.add(m);
+              } else {
+                readsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 74
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1624,6 +1735,246 @@
       return membersBuilder_;
     }
 
+    private java.util.List<org.wigeonwharf.gateway.peer.wire.PromptReadNews> reads_ =
+      java.util.Collections.emptyList();
+    private void ensureReadsIsMutable() {
+      if (!((bitField0_ & 0x00000100) != 0)) {
+        reads_ = new java.util.ArrayList<org.wigeonwharf.gateway.peer.wire.PromptReadNews>(reads_);
+        bitField0_ |= 0x00000100;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wigeonwharf.gateway.peer.wire.PromptReadNews, org.wigeonwharf.gateway.peer.wire.PromptReadNews.Builder, org.wigeonwharf.gateway.peer.wire.PromptReadNewsOrBuilder> readsBuilder_;
+
+    /**
+     * <code>repeated .wigeonwharf.gateway.PromptReadNews reads = 9;</code>
+     */
+    public java.util.List<org.wigeonwharf.gateway.peer.wire.PromptReadNews> getReadsList() {
+      if (readsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(reads_);
+      } else {
+        return readsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .wigeonwharf.gateway.PromptReadNews reads = 9;</code>
+     */
+    public int getReadsCount() {
+      if (readsBuilder_ == null) {
+        return reads_.size();
+      } else {
+        return readsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .wigeonwharf.gateway.PromptReadNews reads = 9;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.PromptReadNews getReads(int index) {
+      if (readsBuilder_ == null) {
+        return reads_.get(index);
+      } else {
+        return readsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .wigeonwharf.gateway.PromptReadNews reads = 9;</code>
+     */
+    public Builder setReads(
+        int index, org.wigeonwharf.gateway.peer.wire.PromptReadNews value) {
+      if (readsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureReadsIsMutable();
+        reads_.set(index, value);
+        onChanged();
+      } else {
+        readsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .wigeonwharf.gateway.PromptReadNews reads = 9;</code>
+     */
+    public Builder setReads(
+        int index, org.wigeonwharf.gateway.peer.wire.PromptReadNews.Builder builderForValue) {
+      if (readsBuilder_ == null) {
+        ensureReadsIsMutable();
+        reads_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        readsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .wigeonwharf.gateway.PromptReadNews reads = 9;</code>
+     */
+    public Builder addReads(org.wigeonwharf.gateway.peer.wire.PromptReadNews value) {
+      if (readsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureReadsIsMutable();
+        reads_.add(value);
+        onChanged();
+      } else {
+        readsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .wigeonwharf.gateway.PromptReadNews reads = 9;</code>
+     */
+    public Builder addReads(
+        int index, org.wigeonwharf.gateway.peer.wire.PromptReadNews value) {
+      if (readsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureReadsIsMutable();
+        reads_.add(index, value);
+        onChanged();
+      } else {
+        readsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .wigeonwharf.gateway.PromptReadNews reads = 9;</code>
+     */
+    public Builder addReads(
+        org.wigeonwharf.gateway.peer.wire.PromptReadNews.Builder builderForValue) {
+      if (readsBuilder_ == null) {
+        ensureReadsIsMutable();
+        reads_.add(builderForValue.build());
+        onChanged();
+      } else {
+        readsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .wigeonwharf.gateway.PromptReadNews reads = 9;</code>
+     */
+    public Builder addReads(
+        int index, org.wigeonwharf.gateway.peer.wire.PromptReadNews.Builder builderForValue) {
+      if (readsBuilder_ == null) {
+        ensureReadsIsMutable();
+        reads_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        readsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .wigeonwharf.gateway.PromptReadNews reads = 9;</code>
+     */
+    public Builder addAllReads(
+        java.lang.Iterable<? extends org.wigeonwharf.gateway.peer.wire.PromptReadNews> values) {
+      if (readsBuilder_ == null) {
+        ensureReadsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, reads_);
+        onChanged();
+      } else {
+        readsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .wigeonwharf.gateway.PromptReadNews reads = 9;</code>
+     */
+    public Builder clearReads() {
+      if (readsBuilder_ == null) {
+        reads_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000100);
+        onChanged();
+      } else {
+        readsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .wigeonwharf.gateway.PromptReadNews reads = 9;</code>
+     */
+    public Builder removeReads(int index) {
+      if (readsBuilder_ == null) {
+        ensureReadsIsMutable();
+        reads_.remove(index);
+        onChanged();
+      } else {
+        readsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .wigeonwharf.gateway.PromptReadNews reads = 9;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.PromptReadNews.Builder getReadsBuilder(
+        int index) {
+      return internalGetReadsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .wigeonwharf.gateway.PromptReadNews reads = 9;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.PromptReadNewsOrBuilder getReadsOrBuilder(
+        int index) {
+      if (readsBuilder_ == null) {
+        return reads_.get(index);  } else {
+        return readsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .wigeonwharf.gateway.PromptReadNews reads = 9;</code>
+     */
+    public java.util.List<? extends org.wigeonwharf.gateway.peer.wire.PromptReadNewsOrBuilder> 
+         getReadsOrBuilderList() {
+      if (readsBuilder_ != null) {
+        return readsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(reads_);
+      }
+    }
+    /**
+     * <code>repeated .wigeonwharf.gateway.PromptReadNews reads = 9;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.PromptReadNews.Builder addReadsBuilder() {
+      return internalGetReadsFieldBuilder().addBuilder(
+          org.wigeonwharf.gateway.peer.wire.PromptReadNews.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .wigeonwharf.gateway.PromptReadNews reads = 9;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.PromptReadNews.Builder addReadsBuilder(
+        int index) {
+      return internalGetReadsFieldBuilder().addBuilder(
+          index, org.wigeonwharf.gateway.peer.wire.PromptReadNews.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .wigeonwharf.gateway.PromptReadNews reads = 9;</code>
+     */
+    public java.util.List<org.wigeonwharf.gateway.peer.wire.PromptReadNews.Builder> 
+         getReadsBuilderList() {
+      return internalGetReadsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wigeonwharf.gateway.peer.wire.PromptReadNews, org.wigeonwharf.gateway.peer.wire.PromptReadNews.Builder, org.wigeonwharf.gateway.peer.wire.PromptReadNewsOrBuilder> 
+        internalGetReadsFieldBuilder() {
+      if (readsBuilder_ == null) {
+        readsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.wigeonwharf.gateway.peer.wire.PromptReadNews, org.wigeonwharf.gateway.peer.wire.PromptReadNews.Builder, org.wigeonwharf.gateway.peer.wire.PromptReadNewsOrBuilder>(
+                reads_,
+                ((bitField0_ & 0x00000100) != 0),
+                getParentForChildren(),
+                isClean());
+        reads_ = null;
+      }
+      return readsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:wigeonwharf.gateway.RouterNews)
   }
 
--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNewsOrBuilder.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNewsOrBuilder.java
@@ -108,4 +108,28 @@
    */
   org.wigeonwharf.gateway.peer.wire.MemberNewsOrBuilder getMembersOrBuilder(
       int index);
+
+  /**
+   * <code>repeated .wigeonwharf.gateway.PromptReadNews reads = 9;</code>
+   */
+  java.util.List<org.wigeonwharf.gateway.peer.wire.PromptReadNews> 
+      getReadsList();
+  /**
+   * <code>repeated .wigeonwharf.gateway.PromptReadNews reads = 9;</code>
+   */
+  org.wigeonwharf.gateway.peer.wire.PromptReadNews getReads(int index);
+  /**
+   * <code>repeated .wigeonwharf.gateway.PromptReadNews reads = 9;</code>
+   */
+  int getReadsCount();
+  /**
+   * <code>repeated .wigeonwharf.gateway.PromptReadNews reads = 9;</code>
+   */
+  java.util.List<? extends org.wigeonwharf.gateway.peer.wire.PromptReadNewsOrBuilder> 
+      getReadsOrBuilderList();
+  /**
+   * <code>repeated .wigeonwharf.gateway.PromptReadNews reads = 9;</code>
+   */
+  org.wigeonwharf.gateway.peer.wire.PromptReadNewsOrBuilder getReadsOrBuilder(
+      int index);
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
@@ -25,6 +25,7 @@
 import org.wigeonwharf.gateway.http.RequestLog;
 import org.wigeonwharf.gateway.http.StatusPages;
 import org.wigeonwharf.gateway.peer.PeerExchange;
+import org.wigeonwharf.gateway.placement.PromptLedger;
 import org.wigeonwharf.gateway.placement.ServerChooser;
 import org.wigeonwharf.gateway.placement.ServerPenalties;
 import org.wigeonwharf.gateway.placement.WorkLedger;
@@ -104,7 +105,8 @@
     this.clock = clock;
     this.directory = new ServerDirectory(RETURN_GRACE_MILLIS * Clock.NANOS_PER_MILLI);
     WorkLedger ledger = new WorkLedger(PEER_WORK_MILLIS * Clock.NANOS_PER_MILLI);
-    this.chooser = new ServerChooser(settings.domain(), ledger, ServerPenalties.DEFAULT);
+    PromptLedger prompts = new PromptLedger();
+    this.chooser = new ServerChooser(settings.domain(), ledger, prompts, ServerPenalties.DEFAULT);
     EventLoopTimers timers = new EventLoopTimers(loop, clock);
     this.feed = new StoreFeed(store, directory, timers, random, this::changed);
     this.budget = new RetryBudget(settings.retryWindowMillis() * Clock.NANOS_PER_MILLI);
@@ -130,6 +132,7 @@
             settings.peerAddress(),
             settings.seeds(),
             ledger,
+            prompts,
             settings.secret(),
             clock,
             this::configVersion,
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
@@ -218,12 +218,18 @@
     shared.log().placed(id(), choice, d, sends, leftMillis(now));
     HttpHeaders headers = new DefaultHttpHeaders().set(request.headers());
     Account a = account;
+    BackendServer source = choice.memorySource();
     shared
         .protocol()
         .writeForwarding(
             headers,
             new Forwarding(
-                server.id(), a == null ? null : a.name(), leftMillis(now), urgency, lastEvent));
+                server.id(),
+                a == null ? null : a.name(),
+                leftMillis(now),
+                urgency,
+                lastEvent,
+                source == null ? null : source.address()));
     if (request.body().length > 0 || hasBody()) {
       headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
     }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Forwarding.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Forwarding.java
@@ -1,5 +1,6 @@
 package org.wigeonwharf.gateway.http;
 
+import java.net.InetSocketAddress;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -10,10 +11,12 @@
  * @param waitMillis how long the answer is waited for
  * @param urgency rank among requests; 0 goes first
  * @param lastEvent the last event that the caller has, if another server began the stream
+ * @param memorySource the engine from which to fetch what it has read of the prompt
  */
 public record Forwarding(
     String server,
     @Nullable String account,
     long waitMillis,
     int urgency,
-    @Nullable String lastEvent) {}
+    @Nullable String lastEvent,
+    @Nullable InetSocketAddress memorySource) {}
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/RequestLog.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/RequestLog.java
@@ -8,6 +8,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.spi.LoggingEventBuilder;
+import org.wigeonwharf.gateway.backend.BackendServer;
 import org.wigeonwharf.gateway.placement.Candidate;
 import org.wigeonwharf.gateway.placement.Choice;
 import org.wigeonwharf.gateway.placement.Demand;
@@ -91,6 +92,7 @@
       return;
     }
     Candidate c = choice.candidate();
+    BackendServer source = choice.memorySource();
     l.addKeyValue("server", c.server().id())
         .addKeyValue("send", sends)
         .addKeyValue("prompt_tokens", demand.promptTokens())
@@ -105,8 +107,10 @@
         .addKeyValue("tightness", c.work().tightness())
         .addKeyValue("usual_tightness", c.usualTightness())
         .addKeyValue("bulk_share", c.bulkShare())
-        .addKeyValue("affinity_rank", c.affinityRank())
+        .addKeyValue("home", c.home())
         .addKeyValue("remembered_tokens", c.rememberedTokens())
+        .addKeyValue("kept_elsewhere_tokens", c.keptElsewhereTokens())
+        .addKeyValue("memory_source", source == null ? "" : source.id())
         .addKeyValue("failure_rate", c.failureRate())
         .addKeyValue("state", c.state())
         .addKeyValue("left_ms", leftMillis)
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/SentRequest.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/SentRequest.java
@@ -216,8 +216,7 @@
     boolean alone = choice.candidate().work().prefillTokens() == 0;
     if (alone && demand.isPrompt()) {
       double millis = (now() - sentAt) / (double) Clock.NANOS_PER_MILLI;
-      int unread = demand.promptTokens() - choice.candidate().rememberedTokens();
-      chooser().speed(demand.service()).observe(unread, millis);
+      chooser().speed(demand.service()).observe(choice.unreadTokens(), millis);
     }
   }
 
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/NewsCodec.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/NewsCodec.java
@@ -2,11 +2,15 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import org.wigeonwharf.gateway.peer.wire.PromptReadNews;
 import org.wigeonwharf.gateway.peer.wire.RouterNews;
 import org.wigeonwharf.gateway.peer.wire.ServerWorkNews;
 import org.wigeonwharf.gateway.peer.wire.SignedNews;
+import org.wigeonwharf.gateway.placement.PromptPart;
 import org.wigeonwharf.gateway.placement.ServerWork;
 import org.wigeonwharf.peer.FleetSecret;
 
@@ -55,6 +59,23 @@
         .build();
   }
 
+  static PromptReadNews encodeReads(String server, List<PromptPart> parts) {
+    PromptReadNews.Builder b = PromptReadNews.newBuilder().setServer(server);
+    parts.forEach(p -> b.addParts(p.id()).addTokens(p.tokens()));
+    return b.build();
+  }
+
+  static Map<String, List<PromptPart>> decodeReads(RouterNews news) {
+    Map<String, List<PromptPart>> reads = new HashMap<>();
+    for (PromptReadNews r : news.getReadsList()) {
+      List<PromptPart> parts = reads.computeIfAbsent(r.getServer(), s -> new ArrayList<>());
+      for (int i = 0; i < Math.min(r.getPartsCount(), r.getTokensCount()); i++) {
+        parts.add(new PromptPart(r.getParts(i), Math.max(0, r.getTokens(i))));
+      }
+    }
+    return reads;
+  }
+
   static Map<String, ServerWork> decodeWork(RouterNews news) {
     Map<String, ServerWork> work = new HashMap<>();
     for (ServerWorkNews w : news.getWorkList()) {
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerBoard.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerBoard.java
@@ -15,6 +15,7 @@
 import org.slf4j.LoggerFactory;
 import org.wigeonwharf.gateway.peer.wire.MemberNews;
 import org.wigeonwharf.gateway.peer.wire.RouterNews;
+import org.wigeonwharf.gateway.placement.PromptLedger;
 import org.wigeonwharf.gateway.placement.WorkLedger;
 import org.wigeonwharf.model.Addresses;
 import org.wigeonwharf.model.Clock;
@@ -40,6 +41,11 @@
   /** Time in ms after which the own failure domain hears of this router even without changes. */
   private static final long HEARTBEAT_MILLIS = 400;
 
+  /** Age in ms of the prompts that a near and a far message name: some messages' worth. */
+  private static final long NEAR_READS_MILLIS = 100;
+
+  private static final long FAR_READS_MILLIS = 1_300;
+
   /** Silence in ms after which a router counts as gone: several lost heartbeats in a row. */
   private static final long GONE_MILLIS = 2_500;
 
@@ -59,6 +65,7 @@
   private final InetSocketAddress address;
   private List<InetSocketAddress> seeds;
   private final WorkLedger ledger;
+  private final PromptLedger prompts;
   private final NewsCodec codec;
   private final Clock clock;
   private final Random random;
@@ -96,6 +103,7 @@
    * @param address where other routers reach this one
    * @param seeds where some routers may be found
    * @param ledger the work to tell, and where to note that of others
+   * @param prompts the prompts that engines have read, to tell and to note
    * @param secret signs messages
    * @param clock monotonic time
    * @param random spreads messages over members
@@ -109,6 +117,7 @@
       InetSocketAddress address,
       List<InetSocketAddress> seeds,
       WorkLedger ledger,
+      PromptLedger prompts,
       FleetSecret secret,
       Clock clock,
       Random random,
@@ -120,6 +129,7 @@
     this.address = address;
     this.seeds = List.copyOf(seeds);
     this.ledger = ledger;
+    this.prompts = prompts;
     this.codec = new NewsCodec(secret);
     this.clock = clock;
     this.random = random;
@@ -145,15 +155,15 @@
     if (sinceNear >= millis(HEARTBEAT_MILLIS) || changed && sinceNear >= millis(NEAR_MILLIS)) {
       nearAt = now;
       toldChanges = ledger.changes();
-      tell(select(true, Integer.MAX_VALUE));
+      tell(select(true, Integer.MAX_VALUE), NEAR_READS_MILLIS);
     }
     if (now - farAt >= millis(FAR_MILLIS)) {
       farAt = now;
-      tell(select(false, FAR_FANOUT));
+      tell(select(false, FAR_FANOUT), FAR_READS_MILLIS);
     }
     if (now - seedsAt >= millis(SEED_MILLIS)) {
       seedsAt = now;
-      tell(seeds.stream().filter(s -> !members.containsKey(s) && !s.equals(address)).toList());
+      tell(seeds.stream().filter(s -> !members.containsKey(s) && !s.equals(address)).toList(), 0);
     }
   }
 
@@ -185,15 +195,15 @@
     return found;
   }
 
-  private void tell(Collection<InetSocketAddress> receivers) {
+  private void tell(Collection<InetSocketAddress> receivers, long readsMillis) {
     if (receivers.isEmpty()) {
       return;
     }
-    byte[] bytes = codec.encode(news());
+    byte[] bytes = codec.encode(news(millis(readsMillis)));
     receivers.forEach(r -> sender.send(r, bytes));
   }
 
-  private RouterNews news() {
+  private RouterNews news(long readsNanos) {
     RouterNews.Builder b =
         RouterNews.newBuilder()
             .setName(self.name())
@@ -203,6 +213,9 @@
             .setConfigVersion(configVersion.getAsLong())
             .setLeaving(leaving);
     ledger.own().forEach((server, work) -> b.addWork(NewsCodec.encodeWork(server, work)));
+    prompts
+        .own(readsNanos, clock.nanos())
+        .forEach((server, parts) -> b.addReads(NewsCodec.encodeReads(server, parts)));
     List<Member> named = new ArrayList<>(members.values());
     Collections.shuffle(named, random);
     named.stream().limit(NAMED_MEMBERS).forEach(m -> b.addMembers(member(m.address, m.domain)));
@@ -257,6 +270,7 @@
       return;
     }
     ledger.heard(node.name(), NewsCodec.decodeWork(news), now);
+    prompts.heard(NewsCodec.decodeReads(news));
     if (news.getConfigVersion() > configVersion.getAsLong()) {
       newerConfig.accept(news.getConfigVersion());
     }
@@ -266,7 +280,7 @@
   private void greet(MemberNews member) {
     InetSocketAddress a = Addresses.parse(member.getAddress());
     if (!a.equals(address) && !members.containsKey(a)) {
-      tell(List.of(a));
+      tell(List.of(a), 0);
     }
   }
 
@@ -282,7 +296,7 @@
   /** Tells all known routers that this one leaves. */
   void leave() {
     leaving = true;
-    tell(List.copyOf(members.keySet()));
+    tell(List.copyOf(members.keySet()), 0);
   }
 
   /** Returns the number of other routers that are heard. */
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerExchange.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerExchange.java
@@ -17,6 +17,7 @@
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
+import org.wigeonwharf.gateway.placement.PromptLedger;
 import org.wigeonwharf.gateway.placement.WorkLedger;
 import org.wigeonwharf.model.Clock;
 import org.wigeonwharf.model.FailureDomain;
@@ -43,6 +44,7 @@
    * @param bindAddress where other routers reach this one
    * @param seeds where some routers may be found
    * @param ledger the work to tell, and where to note that of others
+   * @param prompts the prompts that engines have read, to tell and to note
    * @param secret signs messages
    * @param clock monotonic time
    * @param configVersion the version of the routes in force
@@ -55,6 +57,7 @@
       InetSocketAddress bindAddress,
       List<InetSocketAddress> seeds,
       WorkLedger ledger,
+      PromptLedger prompts,
       FleetSecret secret,
       Clock clock,
       LongSupplier configVersion,
@@ -68,6 +71,7 @@
             bindAddress,
             seeds,
             ledger,
+            prompts,
             secret,
             clock,
             new Random(self.incarnation()),
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/Candidate.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/Candidate.java
@@ -9,8 +9,8 @@
  * @param local true if it runs in the router's own failure domain
  * @param behind how many of the service's servers in its failure domain stand behind it in the
  *     order of ids, alike at all routers
- * @param affinityRank its place in the order in which servers are tried for the prompt's shared
- *     beginning, from 0, alike at all routers
+ * @param home whether the prompt's shared beginning is read here first if all else is equal, alike
+ *     at all routers
  * @param work work that routers have under way there
  * @param reportedLoad running and waiting requests by its own report, or 0 if that is old
  * @param slowdown how much longer work takes there than usual, discounted by the report's age
@@ -18,6 +18,7 @@
  * @param failureRate part of its latest answers that failed, from 0 to 1
  * @param state whether it seems to take requests
  * @param rememberedTokens leading prompt tokens that it needs not read
+ * @param keptElsewhereTokens prompt tokens beyond those that another engine keeps
  * @param usualTightness the tightness of its running streams, averaged over the last seconds
  * @param bulkShare part of the last seconds in which it had long prompts to read, from 0 to 1
  */
@@ -25,7 +26,7 @@
     BackendServer server,
     boolean local,
     int behind,
-    int affinityRank,
+    boolean home,
     ServerWork work,
     int reportedLoad,
     double slowdown,
@@ -33,6 +34,7 @@
     double failureRate,
     State state,
     int rememberedTokens,
+    int keptElsewhereTokens,
     double usualTightness,
     double bulkShare) {
   /** A State says whether a server seems to take requests. */
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/PlacementPolicy.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/PlacementPolicy.java
@@ -12,6 +12,17 @@
    */
   double cost(Demand demand, Candidate candidate);
 
+  /**
+   * Counts what a server would have to read of a request's prompt.
+   *
+   * @param demand the request
+   * @param candidate the server
+   * @return prompt tokens
+   */
+  default int unreadTokens(Demand demand, Candidate candidate) {
+    return demand.promptTokens();
+  }
+
   /**
    * Tells whether a request does better to wait a moment at the router than at the server.
    *
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/PromptMemory.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/PromptMemory.java
@@ -13,7 +13,7 @@
   /** Tokens that a part counts for at the least: an engine's memory is dealt out in such blocks. */
   private static final int BLOCK_TOKENS = 16;
 
-  private final long capacityTokens;
+  private long capacityTokens;
   private final LinkedHashMap<String, Integer> parts = new LinkedHashMap<>(16, 0.75f, true);
   private long tokens;
 
@@ -26,6 +26,15 @@
     this.capacityTokens = capacityTokens;
   }
 
+  /**
+   * Changes how much is kept; what is too much goes with the next prompt.
+   *
+   * @param tokens tokens that the server is expected to keep beside running work
+   */
+  void limit(long tokens) {
+    capacityTokens = tokens;
+  }
+
   /**
    * Counts the tokens of a prompt that need no reading: its leading parts that are remembered.
    *
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/PromptPlacement.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/PromptPlacement.java
@@ -1,5 +1,7 @@
 package org.wigeonwharf.gateway.placement;
 
+import org.wigeonwharf.gateway.route.EngineSpec;
+
 /**
  * A PromptPlacement prices model engines for requests with prompts.
  *
@@ -7,8 +9,9 @@
  * and of short ones with tight gap objectives, at loads near what the engines can read. An engine
  * runs many short streams side by side at little cost, but a single long prompt beside them makes
  * most of them late. So tight streams gather on the last engines of each failure domain and spread
- * only as those fill up; long prompts go to engines without tight streams, those that share a
- * beginning to the same one. No engine is set aside: the split follows from the load.
+ * only as those fill up; long prompts go to engines without tight streams. What another engine has
+ * read of a prompt is fetched from there, which costs little beside reading it again, so that the
+ * load decides. No engine is set aside: the split follows from the load.
  */
 public final class PromptPlacement implements PlacementPolicy {
   /** Reading time in ms that streams beside it hardly notice: one or two chunks. */
@@ -41,13 +44,17 @@
   /** Cost in ms of each request beyond that part. */
   private static final double CROWDED_MILLIS = 30;
 
-  /** Cost in ms of a shared token that another engine has read and this one reads again. */
+  /** Cost in ms of a token that another engine has read and this one reads again. */
   private static final double REREAD_MILLIS = 0.25;
 
-  /**
-   * Shared tokens from which a prompt has an engine of its own choice; shorter ones cost little.
-   */
-  private static final int MIN_SHARED_TOKENS = 1_000;
+  /** Cost in ms of a token that is fetched: the links' share, a fourteenth of reading it again. */
+  private static final double FETCH_MILLIS = 0.018;
+
+  /** Time in ms until a fetch begins. */
+  private static final double FETCH_SETUP_MILLIS = 8;
+
+  /** Cost in ms of a token that is read first elsewhere than at home. */
+  private static final double STRANGE_MILLIS = 0.02;
 
   /**
    * Cost in ms, to each request that generates, of an engine that always has long prompts to read:
@@ -60,19 +67,29 @@
 
   private final ServerPenalties penalties;
   private final ReadingSpeed speed;
-  private final long memoryTokens;
+  private final EngineSpec engine;
 
   /**
    * Creates a policy.
    *
    * @param penalties prices of distance and failures
    * @param speed how fast engines read prompts
-   * @param memoryTokens tokens that an engine's memory holds
+   * @param engine what an engine can do
    */
-  public PromptPlacement(ServerPenalties penalties, ReadingSpeed speed, long memoryTokens) {
+  public PromptPlacement(ServerPenalties penalties, ReadingSpeed speed, EngineSpec engine) {
     this.penalties = penalties;
     this.speed = speed;
-    this.memoryTokens = memoryTokens;
+    this.engine = engine;
+  }
+
+  @Override
+  public int unreadTokens(Demand demand, Candidate c) {
+    int kept = c.rememberedTokens() + (fetches(c) ? c.keptElsewhereTokens() : 0);
+    return Math.max(0, demand.promptTokens() - kept);
+  }
+
+  private boolean fetches(Candidate c) {
+    return engine.canFetch() && c.keptElsewhereTokens() > 0;
   }
 
   @Override
@@ -81,13 +98,12 @@
     if (c.load() >= 2 * slots) {
       return Double.POSITIVE_INFINITY;
     }
-    int unread = Math.max(0, demand.promptTokens() - c.rememberedTokens());
-    double own = speed.millis(unread) * c.slowdown();
+    double own = speed.millis(unreadTokens(demand, c)) * c.slowdown();
     double backlog = speed.millis(c.work().prefillTokens()) * c.slowdown();
     double cost = own + backlog + crowding(c, slots) + penalties.of(c);
     cost += SLOW_STEPS_MILLIS * c.bulkShare() * c.bulkShare();
-    cost += harm(c, own) + strangeness(demand, c) + heldUp(demand, c, backlog);
-    if (c.work().memoryTokens() + demand.promptTokens() > MEMORY_FILL * memoryTokens) {
+    cost += harm(c, own) + missing(demand, c) + heldUp(demand, c, backlog);
+    if (c.work().memoryTokens() + demand.promptTokens() > MEMORY_FILL * engine.memoryTokens()) {
       cost += demand.objectiveMillis();
     }
     return cost;
@@ -114,14 +130,15 @@
     return HARM * Math.max(0, own - HARMLESS_MILLIS) * tight;
   }
 
-  /** Prices reading again what another engine has read. */
-  private static double strangeness(Demand demand, Candidate c) {
-    int shared = demand.sharedTokens();
-    if (shared < MIN_SHARED_TOKENS) {
-      return 0;
+  /** Prices getting or reading again what the engine does not keep of the shared beginning. */
+  private double missing(Demand demand, Candidate c) {
+    int elsewhere = c.keptElsewhereTokens();
+    if (fetches(c)) {
+      double transfer = FETCH_MILLIS + 1 / engine.fetchTokensPerMilli();
+      return FETCH_SETUP_MILLIS + transfer * elsewhere;
     }
-    int strange = Math.max(0, shared - c.rememberedTokens());
-    return REREAD_MILLIS * strange * (1 - Math.pow(0.5, c.affinityRank()));
+    int unknown = Math.max(0, demand.sharedTokens() - c.rememberedTokens() - elsewhere);
+    return REREAD_MILLIS * elsewhere + (c.home() ? 0 : STRANGE_MILLIS * unknown);
   }
 
   /** Prices the pauses that long prompts make in the request's own stream. */
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerChooser.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerChooser.java
@@ -20,14 +20,18 @@
   /** Part of an engine's memory that is expected to keep prompts beside running work. */
   private static final double REMEMBERED_PART = 0.5;
 
-  /** Tokens kept by servers whose memory is not known: none. */
-  private static final long NO_MEMORY = 0;
+  /** Least tokens that are worth the set-up of a fetch. */
+  private static final int MIN_FETCH_TOKENS = 64;
+
+  /** Least tokens that are worth a fetch that may find nothing. */
+  private static final int MIN_GUESS_TOKENS = 1_000;
 
   /** Unread tokens from which an engine counts as reading long prompts: some chunks. */
   private static final int BULK_TOKENS = 6_000;
 
   private final FailureDomain domain;
   private final WorkLedger ledger;
+  private final PromptLedger prompts;
   private final ServerPenalties penalties;
   private final Map<String, ServerStats> stats = new HashMap<>();
   private final Map<String, ReadingSpeed> speeds = new HashMap<>();
@@ -37,11 +41,14 @@
    *
    * @param domain the router's own failure domain
    * @param ledger the work under way
+   * @param prompts the prompts that engines have read
    * @param penalties prices of distance and failures
    */
-  public ServerChooser(FailureDomain domain, WorkLedger ledger, ServerPenalties penalties) {
+  public ServerChooser(
+      FailureDomain domain, WorkLedger ledger, PromptLedger prompts, ServerPenalties penalties) {
     this.domain = domain;
     this.ledger = ledger;
+    this.prompts = prompts;
     this.penalties = penalties;
   }
 
@@ -63,64 +70,109 @@
       Set<String> tried,
       boolean patient,
       long now) {
-    PlacementPolicy policy = policy(demand, service);
-    Choice best = null;
-    for (Candidate c : candidates(demand, service, servers, now)) {
-      if (tried.contains(c.server().id())) {
-        continue;
-      }
-      double cost = policy.cost(demand, c);
-      if (cost < (best == null ? Double.POSITIVE_INFINITY : best.costMillis())) {
-        best = new Choice(c, cost);
+    EngineSpec engine = service == null ? null : service.engine();
+    PlacementPolicy policy = policy(demand, engine);
+    List<Candidate> candidates = candidates(demand, engine, servers, now);
+    Candidate best = null;
+    double least = Double.POSITIVE_INFINITY;
+    for (Candidate c : candidates) {
+      double cost =
+          tried.contains(c.server().id()) ? Double.POSITIVE_INFINITY : policy.cost(demand, c);
+      if (cost < least) {
+        best = c;
+        least = cost;
       }
     }
-    boolean waits = patient && best != null && policy.isBusy(demand, best.candidate());
-    return waits ? null : best;
+    if (best == null || patient && policy.isBusy(demand, best)) {
+      return null;
+    }
+    BackendServer source = memorySource(demand, engine, candidates, best);
+    return new Choice(best, least, source, policy.unreadTokens(demand, best));
   }
 
-  private PlacementPolicy policy(Demand demand, @Nullable ServiceSpec service) {
-    EngineSpec engine = service == null ? null : service.engine();
+  private PlacementPolicy policy(Demand demand, @Nullable EngineSpec engine) {
     if (engine == null || !demand.isPrompt()) {
       return new PlainPlacement(penalties);
     }
-    return new PromptPlacement(penalties, speed(demand.service()), engine.memoryTokens());
+    return new PromptPlacement(penalties, speed(demand.service()), engine);
+  }
+
+  /**
+   * Finds where an engine should fetch the prompt's beginning: from the engine that keeps most of
+   * it; if nobody is known to keep a long one, from its home, where it was read if this router just
+   * does not know.
+   */
+  private static @Nullable BackendServer memorySource(
+      Demand demand, @Nullable EngineSpec engine, List<Candidate> candidates, Candidate best) {
+    int missing = demand.sharedTokens() - best.rememberedTokens();
+    if (engine == null || !engine.canFetch() || missing < MIN_FETCH_TOKENS) {
+      return null;
+    }
+    Candidate keeper = keeper(candidates);
+    if (keeper != null && best.keptElsewhereTokens() >= MIN_FETCH_TOKENS) {
+      return keeper.server();
+    }
+    for (Candidate c : candidates) {
+      boolean mayKeep = c.home() && c != best && c.state() == Candidate.State.SOUND;
+      if (mayKeep && missing >= MIN_GUESS_TOKENS) {
+        return c.server();
+      }
+    }
+    return null;
+  }
+
+  private static @Nullable Candidate keeper(List<Candidate> candidates) {
+    Candidate keeper = null;
+    for (Candidate c : candidates) {
+      boolean more = keeper == null || c.rememberedTokens() > keeper.rememberedTokens();
+      if (c.state() == Candidate.State.SOUND && more) {
+        keeper = c;
+      }
+    }
+    return keeper;
   }
 
   private List<Candidate> candidates(
-      Demand demand, @Nullable ServiceSpec service, List<BackendServer> servers, long now) {
+      Demand demand, @Nullable EngineSpec engine, List<BackendServer> servers, long now) {
     Map<FailureDomain, Integer> behind = new HashMap<>();
     servers.forEach(s -> behind.merge(s.domain(), 1, Integer::sum));
-    List<String> order = AffinityOrder.of(demand.parts(), servers);
+    String home = PromptHome.of(demand.parts(), servers);
+    int most = 0;
+    for (BackendServer s : servers) {
+      if (engine != null) {
+        prompts.limit(s.id(), (long) (REMEMBERED_PART * engine.memoryTokens()));
+      }
+      if (stats(s.id(), now).state(now) == Candidate.State.SOUND) {
+        most = Math.max(most, prompts.remembered(s.id(), demand.parts()));
+      }
+    }
     List<Candidate> found = new ArrayList<>(servers.size());
     for (BackendServer s : servers) {
       int rest = behind.merge(s.domain(), -1, Integer::sum);
-      found.add(look(demand, service, s, rest, order.indexOf(s.id()), now));
+      found.add(look(demand, s, rest, s.id().equals(home), most, now));
     }
     return found;
   }
 
   private Candidate look(
-      Demand demand,
-      @Nullable ServiceSpec service,
-      BackendServer server,
-      int behind,
-      int affinityRank,
-      long now) {
-    ServerStats s = stats(server.id(), service, now);
+      Demand demand, BackendServer server, int behind, boolean home, int mostKept, long now) {
+    ServerStats s = stats(server.id(), now);
     ServerWork work = ledger.at(server.id(), now);
     s.look(work.prefillTokens() >= BULK_TOKENS, work.tightness(), now);
+    int remembered = prompts.remembered(server.id(), demand.parts());
     return new Candidate(
         server,
         server.domain().equals(domain),
         behind,
-        Math.max(0, affinityRank),
+        home,
         work,
         s.reportedLoad(now),
         s.slowdown(now),
         s.reportAgeMillis(now),
         s.failureRate(now),
         s.state(now),
-        s.memory().remembered(demand.parts()),
+        remembered,
+        Math.max(0, mostKept - remembered),
         s.usualTightness(),
         s.bulkShare());
   }
@@ -135,11 +187,9 @@
    */
   public WorkLedger.Ticket sent(Demand demand, Choice choice, long now) {
     String id = choice.candidate().server().id();
-    int unread = Math.max(0, demand.promptTokens() - choice.candidate().rememberedTokens());
-    ServerStats s = stats(id, null, now);
-    s.sent(now);
-    s.memory().read(demand.parts());
-    return ledger.enter(id, demand, unread);
+    stats(id, now).sent(now);
+    prompts.sent(id, demand.parts(), now);
+    return ledger.enter(id, demand, choice.unreadTokens());
   }
 
   /**
@@ -150,7 +200,7 @@
    * @param now the current time in nanoseconds
    */
   public void settled(String server, boolean heard, long now) {
-    stats(server, null, now).settled(heard, now);
+    stats(server, now).settled(heard, now);
   }
 
   /**
@@ -161,7 +211,7 @@
    * @param now the current time in nanoseconds
    */
   public void reported(String server, LoadReport report, long now) {
-    stats(server, null, now).reported(report, now);
+    stats(server, now).reported(report, now);
   }
 
   /**
@@ -172,7 +222,7 @@
    * @param now the current time in nanoseconds
    */
   public void ended(String server, boolean failed, long now) {
-    stats(server, null, now).ended(failed, now);
+    stats(server, now).ended(failed, now);
   }
 
   /**
@@ -182,7 +232,7 @@
    * @param now the current time in nanoseconds
    */
   public void full(String server, long now) {
-    stats(server, null, now).full(now);
+    stats(server, now).full(now);
   }
 
   /**
@@ -192,7 +242,7 @@
    * @param now the current time in nanoseconds
    */
   public void unreachable(String server, long now) {
-    stats(server, null, now).unreachable(now);
+    stats(server, now).unreachable(now);
   }
 
   /**
@@ -202,6 +252,7 @@
    */
   public void retain(Collection<String> known) {
     stats.keySet().retainAll(known);
+    prompts.retain(known);
   }
 
   /**
@@ -214,14 +265,7 @@
     return speeds.computeIfAbsent(service, s -> new ReadingSpeed());
   }
 
-  private ServerStats stats(String id, @Nullable ServiceSpec service, long now) {
-    ServerStats s = stats.get(id);
-    if (s == null) {
-      EngineSpec engine = service == null ? null : service.engine();
-      long tokens = engine == null ? NO_MEMORY : (long) (REMEMBERED_PART * engine.memoryTokens());
-      s = new ServerStats(new PromptMemory(tokens), now);
-      stats.put(id, s);
-    }
-    return s;
+  private ServerStats stats(String id, long now) {
+    return stats.computeIfAbsent(id, i -> new ServerStats(now));
   }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerStats.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerStats.java
@@ -31,7 +31,6 @@
   /** Time in ms over which the kind of work is averaged: about the life of a stream. */
   private static final double USUAL_HALF_LIFE_MILLIS = 1_500;
 
-  private final PromptMemory memory;
   private @Nullable LoadReport report;
   private long reportAt;
   private double failures;
@@ -45,18 +44,13 @@
   private double usualTightness;
   private long lookedAt;
 
-  ServerStats(PromptMemory memory, long now) {
-    this.memory = memory;
+  ServerStats(long now) {
     this.failuresAt = now;
     this.fullUntil = now;
     this.avoidUntil = now;
     this.lookedAt = now;
   }
 
-  PromptMemory memory() {
-    return memory;
-  }
-
   void sent(long now) {
     if (unanswered++ == 0) {
       silentSince = now;
--- a/platform.test/src/test/java/org/wigeonwharf/platform/ConfigurationDecoderTest.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/ConfigurationDecoderTest.java
@@ -30,7 +30,8 @@
         {"name":"r4","host":"host.example","prefix":"/d/","kind":"keyed","timeout-ms":2000,
          "service":"s2"}],
        "services":[
-        {"name":"s1","max-conns":620,"engine":{"slots":128,"kv-capacity":797615}},
+        {"name":"s1","max-conns":620,"engine":{"slots":128,"kv-capacity":797615,
+         "kv-token-bytes":18000,"link-mbps":180000.0}},
         {"name":"s2","max-conns":110}],
        "limits":{"max-header-bytes":16000,"max-body-bytes":4000000,"header-timeout-ms":3000,
          "idle-timeout-ms":15000},
@@ -61,7 +62,7 @@
     assertEquals(RequestKind.RESUMABLE_STREAM, r2.kind());
     assertEquals(2, r2.maxAttempts());
     assertTrue(t.find("host.example", "/c/").open());
-    assertEquals(new EngineSpec(128, 797_615), t.service("s1").engine());
+    assertEquals(new EngineSpec(128, 797_615, 1_250), t.service("s1").engine());
     assertEquals(16_000, t.limits().maxHeaderBytes());
     assertEquals(1, t.account("k2").urgency().getAsInt());
     assertFalse(t.account("k3").urgency().isPresent());
@@ -73,6 +74,12 @@
     assertEquals(RequestKind.UNREPEATABLE, decode(WHOLE).find("host.example", "/d/").kind());
   }
 
+  @Test
+  void engineWithoutLinkFetchesNothing() throws IOException {
+    RouteTable t = decode(WHOLE.replace("\"kv-token-bytes\":18000,", ""));
+    assertFalse(t.service("s1").engine().canFetch());
+  }
+
   @Test
   void configurationWithoutAccountsNeedsNoKeys() throws IOException {
     assertFalse(decode("{\"version\":1,\"routes\":[],\"services\":[]}").needsKeys());
@@ -92,6 +99,7 @@
             new String[] {"\"service\":\"s1\"", "\"service\":\"nowhere\""},
             new String[] {"\"weight\":90", "\"weight\":\"all\""},
             new String[] {"\"kind\":\"safe\"", "\"kind\":null"},
+            new String[] {"\"kv-token-bytes\":18000", "\"kv-token-bytes\":-1"},
             new String[] {"\"kv-capacity\":797615", "\"kv-capacity\":0"},
             new String[] {"\"api-keys\":[\"k3\"]", "\"api-keys\":\"k3\""},
             new String[] {"\"max-body-bytes\":4000000", "\"max-body-bytes\":99999999999"})) {
--- a/platform.test/src/test/java/org/wigeonwharf/platform/PlatformProtocolTest.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/PlatformProtocolTest.java
@@ -7,6 +7,7 @@
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.net.InetSocketAddress;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.wigeonwharf.gateway.http.AnswerFacts;
@@ -75,7 +76,7 @@
             "Kv-From", "forged",
             "Kv-Fetch", "forged",
             "X-Wigeonwharf-Model", "m");
-    protocol.writeForwarding(h, new Forwarding("i-1", null, 250, 12, null));
+    protocol.writeForwarding(h, new Forwarding("i-1", null, 250, 12, null, null));
     assertEquals("i-1", h.get("X-Wigeonwharf-Expect-Instance"));
     assertEquals("250", h.get("X-Wigeonwharf-Request-Deadline"));
     assertEquals("9", h.get("X-Wigeonwharf-Request-Priority"));
@@ -86,9 +87,12 @@
   @Test
   void serverIsToldTheAccountAndWhereToGoOn() {
     HttpHeaders h = headers();
-    protocol.writeForwarding(h, new Forwarding("i-1", "account", 250, 1, "41"));
+    protocol.writeForwarding(
+        h,
+        new Forwarding("i-1", "account", 250, 1, "41", new InetSocketAddress("10.0.0.1", 8_000)));
     assertEquals("account", h.get("X-Wigeonwharf-Tenant"));
     assertEquals("41", h.get("Last-Event-Id"));
+    assertEquals("10.0.0.1:8000", h.get("Kv-Fetch"));
   }
 
   @Test
