--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
@@ -192,11 +192,11 @@
 
   @Override
   public void start() throws InterruptedException {
-    loop.execute(feed::start);
     callers.start();
     readiness.start();
     status.start();
     peers.start();
+    loop.execute(feed::start);
     ticks =
         loop.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     LOG.atInfo()
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/MetricsText.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/MetricsText.java
@@ -1,5 +1,6 @@
 package org.wigeonwharf.gateway;
 
+import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Snapshot;
 import java.util.Locale;
@@ -26,6 +27,9 @@
   String render(Map<String, Number> gauges) {
     StringBuilder text = new StringBuilder();
     gauges.forEach((name, value) -> line(text, name, "", value));
+    metrics
+        .getGauges((name, metric) -> metric instanceof Gauge<?> g && g.getValue() instanceof Number)
+        .forEach((name, g) -> line(text, name, "", (Number) g.getValue()));
     metrics.getCounters().forEach((name, c) -> line(text, name + "_total", "", c.getCount()));
     metrics
         .getTimers()
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/PromptPlacement.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/PromptPlacement.java
@@ -24,10 +24,10 @@
   private static final double HARM = 8;
 
   /** Cost in ms, to a tight stream, of a ms of prompts that are still to be read. */
-  private static final double HELD_UP = 1.5;
+  private static final double HELD_UP = 4;
 
   /** Cost in ms, to a tight stream, of an engine that always has long prompts to read. */
-  private static final double BULK_NEIGHBOUR_MILLIS = 400;
+  private static final double BULK_NEIGHBOUR_MILLIS = 1_500;
 
   /**
    * Cost in ms, to a tight stream, of each engine that stands behind this one in its failure
--- /dev/null
+++ b/org.wigeonwharf.router.test/src/test/java/org/wigeonwharf/router/internal/LogConfiguratorTest.java
@@ -0,0 +1,99 @@
+package org.wigeonwharf.router.internal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.util.LogbackMDCAdapter;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.slf4j.Logger;
+
+class LogConfiguratorTest {
+  private static final int LINES = 10_000;
+
+  private final PrintStream stdout = System.out;
+  private final CountDownLatch read = new CountDownLatch(1);
+  private final ByteArrayOutputStream written = new ByteArrayOutputStream();
+
+  @AfterEach
+  void restoreStandardOutput() {
+    System.setOut(stdout);
+  }
+
+  private LoggerContext configured() {
+    System.setOut(new PrintStream(unread()));
+    LoggerContext context = new LoggerContext();
+    context.setMDCAdapter(new LogbackMDCAdapter());
+    new LogConfigurator().configure(context);
+    return context;
+  }
+
+  /** Returns a stream that takes nothing until somebody reads. */
+  private OutputStream unread() {
+    return new OutputStream() {
+      @Override
+      public void write(int b) throws IOException {
+        write(new byte[] {(byte) b}, 0, 1);
+      }
+
+      @Override
+      public void write(byte[] bytes, int from, int length) {
+        while (read.getCount() > 0) {
+          Thread.onSpinWait();
+        }
+        written.write(bytes, from, length);
+      }
+    };
+  }
+
+  private List<JsonNode> lines() throws IOException {
+    List<JsonNode> lines = new ArrayList<>();
+    for (String line : written.toString(StandardCharsets.UTF_8).split("\n")) {
+      lines.add(new ObjectMapper().readTree(line));
+    }
+    return lines;
+  }
+
+  @Test
+  @Timeout(60)
+  void logThatNobodyReadsStallsNobodyAndTellsWhatItDropped() throws Exception {
+    LoggerContext context = configured();
+    Logger log = context.getLogger("test");
+    long before = BoundedLogAppender.dropped();
+    for (int i = 0; i < LINES; i++) {
+      log.atInfo().addKeyValue("event", "flood").log("line");
+    }
+    assertTrue(BoundedLogAppender.dropped() > before);
+    read.countDown();
+    while (!written.toString(StandardCharsets.UTF_8).contains("log.dropped")) {
+      log.info("read again");
+    }
+    context.stop();
+    long told = lines().stream().mapToLong(l -> l.path("lines").asLong()).sum();
+    assertEquals(BoundedLogAppender.dropped() - before, told);
+  }
+
+  @Test
+  void linesAreJsonWithTheirFields() throws Exception {
+    read.countDown();
+    LoggerContext context = configured();
+    context.getLogger("test").atInfo().addKeyValue("event", "e").addKeyValue("n", 3).log("text");
+    context.stop();
+    JsonNode line = lines().get(0);
+    assertEquals("e", line.path("event").asText());
+    assertEquals(3, line.path("n").asInt());
+    assertEquals("INFO", line.path("level").asText());
+  }
+}
--- a/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/GatewayModule.java
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/GatewayModule.java
@@ -18,6 +18,7 @@
 import org.wigeonwharf.platform.HttpPublishedStore;
 import org.wigeonwharf.platform.PlatformClient;
 import org.wigeonwharf.platform.PlatformProtocol;
+import org.wigeonwharf.router.internal.ProcessGauges;
 
 /** A GatewayModule tells Dagger how each part of a gateway is constructed. */
 @Module
@@ -33,7 +34,9 @@
   @Provides
   @Singleton
   static MetricRegistry metrics() {
-    return new MetricRegistry();
+    MetricRegistry metrics = new MetricRegistry();
+    ProcessGauges.register(metrics);
+    return metrics;
   }
 
   @Provides
--- /dev/null
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/internal/LogConfigurator.java
@@ -0,0 +1,68 @@
+package org.wigeonwharf.router.internal;
+
+import ch.qos.logback.classic.AsyncAppender;
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.spi.Configurator;
+import ch.qos.logback.classic.spi.ConfiguratorRank;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.ConsoleAppender;
+import ch.qos.logback.core.spi.ContextAwareBase;
+import net.logstash.logback.encoder.LogstashEncoder;
+import net.logstash.logback.fieldnames.LogstashFieldNames;
+
+/**
+ * A LogConfigurator sets up the log: JSON lines on standard output, written by a thread of their
+ * own.
+ *
+ * <p>In code, since the XML file took a sixth of a router's start.
+ */
+@ConfiguratorRank(ConfiguratorRank.CUSTOM_TOP_PRIORITY)
+public final class LogConfigurator extends ContextAwareBase implements Configurator {
+  /** Lines that may wait to be written, a second or two of a busy router; more are dropped. */
+  private static final int QUEUE_LINES = 2_048;
+
+  /** The field name that leaves a field out. */
+  private static final String LEFT_OUT = "[ignore]";
+
+  @Override
+  public ExecutionStatus configure(LoggerContext context) {
+    context.getLogger("org.eclipse.jetty").setLevel(Level.WARN);
+    context.getLogger("io.netty").setLevel(Level.WARN);
+    Logger root = context.getLogger(Logger.ROOT_LOGGER_NAME);
+    root.setLevel(Level.INFO);
+    root.addAppender(async(context, console(context)));
+    return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
+  }
+
+  private static ConsoleAppender<ILoggingEvent> console(LoggerContext context) {
+    LogstashFieldNames names = new LogstashFieldNames();
+    names.setVersion(LEFT_OUT);
+    names.setLevelValue(LEFT_OUT);
+    LogstashEncoder encoder = new LogstashEncoder();
+    encoder.setContext(context);
+    encoder.setFieldNames(names);
+    encoder.start();
+    ConsoleAppender<ILoggingEvent> console = new ConsoleAppender<>();
+    console.setContext(context);
+    console.setName("STDOUT");
+    console.setEncoder(encoder);
+    console.start();
+    return console;
+  }
+
+  /** A reader of the log that stalls must not stall requests. */
+  private static AsyncAppender async(
+      LoggerContext context, ConsoleAppender<ILoggingEvent> console) {
+    AsyncAppender async = new BoundedLogAppender();
+    async.setContext(context);
+    async.setName("ASYNC");
+    async.setQueueSize(QUEUE_LINES);
+    async.setDiscardingThreshold(0);
+    async.setNeverBlock(true);
+    async.addAppender(console);
+    async.start();
+    return async;
+  }
+}
