Split the exchange; leave every default to the product; count by route and server

Admission and SilenceWatch take the first two, and the nullable route, account, demand, service and deadline become one value.

The decoder of the configuration chose what an unknown kind, an absent number of attempts and an absent rank mean, and refused routes to unknown services; these are now RequestKind.STRICTEST, Route.DEFAULT_ATTEMPTS, Route.LEAST_URGENT and a check of RouteTable. PlatformBorderTest allows the adapter only ports and data of the gateway, no timers and no random numbers.

Metrics now tell outcomes by route, sends and failures by server, waits, and calls of the store by outcome, bounded in number of names.

--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreFeedTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreFeedTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -28,7 +29,13 @@
       new ServerDirectory(GRACE_MILLIS * Clock.NANOS_PER_MILLI);
   private final List<Call> calls = new ArrayList<>();
   private final StoreFeed feed =
-      new StoreFeed(new FakeStore(), directory, timers, new SplittableRandom(1), () -> {});
+      new StoreFeed(
+          new FakeStore(),
+          directory,
+          timers,
+          new SplittableRandom(1),
+          () -> {},
+          new MetricRegistry());
 
   /** A Call is one call of the feed that waits for the test's answer. */
   private static final class Call {
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/route/RouteTableTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/route/RouteTableTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
@@ -19,7 +20,7 @@
       new RouteTable(
           1,
           List.of(route("h", "/a/", ALL), route("h", "/a/b/", ALL), route("other", "/", ALL)),
-          List.of(),
+          List.of(new ServiceSpec("a", 1, null)),
           CallerLimits.DEFAULT,
           null);
 
@@ -35,6 +36,14 @@
     assertEquals("/", find("other", "/a/b/c"));
   }
 
+  @Test
+  void routeToUnknownServiceIsRefused() {
+    List<Route> routes = List.of(route("h", "/", new ServiceShare("nowhere", 1)));
+    assertThrows(
+        IllegalArgumentException.class,
+        () -> new RouteTable(1, routes, List.of(), CallerLimits.DEFAULT, null));
+  }
+
   @Test
   void hostIgnoresCaseAndPort() {
     assertEquals("/a/", find("H:8080", "/a/x"));
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
@@ -108,7 +108,7 @@
     PromptLedger prompts = new PromptLedger();
     this.chooser = new ServerChooser(settings.domain(), ledger, prompts, ServerPenalties.DEFAULT);
     EventLoopTimers timers = new EventLoopTimers(loop, clock);
-    this.feed = new StoreFeed(store, directory, timers, random, this::changed);
+    this.feed = new StoreFeed(store, directory, timers, random, this::changed, metrics);
     this.budget = new RetryBudget(settings.retryWindowMillis() * Clock.NANOS_PER_MILLI);
     budget.allow(settings.retryRatio(), settings.retrySlack() / RETRY_SHARES);
     this.exchanges =
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/StoreFeed.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/StoreFeed.java
@@ -1,5 +1,6 @@
 package org.wigeonwharf.gateway.feed;
 
+import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -50,6 +51,7 @@
   private final Timers timers;
   private final RandomGenerator random;
   private final Runnable onChange;
+  private final MetricRegistry metrics;
   private @Nullable RouteTable routes;
   private long revision = -1;
   private boolean reachable = true;
@@ -66,18 +68,21 @@
    * @param timers run all work
    * @param random spreads retries
    * @param onChange called after each change of routes or servers
+   * @param metrics counts calls by their outcome
    */
   public StoreFeed(
       PublishedStore store,
       ServerDirectory directory,
       Timers timers,
       RandomGenerator random,
-      Runnable onChange) {
+      Runnable onChange,
+      MetricRegistry metrics) {
     this.store = store;
     this.directory = directory;
     this.timers = timers;
     this.random = random;
     this.onChange = onChange;
+    this.metrics = metrics;
     this.contactAt = timers.nanos();
     this.hintAt = contactAt;
   }
@@ -237,7 +242,23 @@
 
   private BiConsumer<@Nullable Batch, @Nullable Throwable> onTimers(
       BiConsumer<@Nullable Batch, @Nullable Throwable> action) {
-    return (batch, error) -> timers.after(0, () -> action.accept(batch, error));
+    return (batch, error) ->
+        timers.after(
+            0,
+            () -> {
+              count(batch, error);
+              action.accept(batch, error);
+            });
+  }
+
+  private void count(@Nullable Batch batch, @Nullable Throwable error) {
+    String outcome = "failed";
+    if (batch != null) {
+      outcome = "answered";
+    } else if (cause(error) instanceof HistoryLostException) {
+      outcome = "history_lost";
+    }
+    metrics.counter("store.calls{outcome=\"" + outcome + "\"}").inc();
   }
 
   private static @Nullable Throwable cause(@Nullable Throwable error) {
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
@@ -10,7 +10,6 @@
 import org.wigeonwharf.gateway.backend.BackendServer;
 import org.wigeonwharf.gateway.placement.Choice;
 import org.wigeonwharf.gateway.placement.Demand;
-import org.wigeonwharf.gateway.route.Account;
 import org.wigeonwharf.gateway.route.RequestKind;
 import org.wigeonwharf.gateway.route.Route;
 import org.wigeonwharf.gateway.route.RouteTable;
@@ -26,8 +25,6 @@
  */
 public final class Exchange {
   private static final int OK = 200;
-  private static final int UNAUTHORIZED = 401;
-  private static final int NOT_FOUND = 404;
   private static final int BAD_GATEWAY = 502;
   private static final int UNAVAILABLE = 503;
   private static final int GATEWAY_TIMEOUT = 504;
@@ -40,18 +37,12 @@
   private final RequestFacts facts;
   private final Set<String> tried = new HashSet<>();
   private final Timers timers;
-  private @Nullable RouteTable table;
-  private @Nullable Route route;
-  private @Nullable Account account;
-  private @Nullable Demand demand;
+  private @Nullable Admission admission;
+  private @Nullable SilenceWatch silence;
   private @Nullable SentRequest sent;
   private Timers.@Nullable Timer deadlineTimer;
   private Timers.@Nullable Timer holdTimer;
-  private Timers.@Nullable Timer silenceTimer;
   private @Nullable WholeAnswer fallback;
-  private String service = "";
-  private long deadlineAt;
-  private int urgency;
   private int sends;
   private int runs;
   private Verdict verdict = Verdict.NOT_RUN;
@@ -59,13 +50,13 @@
   private boolean ended;
   private long firstMillis = -1;
   private long passedAt;
-  private long progressAt;
   private boolean callerPaused;
   private boolean repeatPaidFor;
   private long longestGapNanos;
   private int events;
   private @Nullable String lastEvent;
   private String lastReason = "";
+  private String lastServer = "";
 
   /**
    * A WholeAnswer is a complete answer of a backend server.
@@ -90,22 +81,19 @@
   }
 
   int urgency() {
-    return urgency;
+    Admission a = admission;
+    return a == null ? 0 : a.demand().urgency();
   }
 
   long arrivedAt() {
     return request.arrivedAt();
   }
 
-  String service() {
-    return service;
-  }
-
   @Nullable String id() {
     return facts.id();
   }
 
-  /** Finds the route and the account, then sends the request. */
+  /** Lets the request in, then sends it. */
   void start() {
     if (shared.isClosed()) {
       refuse("the router stops");
@@ -116,21 +104,13 @@
       awaitRoutes();
       return;
     }
-    table = t;
     cancelHold();
-    Route r = t.find(request.host(), request.target());
-    if (r == null) {
-      finish(RequestOutcome.DENIED, NOT_FOUND, "no route", 0);
-      return;
-    }
-    route = r;
-    account = facts.key() == null ? null : t.account(facts.key());
-    if (account == null && !r.open() && t.needsKeys()) {
-      finish(RequestOutcome.DENIED, UNAUTHORIZED, "unknown key", 0);
-      return;
-    }
-    accept(r);
-    dispatch();
+    Admission.of(t, request, facts, shared::splitPoint).peek(this::accept).peekLeft(this::deny);
+  }
+
+  private void deny(Admission.Denial d) {
+    caller.answer(d.status(), Refusals.headers(0), Refusals.body(d.reason()));
+    close(RequestOutcome.DENIED, d.route(), d.status(), d.reason());
   }
 
   /** Waits for the first configuration: a router that has just started reads it within moments. */
@@ -148,57 +128,53 @@
     shared.held().add(this);
   }
 
-  private void accept(Route r) {
-    Account a = account;
-    urgency = a == null ? r.urgency() : a.urgency().orElse(r.urgency());
-    service = r.pickService(shared.splitPoint());
-    demand =
-        new Demand(
-            service,
-            urgency,
-            facts.parts(),
-            facts.promptTokens(),
-            facts.outputTokens(),
-            r.objectiveMillis(),
-            r.gapObjectiveMillis());
-    long wait = r.timeoutMillis();
-    if (facts.waitMillis() >= 0) {
-      wait = Math.min(wait, facts.waitMillis());
-    }
-    deadlineAt = request.arrivedAt() + wait * Clock.NANOS_PER_MILLI;
-    deadlineTimer = timers.after(deadlineAt - timers.nanos(), this::expire);
-    shared.budget().request(service, timers.nanos());
+  private void accept(Admission a) {
+    admission = a;
+    if (a.mayRepeat()) {
+      silence = new SilenceWatch(timers, shared.settings(), a.route(), this::giveUpSilent);
+    }
+    long now = timers.nanos();
+    deadlineTimer = timers.after(a.deadlineAt() - now, this::expire);
+    shared.budget().request(a.service(), now);
+    dispatch();
   }
 
   /** Sends the request to the cheapest server, or holds it if no server may get it now. */
   void dispatch() {
-    if (!ended && table == null) {
-      start();
+    Admission a = admission;
+    if (ended || sent != null) {
       return;
     }
-    Demand d = demand;
-    RouteTable t = table;
-    if (ended || sent != null || d == null || t == null) {
+    if (a == null) {
+      start();
       return;
     }
     long now = timers.nanos();
-    if (leftMillis(now) < shared.settings().minSendMillis()) {
+    if (a.leftMillis(now) < shared.settings().minSendMillis()) {
       giveUp("no time left");
       return;
     }
-    List<BackendServer> servers = shared.directory().usable(service);
+    List<BackendServer> servers = shared.directory().usable(a.service());
     Choice choice =
-        shared.chooser().choose(d, t.service(service), servers, tried, isPatient(d, now), now);
+        shared
+            .chooser()
+            .choose(
+                a.demand(),
+                a.table().service(a.service()),
+                servers,
+                tried,
+                isPatient(a.demand(), now),
+                now);
     if (choice == null) {
-      hold(servers.size());
+      hold(a, servers.size());
       return;
     }
-    if (sends > 0 && !repeatPaidFor && !shared.budget().tryTake(service, now)) {
-      shared.log().budgetSpent(id(), service);
+    if (sends > 0 && !repeatPaidFor && !shared.budget().tryTake(a.service(), now)) {
+      shared.log().budgetSpent(id(), a.service());
       giveUp("the retry budget is spent; last: " + lastReason);
       return;
     }
-    send(d, choice, now);
+    send(a, choice, now);
   }
 
   private boolean isPatient(Demand d, long now) {
@@ -207,82 +183,64 @@
     return now - arrivedAt() < most * Clock.NANOS_PER_MILLI;
   }
 
-  private void send(Demand d, Choice choice, long now) {
+  private void send(Admission a, Choice choice, long now) {
     cancelHold();
     repeatPaidFor = false;
     sends++;
     BackendServer server = choice.candidate().server();
     tried.add(server.id());
-    SentRequest s = new SentRequest(this, shared, server, d, choice, now);
+    lastServer = server.id();
+    SentRequest s = new SentRequest(this, shared, server, a.demand(), choice, now);
     sent = s;
-    shared.log().placed(id(), choice, d, sends, leftMillis(now));
+    shared.log().placed(id(), choice, a.demand(), sends, elapsedMillis(), a.leftMillis(now));
+    s.open(outbound(a, choice, now), a.route().kind().isStream());
+    watchSilence(a.route());
+  }
+
+  private void watchSilence(Route r) {
+    if (silence == null) {
+      return;
+    }
+    silence.stop();
+    if (runs + 1 < r.maxAttempts()) {
+      silence.begin(begun);
+    }
+  }
+
+  private OutboundRequest outbound(Admission a, Choice choice, long now) {
     HttpHeaders headers = new DefaultHttpHeaders().set(request.headers());
-    Account a = account;
     BackendServer source = choice.memorySource();
     shared
         .protocol()
         .writeForwarding(
             headers,
             new Forwarding(
-                server.id(),
-                a == null ? null : a.name(),
-                leftMillis(now),
-                urgency,
+                choice.candidate().server().id(),
+                a.accountName(),
+                a.leftMillis(now),
+                a.demand().urgency(),
                 lastEvent,
                 source == null ? null : source.address()));
     if (request.body().length > 0 || hasBody()) {
       headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
     }
-    s.open(
-        new OutboundRequest(request.method(), request.target(), headers, request.body()),
-        isStream());
-    progressAt = now;
-    watchSilence();
-  }
-
-  /** Gives a server up that stays silent, if another one may do the work instead. */
-  private void watchSilence() {
-    cancelSilenceTimer();
-    Route r = route;
-    if (r == null || !mayRepeat() || runs + 1 >= r.maxAttempts()) {
-      return;
-    }
-    long idle = timers.nanos() - progressAt;
-    silenceTimer = timers.after(silenceLimitNanos(r) - idle, () -> checkSilence(r));
+    return new OutboundRequest(request.method(), request.target(), headers, request.body());
   }
 
-  private long silenceLimitNanos(Route r) {
-    ExchangeSettings s = shared.settings();
-    long millis = begun ? r.gapObjectiveMillis() : r.objectiveMillis();
-    double factor = begun ? s.silenceGaps() : s.silenceObjectives();
-    return (long) Math.max(s.minSilenceMillis(), factor * millis) * Clock.NANOS_PER_MILLI;
-  }
-
-  private void checkSilence(Route r) {
-    silenceTimer = null;
+  /** Gives a silent server up, if another one may do the work instead. */
+  private boolean giveUpSilent() {
     SentRequest s = sent;
-    long now = timers.nanos();
-    if (s == null) {
-      return;
-    }
-    boolean silent = now - progressAt >= silenceLimitNanos(r) && !callerPaused;
-    boolean another = shared.directory().usable(service).size() > tried.size();
-    if (silent && another && shared.budget().tryTake(service, now)) {
-      repeatPaidFor = true;
-      s.giveUp();
-      return;
+    Admission a = admission;
+    if (s == null || a == null || callerPaused) {
+      return false;
     }
-    if (now - progressAt >= silenceLimitNanos(r)) {
-      progressAt = now;
-    }
-    watchSilence();
-  }
-
-  private void cancelSilenceTimer() {
-    if (silenceTimer != null) {
-      silenceTimer.cancel();
-      silenceTimer = null;
+    boolean another = shared.directory().usable(a.service()).size() > tried.size();
+    if (!another || !shared.budget().tryTake(a.service(), timers.nanos())) {
+      return false;
     }
+    repeatPaidFor = true;
+    s.giveUp();
+    return true;
   }
 
   private boolean hasBody() {
@@ -290,22 +248,12 @@
     return m.equals("POST") || m.equals("PUT") || m.equals("PATCH");
   }
 
-  private boolean isStream() {
-    Route r = route;
-    return r != null && r.kind().isStream();
-  }
-
-  private boolean mayRepeat() {
-    Route r = route;
-    return r != null && r.kind().isRepeatable();
-  }
-
-  private void hold(int servers) {
+  private void hold(Admission a, int servers) {
     if (holdTimer == null) {
       ExchangeSettings s = shared.settings();
-      long now = timers.nanos();
-      long most = Math.min(s.maxHoldMillis(), (long) (s.holdPart() * leftMillis(now)));
-      shared.log().held(id(), service, servers, shared.held().size());
+      long left = a.leftMillis(timers.nanos());
+      long most = Math.min(s.maxHoldMillis(), (long) (s.holdPart() * left));
+      shared.log().held(id(), a.service(), servers, shared.held().size());
       holdTimer = timers.after(most * Clock.NANOS_PER_MILLI, () -> expireHold(servers));
     }
     if (!tried.isEmpty()) {
@@ -329,17 +277,13 @@
     }
   }
 
-  private long leftMillis(long now) {
-    return (deadlineAt - now) / Clock.NANOS_PER_MILLI;
-  }
-
   // Outcomes of a send.
 
   /** The request did not run there: another server may get it. */
   void notRun(String reason) {
     sent = null;
     lastReason = reason;
-    shared.log().retried(id(), lastServer(), reason, false);
+    shared.log().retried(id(), lastServer, reason, false);
     dispatch();
   }
 
@@ -353,33 +297,28 @@
   }
 
   private void retryOrEnd(String reason) {
-    Route r = route;
-    if (r == null) {
+    Admission a = admission;
+    if (a == null) {
       return;
     }
-    boolean canContinue = !begun || (r.kind() == RequestKind.RESUMABLE_STREAM);
-    long now = timers.nanos();
-    if (mayRepeat()
-        && canContinue
-        && runs < r.maxAttempts()
-        && leftMillis(now) >= shared.settings().minSendMillis()) {
-      shared.log().retried(id(), lastServer(), reason, true);
+    Route r = a.route();
+    boolean canContinue = !begun || r.kind() == RequestKind.RESUMABLE_STREAM;
+    boolean timeLeft = a.leftMillis(timers.nanos()) >= shared.settings().minSendMillis();
+    if (a.mayRepeat() && canContinue && runs < r.maxAttempts() && timeLeft) {
+      shared.log().retried(id(), lastServer, reason, true);
       dispatch();
       return;
     }
     giveUp(reason);
   }
 
-  private String lastServer() {
-    return String.join(",", tried);
-  }
-
   /** A whole answer has come that was kept back until now. */
   void answered(WholeAnswer answer) {
     sent = null;
     verdict = Verdict.RAN;
     runs++;
-    if (answer.status() >= SERVER_ERRORS && mayRepeat()) {
+    Admission a = admission;
+    if (answer.status() >= SERVER_ERRORS && a != null && a.mayRepeat()) {
       fallback = answer;
       lastReason = "server answered " + answer.status();
       retryOrEnd(lastReason);
@@ -410,7 +349,9 @@
     }
     events++;
     long now = timers.nanos();
-    progressAt = now;
+    if (silence != null) {
+      silence.heard();
+    }
     if (passedAt != 0) {
       longestGapNanos = Math.max(longestGapNanos, now - passedAt);
     }
@@ -472,9 +413,8 @@
       cancelSent();
       verdict = Verdict.MAY_HAVE_RUN;
     }
-    Route r = route;
-    boolean byRoute =
-        r != null && deadlineAt - arrivedAt() >= r.timeoutMillis() * Clock.NANOS_PER_MILLI;
+    Admission a = admission;
+    boolean byRoute = a != null && a.isBoundByRoute(arrivedAt());
     endUnserved(byRoute ? "the route's timeout is over" : "the caller's deadline is over", true);
   }
 
@@ -524,21 +464,26 @@
   }
 
   private void close(RequestOutcome outcome, int status, String reason) {
+    Admission a = admission;
+    close(outcome, a == null ? "" : a.route().name(), status, reason);
+  }
+
+  private void close(RequestOutcome outcome, String route, int status, String reason) {
     ended = true;
     cancelHold();
-    cancelSilenceTimer();
+    if (silence != null) {
+      silence.stop();
+    }
     shared.held().remove(this);
     if (deadlineTimer != null) {
       deadlineTimer.cancel();
       deadlineTimer = null;
     }
-    RouteTable t = table;
-    Route r = route;
     shared
         .log()
         .ended(
             id(),
-            r == null ? "" : r.name(),
+            route,
             outcome,
             status,
             reason,
@@ -547,10 +492,17 @@
             firstMillis,
             longestGapNanos / Clock.NANOS_PER_MILLI,
             events,
-            t == null ? 0 : t.version());
+            version());
     shared.ended();
   }
 
+  /** Returns the version of the configuration that decided, or 0 if none did. */
+  private long version() {
+    Admission a = admission;
+    RouteTable t = a == null ? shared.routes() : a.table();
+    return t == null ? 0 : t.version();
+  }
+
   private long elapsedMillis() {
     return (timers.nanos() - arrivedAt()) / Clock.NANOS_PER_MILLI;
   }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/RequestLog.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/RequestLog.java
@@ -3,7 +3,6 @@
 import com.codahale.metrics.MetricRegistry;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -32,7 +31,7 @@
   private static final Logger LOG = LoggerFactory.getLogger("org.wigeonwharf.gateway.request");
 
   private final Clock clock;
-  private final MetricRegistry metrics;
+  private final RequestMetrics metrics;
   private final Map<String, Bound> bounds = new HashMap<>();
 
   /** A Bound lets a number of lines through each second. */
@@ -63,13 +62,13 @@
    */
   public RequestLog(Clock clock, MetricRegistry metrics) {
     this.clock = clock;
-    this.metrics = metrics;
+    this.metrics = new RequestMetrics(metrics);
   }
 
   private @Nullable LoggingEventBuilder line(String event, @Nullable String request) {
     Bound b = bounds.computeIfAbsent(event, e -> new Bound());
     if (!b.admit(Math.floorDiv(clock.nanos(), Clock.NANOS_PER_SECOND))) {
-      metrics.counter("log.dropped").inc();
+      metrics.lineDropped();
       return null;
     }
     LoggingEventBuilder l =
@@ -86,7 +85,14 @@
     return id.length() <= MAX_ID_LENGTH ? id : id.substring(0, MAX_ID_LENGTH);
   }
 
-  void placed(@Nullable String request, Choice choice, Demand demand, int sends, long leftMillis) {
+  void placed(
+      @Nullable String request,
+      Choice choice,
+      Demand demand,
+      int sends,
+      long waitedMillis,
+      long leftMillis) {
+    metrics.sent(choice.candidate().server().id(), waitedMillis);
     LoggingEventBuilder l = line("request.sent", request);
     if (l == null) {
       return;
@@ -113,6 +119,7 @@
         .addKeyValue("memory_source", source == null ? "" : source.id())
         .addKeyValue("failure_rate", c.failureRate())
         .addKeyValue("state", c.state())
+        .addKeyValue("waited_ms", waitedMillis)
         .addKeyValue("left_ms", leftMillis)
         .log("sent");
   }
@@ -128,7 +135,7 @@
   }
 
   void retried(@Nullable String request, String server, String reason, boolean mayHaveRun) {
-    metrics.counter("retries").inc();
+    metrics.retried(server);
     LoggingEventBuilder l = line("request.retried", request);
     if (l != null) {
       l.addKeyValue("server", server)
@@ -139,7 +146,7 @@
   }
 
   void budgetSpent(@Nullable String request, String service) {
-    metrics.counter("retries.budget_spent").inc();
+    metrics.budgetSpent(service);
     LoggingEventBuilder l = line("request.budget_spent", request);
     if (l != null) {
       l.addKeyValue("service", service).log("no repeated send left in the budget");
@@ -158,8 +165,7 @@
       long gapMillis,
       int events,
       long configVersion) {
-    metrics.counter(MetricRegistry.name("requests", outcome.word())).inc();
-    metrics.timer(MetricRegistry.name("request", "time")).update(millis, TimeUnit.MILLISECONDS);
+    metrics.ended(route, outcome, millis, firstMillis);
     LoggingEventBuilder l = line("request." + outcome.word(), request);
     if (l != null) {
       l.addKeyValue("route", route)
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/route/RequestKind.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/route/RequestKind.java
@@ -11,6 +11,9 @@
   /** A stream of events that another server may continue after the last event delivered. */
   RESUMABLE_STREAM(true, true);
 
+  /** How a kind is treated that this router does not know: a second run might double effects. */
+  public static final RequestKind STRICTEST = UNREPEATABLE;
+
   private final boolean repeatable;
   private final boolean stream;
 
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/route/Route.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/route/Route.java
@@ -29,6 +29,12 @@
     List<ServiceShare> split,
     int maxAttempts,
     boolean open) {
+  /** Servers that a request may be sent to where the route does not say. */
+  public static final int DEFAULT_ATTEMPTS = 1;
+
+  /** The rank of routes that have none: behind all others. */
+  public static final int LEAST_URGENT = 9;
+
   /** Copies the split. */
   public Route {
     split = List.copyOf(split);
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/route/RouteTable.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/route/RouteTable.java
@@ -25,6 +25,7 @@
    * @param services all services
    * @param limits what callers may send
    * @param byKey the accounts by their keys, or null if callers need no keys at all
+   * @throws IllegalArgumentException if a route names a service that there is not
    */
   public RouteTable(
       long version,
@@ -36,11 +37,21 @@
     this.byHost = group(routes);
     this.services = new HashMap<>();
     services.forEach(s -> this.services.put(s.name(), s));
+    routes.forEach(this::checkServices);
     this.limits = limits;
     this.byKey = byKey == null ? null : Map.copyOf(byKey);
     this.size = routes.size();
   }
 
+  private void checkServices(Route route) {
+    for (ServiceShare s : route.split()) {
+      if (!services.containsKey(s.service())) {
+        throw new IllegalArgumentException(
+            "route " + route.name() + " to unknown service " + s.service());
+      }
+    }
+  }
+
   private static Map<String, List<Route>> group(List<Route> routes) {
     Map<String, List<Route>> grouped = new HashMap<>();
     for (Route r : routes) {
--- a/platform.test/src/test/java/org/wigeonwharf/platform/PlatformBorderTest.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/PlatformBorderTest.java
@@ -1,9 +1,14 @@
 package org.wigeonwharf.platform;
 
+import static com.tngtech.archunit.base.DescribedPredicate.not;
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAPackage;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.tngtech.archunit.base.DescribedPredicate;
+import com.tngtech.archunit.core.domain.JavaClass;
+import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
 import java.io.IOException;
@@ -14,6 +19,7 @@
 import java.util.Locale;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
+import org.wigeonwharf.gateway.route.RouteTable;
 
 class PlatformBorderTest {
   private static final Path ROOT = Path.of("..").toAbsolutePath().normalize();
@@ -34,6 +40,17 @@
           "request-deadline",
           "current-rev");
 
+  /** What an adapter may share with the product: what it implements, fills in or throws. */
+  private static final DescribedPredicate<JavaClass> PORT_OR_DATA =
+      DescribedPredicate.describe(
+          "ports or data",
+          c ->
+              c.isInterface()
+                  || c.isRecord()
+                  || c.isEnum()
+                  || c.isAssignableTo(Throwable.class)
+                  || c.isEquivalentTo(RouteTable.class));
+
   private static List<Path> shippedSources() throws IOException {
     List<Path> found = new ArrayList<>();
     try (Stream<Path> bundles = Files.list(ROOT)) {
@@ -75,16 +92,31 @@
   }
 
   @Test
-  void platformDecidesNothing() {
+  void platformKnowsOnlyPortsAndDataOfTheGateway() {
+    noClasses()
+        .that()
+        .resideInAPackage("org.wigeonwharf.platform..")
+        .should()
+        .dependOnClassesThat(resideInAPackage("org.wigeonwharf.gateway..").and(not(PORT_OR_DATA)))
+        .check(shippedPlatform());
+  }
+
+  @Test
+  void platformNeitherWaitsNorDraws() {
     noClasses()
         .that()
         .resideInAPackage("org.wigeonwharf.platform..")
         .should()
         .dependOnClassesThat()
-        .haveNameMatching(".*\\.(PlacementPolicy|ServerChooser|RetryBudget|Exchange|StoreFeed)")
-        .check(
-            new ClassFileImporter()
-                .withImportOption(new ImportOption.DoNotIncludeTests())
-                .importPackages("org.wigeonwharf.platform"));
+        .haveNameMatching(
+            ".*\\.(Timers|Clock|Thread|Timer|ScheduledExecutorService|Random|SecureRandom"
+                + "|RandomGenerator|SplittableRandom|ThreadLocalRandom)")
+        .check(shippedPlatform());
+  }
+
+  private static JavaClasses shippedPlatform() {
+    return new ClassFileImporter()
+        .withImportOption(new ImportOption.DoNotIncludeTests())
+        .importPackages("org.wigeonwharf.platform");
   }
 }
