--- /dev/null
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/LogVocabularyTest.java
@@ -0,0 +1,190 @@
+package org.wigeonwharf.gateway.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.read.ListAppender;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.slf4j.LoggerFactory;
+import org.slf4j.event.KeyValuePair;
+import org.wigeonwharf.gateway.route.RequestKind;
+
+/** Holds the log lines of a gateway to the table in docs/OPERATIONS.md. */
+class LogVocabularyTest {
+  private static final Path ROOT = Path.of("..").toAbsolutePath().normalize();
+  private static final Pattern QUOTED = Pattern.compile("`([a-z_.-]+)`");
+  private static final Pattern LITERAL =
+      Pattern.compile("(?:\"event\", |line\\(|logChange\\(|log\\(|[?:] )\"([a-z]+[.][a-z_.-]+)\"");
+  private static final Pattern CHAIN = Pattern.compile("\"event\", \"([a-z._-]+)\"(.*?)[.]log\\(");
+  private static final Pattern KEY = Pattern.compile("addKeyValue\\(\"([a-z_]+)\"");
+
+  /** Events of the product's own interface, which the gateway's table leaves to another one. */
+  private static final Set<String> ELSEWHERE = Set.of("router.start.failed");
+
+  private static Map<String, Set<String>> documented() throws IOException {
+    String page = Files.readString(ROOT.resolve("docs/OPERATIONS.md"));
+    Map<String, Set<String>> table = new HashMap<>();
+    for (String row : page.substring(page.indexOf("### Log events")).split("\n")) {
+      String[] cells = row.split("[|]", -1);
+      if (cells.length == 5) {
+        quoted(cells[1]).forEach(e -> table.put(e, quoted(cells[2])));
+      }
+    }
+    return table;
+  }
+
+  private static Set<String> quoted(String cell) {
+    Set<String> found = new TreeSet<>();
+    Matcher m = QUOTED.matcher(cell);
+    while (m.find()) {
+      found.add(m.group(1));
+    }
+    return found;
+  }
+
+  private static List<String> sources() throws IOException {
+    List<String> texts = new ArrayList<>();
+    for (String bundle : List.of("org.wigeonwharf.gateway", "org.wigeonwharf.router", "platform")) {
+      try (Stream<Path> files = Files.walk(ROOT.resolve(bundle).resolve("src/main"))) {
+        for (Path p : files.filter(f -> f.toString().endsWith(".java")).toList()) {
+          if (!p.endsWith("Router.java")) {
+            texts.add(Files.readString(p));
+          }
+        }
+      }
+    }
+    return texts;
+  }
+
+  @Test
+  void everyEventInTheCodeIsDocumented() throws IOException {
+    Set<String> known = documented().keySet();
+    Set<String> unknown = new TreeSet<>();
+    Set<String> seen = new HashSet<>(ELSEWHERE);
+    for (String text : sources()) {
+      Matcher m = LITERAL.matcher(text);
+      while (m.find()) {
+        seen.add(m.group(1));
+      }
+    }
+    for (RequestOutcome o : RequestOutcome.values()) {
+      seen.add("request." + o.word());
+    }
+    seen.stream().filter(e -> !known.contains(e) && !ELSEWHERE.contains(e)).forEach(unknown::add);
+    assertEquals(Set.of(), unknown);
+    assertEquals(Set.of(), missing(known, seen), "documented, not in the code");
+  }
+
+  private static Set<String> missing(Set<String> from, Set<String> in) {
+    Set<String> rest = new TreeSet<>(from);
+    rest.removeAll(in);
+    return rest;
+  }
+
+  @Test
+  void linesInTheCodeHaveTheirFields() throws IOException {
+    Map<String, Set<String>> table = documented();
+    Map<String, Set<String>> lacking = new TreeMap<>();
+    int lines = 0;
+    for (String text : sources()) {
+      Matcher m = CHAIN.matcher(text.replaceAll("\\s+", " "));
+      while (m.find()) {
+        lines++;
+        Set<String> keys = new HashSet<>();
+        Matcher k = KEY.matcher(m.group(2));
+        while (k.find()) {
+          keys.add(k.group(1));
+        }
+        Set<String> lacks = missing(table.getOrDefault(m.group(1), Set.of()), keys);
+        if (!lacks.isEmpty()) {
+          lacking.put(m.group(1), lacks);
+        }
+      }
+    }
+    assertTrue(lines > 10, "lines found: " + lines);
+    assertEquals(Map.of(), lacking);
+  }
+
+  @Test
+  void linesOfPlayedRequestsHaveTheirFields() throws IOException {
+    Map<String, Set<String>> table = documented();
+    Set<String> played = new TreeSet<>();
+    for (ILoggingEvent e : playEveryEnd()) {
+      Map<String, Object> fields = new HashMap<>();
+      for (KeyValuePair p : e.getKeyValuePairs()) {
+        fields.put(p.key, p.value);
+      }
+      String event = String.valueOf(fields.get("event"));
+      played.add(event);
+      assertTrue(table.containsKey(event), event);
+      assertEquals(Set.of(), missing(table.get(event), fields.keySet()), event);
+    }
+    table.keySet().stream()
+        .filter(e -> e.startsWith("request."))
+        .forEach(e -> assertTrue(played.contains(e), "not played: " + e));
+  }
+
+  private static List<ILoggingEvent> playEveryEnd() {
+    Logger log = (Logger) LoggerFactory.getLogger("org.wigeonwharf.gateway.request");
+    ListAppender<ILoggingEvent> lines = new ListAppender<>();
+    lines.start();
+    log.addAppender(lines);
+    try {
+      playAnsweredAfterRetry();
+      playRefusedAndDenied();
+      playCutAndGone();
+      playSpentBudget();
+    } finally {
+      log.detachAppender(lines);
+    }
+    return lines.list;
+  }
+
+  private static void playAnsweredAfterRetry() {
+    ExchangeWorld w = new ExchangeWorld().servers(2);
+    w.ask(RequestKind.IDEMPOTENT, new ExchangeWorld.Caller());
+    w.send(0).answer.broken("reset");
+    w.send(1).whole(200, "body", TestProtocol.SIGNED);
+  }
+
+  private static void playRefusedAndDenied() {
+    ExchangeWorld w = new ExchangeWorld();
+    w.ask(RequestKind.IDEMPOTENT, new ExchangeWorld.Caller());
+    w.timers.advanceMillis(ExchangeWorld.TIMEOUT_MILLIS);
+    w.ask(RequestKind.IDEMPOTENT, new ExchangeWorld.Caller(), TestProtocol.KEY, "unknown");
+  }
+
+  private static void playCutAndGone() {
+    ExchangeWorld w = new ExchangeWorld().servers(1);
+    w.ask(RequestKind.STREAM, new ExchangeWorld.Caller());
+    w.send(0).head(200, TestProtocol.SIGNED);
+    w.send(0).data("id: 1\ndata: x\n\n");
+    w.send(0).answer.broken("reset");
+    w.ask(RequestKind.UNREPEATABLE, new ExchangeWorld.Caller());
+    w.send(1).answer.broken("reset");
+    w.ask(RequestKind.STREAM, new ExchangeWorld.Caller()).callerGone();
+  }
+
+  private static void playSpentBudget() {
+    ExchangeWorld w = new ExchangeWorld().servers(2);
+    w.budget.allow(0, 0);
+    w.ask(RequestKind.IDEMPOTENT, new ExchangeWorld.Caller());
+    w.send(0).answer.broken("reset");
+  }
+}
