--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerBoardTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerBoardTest.java
@@ -92,8 +92,8 @@
   @Test
   void promptsThatEnginesReadAreToldNearAndFar() {
     Node a = node(1, "d");
-    Node b = node(2, "d");
-    Node c = node(3, "e");
+    final Node b = node(2, "d");
+    final Node c = node(3, "e");
     pass(4_000);
     List<PromptPart> prompt = List.of(new PromptPart("shared", 500), new PromptPart("own", 100));
     a.prompts.sent("s", prompt, now);
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/SilenceWatch.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/SilenceWatch.java
@@ -28,12 +28,12 @@
    */
   SilenceWatch(Timers timers, ExchangeSettings settings, Route route, BooleanSupplier giveUp) {
     this.timers = timers;
-    this.answerNanos = limit(settings, settings.silenceObjectives() * route.objectiveMillis());
-    this.eventNanos = limit(settings, settings.silenceGaps() * route.gapObjectiveMillis());
+    this.answerNanos = atLeast(settings, settings.silenceObjectives() * route.objectiveMillis());
+    this.eventNanos = atLeast(settings, settings.silenceGaps() * route.gapObjectiveMillis());
     this.giveUp = giveUp;
   }
 
-  private static long limit(ExchangeSettings settings, double millis) {
+  private static long atLeast(ExchangeSettings settings, double millis) {
     return (long) Math.max(settings.minSilenceMillis(), millis) * Clock.NANOS_PER_MILLI;
   }
 
