--- a/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/fleet/FleetProcess.java
+++ b/org.wigeonwharf.standin/src/main/java/org/wigeonwharf/standin/fleet/FleetProcess.java
@@ -44,11 +44,27 @@
    */
   public static FleetProcess start(String name, String mainClass, List<String> args)
       throws IOException {
+    return start(name, List.of(), mainClass, args);
+  }
+
+  /**
+   * Starts a Java process with this process's class path and further options of the JVM.
+   *
+   * @param name a name for messages
+   * @param options options of the JVM
+   * @param mainClass the class to run
+   * @param args its arguments
+   * @return the process, running
+   * @throws IOException if it can't be started
+   */
+  public static FleetProcess start(
+      String name, List<String> options, String mainClass, List<String> args) throws IOException {
     List<String> command = new ArrayList<>();
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
     command.add("-Xmx128m");
     command.add("-XX:+UseSerialGC");
     command.add("-XX:TieredStopAtLevel=1");
+    command.addAll(options);
     command.add("-cp");
     command.add(System.getProperty("java.class.path"));
     command.add(mainClass);
--- /dev/null
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/StartClassesTest.java
@@ -0,0 +1,73 @@
+package org.wigeonwharf.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.wigeonwharf.model.Addresses;
+import org.wigeonwharf.standin.fleet.FleetProcess;
+
+/** A router's start is service, so it must not load what it can do without. */
+class StartClassesTest {
+  private static final long SECONDS = 60;
+
+  /** Packages whose loading was found to take a tenth of a start or more. */
+  private static final List<String> SLOW =
+      List.of(
+          "jdk.jfr.internal.PlatformEventType",
+          "ch.qos.logback.core.joran.action.",
+          "com.sun.org.apache.xerces.");
+
+  @TempDir private Path folder;
+
+  /** Returns the system properties that routers are deployed with. */
+  private static List<String> deployedProperties() throws Exception {
+    String deploy = Files.readString(Path.of("..", "deploy", "system.toml"));
+    return Arrays.stream(deploy.split("\\s+")).filter(w -> w.startsWith("-D")).toList();
+  }
+
+  @Test
+  void deployedRouterStartsWithoutFlightRecorderAndXml() throws Exception {
+    Path classes = folder.resolve("classes.txt");
+    List<String> options = new ArrayList<>(deployedProperties());
+    options.add("-Xlog:class+load:file=" + classes);
+    try (StoreStandIn store = new StoreStandIn()) {
+      Path settings = folder.resolve("node.toml");
+      Files.writeString(
+          settings,
+          """
+          name = "vm1"
+          failure_domain = "z1"
+          fleet_secret = "secret-for-this-test"
+          [listen]
+          callers = "127.0.0.1:0"
+          ready = "127.0.0.1:0"
+          peers = "127.0.0.1:0"
+          metrics = "127.0.0.1:0"
+          [store]
+          address = "%s"
+          """
+              .formatted(Addresses.format(store.address())));
+      store.put("op/config", "{\"version\":1,\"routes\":[],\"services\":[]}");
+      FleetProcess router =
+          FleetProcess.start(
+              "router",
+              options,
+              "org.wigeonwharf.router.Main",
+              List.of("--settings", settings.toString()));
+      router.awaitEvent("config.adopted");
+      router.kill();
+      router.awaitExit(SECONDS);
+    }
+    List<String> loaded = Files.readAllLines(classes);
+    assertTrue(loaded.size() > 500, "classes loaded: " + loaded.size());
+    assertEquals(
+        List.of(), loaded.stream().filter(l -> SLOW.stream().anyMatch(l::contains)).toList());
+  }
+}
