--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerBoardTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerBoardTest.java
@@ -26,6 +26,7 @@
   private final Map<InetSocketAddress, Node> nodes = new HashMap<>();
   private final Random random = new Random(7);
   private double loss;
+  private boolean cut;
   private long now = Clock.NANOS_PER_SECOND;
   private long messages;
 
@@ -35,9 +36,11 @@
     private final PromptLedger prompts = new PromptLedger();
     private final List<Long> hints = new ArrayList<>();
     private final PeerBoard board;
+    private final String domain;
     private long version = 1;
 
     Node(int number, String domain, String secret) {
+      this.domain = domain;
       board =
           new PeerBoard(
               new NodeId("vm" + number, number),
@@ -58,7 +61,8 @@
     private void send(InetSocketAddress to, byte[] bytes) {
       messages++;
       Node receiver = nodes.get(to);
-      if (receiver != null && random.nextDouble() >= loss) {
+      boolean blocked = cut && receiver != null && !receiver.domain.equals(domain);
+      if (receiver != null && !blocked && random.nextDouble() >= loss) {
         receiver.board.receive(bytes);
       }
     }
@@ -132,6 +136,29 @@
     assertEquals(0, b.board.size());
   }
 
+  @Test
+  void failureDomainThatIsCutOffGoesOnAloneAndFindsTheOthersAgain() {
+    final Node a = node(1, "d");
+    final Node b = node(2, "e");
+    final Node c = node(3, "e");
+    pass(4_000);
+    a.ledger.enter("server", REQUEST, 900);
+    b.ledger.enter("server", REQUEST, 400);
+    pass(500);
+    assertEquals(2, c.ledger.at("server", now).running());
+
+    cut = true;
+    pass(5_000);
+    assertEquals(1, c.board.size());
+    assertEquals(1, c.ledger.at("server", now).running());
+
+    cut = false;
+    pass(4_000);
+    assertEquals(2, c.board.size());
+    assertEquals(2, c.ledger.at("server", now).running());
+    assertEquals(1_300, c.ledger.at("server", now).prefillTokens());
+  }
+
   @Test
   void leavingRouterIsForgottenAtOnce() {
     Node a = node(1, "d");
