--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
@@ -74,7 +74,7 @@
   private final StatusPages status;
   private final AtomicBoolean stopping = new AtomicBoolean();
   private final CountDownLatch stopped = new CountDownLatch(1);
-  private final StopSequence stop;
+  private final StopSequence stopSequence;
   private @Nullable Future<?> ticks;
 
   /**
@@ -137,8 +137,8 @@
             clock,
             this::configVersion,
             feed::newerVersion);
-    this.stop = new StopSequence(timers, new GracefulStages(), callers::answering);
-    callers.onClose(stop::callerLeft);
+    this.stopSequence = new StopSequence(timers, new GracefulStages(), callers::answering);
+    callers.onClose(stopSequence::callerLeft);
     this.readiness =
         new StatusPages(loop, settings.readyAddress(), Map.of("/readyz", this::readyPage));
     MetricsText text = new MetricsText(metrics);
@@ -251,7 +251,7 @@
         .addKeyValue("event", "router.stopping")
         .addKeyValue("grace_ms", grace)
         .log("router stopping");
-    loop.execute(() -> stop.begin(grace));
+    loop.execute(() -> stopSequence.begin(grace));
     try {
       stopped.await(grace, TimeUnit.MILLISECONDS);
     } catch (InterruptedException e) {
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/MetricsText.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/MetricsText.java
@@ -48,18 +48,15 @@
     return nanos / TimeUnit.MILLISECONDS.toNanos(1);
   }
 
-  /** Writes one line; labels may also stand at the end of the name, in braces. */
-  private static void line(StringBuilder text, String fullName, String labels, Number value) {
-    int brace = fullName.indexOf('{');
-    if (brace >= 0) {
-      String unit = fullName.substring(fullName.indexOf('}') + 1);
-      String own = fullName.substring(brace, fullName.indexOf('}') + 1);
-      line(text, fullName.substring(0, brace) + unit, own, value);
-      return;
-    }
-    String name = fullName;
+  /** Writes one line; labels may also stand within the name, in braces. */
+  private static void line(StringBuilder text, String name, String labels, Number value) {
+    int open = name.indexOf('{');
+    int close = name.indexOf('}') + 1;
+    String bare = open < 0 ? name : name.substring(0, open) + name.substring(close);
+    String own = open < 0 ? "" : name.substring(open, close);
     text.append(PREFIX)
-        .append(name.toLowerCase(Locale.ROOT).replaceAll("[^a-z0-9]", "_"))
+        .append(bare.toLowerCase(Locale.ROOT).replaceAll("[^a-z0-9]", "_"))
+        .append(own)
         .append(labels)
         .append(' ')
         .append(value)
--- a/platform.test/src/test/java/org/wigeonwharf/platform/ConfigurationDecoderTest.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/ConfigurationDecoderTest.java
@@ -99,6 +99,8 @@
             new String[] {"\"service\":\"s1\"", "\"service\":\"nowhere\""},
             new String[] {"\"weight\":90", "\"weight\":\"all\""},
             new String[] {"\"kind\":\"safe\"", "\"kind\":null"},
+            new String[] {"\"link-mbps\":180000.0", "\"link-mbps\":\"fast\""},
+            new String[] {"\"link-mbps\":180000.0", "\"link-mbps\":-1"},
             new String[] {"\"kv-token-bytes\":18000", "\"kv-token-bytes\":-1"},
             new String[] {"\"kv-capacity\":797615", "\"kv-capacity\":0"},
             new String[] {"\"api-keys\":[\"k3\"]", "\"api-keys\":\"k3\""},
