--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
@@ -4,10 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.wigeonwharf.gateway.placement.Demand;
@@ -30,10 +32,13 @@
 
   private final Map<InetSocketAddress, Node> nodes = new HashMap<>();
   private final Random random = new Random(7);
+  private final Queue<Runnable> inTransit = new ArrayDeque<>();
+  private boolean delivering;
   private double lossRate;
   private boolean partitioned;
   private long now = Clock.NANOS_PER_SECOND;
   private long messagesSent;
+  private long lastIncarnation;
 
   /** A router on the simulated network. */
   private final class Node {
@@ -48,7 +53,7 @@
       this.domain = domain;
       gossip =
           new PeerGossip(
-              new NodeId("vm" + number, number),
+              new NodeId("vm" + number, ++lastIncarnation),
               new FailureDomain(domain),
               address(number),
               List.of(SEED),
@@ -68,11 +73,23 @@
       Node receiver = nodes.get(destination);
       boolean blocked = partitioned && receiver != null && !receiver.domain.equals(domain);
       if (receiver != null && !blocked && random.nextDouble() >= lossRate) {
-        receiver.gossip.receive(datagram);
+        inTransit.add(() -> receiver.gossip.receive(datagram));
+        deliver();
       }
     }
   }
 
+  /** Delivers datagrams in the order of their sending, also those sent meanwhile. */
+  private void deliver() {
+    if (!delivering) {
+      delivering = true;
+      while (!inTransit.isEmpty()) {
+        inTransit.remove().run();
+      }
+      delivering = false;
+    }
+  }
+
   private static InetSocketAddress address(int number) {
     return new InetSocketAddress("127.0.0.1", 7_000 + number);
   }
@@ -216,4 +233,134 @@
         messagesPerRouterAndSecond < 25,
         "messages per router and second: " + messagesPerRouterAndSecond);
   }
+
+  private static final int LARGE_FLEET = 95;
+  private static final int LARGE_FLEET_DOMAINS = 6;
+
+  private List<Node> addLargeFleet(int routers, int domains) {
+    List<Node> all = new ArrayList<>();
+    for (int i = 1; i <= routers; i++) {
+      all.add(addNode(i, "d" + i % domains));
+    }
+    return all;
+  }
+
+  private static void assertAllKnown(List<Node> alive, int peers, long atMillis) {
+    for (Node n : alive) {
+      assertEquals(peers, n.gossip.peerCount(), "after " + atMillis + " ms");
+    }
+  }
+
+  @Test
+  void routersOfLargeFleetNeverLoseEachOther() {
+    List<Node> all = addLargeFleet(LARGE_FLEET, LARGE_FLEET_DOMAINS);
+    advanceMillis(4_000);
+    lossRate = 0.01;
+    for (long t = 0; t < 10_000; t += 100) {
+      advanceMillis(100);
+      assertAllKnown(all, LARGE_FLEET - 1, t);
+    }
+  }
+
+  @Test
+  void workIsVisibleToAllRoutersOfLargeFleetAllTheTime() {
+    List<Node> all = addLargeFleet(LARGE_FLEET, LARGE_FLEET_DOMAINS);
+    advanceMillis(4_000);
+    for (Node n : all) {
+      n.inFlight.add("server", REQUEST, 900);
+    }
+    advanceMillis(1_000);
+    for (long t = 0; t < 5_000; t += 100) {
+      advanceMillis(100);
+      for (Node n : all) {
+        assertEquals(LARGE_FLEET, n.inFlight.workAt("server", now).running(), "after " + t + " ms");
+      }
+    }
+  }
+
+  @Test
+  void failedRouterOfLargeFleetIsNoticedInAllFailureDomains() {
+    final List<Node> all = new ArrayList<>(addLargeFleet(LARGE_FLEET, LARGE_FLEET_DOMAINS));
+    advanceMillis(4_000);
+    nodes.remove(address(10));
+    nodes.remove(address(40));
+    all.removeIf(n -> !nodes.containsValue(n));
+    advanceMillis(2_600);
+    assertAllKnown(all, LARGE_FLEET - 3, 2_600);
+  }
+
+  @Test
+  void survivorsKeepEachOtherWhenHalfOfTheFleetFails() {
+    List<Node> all = new ArrayList<>(addLargeFleet(LARGE_FLEET, LARGE_FLEET_DOMAINS));
+    advanceMillis(4_000);
+    for (int i = 1; i <= LARGE_FLEET; i++) {
+      if (random.nextDouble() < 0.55) {
+        nodes.remove(address(i));
+      }
+    }
+    all.removeIf(n -> !nodes.containsValue(n));
+    int survivors = all.size();
+    for (long t = 0; t < 5_000; t += 100) {
+      advanceMillis(100);
+      for (Node n : all) {
+        assertTrue(n.gossip.peerCount() >= survivors - 1, "a survivor is lost after " + t + " ms");
+      }
+    }
+    assertAllKnown(all, survivors - 1, 5_000);
+  }
+
+  @Test
+  void messagesPerRouterDoNotGrowWithTheNumberOfFailureDomains() {
+    double few = messagesPerRouterUnderLoad(3);
+    nodes.clear();
+    double many = messagesPerRouterUnderLoad(12);
+    assertTrue(many < 1.1 * few, "messages per router and second: " + few + ", then " + many);
+  }
+
+  /** Plays 16 routers in each failure domain, each with five requests a second. */
+  private double messagesPerRouterUnderLoad(int domains) {
+    List<Node> all = addLargeFleet(16 * domains, domains);
+    advanceMillis(4_000);
+    messagesSent = 0;
+    int seconds = 4;
+    for (int step = 0; step < seconds * 50; step++) {
+      for (Node n : all) {
+        if (random.nextInt(10) == 0) {
+          n.inFlight.add("server", REQUEST, 900).end();
+        }
+      }
+      advanceMillis(20);
+    }
+    return messagesSent / (double) all.size() / seconds;
+  }
+
+  @Test
+  void workOfRestartedRouterIsNotCountedTwice() {
+    Node a = addNode(1, "d");
+    final Node b = addNode(2, "d");
+    final Node c = addNode(3, "e");
+    advanceMillis(4_000);
+    a.inFlight.add("server", REQUEST, 900);
+    advanceMillis(1_000);
+    assertEquals(1, c.inFlight.workAt("server", now).running());
+    nodes.remove(address(1));
+    Node restarted = addNode(1, "d");
+    restarted.inFlight.add("server", REQUEST, 400);
+    advanceMillis(2_000);
+    assertEquals(1, b.inFlight.workAt("server", now).running());
+    assertEquals(400, c.inFlight.workAt("server", now).prefillTokens());
+  }
+
+  @Test
+  void lateMessageOfLostDomainDoesNotKeepItsWork() {
+    final Node a = addNode(1, "d");
+    final Node b = addNode(2, "e");
+    advanceMillis(4_000);
+    a.inFlight.add("server", REQUEST, 900);
+    advanceMillis(1_000);
+    assertEquals(1, b.inFlight.workAt("server", now).running());
+    partitioned = true;
+    advanceMillis(2_000);
+    assertEquals(0, b.inFlight.workAt("server", now).running());
+  }
 }
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/PrefixCacheIndexTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/PrefixCacheIndexTest.java
@@ -51,7 +51,7 @@
 
   @Test
   void peerSendsCountAsCached() {
-    index.recordPeerSends(Map.of("s1", List.of(new PromptPart("a", 500))));
+    index.recordRemoteSends(Map.of("s1", List.of(new PromptPart("a", 500))));
     assertEquals(500, index.cachedTokens("s1", prompt("a", "x")));
     assertEquals(0, index.cachedTokens("s2", prompt("a", "x")));
   }
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/PromptPlacementTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/PromptPlacementTest.java
@@ -140,7 +140,7 @@
   @Test
   void engineFetchesPrefixCachedElsewhere() {
     addEngines(1, 1);
-    prefixCaches.recordPeerSends(Map.of("s1", List.of(new PromptPart("topic", 5_000))));
+    prefixCaches.recordRemoteSends(Map.of("s1", List.of(new PromptPart("topic", 5_000))));
     Choice c = choose(longRequest("topic"), Set.of("s1"));
     assertEquals("s1", c.cacheSource().id());
     assertEquals(6_000, c.prefillTokens());
@@ -149,7 +149,7 @@
   @Test
   void enginePrefillsAgainIfCachesCannotBeFetched() {
     addEngines(1, 1);
-    prefixCaches.recordPeerSends(Map.of("s1", List.of(new PromptPart("topic", 5_000))));
+    prefixCaches.recordRemoteSends(Map.of("s1", List.of(new PromptPart("topic", 5_000))));
     Choice c =
         chooser.choose(longRequest("topic"), NO_FETCH_SERVICE, servers, Set.of("s1"), false, now);
     assertNull(c.cacheSource());
@@ -166,7 +166,7 @@
   @Test
   void nothingIsFetchedFromAnUnreachableEngine() {
     addEngines(1, 1);
-    prefixCaches.recordPeerSends(Map.of("s1", List.of(new PromptPart("topic", 5_000))));
+    prefixCaches.recordRemoteSends(Map.of("s1", List.of(new PromptPart("topic", 5_000))));
     chooser.recordUnreachable("s1", now);
     Choice c = choose(longRequest("topic"), Set.of());
     assertEquals("s0", c.candidate().server().id());
@@ -221,7 +221,7 @@
   void peerWorkCountsUntilItExpires() {
     addEngines(2, 0);
     String first = place(chatRequest());
-    inFlight.replacePeerWork("peer", Map.of(first, new ServerWork(20, 0, 200_000, 200_000)), now);
+    inFlight.replaceReport("peer", Map.of(first, new ServerWork(20, 0, 200_000, 200_000)), now);
     assertNotEquals(first, place(chatRequest()));
     now += 20 * Clock.NANOS_PER_SECOND;
     assertEquals(0, inFlight.workAt("s1", now).plus(inFlight.workAt("s0", now)).prefillTokens());
--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/GatewayProto.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/GatewayProto.java
@@ -41,6 +41,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_wigeonwharf_gateway_MemberNews_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_wigeonwharf_gateway_DomainSummary_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_wigeonwharf_gateway_DomainSummary_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_wigeonwharf_gateway_RouterNews_descriptor;
   static final 
@@ -66,18 +71,26 @@
       "kens\030\004 \001(\r\022\025\n\rmemory_tokens\030\005 \001(\004\"?\n\016Pro" +
       "mptReadNews\022\016\n\006server\030\001 \001(\t\022\r\n\005parts\030\002 \003" +
       "(\t\022\016\n\006tokens\030\003 \003(\r\"5\n\nMemberNews\022\017\n\007addr" +
-      "ess\030\001 \001(\t\022\026\n\016failure_domain\030\002 \001(\t\"\262\002\n\nRo" +
-      "uterNews\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 " +
-      "\001(\003\022\020\n\010sequence\030\003 \001(\003\022-\n\004self\030\004 \001(\0132\037.wi" +
-      "geonwharf.gateway.MemberNews\022\026\n\016config_v" +
-      "ersion\030\005 \001(\003\022\017\n\007leaving\030\006 \001(\010\0221\n\004work\030\007 " +
-      "\003(\0132#.wigeonwharf.gateway.ServerWorkNews" +
-      "\0220\n\007members\030\010 \003(\0132\037.wigeonwharf.gateway." +
-      "MemberNews\0222\n\005reads\030\t \003(\0132#.wigeonwharf." +
-      "gateway.PromptReadNews\"-\n\nSignedNews\022\014\n\004" +
-      "news\030\001 \001(\014\022\021\n\tsignature\030\002 \001(\014B3\n!org.wig" +
-      "eonwharf.gateway.peer.wireB\014GatewayProto" +
-      "P\001b\006proto3"
+      "ess\030\001 \001(\t\022\026\n\016failure_domain\030\002 \001(\t\"\362\001\n\rDo" +
+      "mainSummary\022\026\n\016failure_domain\030\001 \001(\t\022\022\n\na" +
+      "ge_millis\030\002 \001(\r\022\017\n\007partial\030\003 \001(\010\022\017\n\007memb" +
+      "ers\030\004 \003(\t\0221\n\004work\030\005 \003(\0132#.wigeonwharf.ga" +
+      "teway.ServerWorkNews\0222\n\005reads\030\006 \003(\0132#.wi" +
+      "geonwharf.gateway.PromptReadNews\022\026\n\016conf" +
+      "ig_version\030\007 \001(\003\022\024\n\014unresponsive\030\010 \001(\010\"\232" +
+      "\003\n\nRouterNews\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnati" +
+      "on\030\002 \001(\003\022\020\n\010sequence\030\003 \001(\003\022-\n\004self\030\004 \001(\013" +
+      "2\037.wigeonwharf.gateway.MemberNews\022\026\n\016con" +
+      "fig_version\030\005 \001(\003\022\017\n\007leaving\030\006 \001(\010\0221\n\004wo" +
+      "rk\030\007 \003(\0132#.wigeonwharf.gateway.ServerWor" +
+      "kNews\0220\n\007members\030\010 \003(\0132\037.wigeonwharf.gat" +
+      "eway.MemberNews\0222\n\005reads\030\t \003(\0132#.wigeonw" +
+      "harf.gateway.PromptReadNews\0225\n\tsummaries" +
+      "\030\n \003(\0132\".wigeonwharf.gateway.DomainSumma" +
+      "ry\022\026\n\016summaries_sent\030\013 \001(\010\022\027\n\017reply_requ" +
+      "ested\030\014 \001(\010\"-\n\nSignedNews\022\014\n\004news\030\001 \001(\014\022" +
+      "\021\n\tsignature\030\002 \001(\014B3\n!org.wigeonwharf.ga" +
+      "teway.peer.wireB\014GatewayProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -101,14 +114,20 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_MemberNews_descriptor,
         new java.lang.String[] { "Address", "FailureDomain", });
-    internal_static_wigeonwharf_gateway_RouterNews_descriptor =
+    internal_static_wigeonwharf_gateway_DomainSummary_descriptor =
       getDescriptor().getMessageType(3);
+    internal_static_wigeonwharf_gateway_DomainSummary_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_wigeonwharf_gateway_DomainSummary_descriptor,
+        new java.lang.String[] { "FailureDomain", "AgeMillis", "Partial", "Members", "Work", "Reads", "ConfigVersion", "Unresponsive", });
+    internal_static_wigeonwharf_gateway_RouterNews_descriptor =
+      getDescriptor().getMessageType(4);
     internal_static_wigeonwharf_gateway_RouterNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_RouterNews_descriptor,
-        new java.lang.String[] { "Name", "Incarnation", "Sequence", "Self", "ConfigVersion", "Leaving", "Work", "Members", "Reads", });
+        new java.lang.String[] { "Name", "Incarnation", "Sequence", "Self", "ConfigVersion", "Leaving", "Work", "Members", "Reads", "Summaries", "SummariesSent", "ReplyRequested", });
     internal_static_wigeonwharf_gateway_SignedNews_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(5);
     internal_static_wigeonwharf_gateway_SignedNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_SignedNews_descriptor,
--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNews.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNews.java
@@ -37,6 +37,7 @@
     work_ = java.util.Collections.emptyList();
     members_ = java.util.Collections.emptyList();
     reads_ = java.util.Collections.emptyList();
+    summaries_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -305,6 +306,97 @@
     return reads_.get(index);
   }
 
+  public static final int SUMMARIES_FIELD_NUMBER = 10;
+  @SuppressWarnings("serial")
+  private java.util.List<org.wigeonwharf.gateway.peer.wire.DomainSummary> summaries_;
+  /**
+   * <pre>
+   * To other failure domains: the sender's own one. Within a failure domain: other ones, forwarded.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.DomainSummary summaries = 10;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.wigeonwharf.gateway.peer.wire.DomainSummary> getSummariesList() {
+    return summaries_;
+  }
+  /**
+   * <pre>
+   * To other failure domains: the sender's own one. Within a failure domain: other ones, forwarded.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.DomainSummary summaries = 10;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.wigeonwharf.gateway.peer.wire.DomainSummaryOrBuilder> 
+      getSummariesOrBuilderList() {
+    return summaries_;
+  }
+  /**
+   * <pre>
+   * To other failure domains: the sender's own one. Within a failure domain: other ones, forwarded.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.DomainSummary summaries = 10;</code>
+   */
+  @java.lang.Override
+  public int getSummariesCount() {
+    return summaries_.size();
+  }
+  /**
+   * <pre>
+   * To other failure domains: the sender's own one. Within a failure domain: other ones, forwarded.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.DomainSummary summaries = 10;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.gateway.peer.wire.DomainSummary getSummaries(int index) {
+    return summaries_.get(index);
+  }
+  /**
+   * <pre>
+   * To other failure domains: the sender's own one. Within a failure domain: other ones, forwarded.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.DomainSummary summaries = 10;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.gateway.peer.wire.DomainSummaryOrBuilder getSummariesOrBuilder(
+      int index) {
+    return summaries_.get(index);
+  }
+
+  public static final int SUMMARIES_SENT_FIELD_NUMBER = 11;
+  private boolean summariesSent_ = false;
+  /**
+   * <pre>
+   * True if the sender has just sent the summary of its failure domain to the other ones.
+   * </pre>
+   *
+   * <code>bool summaries_sent = 11;</code>
+   * @return The summariesSent.
+   */
+  @java.lang.Override
+  public boolean getSummariesSent() {
+    return summariesSent_;
+  }
+
+  public static final int REPLY_REQUESTED_FIELD_NUMBER = 12;
+  private boolean replyRequested_ = false;
+  /**
+   * <pre>
+   * True if the sender does not know the receiver yet and asks for its state.
+   * </pre>
+   *
+   * <code>bool reply_requested = 12;</code>
+   * @return The replyRequested.
+   */
+  @java.lang.Override
+  public boolean getReplyRequested() {
+    return replyRequested_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -346,6 +438,15 @@
     for (int i = 0; i < reads_.size(); i++) {
       output.writeMessage(9, reads_.get(i));
     }
+    for (int i = 0; i < summaries_.size(); i++) {
+      output.writeMessage(10, summaries_.get(i));
+    }
+    if (summariesSent_ != false) {
+      output.writeBool(11, summariesSent_);
+    }
+    if (replyRequested_ != false) {
+      output.writeBool(12, replyRequested_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -390,6 +491,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(9, reads_.get(i));
     }
+    for (int i = 0; i < summaries_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(10, summaries_.get(i));
+    }
+    if (summariesSent_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(11, summariesSent_);
+    }
+    if (replyRequested_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(12, replyRequested_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -426,6 +539,12 @@
         .equals(other.getMembersList())) return false;
     if (!getReadsList()
         .equals(other.getReadsList())) return false;
+    if (!getSummariesList()
+        .equals(other.getSummariesList())) return false;
+    if (getSummariesSent()
+        != other.getSummariesSent()) return false;
+    if (getReplyRequested()
+        != other.getReplyRequested()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -467,6 +586,16 @@
       hash = (37 * hash) + READS_FIELD_NUMBER;
       hash = (53 * hash) + getReadsList().hashCode();
     }
+    if (getSummariesCount() > 0) {
+      hash = (37 * hash) + SUMMARIES_FIELD_NUMBER;
+      hash = (53 * hash) + getSummariesList().hashCode();
+    }
+    hash = (37 * hash) + SUMMARIES_SENT_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getSummariesSent());
+    hash = (37 * hash) + REPLY_REQUESTED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getReplyRequested());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -606,6 +735,7 @@
         internalGetWorkFieldBuilder();
         internalGetMembersFieldBuilder();
         internalGetReadsFieldBuilder();
+        internalGetSummariesFieldBuilder();
       }
     }
     @java.lang.Override
@@ -643,6 +773,15 @@
         readsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000100);
+      if (summariesBuilder_ == null) {
+        summaries_ = java.util.Collections.emptyList();
+      } else {
+        summaries_ = null;
+        summariesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000200);
+      summariesSent_ = false;
+      replyRequested_ = false;
       return this;
     }
 
@@ -703,6 +842,15 @@
       } else {
         result.reads_ = readsBuilder_.build();
       }
+      if (summariesBuilder_ == null) {
+        if (((bitField0_ & 0x00000200) != 0)) {
+          summaries_ = java.util.Collections.unmodifiableList(summaries_);
+          bitField0_ = (bitField0_ & ~0x00000200);
+        }
+        result.summaries_ = summaries_;
+      } else {
+        result.summaries_ = summariesBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.wigeonwharf.gateway.peer.wire.RouterNews result) {
@@ -729,6 +877,12 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.leaving_ = leaving_;
       }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.summariesSent_ = summariesSent_;
+      }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.replyRequested_ = replyRequested_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -842,6 +996,38 @@
           }
         }
       }
+      if (summariesBuilder_ == null) {
+        if (!other.summaries_.isEmpty()) {
+          if (summaries_.isEmpty()) {
+            summaries_ = other.summaries_;
+            bitField0_ = (bitField0_ & ~0x00000200);
+          } else {
+            ensureSummariesIsMutable();
+            summaries_.addAll(other.summaries_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.summaries_.isEmpty()) {
+          if (summariesBuilder_.isEmpty()) {
+            summariesBuilder_.dispose();
+            summariesBuilder_ = null;
+            summaries_ = other.summaries_;
+            bitField0_ = (bitField0_ & ~0x00000200);
+            summariesBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetSummariesFieldBuilder() : null;
+          } else {
+            summariesBuilder_.addAllMessages(other.summaries_);
+          }
+        }
+      }
+      if (other.getSummariesSent() != false) {
+        setSummariesSent(other.getSummariesSent());
+      }
+      if (other.getReplyRequested() != false) {
+        setReplyRequested(other.getReplyRequested());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -939,6 +1125,29 @@
               }
               break;
             } // case 74
+            case 82: {
+              org.wigeonwharf.gateway.peer.wire.DomainSummary m =
+                  input.readMessage(
+                      org.wigeonwharf.gateway.peer.wire.DomainSummary.parser(),
+                      extensionRegistry);
+              if (summariesBuilder_ == null) {
+                ensureSummariesIsMutable();
+                summaries_.add(m);
+              } else {
+                summariesBuilder_.addMessage(m);
+              }
+              break;
+            } // case 82
+            case 88: {
+              summariesSent_ = input.readBool();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 88
+            case 96: {
+              replyRequested_ = input.readBool();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 96
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2069,6 +2278,406 @@
       return readsBuilder_;
     }
 
+    private java.util.List<org.wigeonwharf.gateway.peer.wire.DomainSummary> summaries_ =
+      java.util.Collections.emptyList();
+    private void ensureSummariesIsMutable() {
+      if (!((bitField0_ & 0x00000200) != 0)) {
+        summaries_ = new java.util.ArrayList<org.wigeonwharf.gateway.peer.wire.DomainSummary>(summaries_);
+        bitField0_ |= 0x00000200;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wigeonwharf.gateway.peer.wire.DomainSummary, org.wigeonwharf.gateway.peer.wire.DomainSummary.Builder, org.wigeonwharf.gateway.peer.wire.DomainSummaryOrBuilder> summariesBuilder_;
+
+    /**
+     * <pre>
+     * To other failure domains: the sender's own one. Within a failure domain: other ones, forwarded.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.DomainSummary summaries = 10;</code>
+     */
+    public java.util.List<org.wigeonwharf.gateway.peer.wire.DomainSummary> getSummariesList() {
+      if (summariesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(summaries_);
+      } else {
+        return summariesBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * To other failure domains: the sender's own one. Within a failure domain: other ones, forwarded.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.DomainSummary summaries = 10;</code>
+     */
+    public int getSummariesCount() {
+      if (summariesBuilder_ == null) {
+        return summaries_.size();
+      } else {
+        return summariesBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * To other failure domains: the sender's own one. Within a failure domain: other ones, forwarded.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.DomainSummary summaries = 10;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.DomainSummary getSummaries(int index) {
+      if (summariesBuilder_ == null) {
+        return summaries_.get(index);
+      } else {
+        return summariesBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * To other failure domains: the sender's own one. Within a failure domain: other ones, forwarded.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.DomainSummary summaries = 10;</code>
+     */
+    public Builder setSummaries(
+        int index, org.wigeonwharf.gateway.peer.wire.DomainSummary value) {
+      if (summariesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureSummariesIsMutable();
+        summaries_.set(index, value);
+        onChanged();
+      } else {
+        summariesBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * To other failure domains: the sender's own one. Within a failure domain: other ones, forwarded.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.DomainSummary summaries = 10;</code>
+     */
+    public Builder setSummaries(
+        int index, org.wigeonwharf.gateway.peer.wire.DomainSummary.Builder builderForValue) {
+      if (summariesBuilder_ == null) {
+        ensureSummariesIsMutable();
+        summaries_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        summariesBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * To other failure domains: the sender's own one. Within a failure domain: other ones, forwarded.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.DomainSummary summaries = 10;</code>
+     */
+    public Builder addSummaries(org.wigeonwharf.gateway.peer.wire.DomainSummary value) {
+      if (summariesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureSummariesIsMutable();
+        summaries_.add(value);
+        onChanged();
+      } else {
+        summariesBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * To other failure domains: the sender's own one. Within a failure domain: other ones, forwarded.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.DomainSummary summaries = 10;</code>
+     */
+    public Builder addSummaries(
+        int index, org.wigeonwharf.gateway.peer.wire.DomainSummary value) {
+      if (summariesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureSummariesIsMutable();
+        summaries_.add(index, value);
+        onChanged();
+      } else {
+        summariesBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * To other failure domains: the sender's own one. Within a failure domain: other ones, forwarded.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.DomainSummary summaries = 10;</code>
+     */
+    public Builder addSummaries(
+        org.wigeonwharf.gateway.peer.wire.DomainSummary.Builder builderForValue) {
+      if (summariesBuilder_ == null) {
+        ensureSummariesIsMutable();
+        summaries_.add(builderForValue.build());
+        onChanged();
+      } else {
+        summariesBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * To other failure domains: the sender's own one. Within a failure domain: other ones, forwarded.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.DomainSummary summaries = 10;</code>
+     */
+    public Builder addSummaries(
+        int index, org.wigeonwharf.gateway.peer.wire.DomainSummary.Builder builderForValue) {
+      if (summariesBuilder_ == null) {
+        ensureSummariesIsMutable();
+        summaries_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        summariesBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * To other failure domains: the sender's own one. Within a failure domain: other ones, forwarded.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.DomainSummary summaries = 10;</code>
+     */
+    public Builder addAllSummaries(
+        java.lang.Iterable<? extends org.wigeonwharf.gateway.peer.wire.DomainSummary> values) {
+      if (summariesBuilder_ == null) {
+        ensureSummariesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, summaries_);
+        onChanged();
+      } else {
+        summariesBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * To other failure domains: the sender's own one. Within a failure domain: other ones, forwarded.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.DomainSummary summaries = 10;</code>
+     */
+    public Builder clearSummaries() {
+      if (summariesBuilder_ == null) {
+        summaries_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000200);
+        onChanged();
+      } else {
+        summariesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * To other failure domains: the sender's own one. Within a failure domain: other ones, forwarded.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.DomainSummary summaries = 10;</code>
+     */
+    public Builder removeSummaries(int index) {
+      if (summariesBuilder_ == null) {
+        ensureSummariesIsMutable();
+        summaries_.remove(index);
+        onChanged();
+      } else {
+        summariesBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * To other failure domains: the sender's own one. Within a failure domain: other ones, forwarded.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.DomainSummary summaries = 10;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.DomainSummary.Builder getSummariesBuilder(
+        int index) {
+      return internalGetSummariesFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * To other failure domains: the sender's own one. Within a failure domain: other ones, forwarded.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.DomainSummary summaries = 10;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.DomainSummaryOrBuilder getSummariesOrBuilder(
+        int index) {
+      if (summariesBuilder_ == null) {
+        return summaries_.get(index);  } else {
+        return summariesBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * To other failure domains: the sender's own one. Within a failure domain: other ones, forwarded.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.DomainSummary summaries = 10;</code>
+     */
+    public java.util.List<? extends org.wigeonwharf.gateway.peer.wire.DomainSummaryOrBuilder> 
+         getSummariesOrBuilderList() {
+      if (summariesBuilder_ != null) {
+        return summariesBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(summaries_);
+      }
+    }
+    /**
+     * <pre>
+     * To other failure domains: the sender's own one. Within a failure domain: other ones, forwarded.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.DomainSummary summaries = 10;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.DomainSummary.Builder addSummariesBuilder() {
+      return internalGetSummariesFieldBuilder().addBuilder(
+          org.wigeonwharf.gateway.peer.wire.DomainSummary.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * To other failure domains: the sender's own one. Within a failure domain: other ones, forwarded.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.DomainSummary summaries = 10;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.DomainSummary.Builder addSummariesBuilder(
+        int index) {
+      return internalGetSummariesFieldBuilder().addBuilder(
+          index, org.wigeonwharf.gateway.peer.wire.DomainSummary.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * To other failure domains: the sender's own one. Within a failure domain: other ones, forwarded.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.DomainSummary summaries = 10;</code>
+     */
+    public java.util.List<org.wigeonwharf.gateway.peer.wire.DomainSummary.Builder> 
+         getSummariesBuilderList() {
+      return internalGetSummariesFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wigeonwharf.gateway.peer.wire.DomainSummary, org.wigeonwharf.gateway.peer.wire.DomainSummary.Builder, org.wigeonwharf.gateway.peer.wire.DomainSummaryOrBuilder> 
+        internalGetSummariesFieldBuilder() {
+      if (summariesBuilder_ == null) {
+        summariesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.wigeonwharf.gateway.peer.wire.DomainSummary, org.wigeonwharf.gateway.peer.wire.DomainSummary.Builder, org.wigeonwharf.gateway.peer.wire.DomainSummaryOrBuilder>(
+                summaries_,
+                ((bitField0_ & 0x00000200) != 0),
+                getParentForChildren(),
+                isClean());
+        summaries_ = null;
+      }
+      return summariesBuilder_;
+    }
+
+    private boolean summariesSent_ ;
+    /**
+     * <pre>
+     * True if the sender has just sent the summary of its failure domain to the other ones.
+     * </pre>
+     *
+     * <code>bool summaries_sent = 11;</code>
+     * @return The summariesSent.
+     */
+    @java.lang.Override
+    public boolean getSummariesSent() {
+      return summariesSent_;
+    }
+    /**
+     * <pre>
+     * True if the sender has just sent the summary of its failure domain to the other ones.
+     * </pre>
+     *
+     * <code>bool summaries_sent = 11;</code>
+     * @param value The summariesSent to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSummariesSent(boolean value) {
+
+      summariesSent_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * True if the sender has just sent the summary of its failure domain to the other ones.
+     * </pre>
+     *
+     * <code>bool summaries_sent = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSummariesSent() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      summariesSent_ = false;
+      onChanged();
+      return this;
+    }
+
+    private boolean replyRequested_ ;
+    /**
+     * <pre>
+     * True if the sender does not know the receiver yet and asks for its state.
+     * </pre>
+     *
+     * <code>bool reply_requested = 12;</code>
+     * @return The replyRequested.
+     */
+    @java.lang.Override
+    public boolean getReplyRequested() {
+      return replyRequested_;
+    }
+    /**
+     * <pre>
+     * True if the sender does not know the receiver yet and asks for its state.
+     * </pre>
+     *
+     * <code>bool reply_requested = 12;</code>
+     * @param value The replyRequested to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReplyRequested(boolean value) {
+
+      replyRequested_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * True if the sender does not know the receiver yet and asks for its state.
+     * </pre>
+     *
+     * <code>bool reply_requested = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearReplyRequested() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      replyRequested_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wigeonwharf.gateway.RouterNews)
   }
 
--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNewsOrBuilder.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNewsOrBuilder.java
@@ -152,4 +152,68 @@
    */
   org.wigeonwharf.gateway.peer.wire.PromptReadNewsOrBuilder getReadsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * To other failure domains: the sender's own one. Within a failure domain: other ones, forwarded.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.DomainSummary summaries = 10;</code>
+   */
+  java.util.List<org.wigeonwharf.gateway.peer.wire.DomainSummary> 
+      getSummariesList();
+  /**
+   * <pre>
+   * To other failure domains: the sender's own one. Within a failure domain: other ones, forwarded.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.DomainSummary summaries = 10;</code>
+   */
+  org.wigeonwharf.gateway.peer.wire.DomainSummary getSummaries(int index);
+  /**
+   * <pre>
+   * To other failure domains: the sender's own one. Within a failure domain: other ones, forwarded.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.DomainSummary summaries = 10;</code>
+   */
+  int getSummariesCount();
+  /**
+   * <pre>
+   * To other failure domains: the sender's own one. Within a failure domain: other ones, forwarded.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.DomainSummary summaries = 10;</code>
+   */
+  java.util.List<? extends org.wigeonwharf.gateway.peer.wire.DomainSummaryOrBuilder> 
+      getSummariesOrBuilderList();
+  /**
+   * <pre>
+   * To other failure domains: the sender's own one. Within a failure domain: other ones, forwarded.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.DomainSummary summaries = 10;</code>
+   */
+  org.wigeonwharf.gateway.peer.wire.DomainSummaryOrBuilder getSummariesOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * True if the sender has just sent the summary of its failure domain to the other ones.
+   * </pre>
+   *
+   * <code>bool summaries_sent = 11;</code>
+   * @return The summariesSent.
+   */
+  boolean getSummariesSent();
+
+  /**
+   * <pre>
+   * True if the sender does not know the receiver yet and asks for its state.
+   * </pre>
+   *
+   * <code>bool reply_requested = 12;</code>
+   * @return The replyRequested.
+   */
+  boolean getReplyRequested();
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipCodec.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipCodec.java
@@ -68,9 +68,9 @@
     return b.build();
   }
 
-  static Map<String, List<PromptPart>> decodeSends(RouterNews state) {
+  static Map<String, List<PromptPart>> decodeSends(List<PromptReadNews> reads) {
     Map<String, List<PromptPart>> sends = new HashMap<>();
-    for (PromptReadNews r : state.getReadsList()) {
+    for (PromptReadNews r : reads) {
       List<PromptPart> parts = sends.computeIfAbsent(r.getServer(), s -> new ArrayList<>());
       for (int i = 0; i < Math.min(r.getPartsCount(), r.getTokensCount()); i++) {
         parts.add(new PromptPart(r.getParts(i), Math.max(0, r.getTokens(i))));
@@ -79,9 +79,9 @@
     return sends;
   }
 
-  static Map<String, ServerWork> decodeWork(RouterNews state) {
+  static Map<String, ServerWork> decodeWork(List<ServerWorkNews> news) {
     Map<String, ServerWork> work = new HashMap<>();
-    for (ServerWorkNews w : state.getWorkList()) {
+    for (ServerWorkNews w : news) {
       work.put(
           w.getServer(),
           new ServerWork(
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipTransport.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipTransport.java
@@ -5,7 +5,9 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -17,6 +19,8 @@
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.wigeonwharf.gateway.placement.InFlightTracker;
 import org.wigeonwharf.gateway.placement.PrefixCacheIndex;
 import org.wigeonwharf.model.Clock;
@@ -26,16 +30,22 @@
 
 /** Sends and receives the messages of the gossip protocol as UDP datagrams. */
 public final class GossipTransport {
-  /**
-   * Time in ms between two checks for due messages, equal to the minimum time between two messages.
-   */
-  private static final long TICK_INTERVAL_MILLIS = 20;
+  /** Size in bytes of the receive buffer, above that of the largest message. */
+  private static final int MAX_DATAGRAM_BYTES = 16 * 1024;
+
+  /** Minimum time between two ticks, which keeps a failing one from running without pause. */
+  private static final long MIN_TICK_INTERVAL_NANOS = Clock.NANOS_PER_MILLI;
+
+  private static final Logger LOG = LoggerFactory.getLogger(GossipTransport.class);
 
   private final EventLoop loop;
   private final InetSocketAddress bindAddress;
   private final PeerGossip gossip;
+  private final Clock clock;
   private @Nullable Channel channel;
   private @Nullable Future<?> tickTask;
+  private long tickAt;
+  private boolean stopped;
 
   /**
    * Creates a transport that is not yet bound.
@@ -66,6 +76,7 @@
       LongConsumer onNewerConfig) {
     this.loop = loop;
     this.bindAddress = bindAddress;
+    this.clock = clock;
     this.gossip =
         new PeerGossip(
             self,
@@ -80,6 +91,7 @@
             this::send,
             configVersion,
             onNewerConfig);
+    inFlight.onLocalChange(this::scheduleTick);
   }
 
   /**
@@ -92,24 +104,58 @@
         new Bootstrap()
             .group(loop)
             .channel(NioDatagramChannel.class)
+            .option(
+                ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
             .handler(
                 new SimpleChannelInboundHandler<DatagramPacket>() {
                   @Override
                   protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
                     gossip.receive(ByteBufUtil.getBytes(packet.content()));
+                    scheduleTick();
                   }
 
                   @Override
                   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-                    // Unreachable peers cause exceptions as well; they are removed by their
-                    // timeout.
+                    // Unreachable peers cause exceptions too; their timeout removes them.
+                    LOG.debug("gossip channel failed", cause);
                   }
                 })
             .bind(bindAddress)
             .sync()
             .channel();
-    tickTask =
-        loop.scheduleWithFixedDelay(gossip::tick, 0, TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+    loop.execute(this::tick);
+  }
+
+  private void tick() {
+    tickTask = null;
+    try {
+      gossip.tick();
+    } catch (RuntimeException e) {
+      LOG.atError()
+          .addKeyValue("event", "peer.tick_failed")
+          .addKeyValue("reason", String.valueOf(e))
+          .setCause(e)
+          .log("sending gossip messages failed");
+    }
+    scheduleTick();
+  }
+
+  /** Schedules the next tick; an earlier one than the pending replaces it. */
+  private void scheduleTick() {
+    if (stopped || channel == null) {
+      return;
+    }
+    long now = clock.nanos();
+    long at = Math.max(gossip.nextTickAt(), now + MIN_TICK_INTERVAL_NANOS);
+    Future<?> pending = tickTask;
+    if (pending != null) {
+      if (tickAt - at <= 0) {
+        return;
+      }
+      pending.cancel(false);
+    }
+    tickAt = at;
+    tickTask = loop.schedule(this::tick, at - now, TimeUnit.NANOSECONDS);
   }
 
   private void send(InetSocketAddress destination, byte[] datagram) {
@@ -126,6 +172,7 @@
 
   /** Announces that this router is leaving and closes the channel; called on the event loop. */
   public void stop() {
+    stopped = true;
     if (tickTask != null) {
       tickTask.cancel(false);
     }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerGossip.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerGossip.java
@@ -3,18 +3,21 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Collections;
-import java.util.LinkedHashMap;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
+import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.wigeonwharf.gateway.peer.wire.DomainSummary;
 import org.wigeonwharf.gateway.peer.wire.MemberNews;
 import org.wigeonwharf.gateway.peer.wire.RouterNews;
+import org.wigeonwharf.gateway.peer.wire.ServerWorkNews;
 import org.wigeonwharf.gateway.placement.InFlightTracker;
 import org.wigeonwharf.gateway.placement.PrefixCacheIndex;
 import org.wigeonwharf.model.Addresses;
@@ -24,54 +27,73 @@
 import org.wigeonwharf.peer.FleetSecret;
 
 /**
- * Exchanges state with the other routers by a gossip protocol and tracks which of them are alive.
+ * Exchanges state with the other routers by a gossip protocol.
  *
- * <p>Routers discover each other through a few seed addresses and the peers that each message
- * lists. Each message holds the sender's complete in-flight work, so that the next one makes up for
- * a lost one. Changes are sent to routers of the same failure domain almost immediately, and to
- * those of other domains at a fixed interval. Not thread-safe.
+ * <p>Routers discover each other through a few seed addresses and the peers that messages list.
+ * Within a failure domain, each router sends its complete in-flight work to all others, so that the
+ * next message makes up for a lost one, and the time between messages grows with their number.
+ * Other failure domains receive one summary of the whole domain: one router sends it to one router
+ * of each other domain, which forwards it within its own. No router is appointed for this: those
+ * with lower ranks send if they learn of no summary by another for a little longer, so that a
+ * failed router delays the next summary only slightly. Not thread-safe.
  */
 public final class PeerGossip {
   /** Minimum time in ms between two messages to routers of the same failure domain. */
-  private static final long SAME_DOMAIN_MIN_INTERVAL_MILLIS = 20;
+  private static final long MIN_INTERVAL_MILLIS = 20;
 
   /**
-   * Time in ms between messages to routers of other failure domains. Traffic between failure
-   * domains is billed.
+   * Minimum time in ms, for each peer in the failure domain, between messages that add requests. It
+   * bounds the messages that each router receives to 500 a second in failure domains of any size.
    */
-  private static final long OTHER_DOMAIN_INTERVAL_MILLIS = 400;
+  private static final long ADDED_INTERVAL_MILLIS_PER_PEER = 2;
+
+  /**
+   * Minimum time in ms, for each peer in the failure domain, between messages that only report
+   * progress or ends of requests.
+   */
+  private static final long CHANGED_INTERVAL_MILLIS_PER_PEER = 8;
 
   /** Time in ms between messages to the same failure domain while nothing changes. */
   private static final long HEARTBEAT_INTERVAL_MILLIS = 400;
 
   /**
-   * Maximum age in ms of the prompt sends in a message to the same failure domain. It spans several
-   * messages, so that a lost one is made up for.
+   * Time in ms after the previous message at which a summary of another failure domain is forwarded
+   * if no other message carries it earlier.
    */
-  private static final long SAME_DOMAIN_SENDS_MAX_AGE_MILLIS = 100;
+  private static final long FORWARD_INTERVAL_MILLIS = 200;
+
+  /** Time in ms between summaries. Traffic between failure domains is billed. */
+  private static final long SUMMARY_INTERVAL_MILLIS = 400;
+
+  /** Time in ms, for each rank, that a router waits longer for another one to send a summary. */
+  private static final long SUMMARY_DELAY_MILLIS_PER_RANK = 30;
 
   /**
-   * Maximum age in ms of the prompt sends in a message to other failure domains. It also spans
-   * several messages.
+   * Further time in ms that a router waits while it may not know all peers of its failure domain,
+   * because it has just started.
    */
-  private static final long OTHER_DOMAIN_SENDS_MAX_AGE_MILLIS = 1_300;
+  private static final long SUMMARY_DELAY_MILLIS_AFTER_START = 200;
 
   /**
-   * Time in ms without a message after which a peer is removed: several lost heartbeats in a row.
+   * Maximum age in ms of the prompt sends in a message to the same failure domain. It spans several
+   * messages, so that a lost one is made up for.
    */
-  private static final long PEER_TIMEOUT_MILLIS = 2_500;
+  private static final long SAME_DOMAIN_SENDS_MAX_AGE_MILLIS = 100;
+
+  /** Maximum age in ms of the prompt sends in a summary. It also spans several messages. */
+  private static final long SUMMARY_SENDS_MAX_AGE_MILLIS = 1_300;
 
-  /** Time in ms between messages to seeds that are not known as peers. */
-  private static final long SEED_INTERVAL_MILLIS = 1_000;
+  /** Time in ms between messages to seeds or listed routers that are not known as peers. */
+  private static final long CONTACT_INTERVAL_MILLIS = 1_000;
 
-  /** Maximum number of peers listed in one message, so that it fits in one packet. */
+  /** Maximum number of peers listed in one message beside those of the receiver's domain. */
   private static final int MAX_ADVERTISED_PEERS = 12;
 
   /**
-   * Maximum number of receivers in other failure domains per interval, which bounds the traffic in
-   * fleets of any size.
+   * Maximum number of servers in a summary: those with the most requests. It bounds the size of a
+   * datagram to some 4 KB.
    */
-  private static final int OTHER_DOMAIN_FANOUT = 12;
+  private static final int MAX_SUMMARY_SERVERS = 120;
 
   private static final Logger LOG = LoggerFactory.getLogger(PeerGossip.class);
 
@@ -87,28 +109,20 @@
   private final DatagramSender sender;
   private final LongSupplier configVersion;
   private final LongConsumer onNewerConfig;
-  private final Map<InetSocketAddress, Peer> peers = new LinkedHashMap<>();
+  private final PeerTable peers;
+  private final List<ReceivedSummary> summariesToForward = new ArrayList<>();
+  private final Map<InetSocketAddress, Long> contactedAt = new HashMap<>();
+  private final long startedAt;
   private long sequence;
-  private long sentChangeCount = -1;
-  private long sameDomainSentAt;
-  private long otherDomainsSentAt;
+  private long sentChangeCount;
+  private long sentAddCount;
+  private long sentAt;
+  private long summariesSentAt;
+  private long membersSentAt;
   private long seedsSentAt;
   private boolean leaving;
 
-  /** Holds what another router stated in its last message. */
-  private static final class Peer {
-    private final InetSocketAddress address;
-    private FailureDomain domain;
-    private NodeId node;
-    private long sequence;
-    private long receivedAt;
-
-    Peer(InetSocketAddress address, FailureDomain domain, NodeId node) {
-      this.address = address;
-      this.domain = domain;
-      this.node = node;
-    }
-  }
+  private record ReceivedSummary(DomainSummary summary, long madeAt) {}
 
   /**
    * Creates an instance that knows no other router.
@@ -151,96 +165,182 @@
     this.sender = sender;
     this.configVersion = configVersion;
     this.onNewerConfig = onNewerConfig;
-    long now = clock.nanos();
-    this.sameDomainSentAt = now;
-    this.otherDomainsSentAt = now;
-    this.seedsSentAt = now - toNanos(SEED_INTERVAL_MILLIS);
+    this.peers = new PeerTable(domain, address, inFlight::removeReport);
+    this.startedAt = clock.nanos();
+    this.sentAt = startedAt;
+    this.summariesSentAt = startedAt;
+    this.membersSentAt = startedAt;
+    this.seedsSentAt = startedAt - toNanos(CONTACT_INTERVAL_MILLIS);
   }
 
   private static long toNanos(long millis) {
     return millis * Clock.NANOS_PER_MILLI;
   }
 
-  /** Sends the messages that are due and removes expired peers; called every few milliseconds. */
+  /** Sends the messages that are due and removes expired peers. */
   void tick() {
     long now = clock.nanos();
-    expirePeers(now);
-    long sinceSent = now - sameDomainSentAt;
-    boolean changed = inFlight.localChangeCount() != sentChangeCount;
-    if (sinceSent >= toNanos(HEARTBEAT_INTERVAL_MILLIS)
-        || changed && sinceSent >= toNanos(SAME_DOMAIN_MIN_INTERVAL_MILLIS)) {
-      sameDomainSentAt = now;
-      sentChangeCount = inFlight.localChangeCount();
-      sendState(selectPeers(true, Integer.MAX_VALUE), SAME_DOMAIN_SENDS_MAX_AGE_MILLIS);
+    peers.removeSilent(now);
+    boolean summariesSent = now - nextSummaryAt(now) >= 0;
+    if (summariesSent) {
+      sendSummaries(now);
     }
-    if (now - otherDomainsSentAt >= toNanos(OTHER_DOMAIN_INTERVAL_MILLIS)) {
-      otherDomainsSentAt = now;
-      sendState(selectPeers(false, OTHER_DOMAIN_FANOUT), OTHER_DOMAIN_SENDS_MAX_AGE_MILLIS);
+    // Peers learn immediately that they need not send the summaries.
+    if (summariesSent || now - nextStateAt() >= 0) {
+      sendStateToDomain(now, summariesSent);
     }
-    if (now - seedsSentAt >= toNanos(SEED_INTERVAL_MILLIS)) {
+    if (now - seedsSentAt >= toNanos(CONTACT_INTERVAL_MILLIS)) {
       seedsSentAt = now;
-      sendState(
-          seeds.stream().filter(s -> !peers.containsKey(s) && !s.equals(address)).toList(), 0);
+      contactedAt.values().removeIf(at -> now - at >= toNanos(CONTACT_INTERVAL_MILLIS));
+      seeds.forEach(seed -> contactIfUnknown(seed, now));
     }
   }
 
-  private void expirePeers(long now) {
-    for (Peer peer : List.copyOf(peers.values())) {
-      if (now - peer.receivedAt > toNanos(PEER_TIMEOUT_MILLIS)) {
-        remove(peer, "silent");
-      }
+  /** Returns the time in nanoseconds at which {@link #tick} has to be called next. */
+  long nextTickAt() {
+    long now = clock.nanos();
+    long next = seedsSentAt + toNanos(CONTACT_INTERVAL_MILLIS);
+    for (long at : new long[] {nextSummaryAt(now), nextStateAt(), peers.nextTimeoutAt(now)}) {
+      next = at - next < 0 ? at : next;
     }
+    return next;
   }
 
-  private void remove(Peer peer, String reason) {
-    peers.remove(peer.address);
-    inFlight.removePeer(peer.node.name());
-    logChange("peer.lost", peer, reason);
-  }
-
-  private List<InetSocketAddress> selectPeers(boolean sameDomain, int limit) {
-    List<InetSocketAddress> selected = new ArrayList<>();
-    for (Peer peer : peers.values()) {
-      if (peer.domain.equals(domain) == sameDomain) {
-        selected.add(peer.address);
-      }
+  private long nextStateAt() {
+    int peerCount = peers.localPeers().size();
+    if (inFlight.localAddCount() != sentAddCount) {
+      return sentAt + minInterval(ADDED_INTERVAL_MILLIS_PER_PEER * peerCount);
     }
-    if (selected.size() > limit) {
-      Collections.shuffle(selected, random);
-      return selected.subList(0, limit);
+    if (inFlight.localChangeCount() != sentChangeCount) {
+      return sentAt + minInterval(CHANGED_INTERVAL_MILLIS_PER_PEER * peerCount);
     }
-    return selected;
+    return sentAt
+        + toNanos(
+            summariesToForward.isEmpty() ? HEARTBEAT_INTERVAL_MILLIS : FORWARD_INTERVAL_MILLIS);
   }
 
-  private void sendState(Collection<InetSocketAddress> receivers, long sendsMaxAgeMillis) {
+  private static long minInterval(long millis) {
+    return toNanos(Math.min(HEARTBEAT_INTERVAL_MILLIS, Math.max(MIN_INTERVAL_MILLIS, millis)));
+  }
+
+  private long nextSummaryAt(long now) {
+    long rank = peers.listedPeers(now).stream().filter(p -> p.node().compareTo(self) < 0).count();
+    long delay = SUMMARY_INTERVAL_MILLIS + rank * SUMMARY_DELAY_MILLIS_PER_RANK;
+    return summariesSentAt
+        + toNanos(hasJustStarted(now) ? delay + SUMMARY_DELAY_MILLIS_AFTER_START : delay);
+  }
+
+  private boolean hasJustStarted(long now) {
+    return now - startedAt < toNanos(PeerTable.PEER_TIMEOUT_MILLIS);
+  }
+
+  /** Sends the summary of this failure domain to one router of each other one. */
+  private void sendSummaries(long now) {
+    summariesSentAt = now;
+    List<InetSocketAddress> receivers = peers.nextSummaryReceivers(now);
     if (receivers.isEmpty()) {
       return;
     }
-    byte[] datagram = codec.encode(buildState(toNanos(sendsMaxAgeMillis)));
+    byte[] datagram =
+        codec.encode(
+            newState()
+                .addSummaries(buildSummary(now))
+                .addAllMembers(advertisedPeers(null))
+                .build());
     receivers.forEach(r -> sender.send(r, datagram));
   }
 
-  private RouterNews buildState(long sendsMaxAgeNanos) {
-    RouterNews.Builder b =
-        RouterNews.newBuilder()
-            .setName(self.name())
-            .setIncarnation(self.incarnation())
-            .setSequence(++sequence)
-            .setSelf(encodeMember(address, domain))
-            .setConfigVersion(configVersion.getAsLong())
-            .setLeaving(leaving);
-    inFlight.localWork().forEach((server, work) -> b.addWork(GossipCodec.encodeWork(server, work)));
+  private DomainSummary buildSummary(long now) {
+    List<PeerTable.LocalPeer> listed = peers.listedPeers(now);
+    DomainSummary.Builder b =
+        DomainSummary.newBuilder()
+            .setFailureDomain(domain.value())
+            .setPartial(hasJustStarted(now))
+            .setUnresponsive(peers.hasUnresponsivePeers(now))
+            .addMembers(Addresses.format(address))
+            .setConfigVersion(configVersion.getAsLong());
+    listed.forEach(p -> b.addMembers(Addresses.format(p.address())));
+    List<String> sources = listed.stream().map(p -> p.node().name()).toList();
+    inFlight.workWith(sources, now).entrySet().stream()
+        .sorted(Comparator.comparingInt(e -> -e.getValue().running()))
+        .limit(MAX_SUMMARY_SERVERS)
+        .forEach(e -> b.addWork(GossipCodec.encodeWork(e.getKey(), e.getValue())));
     prefixCaches
-        .recentSends(sendsMaxAgeNanos, clock.nanos())
+        .recentDomainSends(toNanos(SUMMARY_SENDS_MAX_AGE_MILLIS), now)
         .forEach((server, parts) -> b.addReads(GossipCodec.encodeSends(server, parts)));
-    List<Peer> advertised = new ArrayList<>(peers.values());
-    Collections.shuffle(advertised, random);
-    advertised.stream()
-        .limit(MAX_ADVERTISED_PEERS)
-        .forEach(m -> b.addMembers(encodeMember(m.address, m.domain)));
     return b.build();
   }
 
+  /** Sends this router's own state to all routers of the same failure domain. */
+  private void sendStateToDomain(long now, boolean summariesSent) {
+    sentChangeCount = inFlight.localChangeCount();
+    sentAddCount = inFlight.localAddCount();
+    RouterNews.Builder b = newState().addAllWork(encodeLocalWork()).setSummariesSent(summariesSent);
+    prefixCaches
+        .recentSends(toNanos(SAME_DOMAIN_SENDS_MAX_AGE_MILLIS), now)
+        .forEach((server, parts) -> b.addReads(GossipCodec.encodeSends(server, parts)));
+    for (ReceivedSummary r : summariesToForward) {
+      int ageMillis = (int) ((now - r.madeAt) / Clock.NANOS_PER_MILLI);
+      b.addSummaries(r.summary.toBuilder().setAgeMillis(ageMillis));
+    }
+    summariesToForward.clear();
+    if (now - membersSentAt >= toNanos(HEARTBEAT_INTERVAL_MILLIS)) {
+      membersSentAt = now;
+      b.addAllMembers(advertisedPeers(null));
+    }
+    sentAt = now;
+    byte[] datagram = codec.encode(b.build());
+    peers.localPeers().forEach(p -> sender.send(p.address(), datagram));
+  }
+
+  private List<ServerWorkNews> encodeLocalWork() {
+    return inFlight.localWork().entrySet().stream()
+        .map(e -> GossipCodec.encodeWork(e.getKey(), e.getValue()))
+        .toList();
+  }
+
+  /** Sends this router's state to one other router, with peers for its discovery of the fleet. */
+  private void sendStateTo(
+      InetSocketAddress receiver, @Nullable FailureDomain itsDomain, boolean replyRequested) {
+    RouterNews.Builder b =
+        newState().setReplyRequested(replyRequested).addAllMembers(advertisedPeers(itsDomain));
+    if (domain.equals(itsDomain)) {
+      b.addAllWork(encodeLocalWork());
+    }
+    sender.send(receiver, codec.encode(b.build()));
+  }
+
+  private RouterNews.Builder newState() {
+    return RouterNews.newBuilder()
+        .setName(self.name())
+        .setIncarnation(self.incarnation())
+        .setSequence(++sequence)
+        .setSelf(encodeMember(address, domain))
+        .setConfigVersion(configVersion.getAsLong())
+        .setLeaving(leaving);
+  }
+
+  /** Returns some random peers, and all of one failure domain if that is given. */
+  private List<MemberNews> advertisedPeers(@Nullable FailureDomain wholeDomain) {
+    List<MemberNews> whole = new ArrayList<>();
+    List<MemberNews> others = new ArrayList<>();
+    peers
+        .localPeers()
+        .forEach(
+            p ->
+                (domain.equals(wholeDomain) ? whole : others)
+                    .add(encodeMember(p.address(), domain)));
+    peers
+        .remoteAddresses()
+        .forEach(
+            (d, addresses) ->
+                addresses.forEach(
+                    a -> (d.equals(wholeDomain) ? whole : others).add(encodeMember(a, d))));
+    Collections.shuffle(others, random);
+    whole.addAll(others.subList(0, Math.min(MAX_ADVERTISED_PEERS, others.size())));
+    return whole;
+  }
+
   private static MemberNews encodeMember(InetSocketAddress address, FailureDomain domain) {
     return MemberNews.newBuilder()
         .setAddress(Addresses.format(address))
@@ -270,37 +370,90 @@
     if (node.equals(self)) {
       return;
     }
-    InetSocketAddress peerAddress = Addresses.parse(state.getSelf().getAddress());
-    FailureDomain peerDomain = new FailureDomain(state.getSelf().getFailureDomain());
-    Peer peer = peers.get(peerAddress);
-    if (peer == null) {
-      peer = new Peer(peerAddress, peerDomain, node);
-      peers.put(peerAddress, peer);
-      logChange("peer.found", peer, "heard");
-    } else if (peer.node.equals(node) && state.getSequence() <= peer.sequence) {
-      return;
-    }
-    peer.node = node;
-    peer.domain = peerDomain;
-    peer.sequence = state.getSequence();
     long now = clock.nanos();
-    peer.receivedAt = now;
-    if (state.getLeaving()) {
-      remove(peer, "leaving");
-      return;
+    InetSocketAddress sender = Addresses.parse(state.getSelf().getAddress());
+    FailureDomain senderDomain = new FailureDomain(state.getSelf().getFailureDomain());
+    boolean unknown = !peers.knows(sender);
+    boolean sameDomain = senderDomain.equals(domain);
+    if (sameDomain) {
+      if (!applyLocalState(state, sender, node, now)) {
+        return;
+      }
+    } else {
+      peers.recordRemote(sender, senderDomain, now);
+    }
+    if (unknown || state.getReplyRequested()) {
+      sendStateTo(sender, senderDomain, false);
     }
-    inFlight.replacePeerWork(node.name(), GossipCodec.decodeWork(state), now);
-    prefixCaches.recordPeerSends(GossipCodec.decodeSends(state));
+    state.getSummariesList().forEach(s -> applySummary(s, !sameDomain, now));
     if (state.getConfigVersion() > configVersion.getAsLong()) {
       onNewerConfig.accept(state.getConfigVersion());
     }
-    state.getMembersList().forEach(this::contactIfUnknown);
+    state.getMembersList().forEach(m -> contactIfUseful(m, now));
   }
 
-  private void contactIfUnknown(MemberNews member) {
-    InetSocketAddress memberAddress = Addresses.parse(member.getAddress());
-    if (!memberAddress.equals(address) && !peers.containsKey(memberAddress)) {
-      sendState(List.of(memberAddress), 0);
+  /** Returns false if the message is older than another one, or the last of its sender. */
+  private boolean applyLocalState(
+      RouterNews state, InetSocketAddress sender, NodeId node, long now) {
+    if (state.getLeaving()) {
+      peers.removeLeaving(sender, now);
+      return false;
+    }
+    if (!peers.recordLocal(sender, node, state.getSequence(), now)) {
+      return false;
+    }
+    inFlight.replaceReport(node.name(), GossipCodec.decodeWork(state.getWorkList()), now);
+    prefixCaches.recordDomainSends(GossipCodec.decodeSends(state.getReadsList()), now);
+    if (state.getSummariesSent()) {
+      summariesSentAt = now;
+    }
+    return true;
+  }
+
+  private void applySummary(DomainSummary summary, boolean direct, long now) {
+    FailureDomain summarized = new FailureDomain(summary.getFailureDomain());
+    if (summarized.equals(domain)) {
+      return;
+    }
+    long madeAt = now - toNanos(Math.max(0, summary.getAgeMillis()));
+    List<InetSocketAddress> members =
+        summary.getMembersList().stream().map(Addresses::parse).toList();
+    peers.recordListed(summarized, members, !summary.getPartial(), madeAt, now);
+    peers.recordSummary(summarized, summary.getUnresponsive(), madeAt);
+    inFlight.replaceReport(
+        PeerTable.domainSource(summarized), GossipCodec.decodeWork(summary.getWorkList()), madeAt);
+    prefixCaches.recordRemoteSends(GossipCodec.decodeSends(summary.getReadsList()));
+    if (summary.getConfigVersion() > configVersion.getAsLong()) {
+      onNewerConfig.accept(summary.getConfigVersion());
+    }
+    // Another router of this domain that received a copy has forwarded it already.
+    long sameCopy = madeAt + toNanos(MIN_INTERVAL_MILLIS);
+    summariesToForward.removeIf(
+        r ->
+            r.summary.getFailureDomain().equals(summarized.value())
+                && (direct || r.madeAt - sameCopy <= 0));
+    if (direct) {
+      summariesToForward.add(new ReceivedSummary(summary, madeAt));
+    }
+  }
+
+  /**
+   * Contacts a listed router of the same failure domain, or of one without a known router. Others
+   * become known by the summaries of their failure domain.
+   */
+  private void contactIfUseful(MemberNews member, long now) {
+    FailureDomain memberDomain = new FailureDomain(member.getFailureDomain());
+    if (memberDomain.equals(domain) || !peers.knowsDomain(memberDomain)) {
+      contactIfUnknown(Addresses.parse(member.getAddress()), now);
+    }
+  }
+
+  private void contactIfUnknown(InetSocketAddress receiver, long now) {
+    Long last = contactedAt.get(receiver);
+    boolean recent = last != null && now - last < toNanos(CONTACT_INTERVAL_MILLIS);
+    if (!receiver.equals(address) && !recent && !peers.knows(receiver)) {
+      contactedAt.put(receiver, now);
+      sendStateTo(receiver, null, true);
     }
   }
 
@@ -313,24 +466,18 @@
     seeds = List.copyOf(next);
   }
 
-  /** Announces to all known routers that this one is leaving. */
+  /**
+   * Announces to the routers of the same failure domain that this one is leaving. The next summary
+   * tells the others.
+   */
   void announceLeave() {
     leaving = true;
-    sendState(List.copyOf(peers.keySet()), 0);
+    byte[] datagram = codec.encode(newState().build());
+    peers.localPeers().forEach(p -> sender.send(p.address(), datagram));
   }
 
   /** Returns the number of other routers that are considered alive. */
   public int peerCount() {
     return peers.size();
   }
-
-  private void logChange(String event, Peer peer, String reason) {
-    LOG.atInfo()
-        .addKeyValue("event", event)
-        .addKeyValue("peer", peer.node.toString())
-        .addKeyValue("failure_domain", peer.domain.value())
-        .addKeyValue("age_ms", (clock.nanos() - peer.receivedAt) / Clock.NANOS_PER_MILLI)
-        .addKeyValue("reason", reason)
-        .log("peer router list changed");
-  }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/InFlightTracker.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/InFlightTracker.java
@@ -1,6 +1,8 @@
 package org.wigeonwharf.gateway.placement;
 
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -8,15 +10,21 @@
  * as last reported.
  *
  * <p>Load reports of servers are delayed, whereas requests that are sent and not yet ended are
- * known immediately. Not thread-safe.
+ * known immediately. The reports of all peers are kept as one sum per server, so that a placement
+ * decision costs the same in fleets of any size. Not thread-safe.
  */
 public final class InFlightTracker {
-  private final long peerMaxAgeNanos;
+  private final long reportMaxAgeNanos;
   private final Map<String, ServerWork> localWork = new HashMap<>();
-  private final Map<String, PeerWork> peerWork = new HashMap<>();
+  private final Map<String, Report> reports = new HashMap<>();
+  private final Map<String, ServerWork> reportedTotal = new HashMap<>();
+  // No report expires before this time.
+  private long nextExpiryCheckAt;
   private long localChangeCount;
+  private long localAddCount;
+  private Runnable onLocalChange = () -> {};
 
-  private record PeerWork(Map<String, ServerWork> servers, long receivedAt) {}
+  private record Report(Map<String, ServerWork> servers, long reportedAt) {}
 
   /** Represents one request at one server until it ends. */
   public final class Entry {
@@ -50,10 +58,19 @@
   /**
    * Creates a tracker without requests.
    *
-   * @param peerMaxAgeNanos maximum age of a peer's report; older ones are ignored
+   * @param reportMaxAgeNanos maximum age of a report; older ones are ignored
    */
-  public InFlightTracker(long peerMaxAgeNanos) {
-    this.peerMaxAgeNanos = peerMaxAgeNanos;
+  public InFlightTracker(long reportMaxAgeNanos) {
+    this.reportMaxAgeNanos = reportMaxAgeNanos;
+  }
+
+  /**
+   * Sets the action that runs after each change of this router's own work.
+   *
+   * @param action runs on the thread of the change
+   */
+  public void onLocalChange(Runnable action) {
+    onLocalChange = action;
   }
 
   /**
@@ -66,45 +83,73 @@
    */
   public Entry add(String server, Demand demand, int prefillTokens) {
     long kvCacheTokens = (long) demand.promptTokens() + demand.outputTokens();
+    localAddCount++;
     return new Entry(
         server, new ServerWork(1, demand.latencySensitivity(), prefillTokens, kvCacheTokens));
   }
 
   private void adjust(String server, ServerWork from, ServerWork to) {
-    ServerWork w = localWork.getOrDefault(server, ServerWork.NONE);
-    ServerWork next =
-        new ServerWork(
-            w.running() - from.running() + to.running(),
-            Math.max(
-                0, w.latencySensitivity() - from.latencySensitivity() + to.latencySensitivity()),
-            w.prefillTokens() - from.prefillTokens() + to.prefillTokens(),
-            w.kvCacheTokens() - from.kvCacheTokens() + to.kvCacheTokens());
+    replace(localWork, server, from, to);
+    localChangeCount++;
+    onLocalChange.run();
+  }
+
+  private static void replace(
+      Map<String, ServerWork> total, String server, ServerWork from, ServerWork to) {
+    ServerWork next = total.getOrDefault(server, ServerWork.NONE).minus(from).plus(to);
     if (next.isNone()) {
-      localWork.remove(server);
+      total.remove(server);
     } else {
-      localWork.put(server, next);
+      total.put(server, next);
     }
-    localChangeCount++;
   }
 
   /**
-   * Replaces the recorded work of a peer by that of its newer report.
+   * Replaces the recorded work of a source by that of its newer report.
    *
-   * @param peer the peer's name
-   * @param servers the peer's complete in-flight work by server id
-   * @param now the current time in nanoseconds
+   * @param source identifies a peer, or a group of peers that reports the sum of its work
+   * @param servers the source's complete in-flight work by server id
+   * @param reportedAt the time of the report in nanoseconds
    */
-  public void replacePeerWork(String peer, Map<String, ServerWork> servers, long now) {
-    peerWork.put(peer, new PeerWork(Map.copyOf(servers), now));
+  public void replaceReport(String source, Map<String, ServerWork> servers, long reportedAt) {
+    removeReport(source);
+    long expiresAt = reportedAt + reportMaxAgeNanos;
+    if (reports.isEmpty() || expiresAt - nextExpiryCheckAt < 0) {
+      nextExpiryCheckAt = expiresAt;
+    }
+    reports.put(source, new Report(Map.copyOf(servers), reportedAt));
+    servers.forEach((server, work) -> replace(reportedTotal, server, ServerWork.NONE, work));
   }
 
   /**
-   * Removes a peer that has left the fleet.
+   * Removes the recorded work of a source that has left the fleet.
    *
-   * @param peer the peer's name
+   * @param source identifies a peer or a group of peers
    */
-  public void removePeer(String peer) {
-    peerWork.remove(peer);
+  public void removeReport(String source) {
+    Report old = reports.remove(source);
+    if (old != null) {
+      subtract(old);
+    }
+  }
+
+  private void subtract(Report report) {
+    report.servers.forEach((server, work) -> replace(reportedTotal, server, work, ServerWork.NONE));
+  }
+
+  private void removeExpired(long now) {
+    if (reports.isEmpty() || now - nextExpiryCheckAt <= 0) {
+      return;
+    }
+    nextExpiryCheckAt = now + reportMaxAgeNanos;
+    for (Map.Entry<String, Report> e : List.copyOf(reports.entrySet())) {
+      long expiresAt = e.getValue().reportedAt + reportMaxAgeNanos;
+      if (now - expiresAt > 0) {
+        removeReport(e.getKey());
+      } else if (expiresAt - nextExpiryCheckAt < 0) {
+        nextExpiryCheckAt = expiresAt;
+      }
+    }
   }
 
   /**
@@ -112,16 +157,13 @@
    *
    * @param server the server's id
    * @param now the current time in nanoseconds
-   * @return the work of this router and of the peers with a recent report
+   * @return the work of this router and of the sources with a recent report
    */
   public ServerWork workAt(String server, long now) {
-    ServerWork sum = localWork.getOrDefault(server, ServerWork.NONE);
-    for (PeerWork p : peerWork.values()) {
-      if (now - p.receivedAt <= peerMaxAgeNanos) {
-        sum = sum.plus(p.servers.getOrDefault(server, ServerWork.NONE));
-      }
-    }
-    return sum;
+    removeExpired(now);
+    return localWork
+        .getOrDefault(server, ServerWork.NONE)
+        .plus(reportedTotal.getOrDefault(server, ServerWork.NONE));
   }
 
   /** Returns this router's own work by server id. */
@@ -129,8 +171,32 @@
     return Map.copyOf(localWork);
   }
 
+  /**
+   * Returns the sum of this router's own work and that of some sources.
+   *
+   * @param sources the sources to include; those without a recent report are left out
+   * @param now the current time in nanoseconds
+   * @return the work by server id
+   */
+  public Map<String, ServerWork> workWith(Collection<String> sources, long now) {
+    removeExpired(now);
+    Map<String, ServerWork> sum = new HashMap<>(localWork);
+    for (String source : sources) {
+      Report report = reports.get(source);
+      if (report != null) {
+        report.servers.forEach((server, work) -> sum.merge(server, work, ServerWork::plus));
+      }
+    }
+    return sum;
+  }
+
   /** Returns the number of changes of this router's own work so far. */
   public long localChangeCount() {
     return localChangeCount;
   }
+
+  /** Returns the number of requests that this router has added so far. */
+  public long localAddCount() {
+    return localAddCount;
+  }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/PrefixCacheIndex.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/PrefixCacheIndex.java
@@ -30,6 +30,7 @@
 
   private final Map<String, PrefixCacheEstimate> caches = new HashMap<>();
   private final Deque<Send> recentSends = new ArrayDeque<>();
+  private final Deque<Send> recentDomainSends = new ArrayDeque<>();
 
   private record Send(String server, List<PromptPart> shared, long sentAt) {}
 
@@ -43,11 +44,16 @@
   public void recordSent(String server, List<PromptPart> parts, long now) {
     cacheOf(server).recordPrompt(parts);
     if (parts.size() > 1) {
-      recentSends.addLast(new Send(server, List.copyOf(parts.subList(0, parts.size() - 1)), now));
+      Send send = new Send(server, List.copyOf(parts.subList(0, parts.size() - 1)), now);
+      addRecent(recentSends, send);
+      addRecent(recentDomainSends, send);
     }
-    while (!recentSends.isEmpty()
-        && now - recentSends.getFirst().sentAt > SENDS_MAX_AGE_MILLIS * Clock.NANOS_PER_MILLI) {
-      recentSends.removeFirst();
+  }
+
+  private static void addRecent(Deque<Send> sends, Send send) {
+    sends.addLast(send);
+    while (send.sentAt - sends.getFirst().sentAt > SENDS_MAX_AGE_MILLIS * Clock.NANOS_PER_MILLI) {
+      sends.removeFirst();
     }
   }
 
@@ -59,25 +65,57 @@
    * @return shared parts by engine id, most recent sends first; limited to what fits in one packet
    */
   public Map<String, List<PromptPart>> recentSends(long maxAgeNanos, long now) {
+    return newestFirst(recentSends, maxAgeNanos, now);
+  }
+
+  /**
+   * Returns the shared parts that the routers of this failure domain have sent recently, to be
+   * advertised to other failure domains.
+   *
+   * @param maxAgeNanos the maximum age of a send
+   * @param now the current time in nanoseconds
+   * @return shared parts by engine id, most recent sends first; limited to what fits in one packet
+   */
+  public Map<String, List<PromptPart>> recentDomainSends(long maxAgeNanos, long now) {
+    return newestFirst(recentDomainSends, maxAgeNanos, now);
+  }
+
+  private static Map<String, List<PromptPart>> newestFirst(
+      Deque<Send> sends, long maxAgeNanos, long now) {
     Map<String, List<PromptPart>> advertised = new LinkedHashMap<>();
-    Iterator<Send> newest = recentSends.descendingIterator();
-    for (int n = 0; n < MAX_ADVERTISED_SENDS && newest.hasNext(); n++) {
+    Iterator<Send> newest = sends.descendingIterator();
+    int added = 0;
+    while (added < MAX_ADVERTISED_SENDS && newest.hasNext()) {
       Send send = newest.next();
       if (now - send.sentAt > maxAgeNanos) {
         break;
       }
       List<PromptPart> parts = advertised.computeIfAbsent(send.server, s -> new ArrayList<>());
-      send.shared.stream().filter(p -> !parts.contains(p)).forEach(parts::add);
+      List<PromptPart> missing = send.shared.stream().filter(p -> !parts.contains(p)).toList();
+      parts.addAll(missing);
+      added += missing.isEmpty() ? 0 : 1;
     }
     return advertised;
   }
 
   /**
-   * Records the prompts that a peer has sent to engines.
+   * Records the prompts that a peer of this failure domain has sent to engines.
+   *
+   * @param sends shared parts by engine id
+   * @param now the current time in nanoseconds
+   */
+  public void recordDomainSends(Map<String, List<PromptPart>> sends, long now) {
+    recordRemoteSends(sends);
+    sends.forEach(
+        (server, parts) -> addRecent(recentDomainSends, new Send(server, List.copyOf(parts), now)));
+  }
+
+  /**
+   * Records the prompts that routers of other failure domains have sent to engines.
    *
    * @param sends shared parts by engine id
    */
-  public void recordPeerSends(Map<String, List<PromptPart>> sends) {
+  public void recordRemoteSends(Map<String, List<PromptPart>> sends) {
     sends.forEach((server, parts) -> cacheOf(server).recordPrompt(parts));
   }
 
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerWork.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerWork.java
@@ -28,6 +28,20 @@
         kvCacheTokens + other.kvCacheTokens);
   }
 
+  /**
+   * Returns the difference of this and other work.
+   *
+   * @param other work that is part of this one
+   * @return the rest
+   */
+  public ServerWork minus(ServerWork other) {
+    return new ServerWork(
+        running - other.running,
+        Math.max(0, latencySensitivity - other.latencySensitivity),
+        prefillTokens - other.prefillTokens,
+        kvCacheTokens - other.kvCacheTokens);
+  }
+
   /** Tells whether no request is in flight. */
   public boolean isNone() {
     return running == 0;
