--- /dev/null
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/NettyBackendConnectorTest.java
@@ -0,0 +1,191 @@
+package org.wigeonwharf.gateway.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.wigeonwharf.gateway.backend.BackendServer;
+import org.wigeonwharf.model.FailureDomain;
+
+/**
+ * Guards, over real connections, against requests that reach a server after they were cancelled,
+ * and against servers that send bytes without end.
+ */
+@Timeout(30)
+class NettyBackendConnectorTest {
+  private static final long WAIT_SECONDS = 10;
+  private static final String OK = "HTTP/1.1 200 OK\r\n";
+  private static final String CHUNKED = OK + "Transfer-Encoding: chunked\r\n\r\n";
+
+  private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
+  private NioEventLoopGroup loops;
+  private ServerSocket listener;
+
+  @BeforeEach
+  void openServer() throws IOException {
+    loops = new NioEventLoopGroup(1);
+    listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+  }
+
+  @AfterEach
+  void closeServer() throws IOException {
+    listener.close();
+    loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  /** Records what the connector reports. */
+  private final class Recorder implements AttemptListener {
+    @Override
+    public void onUnreachable(String reason) {
+      events.add("unreachable");
+    }
+
+    @Override
+    public void onHead(int status, HttpHeaders headers) {
+      events.add("head");
+    }
+
+    @Override
+    public void onData(byte[] bytes) {}
+
+    @Override
+    public void onComplete() {
+      events.add("complete");
+    }
+
+    @Override
+    public void onConnectionLost(String reason) {
+      events.add("lost");
+    }
+  }
+
+  private Attempt send() {
+    BackendServer server =
+        new BackendServer(
+            "s",
+            "service",
+            new InetSocketAddress(listener.getInetAddress(), listener.getLocalPort()),
+            new FailureDomain("d"),
+            6,
+            false,
+            1);
+    OutboundRequest request =
+        new OutboundRequest(
+            HttpMethod.GET, "/", new DefaultHttpHeaders().set("host", "h"), new byte[0]);
+    return new NettyBackendConnector(loops.next()).send(server, request, new Recorder());
+  }
+
+  private String nextEvent() throws InterruptedException {
+    return String.valueOf(events.poll(WAIT_SECONDS, TimeUnit.SECONDS));
+  }
+
+  @Test
+  void cancelledRequestResetsItsConnection() throws Exception {
+    Attempt attempt = send();
+    try (Socket server = listener.accept()) {
+      assertTrue(server.getInputStream().read() > 0);
+      loops.next().submit(attempt::cancel).get();
+      // An orderly close would be read as the end of the stream.
+      assertThrows(SocketException.class, () -> server.getInputStream().readAllBytes());
+    }
+  }
+
+  @Test
+  void endlessStatusLineFailsTheAttempt() throws Exception {
+    assertAttemptFails("HTTP/1.1 200 ", "X");
+  }
+
+  @Test
+  void endlessBytesThatAreNotHttpFailTheAttempt() throws Exception {
+    assertAttemptFails("", "X");
+  }
+
+  @Test
+  void endlessHeaderFieldFailsTheAttempt() throws Exception {
+    assertAttemptFails(OK + "X-Field: ", "X");
+  }
+
+  @Test
+  void endlessHeaderFieldsFailTheAttempt() throws Exception {
+    assertAttemptFails(OK, "X-Field: 1\r\n");
+  }
+
+  @Test
+  void endlessChunkSizeFailsTheAttempt() throws Exception {
+    assertAttemptFails(CHUNKED, "0");
+  }
+
+  @Test
+  void endlessChunkExtensionFailsTheAttempt() throws Exception {
+    assertAttemptFails(CHUNKED + "1;extension=", "X");
+  }
+
+  @Test
+  void endlessTrailersFailTheAttempt() throws Exception {
+    assertAttemptFails(CHUNKED + "0\r\n", "X-Field: 1\r\n");
+  }
+
+  @Test
+  void endlessInterimResponsesFailTheAttempt() throws Exception {
+    assertAttemptFails("", "HTTP/1.1 102 Processing\r\n\r\n");
+  }
+
+  @Test
+  void bytesWhereNoBodyIsDueAreNotRead() throws Exception {
+    assertAttemptCompletes("HTTP/1.1 204 No Content\r\n\r\n", "X");
+  }
+
+  @Test
+  void secondCopyOfAnAnswerIsNotRead() throws Exception {
+    String answer = OK + "Content-Length: 1\r\n\r\nX";
+    assertAttemptCompletes(answer, answer);
+  }
+
+  private void assertAttemptFails(String head, String repeated) throws Exception {
+    send();
+    try (Socket server = listener.accept()) {
+      assertThrows(IOException.class, () -> writeWithoutEnd(server, head, repeated));
+    }
+    String first = nextEvent();
+    assertEquals("lost", first.equals("head") ? nextEvent() : first);
+  }
+
+  private void assertAttemptCompletes(String answer, String repeated) throws Exception {
+    send();
+    try (Socket server = listener.accept()) {
+      assertThrows(IOException.class, () -> writeWithoutEnd(server, answer, repeated));
+    }
+    assertEquals("head", nextEvent());
+    assertEquals("complete", nextEvent());
+    assertTrue(events.isEmpty());
+  }
+
+  private static void writeWithoutEnd(Socket server, String head, String repeated)
+      throws IOException {
+    OutputStream out = server.getOutputStream();
+    out.write(head.getBytes(StandardCharsets.US_ASCII));
+    byte[] block = repeated.repeat(1_000).getBytes(StandardCharsets.US_ASCII);
+    while (true) {
+      out.write(block);
+    }
+  }
+}
--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/DomainSummary.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/DomainSummary.java
@@ -278,15 +278,19 @@
     return reads_.get(index);
   }
 
-  public static final int CONFIG_VERSION_FIELD_NUMBER = 7;
-  private long configVersion_ = 0L;
+  public static final int STORE_REVISION_FIELD_NUMBER = 7;
+  private long storeRevision_ = 0L;
   /**
-   * <code>int64 config_version = 7;</code>
-   * @return The configVersion.
+   * <pre>
+   * Highest store revision that a router of the failure domain has read.
+   * </pre>
+   *
+   * <code>int64 store_revision = 7;</code>
+   * @return The storeRevision.
    */
   @java.lang.Override
-  public long getConfigVersion() {
-    return configVersion_;
+  public long getStoreRevision() {
+    return storeRevision_;
   }
 
   public static final int UNRESPONSIVE_FIELD_NUMBER = 8;
@@ -336,8 +340,8 @@
     for (int i = 0; i < reads_.size(); i++) {
       output.writeMessage(6, reads_.get(i));
     }
-    if (configVersion_ != 0L) {
-      output.writeInt64(7, configVersion_);
+    if (storeRevision_ != 0L) {
+      output.writeInt64(7, storeRevision_);
     }
     if (unresponsive_ != false) {
       output.writeBool(8, unresponsive_);
@@ -378,9 +382,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(6, reads_.get(i));
     }
-    if (configVersion_ != 0L) {
+    if (storeRevision_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(7, configVersion_);
+        .computeInt64Size(7, storeRevision_);
     }
     if (unresponsive_ != false) {
       size += com.google.protobuf.CodedOutputStream
@@ -413,8 +417,8 @@
         .equals(other.getWorkList())) return false;
     if (!getReadsList()
         .equals(other.getReadsList())) return false;
-    if (getConfigVersion()
-        != other.getConfigVersion()) return false;
+    if (getStoreRevision()
+        != other.getStoreRevision()) return false;
     if (getUnresponsive()
         != other.getUnresponsive()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
@@ -447,9 +451,9 @@
       hash = (37 * hash) + READS_FIELD_NUMBER;
       hash = (53 * hash) + getReadsList().hashCode();
     }
-    hash = (37 * hash) + CONFIG_VERSION_FIELD_NUMBER;
+    hash = (37 * hash) + STORE_REVISION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getConfigVersion());
+        getStoreRevision());
     hash = (37 * hash) + UNRESPONSIVE_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getUnresponsive());
@@ -609,7 +613,7 @@
         readsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000020);
-      configVersion_ = 0L;
+      storeRevision_ = 0L;
       unresponsive_ = false;
       return this;
     }
@@ -680,7 +684,7 @@
         result.members_ = members_;
       }
       if (((from_bitField0_ & 0x00000040) != 0)) {
-        result.configVersion_ = configVersion_;
+        result.storeRevision_ = storeRevision_;
       }
       if (((from_bitField0_ & 0x00000080) != 0)) {
         result.unresponsive_ = unresponsive_;
@@ -772,8 +776,8 @@
           }
         }
       }
-      if (other.getConfigVersion() != 0L) {
-        setConfigVersion(other.getConfigVersion());
+      if (other.getStoreRevision() != 0L) {
+        setStoreRevision(other.getStoreRevision());
       }
       if (other.getUnresponsive() != false) {
         setUnresponsive(other.getUnresponsive());
@@ -852,7 +856,7 @@
               break;
             } // case 50
             case 56: {
-              configVersion_ = input.readInt64();
+              storeRevision_ = input.readInt64();
               bitField0_ |= 0x00000040;
               break;
             } // case 56
@@ -1737,34 +1741,46 @@
       return readsBuilder_;
     }
 
-    private long configVersion_ ;
+    private long storeRevision_ ;
     /**
-     * <code>int64 config_version = 7;</code>
-     * @return The configVersion.
+     * <pre>
+     * Highest store revision that a router of the failure domain has read.
+     * </pre>
+     *
+     * <code>int64 store_revision = 7;</code>
+     * @return The storeRevision.
      */
     @java.lang.Override
-    public long getConfigVersion() {
-      return configVersion_;
+    public long getStoreRevision() {
+      return storeRevision_;
     }
     /**
-     * <code>int64 config_version = 7;</code>
-     * @param value The configVersion to set.
+     * <pre>
+     * Highest store revision that a router of the failure domain has read.
+     * </pre>
+     *
+     * <code>int64 store_revision = 7;</code>
+     * @param value The storeRevision to set.
      * @return This builder for chaining.
      */
-    public Builder setConfigVersion(long value) {
+    public Builder setStoreRevision(long value) {
 
-      configVersion_ = value;
+      storeRevision_ = value;
       bitField0_ |= 0x00000040;
       onChanged();
       return this;
     }
     /**
-     * <code>int64 config_version = 7;</code>
+     * <pre>
+     * Highest store revision that a router of the failure domain has read.
+     * </pre>
+     *
+     * <code>int64 store_revision = 7;</code>
      * @return This builder for chaining.
      */
-    public Builder clearConfigVersion() {
+    public Builder clearStoreRevision() {
       bitField0_ = (bitField0_ & ~0x00000040);
-      configVersion_ = 0L;
+      storeRevision_ = 0L;
       onChanged();
       return this;
     }
--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/DomainSummaryOrBuilder.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/DomainSummaryOrBuilder.java
@@ -152,10 +152,14 @@
       int index);
 
   /**
-   * <code>int64 config_version = 7;</code>
-   * @return The configVersion.
+   * <pre>
+   * Highest store revision that a router of the failure domain has read.
+   * </pre>
+   *
+   * <code>int64 store_revision = 7;</code>
+   * @return The storeRevision.
    */
-  long getConfigVersion();
+  long getStoreRevision();
 
   /**
    * <pre>
--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/GatewayProto.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/GatewayProto.java
@@ -76,21 +76,22 @@
       "ge_millis\030\002 \001(\r\022\017\n\007partial\030\003 \001(\010\022\017\n\007memb" +
       "ers\030\004 \003(\t\0221\n\004work\030\005 \003(\0132#.wigeonwharf.ga" +
       "teway.ServerWorkNews\0222\n\005reads\030\006 \003(\0132#.wi" +
-      "geonwharf.gateway.PromptReadNews\022\026\n\016conf" +
-      "ig_version\030\007 \001(\003\022\024\n\014unresponsive\030\010 \001(\010\"\232" +
+      "geonwharf.gateway.PromptReadNews\022\026\n\016stor" +
+      "e_revision\030\007 \001(\003\022\024\n\014unresponsive\030\010 \001(\010\"\240" +
       "\003\n\nRouterNews\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnati" +
       "on\030\002 \001(\003\022\020\n\010sequence\030\003 \001(\003\022-\n\004self\030\004 \001(\013" +
-      "2\037.wigeonwharf.gateway.MemberNews\022\026\n\016con" +
-      "fig_version\030\005 \001(\003\022\017\n\007leaving\030\006 \001(\010\0221\n\004wo" +
-      "rk\030\007 \003(\0132#.wigeonwharf.gateway.ServerWor" +
-      "kNews\0220\n\007members\030\010 \003(\0132\037.wigeonwharf.gat" +
-      "eway.MemberNews\0222\n\005reads\030\t \003(\0132#.wigeonw" +
-      "harf.gateway.PromptReadNews\0225\n\tsummaries" +
-      "\030\n \003(\0132\".wigeonwharf.gateway.DomainSumma" +
-      "ry\022\026\n\016summaries_sent\030\013 \001(\010\022\027\n\017reply_requ" +
-      "ested\030\014 \001(\010\"-\n\nSignedNews\022\014\n\004news\030\001 \001(\014\022" +
-      "\021\n\tsignature\030\002 \001(\014B3\n!org.wigeonwharf.ga" +
-      "teway.peer.wireB\014GatewayProtoP\001b\006proto3"
+      "2\037.wigeonwharf.gateway.MemberNews\022\017\n\007lea" +
+      "ving\030\006 \001(\010\0221\n\004work\030\007 \003(\0132#.wigeonwharf.g" +
+      "ateway.ServerWorkNews\0220\n\007members\030\010 \003(\0132\037" +
+      ".wigeonwharf.gateway.MemberNews\0222\n\005reads" +
+      "\030\t \003(\0132#.wigeonwharf.gateway.PromptReadN" +
+      "ews\0225\n\tsummaries\030\n \003(\0132\".wigeonwharf.gat" +
+      "eway.DomainSummary\022\026\n\016summaries_sent\030\013 \001" +
+      "(\010\022\027\n\017reply_requested\030\014 \001(\010\022\026\n\016store_rev" +
+      "ision\030\r \001(\003J\004\010\005\020\006\"-\n\nSignedNews\022\014\n\004news\030" +
+      "\001 \001(\014\022\021\n\tsignature\030\002 \001(\014B3\n!org.wigeonwh" +
+      "arf.gateway.peer.wireB\014GatewayProtoP\001b\006p" +
+      "roto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -119,13 +120,13 @@
     internal_static_wigeonwharf_gateway_DomainSummary_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_DomainSummary_descriptor,
-        new java.lang.String[] { "FailureDomain", "AgeMillis", "Partial", "Members", "Work", "Reads", "ConfigVersion", "Unresponsive", });
+        new java.lang.String[] { "FailureDomain", "AgeMillis", "Partial", "Members", "Work", "Reads", "StoreRevision", "Unresponsive", });
     internal_static_wigeonwharf_gateway_RouterNews_descriptor =
       getDescriptor().getMessageType(4);
     internal_static_wigeonwharf_gateway_RouterNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_RouterNews_descriptor,
-        new java.lang.String[] { "Name", "Incarnation", "Sequence", "Self", "ConfigVersion", "Leaving", "Work", "Members", "Reads", "Summaries", "SummariesSent", "ReplyRequested", });
+        new java.lang.String[] { "Name", "Incarnation", "Sequence", "Self", "Leaving", "Work", "Members", "Reads", "Summaries", "SummariesSent", "ReplyRequested", "StoreRevision", });
     internal_static_wigeonwharf_gateway_SignedNews_descriptor =
       getDescriptor().getMessageType(5);
     internal_static_wigeonwharf_gateway_SignedNews_fieldAccessorTable = new
--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNews.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNews.java
@@ -141,17 +141,6 @@
     return self_ == null ? org.wigeonwharf.gateway.peer.wire.MemberNews.getDefaultInstance() : self_;
   }
 
-  public static final int CONFIG_VERSION_FIELD_NUMBER = 5;
-  private long configVersion_ = 0L;
-  /**
-   * <code>int64 config_version = 5;</code>
-   * @return The configVersion.
-   */
-  @java.lang.Override
-  public long getConfigVersion() {
-    return configVersion_;
-  }
-
   public static final int LEAVING_FIELD_NUMBER = 6;
   private boolean leaving_ = false;
   /**
@@ -397,6 +386,21 @@
     return replyRequested_;
   }
 
+  public static final int STORE_REVISION_FIELD_NUMBER = 13;
+  private long storeRevision_ = 0L;
+  /**
+   * <pre>
+   * Revision of the last change that the sender has read from the store.
+   * </pre>
+   *
+   * <code>int64 store_revision = 13;</code>
+   * @return The storeRevision.
+   */
+  @java.lang.Override
+  public long getStoreRevision() {
+    return storeRevision_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -423,9 +427,6 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(4, getSelf());
     }
-    if (configVersion_ != 0L) {
-      output.writeInt64(5, configVersion_);
-    }
     if (leaving_ != false) {
       output.writeBool(6, leaving_);
     }
@@ -447,6 +448,9 @@
     if (replyRequested_ != false) {
       output.writeBool(12, replyRequested_);
     }
+    if (storeRevision_ != 0L) {
+      output.writeInt64(13, storeRevision_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -471,10 +475,6 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(4, getSelf());
     }
-    if (configVersion_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(5, configVersion_);
-    }
     if (leaving_ != false) {
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(6, leaving_);
@@ -503,6 +503,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(12, replyRequested_);
     }
+    if (storeRevision_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(13, storeRevision_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -529,8 +533,6 @@
       if (!getSelf()
           .equals(other.getSelf())) return false;
     }
-    if (getConfigVersion()
-        != other.getConfigVersion()) return false;
     if (getLeaving()
         != other.getLeaving()) return false;
     if (!getWorkList()
@@ -545,6 +547,8 @@
         != other.getSummariesSent()) return false;
     if (getReplyRequested()
         != other.getReplyRequested()) return false;
+    if (getStoreRevision()
+        != other.getStoreRevision()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -568,9 +572,6 @@
       hash = (37 * hash) + SELF_FIELD_NUMBER;
       hash = (53 * hash) + getSelf().hashCode();
     }
-    hash = (37 * hash) + CONFIG_VERSION_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getConfigVersion());
     hash = (37 * hash) + LEAVING_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getLeaving());
@@ -596,6 +597,9 @@
     hash = (37 * hash) + REPLY_REQUESTED_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getReplyRequested());
+    hash = (37 * hash) + STORE_REVISION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getStoreRevision());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -750,7 +754,6 @@
         selfBuilder_.dispose();
         selfBuilder_ = null;
       }
-      configVersion_ = 0L;
       leaving_ = false;
       if (workBuilder_ == null) {
         work_ = java.util.Collections.emptyList();
@@ -758,30 +761,31 @@
         work_ = null;
         workBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000040);
+      bitField0_ = (bitField0_ & ~0x00000020);
       if (membersBuilder_ == null) {
         members_ = java.util.Collections.emptyList();
       } else {
         members_ = null;
         membersBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000080);
+      bitField0_ = (bitField0_ & ~0x00000040);
       if (readsBuilder_ == null) {
         reads_ = java.util.Collections.emptyList();
       } else {
         reads_ = null;
         readsBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000100);
+      bitField0_ = (bitField0_ & ~0x00000080);
       if (summariesBuilder_ == null) {
         summaries_ = java.util.Collections.emptyList();
       } else {
         summaries_ = null;
         summariesBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000200);
+      bitField0_ = (bitField0_ & ~0x00000100);
       summariesSent_ = false;
       replyRequested_ = false;
+      storeRevision_ = 0L;
       return this;
     }
 
@@ -816,36 +820,36 @@
 
     private void buildPartialRepeatedFields(org.wigeonwharf.gateway.peer.wire.RouterNews result) {
       if (workBuilder_ == null) {
-        if (((bitField0_ & 0x00000040) != 0)) {
+        if (((bitField0_ & 0x00000020) != 0)) {
           work_ = java.util.Collections.unmodifiableList(work_);
-          bitField0_ = (bitField0_ & ~0x00000040);
+          bitField0_ = (bitField0_ & ~0x00000020);
         }
         result.work_ = work_;
       } else {
         result.work_ = workBuilder_.build();
       }
       if (membersBuilder_ == null) {
-        if (((bitField0_ & 0x00000080) != 0)) {
+        if (((bitField0_ & 0x00000040) != 0)) {
           members_ = java.util.Collections.unmodifiableList(members_);
-          bitField0_ = (bitField0_ & ~0x00000080);
+          bitField0_ = (bitField0_ & ~0x00000040);
         }
         result.members_ = members_;
       } else {
         result.members_ = membersBuilder_.build();
       }
       if (readsBuilder_ == null) {
-        if (((bitField0_ & 0x00000100) != 0)) {
+        if (((bitField0_ & 0x00000080) != 0)) {
           reads_ = java.util.Collections.unmodifiableList(reads_);
-          bitField0_ = (bitField0_ & ~0x00000100);
+          bitField0_ = (bitField0_ & ~0x00000080);
         }
         result.reads_ = reads_;
       } else {
         result.reads_ = readsBuilder_.build();
       }
       if (summariesBuilder_ == null) {
-        if (((bitField0_ & 0x00000200) != 0)) {
+        if (((bitField0_ & 0x00000100) != 0)) {
           summaries_ = java.util.Collections.unmodifiableList(summaries_);
-          bitField0_ = (bitField0_ & ~0x00000200);
+          bitField0_ = (bitField0_ & ~0x00000100);
         }
         result.summaries_ = summaries_;
       } else {
@@ -872,17 +876,17 @@
         to_bitField0_ |= 0x00000001;
       }
       if (((from_bitField0_ & 0x00000010) != 0)) {
-        result.configVersion_ = configVersion_;
-      }
-      if (((from_bitField0_ & 0x00000020) != 0)) {
         result.leaving_ = leaving_;
       }
-      if (((from_bitField0_ & 0x00000400) != 0)) {
+      if (((from_bitField0_ & 0x00000200) != 0)) {
         result.summariesSent_ = summariesSent_;
       }
-      if (((from_bitField0_ & 0x00000800) != 0)) {
+      if (((from_bitField0_ & 0x00000400) != 0)) {
         result.replyRequested_ = replyRequested_;
       }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.storeRevision_ = storeRevision_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -912,9 +916,6 @@
       if (other.hasSelf()) {
         mergeSelf(other.getSelf());
       }
-      if (other.getConfigVersion() != 0L) {
-        setConfigVersion(other.getConfigVersion());
-      }
       if (other.getLeaving() != false) {
         setLeaving(other.getLeaving());
       }
@@ -922,7 +923,7 @@
         if (!other.work_.isEmpty()) {
           if (work_.isEmpty()) {
             work_ = other.work_;
-            bitField0_ = (bitField0_ & ~0x00000040);
+            bitField0_ = (bitField0_ & ~0x00000020);
           } else {
             ensureWorkIsMutable();
             work_.addAll(other.work_);
@@ -935,7 +936,7 @@
             workBuilder_.dispose();
             workBuilder_ = null;
             work_ = other.work_;
-            bitField0_ = (bitField0_ & ~0x00000040);
+            bitField0_ = (bitField0_ & ~0x00000020);
             workBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetWorkFieldBuilder() : null;
@@ -948,7 +949,7 @@
         if (!other.members_.isEmpty()) {
           if (members_.isEmpty()) {
             members_ = other.members_;
-            bitField0_ = (bitField0_ & ~0x00000080);
+            bitField0_ = (bitField0_ & ~0x00000040);
           } else {
             ensureMembersIsMutable();
             members_.addAll(other.members_);
@@ -961,7 +962,7 @@
             membersBuilder_.dispose();
             membersBuilder_ = null;
             members_ = other.members_;
-            bitField0_ = (bitField0_ & ~0x00000080);
+            bitField0_ = (bitField0_ & ~0x00000040);
             membersBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetMembersFieldBuilder() : null;
@@ -974,7 +975,7 @@
         if (!other.reads_.isEmpty()) {
           if (reads_.isEmpty()) {
             reads_ = other.reads_;
-            bitField0_ = (bitField0_ & ~0x00000100);
+            bitField0_ = (bitField0_ & ~0x00000080);
           } else {
             ensureReadsIsMutable();
             reads_.addAll(other.reads_);
@@ -987,7 +988,7 @@
             readsBuilder_.dispose();
             readsBuilder_ = null;
             reads_ = other.reads_;
-            bitField0_ = (bitField0_ & ~0x00000100);
+            bitField0_ = (bitField0_ & ~0x00000080);
             readsBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetReadsFieldBuilder() : null;
@@ -1000,7 +1001,7 @@
         if (!other.summaries_.isEmpty()) {
           if (summaries_.isEmpty()) {
             summaries_ = other.summaries_;
-            bitField0_ = (bitField0_ & ~0x00000200);
+            bitField0_ = (bitField0_ & ~0x00000100);
           } else {
             ensureSummariesIsMutable();
             summaries_.addAll(other.summaries_);
@@ -1013,7 +1014,7 @@
             summariesBuilder_.dispose();
             summariesBuilder_ = null;
             summaries_ = other.summaries_;
-            bitField0_ = (bitField0_ & ~0x00000200);
+            bitField0_ = (bitField0_ & ~0x00000100);
             summariesBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetSummariesFieldBuilder() : null;
@@ -1028,6 +1029,9 @@
       if (other.getReplyRequested() != false) {
         setReplyRequested(other.getReplyRequested());
       }
+      if (other.getStoreRevision() != 0L) {
+        setStoreRevision(other.getStoreRevision());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1076,14 +1080,9 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 34
-            case 40: {
-              configVersion_ = input.readInt64();
-              bitField0_ |= 0x00000010;
-              break;
-            } // case 40
             case 48: {
               leaving_ = input.readBool();
-              bitField0_ |= 0x00000020;
+              bitField0_ |= 0x00000010;
               break;
             } // case 48
             case 58: {
@@ -1140,14 +1139,19 @@
             } // case 82
             case 88: {
               summariesSent_ = input.readBool();
-              bitField0_ |= 0x00000400;
+              bitField0_ |= 0x00000200;
               break;
             } // case 88
             case 96: {
               replyRequested_ = input.readBool();
-              bitField0_ |= 0x00000800;
+              bitField0_ |= 0x00000400;
               break;
             } // case 96
+            case 104: {
+              storeRevision_ = input.readInt64();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 104
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1422,38 +1426,6 @@
       return selfBuilder_;
     }
 
-    private long configVersion_ ;
-    /**
-     * <code>int64 config_version = 5;</code>
-     * @return The configVersion.
-     */
-    @java.lang.Override
-    public long getConfigVersion() {
-      return configVersion_;
-    }
-    /**
-     * <code>int64 config_version = 5;</code>
-     * @param value The configVersion to set.
-     * @return This builder for chaining.
-     */
-    public Builder setConfigVersion(long value) {
-
-      configVersion_ = value;
-      bitField0_ |= 0x00000010;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>int64 config_version = 5;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearConfigVersion() {
-      bitField0_ = (bitField0_ & ~0x00000010);
-      configVersion_ = 0L;
-      onChanged();
-      return this;
-    }
-
     private boolean leaving_ ;
     /**
      * <code>bool leaving = 6;</code>
@@ -1471,7 +1443,7 @@
     public Builder setLeaving(boolean value) {
 
       leaving_ = value;
-      bitField0_ |= 0x00000020;
+      bitField0_ |= 0x00000010;
       onChanged();
       return this;
     }
@@ -1480,7 +1452,7 @@
      * @return This builder for chaining.
      */
     public Builder clearLeaving() {
-      bitField0_ = (bitField0_ & ~0x00000020);
+      bitField0_ = (bitField0_ & ~0x00000010);
       leaving_ = false;
       onChanged();
       return this;
@@ -1489,9 +1461,9 @@
     private java.util.List<org.wigeonwharf.gateway.peer.wire.ServerWorkNews> work_ =
       java.util.Collections.emptyList();
     private void ensureWorkIsMutable() {
-      if (!((bitField0_ & 0x00000040) != 0)) {
+      if (!((bitField0_ & 0x00000020) != 0)) {
         work_ = new java.util.ArrayList<org.wigeonwharf.gateway.peer.wire.ServerWorkNews>(work_);
-        bitField0_ |= 0x00000040;
+        bitField0_ |= 0x00000020;
        }
     }
 
@@ -1641,7 +1613,7 @@
     public Builder clearWork() {
       if (workBuilder_ == null) {
         work_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000040);
+        bitField0_ = (bitField0_ & ~0x00000020);
         onChanged();
       } else {
         workBuilder_.clear();
@@ -1718,7 +1690,7 @@
         workBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             org.wigeonwharf.gateway.peer.wire.ServerWorkNews, org.wigeonwharf.gateway.peer.wire.ServerWorkNews.Builder, org.wigeonwharf.gateway.peer.wire.ServerWorkNewsOrBuilder>(
                 work_,
-                ((bitField0_ & 0x00000040) != 0),
+                ((bitField0_ & 0x00000020) != 0),
                 getParentForChildren(),
                 isClean());
         work_ = null;
@@ -1729,9 +1701,9 @@
     private java.util.List<org.wigeonwharf.gateway.peer.wire.MemberNews> members_ =
       java.util.Collections.emptyList();
     private void ensureMembersIsMutable() {
-      if (!((bitField0_ & 0x00000080) != 0)) {
+      if (!((bitField0_ & 0x00000040) != 0)) {
         members_ = new java.util.ArrayList<org.wigeonwharf.gateway.peer.wire.MemberNews>(members_);
-        bitField0_ |= 0x00000080;
+        bitField0_ |= 0x00000040;
        }
     }
 
@@ -1925,7 +1897,7 @@
     public Builder clearMembers() {
       if (membersBuilder_ == null) {
         members_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000080);
+        bitField0_ = (bitField0_ & ~0x00000040);
         onChanged();
       } else {
         membersBuilder_.clear();
@@ -2030,7 +2002,7 @@
         membersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             org.wigeonwharf.gateway.peer.wire.MemberNews, org.wigeonwharf.gateway.peer.wire.MemberNews.Builder, org.wigeonwharf.gateway.peer.wire.MemberNewsOrBuilder>(
                 members_,
-                ((bitField0_ & 0x00000080) != 0),
+                ((bitField0_ & 0x00000040) != 0),
                 getParentForChildren(),
                 isClean());
         members_ = null;
@@ -2041,9 +2013,9 @@
     private java.util.List<org.wigeonwharf.gateway.peer.wire.PromptReadNews> reads_ =
       java.util.Collections.emptyList();
     private void ensureReadsIsMutable() {
-      if (!((bitField0_ & 0x00000100) != 0)) {
+      if (!((bitField0_ & 0x00000080) != 0)) {
         reads_ = new java.util.ArrayList<org.wigeonwharf.gateway.peer.wire.PromptReadNews>(reads_);
-        bitField0_ |= 0x00000100;
+        bitField0_ |= 0x00000080;
        }
     }
 
@@ -2193,7 +2165,7 @@
     public Builder clearReads() {
       if (readsBuilder_ == null) {
         reads_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000100);
+        bitField0_ = (bitField0_ & ~0x00000080);
         onChanged();
       } else {
         readsBuilder_.clear();
@@ -2270,7 +2242,7 @@
         readsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             org.wigeonwharf.gateway.peer.wire.PromptReadNews, org.wigeonwharf.gateway.peer.wire.PromptReadNews.Builder, org.wigeonwharf.gateway.peer.wire.PromptReadNewsOrBuilder>(
                 reads_,
-                ((bitField0_ & 0x00000100) != 0),
+                ((bitField0_ & 0x00000080) != 0),
                 getParentForChildren(),
                 isClean());
         reads_ = null;
@@ -2281,9 +2253,9 @@
     private java.util.List<org.wigeonwharf.gateway.peer.wire.DomainSummary> summaries_ =
       java.util.Collections.emptyList();
     private void ensureSummariesIsMutable() {
-      if (!((bitField0_ & 0x00000200) != 0)) {
+      if (!((bitField0_ & 0x00000100) != 0)) {
         summaries_ = new java.util.ArrayList<org.wigeonwharf.gateway.peer.wire.DomainSummary>(summaries_);
-        bitField0_ |= 0x00000200;
+        bitField0_ |= 0x00000100;
        }
     }
 
@@ -2477,7 +2449,7 @@
     public Builder clearSummaries() {
       if (summariesBuilder_ == null) {
         summaries_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000200);
+        bitField0_ = (bitField0_ & ~0x00000100);
         onChanged();
       } else {
         summariesBuilder_.clear();
@@ -2582,7 +2554,7 @@
         summariesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             org.wigeonwharf.gateway.peer.wire.DomainSummary, org.wigeonwharf.gateway.peer.wire.DomainSummary.Builder, org.wigeonwharf.gateway.peer.wire.DomainSummaryOrBuilder>(
                 summaries_,
-                ((bitField0_ & 0x00000200) != 0),
+                ((bitField0_ & 0x00000100) != 0),
                 getParentForChildren(),
                 isClean());
         summaries_ = null;
@@ -2615,7 +2587,7 @@
     public Builder setSummariesSent(boolean value) {
 
       summariesSent_ = value;
-      bitField0_ |= 0x00000400;
+      bitField0_ |= 0x00000200;
       onChanged();
       return this;
     }
@@ -2628,7 +2600,7 @@
      * @return This builder for chaining.
      */
     public Builder clearSummariesSent() {
-      bitField0_ = (bitField0_ & ~0x00000400);
+      bitField0_ = (bitField0_ & ~0x00000200);
       summariesSent_ = false;
       onChanged();
       return this;
@@ -2659,7 +2631,7 @@
     public Builder setReplyRequested(boolean value) {
 
       replyRequested_ = value;
-      bitField0_ |= 0x00000800;
+      bitField0_ |= 0x00000400;
       onChanged();
       return this;
     }
@@ -2672,12 +2644,56 @@
      * @return This builder for chaining.
      */
     public Builder clearReplyRequested() {
-      bitField0_ = (bitField0_ & ~0x00000800);
+      bitField0_ = (bitField0_ & ~0x00000400);
       replyRequested_ = false;
       onChanged();
       return this;
     }
 
+    private long storeRevision_ ;
+    /**
+     * <pre>
+     * Revision of the last change that the sender has read from the store.
+     * </pre>
+     *
+     * <code>int64 store_revision = 13;</code>
+     * @return The storeRevision.
+     */
+    @java.lang.Override
+    public long getStoreRevision() {
+      return storeRevision_;
+    }
+    /**
+     * <pre>
+     * Revision of the last change that the sender has read from the store.
+     * </pre>
+     *
+     * <code>int64 store_revision = 13;</code>
+     * @param value The storeRevision to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStoreRevision(long value) {
+
+      storeRevision_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Revision of the last change that the sender has read from the store.
+     * </pre>
+     *
+     * <code>int64 store_revision = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStoreRevision() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      storeRevision_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wigeonwharf.gateway.RouterNews)
   }
 
--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNewsOrBuilder.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNewsOrBuilder.java
@@ -49,12 +49,6 @@
    */
   org.wigeonwharf.gateway.peer.wire.MemberNewsOrBuilder getSelfOrBuilder();
 
-  /**
-   * <code>int64 config_version = 5;</code>
-   * @return The configVersion.
-   */
-  long getConfigVersion();
-
   /**
    * <code>bool leaving = 6;</code>
    * @return The leaving.
@@ -216,4 +210,14 @@
    * @return The replyRequested.
    */
   boolean getReplyRequested();
+
+  /**
+   * <pre>
+   * Revision of the last change that the sender has read from the store.
+   * </pre>
+   *
+   * <code>int64 store_revision = 13;</code>
+   * @return The storeRevision.
+   */
+  long getStoreRevision();
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
@@ -5,11 +5,9 @@
 import io.netty.channel.EventLoopGroup;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
-import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.wigeonwharf.gateway.backend.BackendServer;
@@ -50,8 +48,14 @@
   /** Maximum age in ms of a peer's report of in-flight work. */
   private static final long PEER_WORK_MAX_AGE_MILLIS = 1_500;
 
-  /** Time in ms between two checks of held requests and expired entries. */
-  private static final long TICK_INTERVAL_MILLIS = 20;
+  /** Time in ms between two checks for entries whose grace period is over. */
+  private static final long EXPIRY_CHECK_INTERVAL_MILLIS = 100;
+
+  /**
+   * Number of routers in each failure domain that renew their wait for changes of the store often.
+   * They notice dead connections and tell the others what they miss; two, so that one may fail.
+   */
+  private static final int FREQUENT_READERS_PER_DOMAIN = 2;
 
   /**
    * Number of shares that the fleet's retry slack is divided into, one per router. It exceeds the
@@ -78,7 +82,8 @@
   private final AtomicBoolean stopping = new AtomicBoolean();
   private final CountDownLatch stopped = new CountDownLatch(1);
   private final StopSequence stopSequence;
-  private @Nullable Future<?> tickTask;
+  private final EventLoopTimers timers;
+  private boolean expiryScheduled;
 
   /**
    * Creates a gateway that is not started.
@@ -112,8 +117,10 @@
     PrefixCacheIndex prefixCaches = new PrefixCacheIndex();
     this.chooser =
         new ServerChooser(settings.domain(), inFlight, prefixCaches, ServerPenalties.DEFAULT);
-    EventLoopTimers timers = new EventLoopTimers(loop, clock);
-    this.feed = new StoreFeed(store, directory, timers, random, this::onStoreChange, metrics);
+    this.timers = new EventLoopTimers(loop, clock);
+    this.feed =
+        new StoreFeed(
+            store, directory, timers, random, this::isFrequentReader, this::onStoreChange, metrics);
     this.retryBudget = new RetryBudget(settings.retryWindowMillis() * Clock.NANOS_PER_MILLI);
     retryBudget.setLimits(settings.retryRatio(), settings.retrySlack() / RETRY_SLACK_SHARES);
     this.exchanges =
@@ -140,8 +147,8 @@
             prefixCaches,
             settings.secret(),
             clock,
-            this::configVersion,
-            feed::onNewerVersion);
+            feed::changeRevision,
+            feed::onPeerRevision);
     this.stopSequence = new StopSequence(timers, new GracefulStages(), callers::pendingResponses);
     callers.onClose(stopSequence::onCallerDisconnected);
     this.readiness =
@@ -163,7 +170,14 @@
     return t == null ? 0 : t.version();
   }
 
+  private boolean isFrequentReader() {
+    return gossipTransport.gossip().rank() < FREQUENT_READERS_PER_DOMAIN;
+  }
+
   private void onStoreChange() {
+    if (directory.hasUnconfirmed()) {
+      scheduleExpiry();
+    }
     chooser.retainServers(directory.all().stream().map(BackendServer::id).toList());
     exchanges.retryHeld();
   }
@@ -202,9 +216,6 @@
     status.start();
     gossipTransport.start();
     loop.execute(feed::start);
-    tickTask =
-        loop.scheduleWithFixedDelay(
-            this::tick, TICK_INTERVAL_MILLIS, TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     LOG.atInfo()
         .addKeyValue("event", "router.started")
         .addKeyValue("name", settings.name())
@@ -236,10 +247,19 @@
         });
   }
 
-  private void tick() {
+  private void scheduleExpiry() {
+    if (!expiryScheduled) {
+      expiryScheduled = true;
+      timers.schedule(
+          EXPIRY_CHECK_INTERVAL_MILLIS * Clock.NANOS_PER_MILLI, this::expireUnconfirmed);
+    }
+  }
+
+  private void expireUnconfirmed() {
+    expiryScheduled = false;
     directory.expireUnconfirmed(clock.nanos());
-    if (exchanges.heldCount() > 0) {
-      exchanges.retryHeld();
+    if (directory.hasUnconfirmed()) {
+      scheduleExpiry();
     }
   }
 
@@ -285,9 +305,6 @@
           .addKeyValue("event", "router.stopped")
           .addKeyValue("cut", exchanges.active())
           .log("router stopped");
-      if (tickTask != null) {
-        tickTask.cancel(false);
-      }
       feed.stop();
       callers.stop();
       gossipTransport.stop();
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/backend/ServerDirectory.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/backend/ServerDirectory.java
@@ -142,6 +142,11 @@
     }
   }
 
+  /** Tells whether any entry is in its grace period. */
+  public boolean hasUnconfirmed() {
+    return entries.values().stream().anyMatch(e -> e.unconfirmed);
+  }
+
   private void remove(Entry e, String reason) {
     entries.remove(e.server.id());
     usable.clear();
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/StoreFeed.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/StoreFeed.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.concurrent.CompletionException;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -25,10 +26,22 @@
  */
 public final class StoreFeed {
   /**
-   * Maximum time that the store may hold a call. A dead connection is detected only after this
-   * time, but shorter waits cost more calls.
+   * Maximum time that the store may hold the call of a frequent reader. A dead connection is
+   * detected only after this time, but shorter waits cost more calls.
    */
-  private static final Duration WATCH_WAIT = Duration.ofMillis(3_000);
+  private static final Duration FREQUENT_WATCH_WAIT = Duration.ofMillis(3_000);
+
+  /**
+   * The same for other routers. They learn of changes that they miss from the frequent readers'
+   * revisions.
+   */
+  private static final Duration WATCH_WAIT = Duration.ofMillis(12_000);
+
+  /**
+   * Minimum time between two calls that wait for changes, in which further changes accumulate, such
+   * as those of servers that are replaced one after the other.
+   */
+  private static final Duration WATCH_MIN_INTERVAL = Duration.ofMillis(250);
 
   /** Maximum wait for an answer, in addition to the time that the store may hold the call. */
   private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(1_000);
@@ -39,14 +52,17 @@
    */
   private static final Duration MIN_RETRY_DELAY = Duration.ofMillis(100);
 
-  /** Maximum delay before a failed call is retried. */
-  private static final Duration MAX_RETRY_DELAY = Duration.ofMillis(800);
+  /** Maximum delay before a frequent reader retries a failed call. */
+  private static final Duration FREQUENT_MAX_RETRY_DELAY = Duration.ofMillis(800);
+
+  /** The same for other routers. */
+  private static final Duration MAX_RETRY_DELAY = Duration.ofMillis(2_400);
 
   /**
-   * Minimum time between two reads caused by a peer's newer version. It gives a change time to
-   * reach all clients that wait for changes.
+   * Time that a change may reach this router later than another one before the pending wait counts
+   * as dead.
    */
-  private static final Duration NEWER_VERSION_READ_MIN_INTERVAL = Duration.ofMillis(500);
+  private static final Duration BEHIND_GRACE = Duration.ofMillis(700);
 
   private static final Logger LOG = LoggerFactory.getLogger(StoreFeed.class);
 
@@ -54,6 +70,7 @@
   private final ServerDirectory directory;
   private final Timers timers;
   private final RandomGenerator random;
+  private final BooleanSupplier frequentReader;
   private final Runnable onChange;
   private final MetricRegistry metrics;
   private @Nullable RouteTable routes;
@@ -61,7 +78,10 @@
   private boolean reachable = true;
   private Duration retryDelay = MIN_RETRY_DELAY;
   private long lastContactAt;
-  private long lastNewerVersionReadAt;
+  private long changeRevision;
+  private long peerRevision;
+  private boolean catchUpScheduled;
+  private long callNumber;
   private boolean stopped;
 
   /**
@@ -71,6 +91,7 @@
    * @param directory the server directory to keep up to date
    * @param timers runs all work
    * @param random adds jitter to retry delays
+   * @param frequentReader tells whether this router renews its calls often
    * @param onChange called after each change of routes or servers
    * @param metrics receives the number of calls by outcome
    */
@@ -79,16 +100,17 @@
       ServerDirectory directory,
       Timers timers,
       RandomGenerator random,
+      BooleanSupplier frequentReader,
       Runnable onChange,
       MetricRegistry metrics) {
     this.store = store;
     this.directory = directory;
     this.timers = timers;
     this.random = random;
+    this.frequentReader = frequentReader;
     this.onChange = onChange;
     this.metrics = metrics;
     this.lastContactAt = timers.nanos();
-    this.lastNewerVersionReadAt = lastContactAt;
   }
 
   /** Starts to read; called on the thread of the timers. */
@@ -120,43 +142,43 @@
     return (timers.nanos() - lastContactAt) / Clock.NANOS_PER_MILLI;
   }
 
+  /** Returns the store revision of the last change that was read, or 0 before the first read. */
+  public long changeRevision() {
+    return changeRevision;
+  }
+
   /**
-   * Reads all items immediately because a peer has a newer version: the pending wait for changes
-   * may be on a dead connection. Called on the thread of the timers.
+   * Records how far another router has read. If this one does not catch up within a grace period,
+   * its pending wait for changes may be on a dead connection and is given up. Called on the thread
+   * of the timers.
    *
-   * @param version the peer's version
+   * @param newer the store revision of the last change that the other router has read
    */
-  public void onNewerVersion(long version) {
-    long now = timers.nanos();
-    if (!reachable || now - lastNewerVersionReadAt < NEWER_VERSION_READ_MIN_INTERVAL.toNanos()) {
-      return;
+  public void onPeerRevision(long newer) {
+    peerRevision = Math.max(peerRevision, newer);
+    if (revision >= 0 && peerRevision > revision && !catchUpScheduled) {
+      catchUpScheduled = true;
+      timers.schedule(BEHIND_GRACE.toNanos(), this::catchUp);
     }
-    lastNewerVersionReadAt = now;
-    LOG.atInfo()
-        .addKeyValue("event", "config.behind")
-        .addKeyValue("version", version)
-        .addKeyValue("own", routes == null ? 0 : routes.version())
-        .log("another router has a newer configuration");
-    store.readAll(ANSWER_TIMEOUT).whenComplete(onTimerThread(this::onNewerVersionRead));
   }
 
-  private void onNewerVersionRead(@Nullable Batch batch, @Nullable Throwable error) {
-    if (batch == null || stopped) {
-      LOG.atWarn()
-          .addKeyValue("event", "store.read_failed")
-          .addKeyValue("reason", String.valueOf(cause(error)))
-          .log("reading the newer configuration failed");
+  private void catchUp() {
+    catchUpScheduled = false;
+    if (stopped || !reachable || peerRevision <= revision) {
       return;
     }
-    // Changes received in the meantime may be newer than this read.
-    if (batch.revision() >= revision) {
-      applyAll(batch);
-    }
+    LOG.atInfo()
+        .addKeyValue("event", "store.behind")
+        .addKeyValue("revision", revision)
+        .addKeyValue("peer_revision", peerRevision)
+        .addKeyValue("age_ms", contactAgeMillis())
+        .log("another router has read later changes; waiting for changes anew");
+    watch();
   }
 
   private void readAll() {
     if (!stopped) {
-      store.readAll(ANSWER_TIMEOUT).whenComplete(onTimerThread(this::onReadAll));
+      store.readAll(ANSWER_TIMEOUT).whenComplete(unlessSuperseded(this::onReadAll));
     }
   }
 
@@ -180,15 +202,21 @@
       }
     }
     directory.replaceAll(servers, now);
-    revision = Math.max(revision, batch.revision());
+    recordChanges(batch);
     onChange.run();
   }
 
+  private void recordChanges(Batch batch) {
+    revision = Math.max(revision, batch.revision());
+    changeRevision = Math.max(changeRevision, revision);
+  }
+
   private void watch() {
     if (!stopped) {
+      Duration wait = frequentReader.getAsBoolean() ? FREQUENT_WATCH_WAIT : WATCH_WAIT;
       store
-          .awaitChanges(revision, WATCH_WAIT, WATCH_WAIT.plus(ANSWER_TIMEOUT))
-          .whenComplete(onTimerThread(this::onChanges));
+          .awaitChanges(revision, wait, wait.plus(ANSWER_TIMEOUT))
+          .whenComplete(unlessSuperseded(this::onChanges));
     }
   }
 
@@ -209,12 +237,27 @@
     // Only a successful watch resets the delay: a store that answers full reads may still
     // refuse watches.
     retryDelay = MIN_RETRY_DELAY;
-    batch.items().forEach(p -> apply(p, now));
-    revision = Math.max(revision, batch.revision());
-    if (!batch.items().isEmpty()) {
-      onChange.run();
+    if (batch.items().isEmpty()) {
+      revision = Math.max(revision, batch.revision());
+      watch();
+      return;
     }
-    watch();
+    batch.items().forEach(p -> apply(p, now));
+    recordChanges(batch);
+    onChange.run();
+    scheduleCall(WATCH_MIN_INTERVAL.toNanos(), this::watch);
+  }
+
+  /** Makes a call later, unless another call has been made by then. */
+  private void scheduleCall(long delayNanos, Runnable call) {
+    long number = callNumber;
+    timers.schedule(
+        delayNanos,
+        () -> {
+          if (number == callNumber) {
+            call.run();
+          }
+        });
   }
 
   private long recordContact() {
@@ -241,21 +284,24 @@
           .log("the store is unreachable");
     }
     long delayMillis = (long) (retryDelay.toMillis() * (0.5 + random.nextDouble()));
-    retryDelay =
-        retryDelay.multipliedBy(2).compareTo(MAX_RETRY_DELAY) > 0
-            ? MAX_RETRY_DELAY
-            : retryDelay.multipliedBy(2);
-    timers.schedule(delayMillis * Clock.NANOS_PER_MILLI, action);
+    Duration maxDelay = frequentReader.getAsBoolean() ? FREQUENT_MAX_RETRY_DELAY : MAX_RETRY_DELAY;
+    Duration doubled = retryDelay.multipliedBy(2);
+    retryDelay = doubled.compareTo(maxDelay) > 0 ? maxDelay : doubled;
+    scheduleCall(delayMillis * Clock.NANOS_PER_MILLI, action);
   }
 
-  private BiConsumer<@Nullable Batch, @Nullable Throwable> onTimerThread(
+  /** Runs an action with the answer to the latest call; the answers to earlier ones are ignored. */
+  private BiConsumer<@Nullable Batch, @Nullable Throwable> unlessSuperseded(
       BiConsumer<@Nullable Batch, @Nullable Throwable> action) {
+    long number = ++callNumber;
     return (batch, error) ->
         timers.schedule(
             0,
             () -> {
               countCall(batch, error);
-              action.accept(batch, error);
+              if (number == callNumber) {
+                action.accept(batch, error);
+              }
             });
   }
 
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/AttemptHandler.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/AttemptHandler.java
@@ -132,7 +132,7 @@
     } else if (isSuccess() && headers.contains(HttpHeaderNames.CONTENT_ENCODING)) {
       fail("an encoded answer");
     } else if (isSuccess() && stream) {
-      framer = new EventFramer(this::onEvent);
+      framer = new EventFramer(this::onEvent, manager.settings().maxBufferedBytes());
     }
   }
 
@@ -173,7 +173,9 @@
       return;
     }
     if (framer != null) {
-      framer.add(bytes);
+      if (!framer.add(bytes) && !ended) {
+        fail("an event that exceeds the buffer");
+      }
     } else if (forwarding) {
       exchange.forward(bytes, null);
     } else {
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/EventFramer.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/EventFramer.java
@@ -13,6 +13,7 @@
   private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
   private final BiConsumer<byte[], @Nullable String> consumer;
+  private final int maxEventBytes;
   private final ByteArrayOutputStream event = new ByteArrayOutputStream(128);
   private final ByteArrayOutputStream line = new ByteArrayOutputStream(128);
   private @Nullable String id;
@@ -22,18 +23,24 @@
    *
    * @param consumer receives the bytes of each whole event, including the blank line that ends it,
    *     and the event's id or null
+   * @param maxEventBytes maximum size of an event, since it is buffered until it is whole
    */
-  EventFramer(BiConsumer<byte[], @Nullable String> consumer) {
+  EventFramer(BiConsumer<byte[], @Nullable String> consumer, int maxEventBytes) {
     this.consumer = consumer;
+    this.maxEventBytes = maxEventBytes;
   }
 
   /**
    * Processes the next bytes of the stream.
    *
    * @param bytes the next bytes; may end anywhere in an event
+   * @return false if an event exceeds the maximum size, so that the stream can't be continued
    */
-  void add(byte[] bytes) {
+  boolean add(byte[] bytes) {
     for (byte b : bytes) {
+      if (event.size() >= maxEventBytes) {
+        return false;
+      }
       event.write(b);
       if (b == '\n') {
         endLine();
@@ -41,6 +48,7 @@
         line.write(b);
       }
     }
+    return true;
   }
 
   private void endLine() {
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
@@ -127,7 +127,7 @@
                 refuse("no configuration is known yet");
               });
     }
-    manager.held().add(this);
+    manager.hold(this);
   }
 
   private void accept(Admission a) {
@@ -272,7 +272,7 @@
     if (!triedServerIds.isEmpty()) {
       triedServerIds.clear();
     }
-    manager.held().add(this);
+    manager.hold(this);
   }
 
   private void cancelHold() {
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/ExchangeManager.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/ExchangeManager.java
@@ -7,12 +7,16 @@
 import org.wigeonwharf.gateway.placement.ServerChooser;
 import org.wigeonwharf.gateway.retry.RetryBudget;
 import org.wigeonwharf.gateway.route.RouteTable;
+import org.wigeonwharf.model.Clock;
 
 /**
  * Creates the exchanges of a router and holds the objects they share. All methods must be called on
  * the thread that runs the timers' actions.
  */
 public final class ExchangeManager {
+  /** Time in ms between two attempts to dispatch the held requests. */
+  private static final long HELD_RETRY_INTERVAL_MILLIS = 20;
+
   private final Supplier<@Nullable RouteTable> routes;
   private final ServerDirectory directory;
   private final ServerChooser chooser;
@@ -27,6 +31,7 @@
   private long lastNumber;
   private int active;
   private boolean closed;
+  private boolean retryScheduled;
 
   /**
    * Creates a manager without exchanges.
@@ -151,6 +156,20 @@
     return held;
   }
 
+  /** Holds a request and dispatches it again at intervals until it is no longer held. */
+  void hold(Exchange e) {
+    held.add(e);
+    if (!retryScheduled) {
+      retryScheduled = true;
+      timers.schedule(
+          HELD_RETRY_INTERVAL_MILLIS * Clock.NANOS_PER_MILLI,
+          () -> {
+            retryScheduled = false;
+            held.retry();
+          });
+    }
+  }
+
   double nextSplitPoint() {
     return splitPoints.getAsDouble();
   }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/NettyBackendConnector.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/NettyBackendConnector.java
@@ -37,6 +37,9 @@
    */
   private static final int CONNECT_TIMEOUT_MILLIS = 250;
 
+  /** Maximum number of interim responses (status 1xx) ahead of an answer. */
+  private static final int MAX_INTERIM_RESPONSES = 16;
+
   private final EventLoop loop;
 
   /**
@@ -82,6 +85,7 @@
     private Channel channel;
     private boolean ended;
     private boolean informational;
+    private int interimResponses;
     private boolean headReceived;
 
     @SuppressWarnings("NullAway.Init") // The channel is set before the first event.
@@ -93,6 +97,18 @@
     @Override
     public void cancel() {
       ended = true;
+      reset();
+    }
+
+    /**
+     * Closes the connection by a reset. After an orderly close the kernel would still transmit what
+     * it has buffered, so that a request held up by a network partition could reach the server long
+     * after its caller has left.
+     */
+    private void reset() {
+      if (channel.isOpen()) {
+        channel.config().setOption(ChannelOption.SO_LINGER, 0);
+      }
       channel.close();
     }
 
@@ -111,7 +127,7 @@
     private void fail(String reason) {
       if (!ended) {
         ended = true;
-        channel.close();
+        reset();
         listener.onConnectionLost(reason);
       }
     }
@@ -150,7 +166,9 @@
       }
       if (part instanceof HttpResponse response) {
         informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-        if (!informational) {
+        if (informational && ++interimResponses > MAX_INTERIM_RESPONSES) {
+          fail("interim responses without an answer");
+        } else if (!informational) {
           headReceived = true;
           listener.onHead(response.status().code(), response.headers());
         }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipTransport.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipTransport.java
@@ -59,8 +59,8 @@
    * @param prefixCaches supplies this router's prompt sends and receives those of its peers
    * @param secret signs and verifies messages
    * @param clock monotonic clock
-   * @param configVersion supplies the version of the active configuration
-   * @param onNewerConfig called with the version of a peer's configuration if it is newer
+   * @param storeRevision supplies the revision of the last change read from the store
+   * @param onNewerRevision called with the revision of a peer if it has read later changes
    */
   public GossipTransport(
       EventLoop loop,
@@ -72,8 +72,8 @@
       PrefixCacheIndex prefixCaches,
       FleetSecret secret,
       Clock clock,
-      LongSupplier configVersion,
-      LongConsumer onNewerConfig) {
+      LongSupplier storeRevision,
+      LongConsumer onNewerRevision) {
     this.loop = loop;
     this.bindAddress = bindAddress;
     this.clock = clock;
@@ -89,8 +89,8 @@
             clock,
             new Random(self.incarnation()),
             this::send,
-            configVersion,
-            onNewerConfig);
+            storeRevision,
+            onNewerRevision);
     inFlight.onLocalChange(this::scheduleTick);
   }
 
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerGossip.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerGossip.java
@@ -107,8 +107,8 @@
   private final Clock clock;
   private final Random random;
   private final DatagramSender sender;
-  private final LongSupplier configVersion;
-  private final LongConsumer onNewerConfig;
+  private final LongSupplier storeRevision;
+  private final LongConsumer onNewerRevision;
   private final PeerTable peers;
   private final List<ReceivedSummary> summariesToForward = new ArrayList<>();
   private final Map<InetSocketAddress, Long> contactedAt = new HashMap<>();
@@ -137,8 +137,8 @@
    * @param clock monotonic clock
    * @param random chooses receivers and the peers to list
    * @param sender sends messages
-   * @param configVersion supplies the version of the active configuration
-   * @param onNewerConfig called with the version of a peer's configuration if it is newer
+   * @param storeRevision supplies the revision of the last change read from the store
+   * @param onNewerRevision called with the revision of a peer if it has read later changes
    */
   PeerGossip(
       NodeId self,
@@ -151,8 +151,8 @@
       Clock clock,
       Random random,
       DatagramSender sender,
-      LongSupplier configVersion,
-      LongConsumer onNewerConfig) {
+      LongSupplier storeRevision,
+      LongConsumer onNewerRevision) {
     this.self = self;
     this.domain = domain;
     this.address = address;
@@ -163,8 +163,8 @@
     this.clock = clock;
     this.random = random;
     this.sender = sender;
-    this.configVersion = configVersion;
-    this.onNewerConfig = onNewerConfig;
+    this.storeRevision = storeRevision;
+    this.onNewerRevision = onNewerRevision;
     this.peers = new PeerTable(domain, address, inFlight::removeReport);
     this.startedAt = clock.nanos();
     this.sentAt = startedAt;
@@ -223,9 +223,20 @@
     return toNanos(Math.min(HEARTBEAT_INTERVAL_MILLIS, Math.max(MIN_INTERVAL_MILLIS, millis)));
   }
 
+  /**
+   * Returns the number of live routers of the same failure domain with a lower name. Routers that
+   * know each other agree on it, so that it divides duties among them.
+   */
+  public int rank() {
+    return rank(clock.nanos());
+  }
+
+  private int rank(long now) {
+    return (int) peers.listedPeers(now).stream().filter(p -> p.node().compareTo(self) < 0).count();
+  }
+
   private long nextSummaryAt(long now) {
-    long rank = peers.listedPeers(now).stream().filter(p -> p.node().compareTo(self) < 0).count();
-    long delay = SUMMARY_INTERVAL_MILLIS + rank * SUMMARY_DELAY_MILLIS_PER_RANK;
+    long delay = SUMMARY_INTERVAL_MILLIS + rank(now) * SUMMARY_DELAY_MILLIS_PER_RANK;
     return summariesSentAt
         + toNanos(hasJustStarted(now) ? delay + SUMMARY_DELAY_MILLIS_AFTER_START : delay);
   }
@@ -258,7 +269,7 @@
             .setPartial(hasJustStarted(now))
             .setUnresponsive(peers.hasUnresponsivePeers(now))
             .addMembers(Addresses.format(address))
-            .setConfigVersion(configVersion.getAsLong());
+            .setStoreRevision(storeRevision.getAsLong());
     listed.forEach(p -> b.addMembers(Addresses.format(p.address())));
     List<String> sources = listed.stream().map(p -> p.node().name()).toList();
     inFlight.workWith(sources, now).entrySet().stream()
@@ -316,7 +327,7 @@
         .setIncarnation(self.incarnation())
         .setSequence(++sequence)
         .setSelf(encodeMember(address, domain))
-        .setConfigVersion(configVersion.getAsLong())
+        .setStoreRevision(storeRevision.getAsLong())
         .setLeaving(leaving);
   }
 
@@ -386,8 +397,8 @@
       sendStateTo(sender, senderDomain, false);
     }
     state.getSummariesList().forEach(s -> applySummary(s, !sameDomain, now));
-    if (state.getConfigVersion() > configVersion.getAsLong()) {
-      onNewerConfig.accept(state.getConfigVersion());
+    if (state.getStoreRevision() > storeRevision.getAsLong()) {
+      onNewerRevision.accept(state.getStoreRevision());
     }
     state.getMembersList().forEach(m -> contactIfUseful(m, now));
   }
@@ -423,8 +434,8 @@
     inFlight.replaceReport(
         PeerTable.domainSource(summarized), GossipCodec.decodeWork(summary.getWorkList()), madeAt);
     prefixCaches.recordRemoteSends(GossipCodec.decodeSends(summary.getReadsList()));
-    if (summary.getConfigVersion() > configVersion.getAsLong()) {
-      onNewerConfig.accept(summary.getConfigVersion());
+    if (summary.getStoreRevision() > storeRevision.getAsLong()) {
+      onNewerRevision.accept(summary.getStoreRevision());
     }
     // Another router of this domain that received a copy has forwarded it already.
     long sameCopy = madeAt + toNanos(MIN_INTERVAL_MILLIS);
