Divide the retry slack by the size of the fleet

Cause: each router took a twentieth of the fleet's slack, so 95 routers could send 4.75 times of it, and a fleet that restarts twice that. Change: a router divides it by twice the largest fleet that it has seen, at least by 20, and takes little while it does not know its peers yet. The property test plays up to 600 routers, 10 before. Small fleets keep their share.

--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
@@ -36,7 +36,7 @@
 
   final VirtualTimers timers = new VirtualTimers();
   final ServerDirectory directory = new ServerDirectory(0);
-  final RetryBudget budget = new RetryBudget(WINDOW_NANOS);
+  final RetryBudget budget = new RetryBudget(WINDOW_NANOS, slack -> slack);
   final List<FakeAttempt> attempts = new ArrayList<>();
   final ExchangeManager exchanges;
   private RouteTable routes;
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/retry/RetryBudgetPropertyTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/retry/RetryBudgetPropertyTest.java
@@ -4,10 +4,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
+import org.wigeonwharf.model.Clock;
 
 /**
  * Guards against retries beyond the published limit, which would amplify an overload. They would
@@ -18,9 +20,6 @@
   private static final double RATIO = 0.2;
   private static final double SLACK = 3;
 
-  /** Number of shares that a gateway divides the fleet's slack into. */
-  private static final double SLACK_SHARES = 20;
-
   /**
    * In each window, the retries stay within the ratio of the requests in this and the preceding
    * window, plus the slack of two windows.
@@ -28,7 +27,7 @@
   @Property(tries = 300, seed = "20261204")
   void retriesStayWithinTheRatioInEveryWindow(
       @ForAll @Size(max = 300) List<@IntRange(min = 0, max = 400) Integer> gaps) {
-    RetryBudget budget = new RetryBudget(WINDOW_NANOS);
+    RetryBudget budget = new RetryBudget(WINDOW_NANOS, slack -> slack);
     budget.setLimits(RATIO, SLACK);
     List<Long> requests = new ArrayList<>();
     List<Long> retries = new ArrayList<>();
@@ -61,20 +60,20 @@
    */
   @Property(tries = 200, seed = "20261204")
   void fleetRetriesStayWithinTheLimitInEveryWindow(
-      @ForAll @IntRange(min = 2, max = 10) int routers,
+      @ForAll @IntRange(min = 2, max = 600) int routers,
       @ForAll @Size(max = 500) List<@IntRange(min = 0, max = 100) Integer> gaps,
       @ForAll @IntRange(min = 0, max = 500) int restartAt) {
     double slack = 56;
     List<RetryBudget> fleet = new ArrayList<>();
     for (int i = 0; i < routers; i++) {
-      fleet.add(newBudget(slack));
+      fleet.add(newBudget(slack, routers));
     }
     List<TimedEvent> requests = new ArrayList<>();
     List<TimedEvent> retries = new ArrayList<>();
     long now = 0;
     for (int i = 0; i < gaps.size(); i++) {
       if (i == restartAt) {
-        fleet.replaceAll(b -> newBudget(slack));
+        fleet.replaceAll(b -> newBudget(slack, routers));
       }
       now += gaps.get(i);
       int router = i * 7 % routers;
@@ -94,9 +93,12 @@
     }
   }
 
-  private static RetryBudget newBudget(double fleetSlack) {
-    RetryBudget budget = new RetryBudget(WINDOW_NANOS);
-    budget.setLimits(RATIO, fleetSlack / SLACK_SHARES);
+  private static RetryBudget newBudget(double fleetSlack, int routers) {
+    AtomicLong clock = new AtomicLong();
+    FleetShare share = new FleetShare(clock::get, () -> routers - 1);
+    clock.set(3 * Clock.NANOS_PER_SECOND);
+    RetryBudget budget = new RetryBudget(WINDOW_NANOS, share::of);
+    budget.setLimits(RATIO, fleetSlack);
     return budget;
   }
 
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
@@ -27,6 +27,7 @@
 import org.wigeonwharf.gateway.placement.PrefixCacheIndex;
 import org.wigeonwharf.gateway.placement.ServerChooser;
 import org.wigeonwharf.gateway.placement.ServerPenalties;
+import org.wigeonwharf.gateway.retry.FleetShare;
 import org.wigeonwharf.gateway.retry.RetryBudget;
 import org.wigeonwharf.gateway.route.RouteTable;
 import org.wigeonwharf.model.Addresses;
@@ -57,12 +58,6 @@
    */
   private static final int FREQUENT_READERS_PER_DOMAIN = 2;
 
-  /**
-   * Number of shares that the fleet's retry slack is divided into, one per router. It exceeds the
-   * size of the largest fleet in use.
-   */
-  private static final double RETRY_SLACK_SHARES = 20;
-
   private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
 
   private volatile GatewaySettings settings;
@@ -121,8 +116,11 @@
     this.feed =
         new StoreFeed(
             store, directory, timers, random, this::isFrequentReader, this::onStoreChange, metrics);
-    this.retryBudget = new RetryBudget(settings.retryWindowMillis() * Clock.NANOS_PER_MILLI);
-    retryBudget.setLimits(settings.retryRatio(), settings.retrySlack() / RETRY_SLACK_SHARES);
+    this.retryBudget =
+        new RetryBudget(
+            settings.retryWindowMillis() * Clock.NANOS_PER_MILLI,
+            new FleetShare(clock, this::peerCount)::of);
+    retryBudget.setLimits(settings.retryRatio(), settings.retrySlack());
     this.exchanges =
         new ExchangeManager(
             feed::routes,
@@ -170,6 +168,10 @@
     return t == null ? 0 : t.version();
   }
 
+  private int peerCount() {
+    return gossipTransport.gossip().peerCount();
+  }
+
   private boolean isFrequentReader() {
     return gossipTransport.gossip().rank() < FREQUENT_READERS_PER_DOMAIN;
   }
@@ -198,7 +200,7 @@
         "config.version", configVersion(),
         "store.contact_age_ms", feed.contactAgeMillis(),
         "servers.known", directory.all().size(),
-        "peers.known", gossipTransport.gossip().peerCount());
+        "peers.known", peerCount());
   }
 
   private String dump() {
@@ -241,7 +243,7 @@
         .log("settings reloaded");
     loop.execute(
         () -> {
-          retryBudget.setLimits(next.retryRatio(), next.retrySlack() / RETRY_SLACK_SHARES);
+          retryBudget.setLimits(next.retryRatio(), next.retrySlack());
           gossipTransport.gossip().setSeeds(next.seeds());
           settings = next;
         });
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/retry/RetryBudget.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/retry/RetryBudget.java
@@ -3,13 +3,13 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.DoubleUnaryOperator;
 
 /**
  * Limits the retries that this router sends to a service in a sliding window. Not thread-safe.
  *
  * <p>Each router stays within a ratio of its own requests, so the whole fleet stays within the same
- * ratio whatever the number of routers. Only the fixed slack has to be divided among the routers,
- * by an upper bound of their number.
+ * ratio whatever the number of routers. Only the fixed slack has to be divided among the routers.
  */
 public final class RetryBudget {
   /** Number of buckets per window. More buckets cost memory; with fewer, the window lags. */
@@ -24,6 +24,7 @@
   private double ratio;
   private double slack;
   private final long bucketNanos;
+  private final DoubleUnaryOperator slackShare;
   private final Map<String, Window> services = new HashMap<>();
 
   /** Counts the requests and retries of one service by time. */
@@ -63,16 +64,18 @@
    * Creates a budget that allows no retries until limits are set.
    *
    * @param windowNanos the length of the window in nanoseconds
+   * @param slackShare returns this router's part of the fleet's slack
    */
-  public RetryBudget(long windowNanos) {
+  public RetryBudget(long windowNanos, DoubleUnaryOperator slackShare) {
     this.bucketNanos = Math.max(1, windowNanos / BUCKETS);
+    this.slackShare = slackShare;
   }
 
   /**
    * Sets the limits.
    *
    * @param ratio retries per request that the fleet may send
-   * @param slack retries per window that this router may send in addition to the ratio
+   * @param slack retries per window that the fleet may send in addition to the ratio
    */
   public void setLimits(double ratio, double slack) {
     this.ratio = ratio;
@@ -99,7 +102,8 @@
    */
   public boolean tryAcquire(String service, long now) {
     Window w = window(service, now);
-    double allowed = ratio * SAFETY_FACTOR * Window.sum(w.requests) + slack;
+    double allowed =
+        ratio * SAFETY_FACTOR * Window.sum(w.requests) + slackShare.applyAsDouble(slack);
     if (Window.sum(w.retries) + 1 > allowed) {
       return false;
     }
