Advertise sent prompts for as long as several messages take

Cause: prompt sends up to 100 ms old were advertised within a failure domain, but with 16 routers messages are now up to 240 ms apart, so most sends were never told and peers fetched or recomputed prefixes that an engine had. A message to a router of unknown domain also carried no work, which emptied the receiver's record for up to 400 ms. Change: the age follows the interval between messages; such messages carry the work. Result: PeerGossipTest.sentPromptsReachAllRoutersOfLargeFailureDomain, red before, green now.

--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
@@ -334,6 +334,29 @@
     return messagesSent / (double) all.size() / seconds;
   }
 
+  @Test
+  void sentPromptsReachAllRoutersOfLargeFailureDomain() {
+    final Node sender = addNode(1, "d");
+    List<Node> others = new ArrayList<>();
+    for (int i = 2; i <= 16; i++) {
+      others.add(addNode(i, "d"));
+    }
+    advanceMillis(4_000);
+    List<List<PromptPart>> prompts = new ArrayList<>();
+    for (int i = 0; i < 20; i++) {
+      prompts.add(List.of(new PromptPart("shared" + i, 500), new PromptPart("own" + i, 100)));
+      sender.prefixCaches.recordSent("s", prompts.get(i), now);
+      sender.inFlight.add("s", REQUEST, 600);
+      advanceMillis(60);
+    }
+    advanceMillis(1_000);
+    for (Node n : others) {
+      for (List<PromptPart> prompt : prompts) {
+        assertEquals(500, n.prefixCaches.cachedTokens("s", prompt));
+      }
+    }
+  }
+
   @Test
   void workOfRestartedRouterIsNotCountedTwice() {
     Node a = addNode(1, "d");
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/NettyBackendConnector.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/NettyBackendConnector.java
@@ -102,7 +102,7 @@
 
     /**
      * Closes the connection by a reset. After an orderly close the kernel would still transmit what
-     * it has buffered, so that a request held up by a network partition could reach the server long
+     * it has buffered, so that a request delayed by a network partition could reach the server long
      * after its caller has left.
      */
     private void reset() {
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerGossip.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerGossip.java
@@ -33,9 +33,9 @@
  * Within a failure domain, each router sends its complete in-flight work to all others, so that the
  * next message makes up for a lost one, and the time between messages grows with their number.
  * Other failure domains receive one summary of the whole domain: one router sends it to one router
- * of each other domain, which forwards it within its own. No router is appointed for this: those
- * with lower ranks send if they learn of no summary by another for a little longer, so that a
- * failed router delays the next summary only slightly. Not thread-safe.
+ * of each other domain, which forwards it within its own. No router is appointed for this: the one
+ * with the lowest name sends first, and each further one sends if it learns of no summary for a
+ * little longer, so that a failed router delays the next summary only slightly. Not thread-safe.
  */
 public final class PeerGossip {
   /** Minimum time in ms between two messages to routers of the same failure domain. */
@@ -79,10 +79,15 @@
   private static final long SUMMARY_DELAY_MILLIS_AFTER_START = 200;
 
   /**
-   * Maximum age in ms of the prompt sends in a message to the same failure domain. It spans several
-   * messages, so that a lost one is made up for.
+   * Minimum of the maximum age in ms of the prompt sends in a message to the same failure domain.
    */
-  private static final long SAME_DOMAIN_SENDS_MAX_AGE_MILLIS = 100;
+  private static final long SAME_DOMAIN_SENDS_MIN_MAX_AGE_MILLIS = 100;
+
+  /**
+   * Maximum age of the prompt sends in a message to the same failure domain, in minimum intervals
+   * between messages. It spans several messages, so that a lost one is made up for.
+   */
+  private static final int SAME_DOMAIN_SENDS_MAX_AGE_INTERVALS = 3;
 
   /** Maximum age in ms of the prompt sends in a summary. It also spans several messages. */
   private static final long SUMMARY_SENDS_MAX_AGE_MILLIS = 900;
@@ -227,6 +232,13 @@
             summariesToForward.isEmpty() ? HEARTBEAT_INTERVAL_MILLIS : FORWARD_INTERVAL_MILLIS);
   }
 
+  private long sameDomainSendsMaxAge() {
+    long interval = minInterval(CHANGED_INTERVAL_MILLIS_PER_PEER * peers.localPeerCount());
+    return Math.max(
+        toNanos(SAME_DOMAIN_SENDS_MIN_MAX_AGE_MILLIS),
+        SAME_DOMAIN_SENDS_MAX_AGE_INTERVALS * interval);
+  }
+
   private static long minInterval(long millis) {
     return toNanos(Math.min(HEARTBEAT_INTERVAL_MILLIS, Math.max(MIN_INTERVAL_MILLIS, millis)));
   }
@@ -296,7 +308,7 @@
     sentPrefillTokens = inFlight.localPrefillTokens();
     RouterNews.Builder b = newState().addAllWork(encodeLocalWork()).setSummariesSent(summariesSent);
     prefixCaches
-        .recentSends(toNanos(SAME_DOMAIN_SENDS_MAX_AGE_MILLIS), now)
+        .recentSends(sameDomainSendsMaxAge(), now)
         .forEach((server, parts) -> b.addReads(GossipCodec.encodeSends(server, parts)));
     for (ReceivedSummary r : summariesToForward) {
       int ageMillis = (int) ((now - r.madeAt) / Clock.NANOS_PER_MILLI);
@@ -318,12 +330,16 @@
         .toList();
   }
 
-  /** Sends this router's state to one other router, with peers for its discovery of the fleet. */
+  /**
+   * Sends this router's state to one other router, with peers for its discovery of the fleet.
+   *
+   * @param itsDomain the receiver's failure domain, or null if it is unknown
+   */
   private void sendStateTo(
       InetSocketAddress receiver, @Nullable FailureDomain itsDomain, boolean replyRequested) {
     RouterNews.Builder b =
         newState().setReplyRequested(replyRequested).addAllMembers(advertisedPeers(itsDomain));
-    if (domain.equals(itsDomain)) {
+    if (itsDomain == null || domain.equals(itsDomain)) {
       b.addAllWork(encodeLocalWork());
     }
     sender.send(receiver, codec.encode(b.build()));
