--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreFeedTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreFeedTest.java
@@ -240,6 +240,34 @@
     assertEquals(calls, this.calls.size());
   }
 
+  @Test
+  void peersAheadCauseAtMostOneCallInEachGracePeriod() {
+    startWith(routes(3));
+    int before = calls.size();
+    for (int i = 0; i < 100; i++) {
+      feed.onPeerRevision(9);
+    }
+    timers.advanceMillis(BEHIND_GRACE_MILLIS);
+    assertEquals(before + 1, calls.size());
+    for (int i = 0; i < 100; i++) {
+      feed.onPeerRevision(9);
+    }
+    timers.advanceMillis(BEHIND_GRACE_MILLIS - 1);
+    assertEquals(before + 1, calls.size());
+  }
+
+  @Test
+  void answerToSupersededCallIsDiscarded() {
+    startWith(routes(3), server("a"));
+    final Call superseded = lastCall();
+    feed.onPeerRevision(9);
+    timers.advanceMillis(BEHIND_GRACE_MILLIS);
+    answer(9, new PublishedItem.ServerRemoved("a"));
+    superseded.answer.complete(new Batch(List.of(server("a")), 7));
+    timers.advanceMillis(0);
+    assertEquals(0, usableServers());
+  }
+
   @Test
   void routerThatReceivesTheSameChangesSlightlyLaterMakesNoFurtherCall() {
     startWith(routes(3));
