Log the prompt parts and progress of attempts whose connection is lost

When servers ended one after the other, the logs could not tell whether the requests that were lost at each of them had anything in common: no line named the parts of a prompt. request.attempt_lost names the server, the shared parts, whether the head of the answer had come and how many events.

--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/AttemptHandler.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/AttemptHandler.java
@@ -38,6 +38,7 @@
   private boolean stream;
   private boolean forwarding;
   private boolean headReceived;
+  private int events;
   private boolean ended;
 
   AttemptHandler(
@@ -205,6 +206,7 @@
     if (ended) {
       return;
     }
+    events++;
     if (!forwarding) {
       forwarding = true;
       recordPrefillRate();
@@ -259,6 +261,16 @@
       return;
     }
     recordEnd(true);
+    manager
+        .log()
+        .logAttemptLost(
+            exchange.requestId(),
+            server.id(),
+            demand,
+            reason,
+            headReceived,
+            events,
+            now() - sentAt);
     exchange.onFailed(reason);
   }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/RequestLog.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/RequestLog.java
@@ -146,6 +146,34 @@
     }
   }
 
+  /**
+   * Logs that the connection of an attempt was lost, with what the requests that were lost at one
+   * server may have in common.
+   *
+   * @param headReceived whether the head of the answer had been received
+   * @param events number of whole events received before
+   * @param ageNanos time since the request was sent to the server
+   */
+  void logAttemptLost(
+      @Nullable String requestId,
+      String server,
+      Demand demand,
+      String reason,
+      boolean headReceived,
+      int events,
+      long ageNanos) {
+    LoggingEventBuilder l = line("request.attempt_lost", requestId);
+    if (l != null) {
+      l.addKeyValue("server", server)
+          .addKeyValue("reason", reason)
+          .addKeyValue("head_received", headReceived)
+          .addKeyValue("events", events)
+          .addKeyValue("parts", demand.sharedPartIds())
+          .addKeyValue("ms", ageNanos / Clock.NANOS_PER_MILLI)
+          .log("connection lost before the answer was complete");
+    }
+  }
+
   void logBudgetExhausted(@Nullable String requestId, String service) {
     metrics.recordBudgetExhausted(service);
     LoggingEventBuilder l = line("request.budget_spent", requestId);
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/Demand.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/Demand.java
@@ -47,6 +47,11 @@
     return n;
   }
 
+  /** Returns the ids of all parts but the last, which belongs to this request alone. */
+  public List<String> sharedPartIds() {
+    return parts.stream().limit(Math.max(0, parts.size() - 1)).map(PromptPart::id).toList();
+  }
+
   /** Tells whether the request has a prompt, so that it needs a model engine. */
   public boolean hasPrompt() {
     return promptTokens > 0;
