--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
+import java.util.function.Consumer;
 import org.wigeonwharf.gateway.backend.BackendServer;
 import org.wigeonwharf.gateway.backend.ServerDirectory;
 import org.wigeonwharf.gateway.placement.InFlightTracker;
@@ -38,6 +39,7 @@
   final ServerDirectory directory = new ServerDirectory(0);
   final RetryBudget budget = new RetryBudget(WINDOW_NANOS, slack -> slack);
   final List<FakeAttempt> attempts = new ArrayList<>();
+  Consumer<FakeAttempt> onAttempt = a -> {};
   final ExchangeManager exchanges;
   private RouteTable routes;
 
@@ -145,6 +147,7 @@
   private Attempt recordAttempt(BackendServer server, OutboundRequest request, AttemptListener l) {
     FakeAttempt attempt = new FakeAttempt(server, request, l);
     attempts.add(attempt);
+    onAttempt.accept(attempt);
     return attempt;
   }
 
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/TestProtocol.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/TestProtocol.java
@@ -18,6 +18,11 @@
   static final String ACCOUNT = "account";
   static final String PROMPT = "prompt";
 
+  /** Ids of the prompt's parts, separated by commas. */
+  static final String PARTS = "parts";
+
+  private static final int TOKENS_PER_PART = 100;
+
   @Override
   public RequestMetadata readRequest(HttpHeaders h) {
     List<PromptPart> parts = new ArrayList<>();
@@ -25,6 +30,13 @@
     if (tokens > 0) {
       parts.add(new PromptPart("own", tokens));
     }
+    String listed = h.get(PARTS);
+    if (listed != null) {
+      for (String id : listed.split(",")) {
+        parts.add(new PromptPart(id, TOKENS_PER_PART));
+        tokens += TOKENS_PER_PART;
+      }
+    }
     return new RequestMetadata(h.get(ID), h.getInt(TIMEOUT, -1), h.get(KEY), parts, tokens, 0);
   }
 
