--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/EngineSimulation.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/EngineSimulation.java
@@ -42,6 +42,7 @@
       addServer();
     }
     fixture.onAttempt = this::accept;
+    fixture.liveness = s -> isDown(s) ? LivenessCheck.Result.ENDED : LivenessCheck.Result.ALIVE;
   }
 
   private void addServer() {
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
@@ -10,13 +10,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
+import java.util.Random;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.wigeonwharf.gateway.backend.BackendServer;
 import org.wigeonwharf.gateway.backend.ServerDirectory;
 import org.wigeonwharf.gateway.placement.InFlightTracker;
 import org.wigeonwharf.gateway.placement.PrefixCacheIndex;
 import org.wigeonwharf.gateway.placement.ServerChooser;
 import org.wigeonwharf.gateway.placement.ServerPenalties;
+import org.wigeonwharf.gateway.quarantine.PromptQuarantine;
+import org.wigeonwharf.gateway.quarantine.QuarantineLog;
 import org.wigeonwharf.gateway.retry.RetryBudget;
 import org.wigeonwharf.gateway.route.Account;
 import org.wigeonwharf.gateway.route.CallerLimits;
@@ -39,7 +43,10 @@
   final ServerDirectory directory = new ServerDirectory(0);
   final RetryBudget budget = new RetryBudget(WINDOW_NANOS, slack -> slack);
   final List<FakeAttempt> attempts = new ArrayList<>();
+  final PromptQuarantine quarantine =
+      new PromptQuarantine(new QuarantineLog(new MetricRegistry()), new Random(7), timers.nanos());
   Consumer<FakeAttempt> onAttempt = a -> {};
+  Function<BackendServer, LivenessCheck.Result> liveness = s -> LivenessCheck.Result.ALIVE;
   final ExchangeManager exchanges;
   private RouteTable routes;
 
@@ -137,6 +144,8 @@
             budget,
             new TestProtocol(),
             this::recordAttempt,
+            quarantine,
+            (server, callback) -> timers.schedule(0, () -> callback.accept(liveness.apply(server))),
             timers,
             new RequestLog(timers, new MetricRegistry()),
             ExchangeSettings.DEFAULT,
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/LogVocabularyTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/LogVocabularyTest.java
@@ -157,6 +157,7 @@
       runRefusedAndDenied();
       runCutAndCallerGone();
       runExhaustedBudget();
+      runQuarantined();
     } finally {
       log.detachAppender(lines);
     }
@@ -195,4 +196,17 @@
     fixture.begin(RequestKind.IDEMPOTENT, new ExchangeFixture.FakeCaller());
     fixture.attempt(0).listener.onConnectionLost("reset");
   }
+
+  private static void runQuarantined() {
+    ExchangeFixture fixture = new ExchangeFixture();
+    new EngineSimulation(fixture, "bad", 8);
+    for (int i = 0; i < 8; i++) {
+      fixture.begin(
+          RequestKind.RESUMABLE_STREAM,
+          new ExchangeFixture.FakeCaller(),
+          TestProtocol.PARTS,
+          "bad,own" + i);
+      fixture.timers.advanceMillis(1_000);
+    }
+  }
 }
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.codahale.metrics.MetricRegistry;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -16,6 +17,8 @@
 import org.wigeonwharf.gateway.placement.InFlightTracker;
 import org.wigeonwharf.gateway.placement.PrefixCacheIndex;
 import org.wigeonwharf.gateway.placement.PromptPart;
+import org.wigeonwharf.gateway.quarantine.PromptQuarantine;
+import org.wigeonwharf.gateway.quarantine.QuarantineLog;
 import org.wigeonwharf.model.Clock;
 import org.wigeonwharf.model.FailureDomain;
 import org.wigeonwharf.model.NodeId;
@@ -44,6 +47,8 @@
   private final class Node {
     private final InFlightTracker inFlight = new InFlightTracker(1_500 * Clock.NANOS_PER_MILLI);
     private final PrefixCacheIndex prefixCaches = new PrefixCacheIndex();
+    private final PromptQuarantine quarantine =
+        new PromptQuarantine(new QuarantineLog(new MetricRegistry()), new Random(7), now);
     private final List<Long> newerRevisions = new ArrayList<>();
     private final PeerGossip gossip;
     private final String domain;
@@ -59,6 +64,7 @@
               List.of(SEED),
               inFlight,
               prefixCaches,
+              quarantine,
               new FleetSecret(secret),
               () -> now,
               new Random(number),
--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/GatewayProto.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/GatewayProto.java
@@ -46,6 +46,26 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_wigeonwharf_gateway_DomainSummary_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_wigeonwharf_gateway_ServerEndNews_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_wigeonwharf_gateway_ServerEndNews_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_wigeonwharf_gateway_ProvenPartNews_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_wigeonwharf_gateway_ProvenPartNews_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_wigeonwharf_gateway_QuarantinedPartNews_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_wigeonwharf_gateway_QuarantinedPartNews_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_wigeonwharf_gateway_QuarantineNews_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_wigeonwharf_gateway_QuarantineNews_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_wigeonwharf_gateway_RouterNews_descriptor;
   static final 
@@ -77,21 +97,33 @@
       "ers\030\004 \003(\t\0221\n\004work\030\005 \003(\0132#.wigeonwharf.ga" +
       "teway.ServerWorkNews\0222\n\005reads\030\006 \003(\0132#.wi" +
       "geonwharf.gateway.PromptReadNews\022\026\n\016stor" +
-      "e_revision\030\007 \001(\003\022\024\n\014unresponsive\030\010 \001(\010\"\240" +
-      "\003\n\nRouterNews\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnati" +
-      "on\030\002 \001(\003\022\020\n\010sequence\030\003 \001(\003\022-\n\004self\030\004 \001(\013" +
-      "2\037.wigeonwharf.gateway.MemberNews\022\017\n\007lea" +
-      "ving\030\006 \001(\010\0221\n\004work\030\007 \003(\0132#.wigeonwharf.g" +
-      "ateway.ServerWorkNews\0220\n\007members\030\010 \003(\0132\037" +
-      ".wigeonwharf.gateway.MemberNews\0222\n\005reads" +
-      "\030\t \003(\0132#.wigeonwharf.gateway.PromptReadN" +
-      "ews\0225\n\tsummaries\030\n \003(\0132\".wigeonwharf.gat" +
-      "eway.DomainSummary\022\026\n\016summaries_sent\030\013 \001" +
-      "(\010\022\027\n\017reply_requested\030\014 \001(\010\022\026\n\016store_rev" +
-      "ision\030\r \001(\003J\004\010\005\020\006\"-\n\nSignedNews\022\014\n\004news\030" +
-      "\001 \001(\014\022\021\n\tsignature\030\002 \001(\014B3\n!org.wigeonwh" +
-      "arf.gateway.peer.wireB\014GatewayProtoP\001b\006p" +
-      "roto3"
+      "e_revision\030\007 \001(\003\022\024\n\014unresponsive\030\010 \001(\010\"k" +
+      "\n\rServerEndNews\022\016\n\006server\030\001 \001(\t\022\022\n\nstart" +
+      "ed_at\030\002 \001(\003\022\022\n\nage_millis\030\003 \001(\r\022\021\n\tanswe" +
+      "ring\030\004 \003(\t\022\017\n\007waiting\030\005 \003(\t\"2\n\016ProvenPar" +
+      "tNews\022\014\n\004part\030\001 \001(\t\022\022\n\nage_millis\030\002 \001(\r\"" +
+      "b\n\023QuarantinedPartNews\022\014\n\004part\030\001 \001(\t\022\022\n\n" +
+      "age_millis\030\002 \001(\r\022\030\n\020remaining_millis\030\003 \001" +
+      "(\r\022\017\n\007strikes\030\004 \001(\r\"\266\001\n\016QuarantineNews\0220" +
+      "\n\004ends\030\001 \003(\0132\".wigeonwharf.gateway.Serve" +
+      "rEndNews\0223\n\006proven\030\002 \003(\0132#.wigeonwharf.g" +
+      "ateway.ProvenPartNews\022=\n\013quarantined\030\003 \003" +
+      "(\0132(.wigeonwharf.gateway.QuarantinedPart" +
+      "News\"\331\003\n\nRouterNews\022\014\n\004name\030\001 \001(\t\022\023\n\013inc" +
+      "arnation\030\002 \001(\003\022\020\n\010sequence\030\003 \001(\003\022-\n\004self" +
+      "\030\004 \001(\0132\037.wigeonwharf.gateway.MemberNews\022" +
+      "\017\n\007leaving\030\006 \001(\010\0221\n\004work\030\007 \003(\0132#.wigeonw" +
+      "harf.gateway.ServerWorkNews\0220\n\007members\030\010" +
+      " \003(\0132\037.wigeonwharf.gateway.MemberNews\0222\n" +
+      "\005reads\030\t \003(\0132#.wigeonwharf.gateway.Promp" +
+      "tReadNews\0225\n\tsummaries\030\n \003(\0132\".wigeonwha" +
+      "rf.gateway.DomainSummary\022\026\n\016summaries_se" +
+      "nt\030\013 \001(\010\022\027\n\017reply_requested\030\014 \001(\010\022\026\n\016sto" +
+      "re_revision\030\r \001(\003\0227\n\nquarantine\030\016 \001(\0132#." +
+      "wigeonwharf.gateway.QuarantineNewsJ\004\010\005\020\006" +
+      "\"-\n\nSignedNews\022\014\n\004news\030\001 \001(\014\022\021\n\tsignatur" +
+      "e\030\002 \001(\014B3\n!org.wigeonwharf.gateway.peer." +
+      "wireB\014GatewayProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -121,14 +153,38 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_DomainSummary_descriptor,
         new java.lang.String[] { "FailureDomain", "AgeMillis", "Partial", "Members", "Work", "Reads", "StoreRevision", "Unresponsive", });
-    internal_static_wigeonwharf_gateway_RouterNews_descriptor =
+    internal_static_wigeonwharf_gateway_ServerEndNews_descriptor =
       getDescriptor().getMessageType(4);
+    internal_static_wigeonwharf_gateway_ServerEndNews_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_wigeonwharf_gateway_ServerEndNews_descriptor,
+        new java.lang.String[] { "Server", "StartedAt", "AgeMillis", "Answering", "Waiting", });
+    internal_static_wigeonwharf_gateway_ProvenPartNews_descriptor =
+      getDescriptor().getMessageType(5);
+    internal_static_wigeonwharf_gateway_ProvenPartNews_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_wigeonwharf_gateway_ProvenPartNews_descriptor,
+        new java.lang.String[] { "Part", "AgeMillis", });
+    internal_static_wigeonwharf_gateway_QuarantinedPartNews_descriptor =
+      getDescriptor().getMessageType(6);
+    internal_static_wigeonwharf_gateway_QuarantinedPartNews_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_wigeonwharf_gateway_QuarantinedPartNews_descriptor,
+        new java.lang.String[] { "Part", "AgeMillis", "RemainingMillis", "Strikes", });
+    internal_static_wigeonwharf_gateway_QuarantineNews_descriptor =
+      getDescriptor().getMessageType(7);
+    internal_static_wigeonwharf_gateway_QuarantineNews_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_wigeonwharf_gateway_QuarantineNews_descriptor,
+        new java.lang.String[] { "Ends", "Proven", "Quarantined", });
+    internal_static_wigeonwharf_gateway_RouterNews_descriptor =
+      getDescriptor().getMessageType(8);
     internal_static_wigeonwharf_gateway_RouterNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_RouterNews_descriptor,
-        new java.lang.String[] { "Name", "Incarnation", "Sequence", "Self", "Leaving", "Work", "Members", "Reads", "Summaries", "SummariesSent", "ReplyRequested", "StoreRevision", });
+        new java.lang.String[] { "Name", "Incarnation", "Sequence", "Self", "Leaving", "Work", "Members", "Reads", "Summaries", "SummariesSent", "ReplyRequested", "StoreRevision", "Quarantine", });
     internal_static_wigeonwharf_gateway_SignedNews_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(9);
     internal_static_wigeonwharf_gateway_SignedNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_SignedNews_descriptor,
--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNews.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNews.java
@@ -401,6 +401,32 @@
     return storeRevision_;
   }
 
+  public static final int QUARANTINE_FIELD_NUMBER = 14;
+  private org.wigeonwharf.gateway.peer.wire.QuarantineNews quarantine_;
+  /**
+   * <code>.wigeonwharf.gateway.QuarantineNews quarantine = 14;</code>
+   * @return Whether the quarantine field is set.
+   */
+  @java.lang.Override
+  public boolean hasQuarantine() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <code>.wigeonwharf.gateway.QuarantineNews quarantine = 14;</code>
+   * @return The quarantine.
+   */
+  @java.lang.Override
+  public org.wigeonwharf.gateway.peer.wire.QuarantineNews getQuarantine() {
+    return quarantine_ == null ? org.wigeonwharf.gateway.peer.wire.QuarantineNews.getDefaultInstance() : quarantine_;
+  }
+  /**
+   * <code>.wigeonwharf.gateway.QuarantineNews quarantine = 14;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.gateway.peer.wire.QuarantineNewsOrBuilder getQuarantineOrBuilder() {
+    return quarantine_ == null ? org.wigeonwharf.gateway.peer.wire.QuarantineNews.getDefaultInstance() : quarantine_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -451,6 +477,9 @@
     if (storeRevision_ != 0L) {
       output.writeInt64(13, storeRevision_);
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeMessage(14, getQuarantine());
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -507,6 +536,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(13, storeRevision_);
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(14, getQuarantine());
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -549,6 +582,11 @@
         != other.getReplyRequested()) return false;
     if (getStoreRevision()
         != other.getStoreRevision()) return false;
+    if (hasQuarantine() != other.hasQuarantine()) return false;
+    if (hasQuarantine()) {
+      if (!getQuarantine()
+          .equals(other.getQuarantine())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -600,6 +638,10 @@
     hash = (37 * hash) + STORE_REVISION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getStoreRevision());
+    if (hasQuarantine()) {
+      hash = (37 * hash) + QUARANTINE_FIELD_NUMBER;
+      hash = (53 * hash) + getQuarantine().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -740,6 +782,7 @@
         internalGetMembersFieldBuilder();
         internalGetReadsFieldBuilder();
         internalGetSummariesFieldBuilder();
+        internalGetQuarantineFieldBuilder();
       }
     }
     @java.lang.Override
@@ -786,6 +829,11 @@
       summariesSent_ = false;
       replyRequested_ = false;
       storeRevision_ = 0L;
+      quarantine_ = null;
+      if (quarantineBuilder_ != null) {
+        quarantineBuilder_.dispose();
+        quarantineBuilder_ = null;
+      }
       return this;
     }
 
@@ -887,6 +935,12 @@
       if (((from_bitField0_ & 0x00000800) != 0)) {
         result.storeRevision_ = storeRevision_;
       }
+      if (((from_bitField0_ & 0x00001000) != 0)) {
+        result.quarantine_ = quarantineBuilder_ == null
+            ? quarantine_
+            : quarantineBuilder_.build();
+        to_bitField0_ |= 0x00000002;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -1032,6 +1086,9 @@
       if (other.getStoreRevision() != 0L) {
         setStoreRevision(other.getStoreRevision());
       }
+      if (other.hasQuarantine()) {
+        mergeQuarantine(other.getQuarantine());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1152,6 +1209,13 @@
               bitField0_ |= 0x00000800;
               break;
             } // case 104
+            case 114: {
+              input.readMessage(
+                  internalGetQuarantineFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00001000;
+              break;
+            } // case 114
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2694,6 +2758,127 @@
       return this;
     }
 
+    private org.wigeonwharf.gateway.peer.wire.QuarantineNews quarantine_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wigeonwharf.gateway.peer.wire.QuarantineNews, org.wigeonwharf.gateway.peer.wire.QuarantineNews.Builder, org.wigeonwharf.gateway.peer.wire.QuarantineNewsOrBuilder> quarantineBuilder_;
+    /**
+     * <code>.wigeonwharf.gateway.QuarantineNews quarantine = 14;</code>
+     * @return Whether the quarantine field is set.
+     */
+    public boolean hasQuarantine() {
+      return ((bitField0_ & 0x00001000) != 0);
+    }
+    /**
+     * <code>.wigeonwharf.gateway.QuarantineNews quarantine = 14;</code>
+     * @return The quarantine.
+     */
+    public org.wigeonwharf.gateway.peer.wire.QuarantineNews getQuarantine() {
+      if (quarantineBuilder_ == null) {
+        return quarantine_ == null ? org.wigeonwharf.gateway.peer.wire.QuarantineNews.getDefaultInstance() : quarantine_;
+      } else {
+        return quarantineBuilder_.getMessage();
+      }
+    }
+    /**
+     * <code>.wigeonwharf.gateway.QuarantineNews quarantine = 14;</code>
+     */
+    public Builder setQuarantine(org.wigeonwharf.gateway.peer.wire.QuarantineNews value) {
+      if (quarantineBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        quarantine_ = value;
+      } else {
+        quarantineBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.wigeonwharf.gateway.QuarantineNews quarantine = 14;</code>
+     */
+    public Builder setQuarantine(
+        org.wigeonwharf.gateway.peer.wire.QuarantineNews.Builder builderForValue) {
+      if (quarantineBuilder_ == null) {
+        quarantine_ = builderForValue.build();
+      } else {
+        quarantineBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.wigeonwharf.gateway.QuarantineNews quarantine = 14;</code>
+     */
+    public Builder mergeQuarantine(org.wigeonwharf.gateway.peer.wire.QuarantineNews value) {
+      if (quarantineBuilder_ == null) {
+        if (((bitField0_ & 0x00001000) != 0) &&
+          quarantine_ != null &&
+          quarantine_ != org.wigeonwharf.gateway.peer.wire.QuarantineNews.getDefaultInstance()) {
+          getQuarantineBuilder().mergeFrom(value);
+        } else {
+          quarantine_ = value;
+        }
+      } else {
+        quarantineBuilder_.mergeFrom(value);
+      }
+      if (quarantine_ != null) {
+        bitField0_ |= 0x00001000;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <code>.wigeonwharf.gateway.QuarantineNews quarantine = 14;</code>
+     */
+    public Builder clearQuarantine() {
+      bitField0_ = (bitField0_ & ~0x00001000);
+      quarantine_ = null;
+      if (quarantineBuilder_ != null) {
+        quarantineBuilder_.dispose();
+        quarantineBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.wigeonwharf.gateway.QuarantineNews quarantine = 14;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.QuarantineNews.Builder getQuarantineBuilder() {
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return internalGetQuarantineFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.wigeonwharf.gateway.QuarantineNews quarantine = 14;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.QuarantineNewsOrBuilder getQuarantineOrBuilder() {
+      if (quarantineBuilder_ != null) {
+        return quarantineBuilder_.getMessageOrBuilder();
+      } else {
+        return quarantine_ == null ?
+            org.wigeonwharf.gateway.peer.wire.QuarantineNews.getDefaultInstance() : quarantine_;
+      }
+    }
+    /**
+     * <code>.wigeonwharf.gateway.QuarantineNews quarantine = 14;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wigeonwharf.gateway.peer.wire.QuarantineNews, org.wigeonwharf.gateway.peer.wire.QuarantineNews.Builder, org.wigeonwharf.gateway.peer.wire.QuarantineNewsOrBuilder> 
+        internalGetQuarantineFieldBuilder() {
+      if (quarantineBuilder_ == null) {
+        quarantineBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.wigeonwharf.gateway.peer.wire.QuarantineNews, org.wigeonwharf.gateway.peer.wire.QuarantineNews.Builder, org.wigeonwharf.gateway.peer.wire.QuarantineNewsOrBuilder>(
+                getQuarantine(),
+                getParentForChildren(),
+                isClean());
+        quarantine_ = null;
+      }
+      return quarantineBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:wigeonwharf.gateway.RouterNews)
   }
 
--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNewsOrBuilder.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNewsOrBuilder.java
@@ -220,4 +220,19 @@
    * @return The storeRevision.
    */
   long getStoreRevision();
+
+  /**
+   * <code>.wigeonwharf.gateway.QuarantineNews quarantine = 14;</code>
+   * @return Whether the quarantine field is set.
+   */
+  boolean hasQuarantine();
+  /**
+   * <code>.wigeonwharf.gateway.QuarantineNews quarantine = 14;</code>
+   * @return The quarantine.
+   */
+  org.wigeonwharf.gateway.peer.wire.QuarantineNews getQuarantine();
+  /**
+   * <code>.wigeonwharf.gateway.QuarantineNews quarantine = 14;</code>
+   */
+  org.wigeonwharf.gateway.peer.wire.QuarantineNewsOrBuilder getQuarantineOrBuilder();
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
@@ -20,6 +20,7 @@
 import org.wigeonwharf.gateway.http.ExchangeProtocol;
 import org.wigeonwharf.gateway.http.ExchangeSettings;
 import org.wigeonwharf.gateway.http.NettyBackendConnector;
+import org.wigeonwharf.gateway.http.NettyLivenessCheck;
 import org.wigeonwharf.gateway.http.RequestLog;
 import org.wigeonwharf.gateway.http.StatusServer;
 import org.wigeonwharf.gateway.peer.GossipTransport;
@@ -27,6 +28,8 @@
 import org.wigeonwharf.gateway.placement.PrefixCacheIndex;
 import org.wigeonwharf.gateway.placement.ServerChooser;
 import org.wigeonwharf.gateway.placement.ServerPenalties;
+import org.wigeonwharf.gateway.quarantine.PromptQuarantine;
+import org.wigeonwharf.gateway.quarantine.QuarantineLog;
 import org.wigeonwharf.gateway.retry.FleetShare;
 import org.wigeonwharf.gateway.retry.RetryBudget;
 import org.wigeonwharf.gateway.route.RouteTable;
@@ -69,6 +72,7 @@
   private final ServerChooser chooser;
   private final StoreFeed feed;
   private final RetryBudget retryBudget;
+  private final PromptQuarantine quarantine;
   private final ExchangeManager exchanges;
   private final CallerListener callers;
   private final GossipTransport gossipTransport;
@@ -121,6 +125,7 @@
             settings.retryWindowMillis() * Clock.NANOS_PER_MILLI,
             new FleetShare(clock, this::peerCount)::of);
     retryBudget.setLimits(settings.retryRatio(), settings.retrySlack());
+    this.quarantine = new PromptQuarantine(new QuarantineLog(metrics), random, clock.nanos());
     this.exchanges =
         new ExchangeManager(
             feed::routes,
@@ -129,6 +134,8 @@
             retryBudget,
             protocol,
             new NettyBackendConnector(loop),
+            quarantine,
+            new NettyLivenessCheck(loop),
             timers,
             new RequestLog(clock, metrics),
             ExchangeSettings.DEFAULT,
@@ -143,6 +150,7 @@
             settings.seeds(),
             inFlight,
             prefixCaches,
+            quarantine,
             settings.secret(),
             clock,
             feed::changeRevision,
@@ -200,7 +208,8 @@
         "config.version", configVersion(),
         "store.contact_age_ms", feed.contactAgeMillis(),
         "servers.known", directory.all().size(),
-        "peers.known", peerCount());
+        "peers.known", peerCount(),
+        "quarantine.parts", quarantine.quarantined(clock.nanos()).size());
   }
 
   private String dump() {
@@ -208,6 +217,9 @@
     text.append("node ").append(self).append('\n');
     gauges().forEach((k, v) -> text.append(k).append(' ').append(v).append('\n'));
     directory.all().forEach(s -> text.append(s).append('\n'));
+    quarantine
+        .quarantined(clock.nanos())
+        .forEach(p -> text.append("quarantined ").append(p).append('\n'));
     return text.toString();
   }
 
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/AttemptHandler.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/AttemptHandler.java
@@ -22,6 +22,12 @@
   private static final int UNAVAILABLE = 503;
   private static final int MIN_SERVER_ERROR = 500;
 
+  /**
+   * Time in ms from its first event after which an answer counts as harmless to its server. A
+   * prompt that crashes its server does so while the answer begins.
+   */
+  private static final long PROOF_MILLIS = 300;
+
   private final Exchange exchange;
   private final ExchangeManager manager;
   private final BackendServer server;
@@ -39,6 +45,8 @@
   private boolean forwarding;
   private boolean headReceived;
   private int events;
+  private long firstEventAt;
+  private boolean proven;
   private boolean ended;
 
   AttemptHandler(
@@ -206,7 +214,11 @@
     if (ended) {
       return;
     }
-    events++;
+    if (events++ == 0) {
+      firstEventAt = now();
+    } else if (now() - firstEventAt >= PROOF_MILLIS * Clock.NANOS_PER_MILLI) {
+      recordProven();
+    }
     if (!forwarding) {
       forwarding = true;
       recordPrefillRate();
@@ -216,6 +228,29 @@
     exchange.forward(bytes, id);
   }
 
+  private void recordProven() {
+    if (!proven) {
+      proven = true;
+      manager.quarantine().recordProven(demand.sharedPartIds(), now());
+    }
+  }
+
+  private void recordLost(String reason) {
+    manager
+        .log()
+        .logAttemptLost(
+            exchange.requestId(),
+            server.id(),
+            demand,
+            reason,
+            headReceived,
+            events,
+            now() - sentAt);
+    if (!proven) {
+      manager.serverEnds().recordLost(server, demand.sharedPartIds(), headReceived);
+    }
+  }
+
   private void recordPrefillRate() {
     boolean emptyPrefillQueue = choice.candidate().work().prefillTokens() == 0;
     if (emptyPrefillQueue && demand.hasPrompt()) {
@@ -233,6 +268,9 @@
       completeStream(framer);
       return;
     }
+    if (isSuccess()) {
+      recordProven();
+    }
     recordEnd(status >= MIN_SERVER_ERROR);
     if (forwarding) {
       exchange.onForwardingComplete();
@@ -245,9 +283,12 @@
   private void completeStream(EventFramer eventFramer) {
     byte[] remainder = eventFramer.remainder();
     if (remainder.length > 0) {
-      fail("the stream ended within an event");
+      String reason = "the stream ended within an event";
+      recordLost(reason);
+      fail(reason);
       return;
     }
+    recordProven();
     recordEnd(false);
     if (!forwarding) {
       exchange.beginResponse(status, responseHeaders());
@@ -261,16 +302,7 @@
       return;
     }
     recordEnd(true);
-    manager
-        .log()
-        .logAttemptLost(
-            exchange.requestId(),
-            server.id(),
-            demand,
-            reason,
-            headReceived,
-            events,
-            now() - sentAt);
+    recordLost(reason);
     exchange.onFailed(reason);
   }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
@@ -10,6 +10,7 @@
 import org.wigeonwharf.gateway.backend.BackendServer;
 import org.wigeonwharf.gateway.placement.Choice;
 import org.wigeonwharf.gateway.placement.Demand;
+import org.wigeonwharf.gateway.quarantine.PromptQuarantine;
 import org.wigeonwharf.gateway.route.RequestKind;
 import org.wigeonwharf.gateway.route.Route;
 import org.wigeonwharf.gateway.route.RouteTable;
@@ -160,6 +161,11 @@
       giveUp("no time left");
       return;
     }
+    PromptQuarantine.Hit hit = manager.quarantine().find(a.demand().sharedPartIds(), now);
+    if (hit != null) {
+      endQuarantined(hit);
+      return;
+    }
     List<BackendServer> servers = manager.directory().usable(a.service());
     Choice choice =
         manager
@@ -183,6 +189,29 @@
     send(a, choice, now);
   }
 
+  /** Ends the request if a part of its prompt has been quarantined and is not proven harmless. */
+  void endIfQuarantined() {
+    Admission a = admission;
+    if (ended || a == null || responseBegun) {
+      return;
+    }
+    PromptQuarantine.Hit hit =
+        manager.quarantine().find(a.demand().sharedPartIds(), timers.nanos());
+    if (hit != null) {
+      endQuarantined(hit);
+    }
+  }
+
+  private void endQuarantined(PromptQuarantine.Hit hit) {
+    manager.log().logQuarantined(requestId(), hit.part(), hit.remainingMillis(), sends);
+    String reason = "its prompt has a part that crashes servers";
+    if (verdict == Verdict.NOT_RUN && currentAttempt == null) {
+      sendError(RequestOutcome.REFUSED, UNAVAILABLE, reason, hit.remainingMillis());
+    } else {
+      giveUp(reason);
+    }
+  }
+
   private boolean mayWaitForIdleServer(Demand d, long now) {
     ExchangeSettings s = manager.settings();
     double maxMillis =
@@ -508,7 +537,7 @@
             longestGapNanos / Clock.NANOS_PER_MILLI,
             events,
             configVersion());
-    manager.onExchangeEnded();
+    manager.onExchangeEnded(this);
   }
 
   /** Returns the version of the configuration used for this request, or 0 if there is none. */
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/ExchangeManager.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/ExchangeManager.java
@@ -1,10 +1,14 @@
 package org.wigeonwharf.gateway.http;
 
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
 import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.wigeonwharf.gateway.backend.ServerDirectory;
 import org.wigeonwharf.gateway.placement.ServerChooser;
+import org.wigeonwharf.gateway.quarantine.PromptQuarantine;
 import org.wigeonwharf.gateway.retry.RetryBudget;
 import org.wigeonwharf.gateway.route.RouteTable;
 import org.wigeonwharf.model.Clock;
@@ -23,13 +27,15 @@
   private final RetryBudget budget;
   private final ExchangeProtocol protocol;
   private final BackendConnector connector;
+  private final PromptQuarantine quarantine;
+  private final ServerEndDetector serverEnds;
   private final Timers timers;
   private final RequestLog log;
   private final ExchangeSettings settings;
   private final DoubleSupplier splitPoints;
   private final HeldRequests held = new HeldRequests();
   private long lastNumber;
-  private int active;
+  private final Set<Exchange> active = new LinkedHashSet<>();
   private boolean closed;
   private boolean retryScheduled;
 
@@ -42,6 +48,8 @@
    * @param budget limits retries
    * @param protocol reads and writes headers
    * @param connector sends requests to backend servers
+   * @param quarantine decides which prompts are kept from the backend servers
+   * @param livenessCheck finds out whether a server whose connections are lost has ended
    * @param timers clock and timers
    * @param log records decisions and outcomes
    * @param settings the router's own limits
@@ -55,6 +63,8 @@
       RetryBudget budget,
       ExchangeProtocol protocol,
       BackendConnector connector,
+      PromptQuarantine quarantine,
+      LivenessCheck livenessCheck,
       Timers timers,
       RequestLog log,
       ExchangeSettings settings,
@@ -65,6 +75,9 @@
     this.budget = budget;
     this.protocol = protocol;
     this.connector = connector;
+    this.quarantine = quarantine;
+    this.serverEnds = new ServerEndDetector(directory, livenessCheck, quarantine, timers);
+    quarantine.onQuarantine(this::endQuarantined);
     this.timers = timers;
     this.log = log;
     this.settings = settings;
@@ -79,8 +92,8 @@
    * @return the request's exchange
    */
   public Exchange begin(CallerRequest request, CallerChannel caller) {
-    active++;
     Exchange e = new Exchange(this, ++lastNumber, request, caller);
+    active.add(e);
     e.start();
     return e;
   }
@@ -101,7 +114,7 @@
 
   /** Returns the number of requests in progress. */
   public int active() {
-    return active;
+    return active.size();
   }
 
   /** Returns the number of requests held until a server or the first configuration is available. */
@@ -109,13 +122,18 @@
     return held.size();
   }
 
-  void onExchangeEnded() {
-    active--;
+  void onExchangeEnded(Exchange e) {
+    active.remove(e);
     if (held.size() > 0) {
       timers.schedule(0, held::retry);
     }
   }
 
+  /** Ends the requests at servers that a part quarantined meanwhile may crash next. */
+  private void endQuarantined() {
+    timers.schedule(0, () -> List.copyOf(active).forEach(Exchange::endIfQuarantined));
+  }
+
   @Nullable RouteTable routes() {
     return routes.get();
   }
@@ -136,6 +154,14 @@
     return protocol;
   }
 
+  PromptQuarantine quarantine() {
+    return quarantine;
+  }
+
+  ServerEndDetector serverEnds() {
+    return serverEnds;
+  }
+
   BackendConnector connector() {
     return connector;
   }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/RequestLog.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/RequestLog.java
@@ -174,6 +174,17 @@
     }
   }
 
+  void logQuarantined(@Nullable String requestId, String part, long remainingMillis, int sends) {
+    metrics.recordQuarantined();
+    LoggingEventBuilder l = line("request.quarantined", requestId);
+    if (l != null) {
+      l.addKeyValue("part", part)
+          .addKeyValue("remaining_ms", remainingMillis)
+          .addKeyValue("sends", sends)
+          .log("a part of the prompt is quarantined");
+    }
+  }
+
   void logBudgetExhausted(@Nullable String requestId, String service) {
     metrics.recordBudgetExhausted(service);
     LoggingEventBuilder l = line("request.budget_spent", requestId);
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/RequestMetrics.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/RequestMetrics.java
@@ -38,6 +38,10 @@
     count("retries.budget_spent", "service", service);
   }
 
+  void recordQuarantined() {
+    metrics.counter("quarantine.requests").inc();
+  }
+
   void recordDroppedLine() {
     metrics.counter("log.dropped").inc();
   }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipCodec.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipCodec.java
@@ -6,12 +6,20 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.wigeonwharf.gateway.peer.wire.PromptReadNews;
+import org.wigeonwharf.gateway.peer.wire.ProvenPartNews;
+import org.wigeonwharf.gateway.peer.wire.QuarantineNews;
+import org.wigeonwharf.gateway.peer.wire.QuarantinedPartNews;
 import org.wigeonwharf.gateway.peer.wire.RouterNews;
+import org.wigeonwharf.gateway.peer.wire.ServerEndNews;
 import org.wigeonwharf.gateway.peer.wire.ServerWorkNews;
 import org.wigeonwharf.gateway.peer.wire.SignedNews;
 import org.wigeonwharf.gateway.placement.PromptPart;
 import org.wigeonwharf.gateway.placement.ServerWork;
+import org.wigeonwharf.gateway.quarantine.QuarantineState;
+import org.wigeonwharf.gateway.quarantine.ServerEnd;
+import org.wigeonwharf.model.Clock;
 import org.wigeonwharf.peer.FleetSecret;
 
 /** Encodes the state of this router as signed datagrams and decodes the datagrams of its peers. */
@@ -92,4 +100,64 @@
     }
     return work;
   }
+
+  static QuarantineNews encodeQuarantine(QuarantineState state) {
+    QuarantineNews.Builder b = QuarantineNews.newBuilder();
+    for (QuarantineState.AgedEnd e : state.ends()) {
+      b.addEnds(
+          ServerEndNews.newBuilder()
+              .setServer(e.end().server())
+              .setStartedAt(e.end().startedAt())
+              .setAgeMillis(toMillis(e.ageNanos()))
+              .addAllAnswering(e.end().answering())
+              .addAllWaiting(e.end().waiting()));
+    }
+    state
+        .proven()
+        .forEach(
+            (part, age) ->
+                b.addProven(ProvenPartNews.newBuilder().setPart(part).setAgeMillis(toMillis(age))));
+    for (QuarantineState.QuarantinedPart p : state.quarantined()) {
+      b.addQuarantined(
+          QuarantinedPartNews.newBuilder()
+              .setPart(p.part())
+              .setAgeMillis(toMillis(p.ageNanos()))
+              .setRemainingMillis(toMillis(p.remainingNanos()))
+              .setStrikes(p.strikes()));
+    }
+    return b.build();
+  }
+
+  static QuarantineState decodeQuarantine(QuarantineNews news) {
+    List<QuarantineState.AgedEnd> ends = new ArrayList<>();
+    for (ServerEndNews e : news.getEndsList()) {
+      ServerEnd end =
+          new ServerEnd(
+              e.getServer(),
+              e.getStartedAt(),
+              Set.copyOf(e.getAnsweringList()),
+              Set.copyOf(e.getWaitingList()));
+      ends.add(new QuarantineState.AgedEnd(end, toNanos(e.getAgeMillis())));
+    }
+    Map<String, Long> proven = new HashMap<>();
+    news.getProvenList().forEach(p -> proven.put(p.getPart(), toNanos(p.getAgeMillis())));
+    List<QuarantineState.QuarantinedPart> quarantined = new ArrayList<>();
+    for (QuarantinedPartNews p : news.getQuarantinedList()) {
+      quarantined.add(
+          new QuarantineState.QuarantinedPart(
+              p.getPart(),
+              toNanos(p.getAgeMillis()),
+              toNanos(p.getRemainingMillis()),
+              Math.max(1, p.getStrikes())));
+    }
+    return new QuarantineState(ends, proven, quarantined);
+  }
+
+  private static int toMillis(long nanos) {
+    return (int) Math.min(Integer.MAX_VALUE, Math.max(0, nanos / Clock.NANOS_PER_MILLI));
+  }
+
+  private static long toNanos(int millis) {
+    return Math.max(0, millis) * Clock.NANOS_PER_MILLI;
+  }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipTransport.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipTransport.java
@@ -23,6 +23,7 @@
 import org.slf4j.LoggerFactory;
 import org.wigeonwharf.gateway.placement.InFlightTracker;
 import org.wigeonwharf.gateway.placement.PrefixCacheIndex;
+import org.wigeonwharf.gateway.quarantine.PromptQuarantine;
 import org.wigeonwharf.model.Clock;
 import org.wigeonwharf.model.FailureDomain;
 import org.wigeonwharf.model.NodeId;
@@ -57,6 +58,7 @@
    * @param seeds addresses of some routers, for discovery
    * @param inFlight supplies this router's in-flight work and receives that of its peers
    * @param prefixCaches supplies this router's prompt sends and receives those of its peers
+   * @param quarantine supplies and receives what is known of prompts that crash servers
    * @param secret signs and verifies messages
    * @param clock monotonic clock
    * @param storeRevision supplies the revision of the last change read from the store
@@ -70,6 +72,7 @@
       List<InetSocketAddress> seeds,
       InFlightTracker inFlight,
       PrefixCacheIndex prefixCaches,
+      PromptQuarantine quarantine,
       FleetSecret secret,
       Clock clock,
       LongSupplier storeRevision,
@@ -85,6 +88,7 @@
             seeds,
             inFlight,
             prefixCaches,
+            quarantine,
             secret,
             clock,
             new Random(self.incarnation()),
@@ -92,6 +96,7 @@
             storeRevision,
             onNewerRevision);
     inFlight.onLocalChange(this::scheduleTick);
+    quarantine.onChange(this::scheduleTick);
   }
 
   /**
@@ -111,7 +116,7 @@
                   @Override
                   protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
                     gossip.receive(ByteBufUtil.getBytes(packet.content()));
-                    if (gossip.hasSummariesToForward()) {
+                    if (gossip.hasNewsToForward()) {
                       scheduleTick();
                     }
                   }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerGossip.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerGossip.java
@@ -20,6 +20,7 @@
 import org.wigeonwharf.gateway.peer.wire.ServerWorkNews;
 import org.wigeonwharf.gateway.placement.InFlightTracker;
 import org.wigeonwharf.gateway.placement.PrefixCacheIndex;
+import org.wigeonwharf.gateway.quarantine.PromptQuarantine;
 import org.wigeonwharf.model.Addresses;
 import org.wigeonwharf.model.Clock;
 import org.wigeonwharf.model.FailureDomain;
@@ -115,6 +116,7 @@
   private List<InetSocketAddress> seeds;
   private final InFlightTracker inFlight;
   private final PrefixCacheIndex prefixCaches;
+  private final PromptQuarantine quarantine;
   private final GossipCodec codec;
   private final Clock clock;
   private final Random random;
@@ -129,6 +131,9 @@
   private long sequence;
   private long sentChangeCount;
   private long sentPrefillTokens;
+  private long sentQuarantineChange;
+  private long quarantineChangeSentToDomains;
+  private boolean forwardQuarantine;
   private long sentAt;
   private long summariesSentAt;
   private long membersSentAt;
@@ -146,6 +151,7 @@
    * @param seeds addresses of some routers, for discovery
    * @param inFlight supplies this router's in-flight work and receives that of its peers
    * @param prefixCaches supplies this router's prompt sends and receives those of its peers
+   * @param quarantine supplies and receives what is known of prompts that crash servers
    * @param secret signs and verifies messages
    * @param clock monotonic clock
    * @param random chooses receivers and the peers to list
@@ -160,6 +166,7 @@
       List<InetSocketAddress> seeds,
       InFlightTracker inFlight,
       PrefixCacheIndex prefixCaches,
+      PromptQuarantine quarantine,
       FleetSecret secret,
       Clock clock,
       Random random,
@@ -172,6 +179,7 @@
     this.seeds = List.copyOf(seeds);
     this.inFlight = inFlight;
     this.prefixCaches = prefixCaches;
+    this.quarantine = quarantine;
     this.codec = new GossipCodec(secret);
     this.clock = clock;
     this.random = random;
@@ -197,6 +205,8 @@
     boolean summariesSent = now - nextSummaryAt(now) >= 0;
     if (summariesSent) {
       sendSummaries(now);
+    } else if (quarantine.changeCount() != quarantineChangeSentToDomains) {
+      sendQuarantineToDomains(now);
     }
     // Peers learn immediately that they need not send the summaries.
     if (summariesSent || now - nextStateAt() >= 0) {
@@ -221,6 +231,9 @@
 
   private long nextStateAt() {
     int peerCount = peers.localPeerCount();
+    if (forwardQuarantine || quarantine.changeCount() != sentQuarantineChange) {
+      return sentAt + minInterval(LONG_PROMPT_INTERVAL_MILLIS_PER_PEER * peerCount);
+    }
     if (inFlight.localPrefillTokens() - sentPrefillTokens >= LONG_PROMPT_TOKENS) {
       return sentAt + minInterval(LONG_PROMPT_INTERVAL_MILLIS_PER_PEER * peerCount);
     }
@@ -268,6 +281,7 @@
   /** Sends the summary of this failure domain to one router of each other one. */
   private void sendSummaries(long now) {
     summariesSentAt = now;
+    quarantineChangeSentToDomains = quarantine.changeCount();
     List<InetSocketAddress> receivers = peers.nextSummaryReceivers(now);
     if (receivers.isEmpty()) {
       return;
@@ -281,6 +295,16 @@
     receivers.forEach(r -> sender.send(r, datagram));
   }
 
+  /** Sends what is new on crashes to the other failure domains, without waiting for a summary. */
+  private void sendQuarantineToDomains(long now) {
+    quarantineChangeSentToDomains = quarantine.changeCount();
+    List<InetSocketAddress> receivers = peers.nextSummaryReceivers(now);
+    if (!receivers.isEmpty()) {
+      byte[] datagram = codec.encode(newState().build());
+      receivers.forEach(r -> sender.send(r, datagram));
+    }
+  }
+
   private DomainSummary buildSummary(long now) {
     List<PeerTable.LocalPeer> listed = peers.listedPeers(now);
     DomainSummary.Builder b =
@@ -306,6 +330,8 @@
   private void sendStateToDomain(long now, boolean summariesSent) {
     sentChangeCount = inFlight.localChangeCount();
     sentPrefillTokens = inFlight.localPrefillTokens();
+    sentQuarantineChange = quarantine.changeCount();
+    forwardQuarantine = false;
     RouterNews.Builder b = newState().addAllWork(encodeLocalWork()).setSummariesSent(summariesSent);
     prefixCaches
         .recentSends(sameDomainSendsMaxAge(), now)
@@ -352,6 +378,7 @@
         .setSequence(++sequence)
         .setSelf(encodeMember(address, domain))
         .setStoreRevision(storeRevision.getAsLong())
+        .setQuarantine(GossipCodec.encodeQuarantine(quarantine.state(clock.nanos())))
         .setLeaving(leaving);
   }
 
@@ -420,6 +447,7 @@
     if (unknown || state.getReplyRequested()) {
       sendStateTo(sender, senderDomain, false);
     }
+    mergeQuarantine(state, sameDomain, now);
     state.getSummariesList().forEach(s -> applySummary(s, !sameDomain, now));
     if (state.getStoreRevision() > storeRevision.getAsLong()) {
       onNewerRevision.accept(state.getStoreRevision());
@@ -427,6 +455,12 @@
     state.getMembersList().forEach(m -> contactIfUseful(m, now));
   }
 
+  /** Merges what a peer knows; what comes from another failure domain is forwarded. */
+  private void mergeQuarantine(RouterNews state, boolean sameDomain, long now) {
+    boolean news = quarantine.merge(GossipCodec.decodeQuarantine(state.getQuarantine()), now);
+    forwardQuarantine |= news && !sameDomain;
+  }
+
   /** Returns false if the message is older than another one, or the last of its sender. */
   private boolean applyLocalState(
       RouterNews state, InetSocketAddress sender, NodeId node, long now) {
@@ -478,9 +512,9 @@
     return parsedAddresses.computeIfAbsent(text, Addresses::parse);
   }
 
-  /** Tells whether a summary waits to be forwarded, so that the next tick may be due earlier. */
-  boolean hasSummariesToForward() {
-    return !summariesToForward.isEmpty();
+  /** Tells whether something waits to be forwarded, so that the next tick may be due earlier. */
+  boolean hasNewsToForward() {
+    return forwardQuarantine || !summariesToForward.isEmpty();
   }
 
   /**
--- /dev/null
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/quarantine/CrashEvidence.java
@@ -0,0 +1,230 @@
+package org.wigeonwharf.gateway.quarantine;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.jspecify.annotations.Nullable;
+import org.wigeonwharf.model.Clock;
+
+/**
+ * Collects the recent ends of backend servers and the proofs that prompt parts are harmless.
+ *
+ * <p>A part scores for each server that ended with it since it was last proven harmless. Not
+ * thread-safe.
+ */
+final class CrashEvidence {
+  /** Score of a part for the end of a server that was writing an answer to it. */
+  static final int ANSWERING_SCORE = 2;
+
+  /** Score of a part for the end of a server at which it waited. */
+  static final int WAITING_SCORE = 1;
+
+  /** Time in ms for which ends and proofs count. */
+  static final long MAX_AGE_MILLIS = 60_000;
+
+  /** Time in ms within which ends count as simultaneous. */
+  private static final long SIMULTANEOUS_MILLIS = 75;
+
+  /** Time in ms by which the age of a proof may grow on its way through several routers. */
+  private static final long TRANSIT_MILLIS = 100;
+
+  private static final int MAX_ENDS = 64;
+  private static final int MAX_PARTS_PER_END = 24;
+  private static final int MAX_PROOFS = 1_024;
+
+  private final Map<String, Entry> ends = new LinkedHashMap<>();
+  private final Map<String, Long> provenAt = new LinkedHashMap<>();
+
+  /** Holds one end; several routers may add the requests that they lost. */
+  static final class Entry {
+    private final String server;
+    private final long startedAt;
+    private final long endedAt;
+    private final Set<String> answering = new HashSet<>();
+    private final Set<String> waiting = new HashSet<>();
+
+    private Entry(ServerEnd end, long endedAt) {
+      this.server = end.server();
+      this.startedAt = end.startedAt();
+      this.endedAt = endedAt;
+    }
+
+    long endedAt() {
+      return endedAt;
+    }
+
+    ServerEnd toServerEnd() {
+      return new ServerEnd(server, startedAt, answering, waiting);
+    }
+
+    private boolean add(ServerEnd end) {
+      boolean changed = addSome(answering, end.answering());
+      return addSome(waiting, end.waiting()) || changed;
+    }
+
+    private static boolean addSome(Set<String> known, Collection<String> parts) {
+      boolean changed = false;
+      for (String part : parts) {
+        changed |= known.size() < MAX_PARTS_PER_END && known.add(part);
+      }
+      return changed;
+    }
+
+    private Set<String> parts() {
+      Set<String> parts = new HashSet<>(answering);
+      parts.addAll(waiting);
+      return parts;
+    }
+  }
+
+  /**
+   * Adds an end, or further parts of a known one.
+   *
+   * @param end the end
+   * @param endedAt when it ended, in nanoseconds
+   * @return true if it adds to what is known
+   */
+  boolean add(ServerEnd end, long endedAt) {
+    String key = end.server() + '/' + end.startedAt();
+    Entry entry = ends.get(key);
+    if (entry == null) {
+      entry = new Entry(end, endedAt);
+      removeOldest(ends, MAX_ENDS - 1);
+      ends.put(key, entry);
+    }
+    return entry.add(end);
+  }
+
+  /**
+   * Records that a part was answered without harm.
+   *
+   * @param part the part's id
+   * @param at when that was, in nanoseconds
+   * @return true if this is later than any earlier proof, by more than messages take
+   */
+  boolean prove(String part, long at) {
+    Long before = provenAt.get(part);
+    if (before != null && at - before <= TRANSIT_MILLIS * Clock.NANOS_PER_MILLI) {
+      return false;
+    }
+    provenAt.remove(part);
+    removeOldest(provenAt, MAX_PROOFS - 1);
+    provenAt.put(part, at);
+    return true;
+  }
+
+  private static void removeOldest(Map<String, ?> map, int maxSize) {
+    Iterator<String> oldest = map.keySet().iterator();
+    while (map.size() > maxSize && oldest.hasNext()) {
+      oldest.next();
+      oldest.remove();
+    }
+  }
+
+  void removeExpired(long now) {
+    long oldest = now - MAX_AGE_MILLIS * Clock.NANOS_PER_MILLI;
+    ends.values().removeIf(e -> e.endedAt - oldest < 0);
+    provenAt.values().removeIf(at -> at - oldest < 0);
+  }
+
+  boolean isEmpty() {
+    return ends.isEmpty();
+  }
+
+  /** Returns when a part was last proven harmless, in nanoseconds, or null if it never was. */
+  @Nullable Long provenAt(String part) {
+    return provenAt.get(part);
+  }
+
+  /** Returns the ends, oldest first. */
+  List<Entry> ends() {
+    return List.copyOf(ends.values());
+  }
+
+  /** Returns the proofs by part, oldest first. */
+  Map<String, Long> proofs() {
+    return provenAt;
+  }
+
+  /** Tells whether a server ended with a part since that was last proven harmless. */
+  boolean hasUnprovenEnd(String part) {
+    Long proven = provenAt.get(part);
+    return ends.values().stream()
+        .anyMatch(
+            e ->
+                (proven == null || e.endedAt - proven > 0)
+                    && (e.answering.contains(part) || e.waiting.contains(part)));
+  }
+
+  /** Returns the parts that were lost with any of the ended servers. */
+  Set<String> suspects() {
+    Set<String> parts = new HashSet<>();
+    ends.values().forEach(e -> parts.addAll(e.parts()));
+    return parts;
+  }
+
+  /**
+   * Scores parts by the ends that count against them: those since the part was last proven
+   * harmless. Ends at nearly the same time count once, since they have a common cause.
+   *
+   * @param ignored tells which ends another cause explains, by their parts
+   */
+  Map<String, Score> scores(Predicate<Set<String>> ignored) {
+    List<Entry> inOrder = new ArrayList<>(ends.values());
+    inOrder.sort(Comparator.comparingLong(e -> e.endedAt));
+    Map<String, Score> scores = new HashMap<>();
+    for (Entry e : inOrder) {
+      Set<String> parts = e.parts();
+      if (ignored.test(parts)) {
+        continue;
+      }
+      for (String part : parts) {
+        Long proven = provenAt.get(part);
+        if (proven == null || e.endedAt - proven > 0) {
+          scores.computeIfAbsent(part, k -> new Score()).add(e, part);
+        }
+      }
+    }
+    return scores;
+  }
+
+  /** Accumulates the score of one part. */
+  static final class Score {
+    private final List<String> servers = new ArrayList<>();
+    private int total;
+    private int lastPoints;
+    private long lastAt;
+
+    private void add(Entry e, String part) {
+      int points = e.answering.contains(part) ? ANSWERING_SCORE : WAITING_SCORE;
+      boolean simultaneous =
+          !servers.isEmpty() && e.endedAt - lastAt < SIMULTANEOUS_MILLIS * Clock.NANOS_PER_MILLI;
+      if (simultaneous) {
+        total += Math.max(0, points - lastPoints);
+        lastPoints = Math.max(points, lastPoints);
+      } else {
+        total += points;
+        lastPoints = points;
+        lastAt = e.endedAt;
+      }
+      servers.add(e.server);
+    }
+
+    int total() {
+      return total;
+    }
+
+    /** Returns the servers that ended. */
+    List<String> servers() {
+      return servers;
+    }
+  }
+}
