Ask for one more crash before a prompt part is quarantined

Four ends are needed now, an answer counts as begun without harm after 150 ms rather than 300 ms, and evidence is judged when it arrives rather than with the next request.

Tests of the decisions, of the detection of ends and of the exchange between routers are added.

--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/CrashingPromptTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/CrashingPromptTest.java
@@ -1,7 +1,10 @@
 package org.wigeonwharf.gateway.http;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
+import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.wigeonwharf.gateway.http.ExchangeFixture.FakeCaller;
 import org.wigeonwharf.gateway.route.RequestKind;
@@ -78,4 +81,57 @@
     assertTrue(
         soundResponses >= 0.9 * soundRequests, soundResponses + " of " + soundRequests + " begun");
   }
+
+  @Test
+  void serversThatEndForOtherReasonsQuarantineNothing() {
+    for (int seed = 0; seed < 30; seed++) {
+      ExchangeFixture fleet = new ExchangeFixture();
+      EngineSimulation servers = new EngineSimulation(fleet, CRASHING_PART, SERVERS);
+      Random random = new Random(seed);
+      for (int i = 0; i < 1_200; i++) {
+        beginRandom(fleet, random, "");
+        if (random.nextInt(20) == 0) {
+          crashSome(servers, 1 + random.nextInt(3));
+        }
+        fleet.timers.advanceMillis(STEP_MILLIS);
+        assertEquals(List.of(), fleet.quarantine.quarantined(fleet.timers.nanos()), "seed " + seed);
+      }
+      assertTrue(servers.crashes() > 30, servers.crashes() + " crashes, seed " + seed);
+    }
+  }
+
+  @Test
+  void onlyThePartThatCrashesServersIsQuarantined() {
+    for (int seed = 0; seed < 30; seed++) {
+      ExchangeFixture fleet = new ExchangeFixture();
+      EngineSimulation servers = new EngineSimulation(fleet, CRASHING_PART, SERVERS);
+      Random random = new Random(seed);
+      for (int i = 0; i < 1_200; i++) {
+        boolean bad = random.nextInt(5) == 0;
+        beginRandom(fleet, random, bad ? CRASHING_PART + "," : "");
+        if (random.nextInt(60) == 0) {
+          crashSome(servers, 1);
+        }
+        fleet.timers.advanceMillis(STEP_MILLIS);
+      }
+      assertEquals(
+          List.of(CRASHING_PART),
+          fleet.quarantine.quarantined(fleet.timers.nanos()),
+          "seed " + seed);
+    }
+  }
+
+  private static void beginRandom(ExchangeFixture fleet, Random random, String crashingPart) {
+    String parts =
+        "common" + random.nextInt(3) + ",session" + random.nextInt(30) + "," + crashingPart;
+    fleet.begin(
+        RequestKind.RESUMABLE_STREAM,
+        new FakeCaller(),
+        TestProtocol.PARTS,
+        parts + "own" + random.nextLong());
+  }
+
+  private static void crashSome(EngineSimulation servers, int count) {
+    servers.liveServers().stream().limit(count).toList().forEach(servers::crash);
+  }
 }
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Queue;
 import java.util.Random;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.wigeonwharf.gateway.placement.Demand;
 import org.wigeonwharf.gateway.placement.InFlightTracker;
@@ -19,6 +20,7 @@
 import org.wigeonwharf.gateway.placement.PromptPart;
 import org.wigeonwharf.gateway.quarantine.PromptQuarantine;
 import org.wigeonwharf.gateway.quarantine.QuarantineLog;
+import org.wigeonwharf.gateway.quarantine.ServerEnd;
 import org.wigeonwharf.model.Clock;
 import org.wigeonwharf.model.FailureDomain;
 import org.wigeonwharf.model.NodeId;
@@ -136,6 +138,70 @@
     assertEquals(500, c.prefixCaches.cachedTokens("s", prompt));
   }
 
+  private void crash(Node observer, String server) {
+    observer.quarantine.recordServerEnd(
+        new ServerEnd(server, 1, Set.of("bad"), Set.of()), now, now);
+  }
+
+  private static boolean isQuarantined(Node node, long now) {
+    return node.quarantine.find(List.of("bad"), now) != null;
+  }
+
+  @Test
+  void crashesSeenByDifferentRoutersQuarantineThePartEverywhere() {
+    List<Node> all = new ArrayList<>();
+    for (int i = 1; i <= 9; i++) {
+      all.add(addNode(i, "d" + i % 3));
+    }
+    advanceMillis(4_000);
+    lossRate = 0.2;
+    for (int i = 0; i < 4; i++) {
+      crash(all.get(2 * i), "s" + i);
+      advanceMillis(200);
+    }
+    advanceMillis(1_000);
+    all.forEach(n -> assertTrue(isQuarantined(n, now)));
+  }
+
+  @Test
+  void restartedRouterLearnsQuarantineWithItsFirstMessages() {
+    Node a = addNode(1, "d");
+    addNode(2, "e");
+    advanceMillis(4_000);
+    for (int i = 0; i < 4; i++) {
+      crash(a, "s" + i);
+      advanceMillis(500);
+    }
+    assertTrue(isQuarantined(a, now));
+    Node restarted = addNode(2, "e");
+    advanceMillis(20);
+    assertTrue(isQuarantined(restarted, now));
+  }
+
+  private long messagesInNextSecond(int routers, boolean crash) {
+    nodes.clear();
+    List<Node> all = new ArrayList<>();
+    for (int i = 1; i <= routers; i++) {
+      all.add(addNode(i, "d" + i % 2));
+    }
+    advanceMillis(4_000);
+    long before = messagesSent;
+    if (crash) {
+      crash(all.get(0), "s");
+    }
+    advanceMillis(1_000);
+    return messagesSent - before;
+  }
+
+  @Test
+  void crashCausesFewMessages() {
+    int routers = 24;
+    long usual = messagesInNextSecond(routers, false);
+    long caused = messagesInNextSecond(routers, true) - usual;
+    // The observer tells its domain and one router of the other, which tells its own.
+    assertTrue(caused <= 2 * routers, caused + " messages beside " + usual);
+  }
+
   @Test
   void inFlightWorkReachesPeersOfSameDomainDespiteLoss() {
     Node a = addNode(1, "d");
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/AttemptHandler.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/AttemptHandler.java
@@ -26,7 +26,7 @@
    * Time in ms from its first event after which an answer counts as harmless to its server. A
    * prompt that crashes its server does so while the answer begins.
    */
-  private static final long PROOF_MILLIS = 300;
+  private static final long PROOF_MILLIS = 150;
 
   private final Exchange exchange;
   private final ExchangeManager manager;
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/quarantine/PromptQuarantine.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/quarantine/PromptQuarantine.java
@@ -23,14 +23,14 @@
  * soon after is quarantined again at once, for longer. Not thread-safe.
  */
 public final class PromptQuarantine {
-  /** Score at which a part is quarantined: three servers that were writing an answer to it. */
-  private static final int MIN_SCORE = 3 * CrashEvidence.ANSWERING_SCORE;
+  /** Score at which a part is quarantined: four servers that were writing an answer to it. */
+  private static final int MIN_SCORE = 4 * CrashEvidence.ANSWERING_SCORE;
 
   /**
    * Score at which a part is quarantined that was answered within the last minute. Chance alone
    * loses such a part with some servers in succession while another one crashes them.
    */
-  private static final int MIN_SCORE_IF_PROVEN = 2 * MIN_SCORE;
+  private static final int MIN_SCORE_IF_PROVEN = 6 * CrashEvidence.ANSWERING_SCORE;
 
   /** Score at which parts are quarantined that the evidence does not distinguish. */
   private static final int MIN_SCORE_OF_TIED = 5 * CrashEvidence.ANSWERING_SCORE;
@@ -192,6 +192,7 @@
     log.logServerEnd(bounded);
     if (addEnd(bounded, endedAt, now)) {
       changed();
+      evaluate(now);
     }
   }
 
@@ -474,7 +475,10 @@
     for (QuarantineState.QuarantinedPart p : state.quarantined()) {
       news |= adopt(p, now);
     }
-    evidenceChanged |= news;
+    if (news) {
+      evidenceChanged = true;
+      evaluate(now);
+    }
     return news;
   }
 
