Take a stream without length that ends before any event for broken off

A server may send an answer with neither a length nor chunks, which ends with its connection. If the server ended in order before it wrote an event, such a stream was passed on as a complete answer without events. It is now treated like one that ends within an event: retried where the route allows that, else failed. The test of this failed before; tests of answers without length over real connections, complete and reset, passed.

--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeTest.java
@@ -205,6 +205,36 @@
     assertTrue(caller.completed);
   }
 
+  @Test
+  void streamWithoutLengthThatEndsWithinAnEventIsResumed() {
+    fixture.addServers(2).begin(RequestKind.RESUMABLE_STREAM, caller);
+    fixture.attempt(0).respondHead(200, SIGNED);
+    fixture.attempt(0).respondData("id: 1\ndata: a\n\nid: 2\nda");
+    fixture.attempt(0).listener.onComplete();
+    fixture.attempt(1).respond(200, "id: 2\ndata: b\n\n", SIGNED);
+    assertEquals("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", caller.body.toString());
+    assertTrue(caller.completed);
+  }
+
+  @Test
+  void streamWithoutLengthThatEndsBeforeItsFirstEventIsRetried() {
+    fixture.addServers(2).begin(RequestKind.RESUMABLE_STREAM, caller);
+    fixture.attempt(0).respondHead(200, SIGNED);
+    fixture.attempt(0).listener.onComplete();
+    assertEquals(0, caller.status);
+    fixture.attempt(1).respond(200, "id: 1\ndata: a\n\n", SIGNED);
+    assertEquals("id: 1\ndata: a\n\n", caller.body.toString());
+  }
+
+  @Test
+  void chunkedStreamWithoutEventsIsComplete() {
+    fixture.addServers(2).begin(RequestKind.RESUMABLE_STREAM, caller);
+    fixture.attempt(0).respondHead(200, SIGNED, "transfer-encoding");
+    fixture.attempt(0).listener.onComplete();
+    assertEquals(200, caller.status);
+    assertTrue(caller.completed);
+  }
+
   @Test
   void streamThatEndsWithinAnEventIsAborted() {
     fixture.addServers(1).begin(RequestKind.STREAM, caller);
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/NettyBackendConnectorTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/NettyBackendConnectorTest.java
@@ -160,6 +160,41 @@
     assertAttemptCompletes(answer, answer);
   }
 
+  /** Answers an attempt and ends the connection in order or by a reset. */
+  private void answerAndClose(String answer, boolean reset) throws Exception {
+    send();
+    try (Socket server = listener.accept()) {
+      assertTrue(server.getInputStream().read() > 0);
+      server.getInputStream().skipNBytes(server.getInputStream().available());
+      server.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+      server.getOutputStream().flush();
+      assertEquals("head", nextEvent());
+      if (reset) {
+        server.setSoLinger(true, 0);
+      }
+    }
+  }
+
+  @Test
+  void answerWithoutLengthEndsWithItsConnection() throws Exception {
+    answerAndClose(OK + "\r\nanswer", false);
+    assertEquals("complete", nextEvent());
+  }
+
+  @Test
+  void answerWithoutLengthIsLostWithAReset() throws Exception {
+    answerAndClose(OK + "\r\nanswer", true);
+    assertEquals("lost", nextEvent());
+  }
+
+  @Test
+  void answerWithLengthOrChunksIsLostWithItsConnection() throws Exception {
+    answerAndClose(OK + "Content-Length: 20\r\n\r\nanswer", false);
+    assertEquals("lost", nextEvent());
+    answerAndClose(CHUNKED + "6\r\nanswer\r\n", false);
+    assertEquals("lost", nextEvent());
+  }
+
   private void assertAttemptFails(String head, String repeated) throws Exception {
     send();
     try (Socket server = listener.accept()) {
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/AttemptHandler.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/AttemptHandler.java
@@ -47,6 +47,7 @@
   private int events;
   private long firstEventAt;
   private boolean proven;
+  private boolean endsWithConnection;
   private boolean ended;
 
   AttemptHandler(
@@ -131,6 +132,9 @@
     if (m.load() != null) {
       chooser().recordLoadReport(server.id(), m.load(), now());
     }
+    endsWithConnection =
+        !headers.contains(HttpHeaderNames.CONTENT_LENGTH)
+            && !headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
     HopByHopHeaders.remove(headers);
     if (m.notExecuted() || m.misdirected()) {
       handleNotExecuted(m);
@@ -282,8 +286,12 @@
 
   private void completeStream(EventFramer eventFramer) {
     byte[] remainder = eventFramer.remainder();
-    if (remainder.length > 0) {
-      String reason = "the stream ended within an event";
+    boolean endsBeforeFirstEvent = endsWithConnection && events == 0;
+    if (remainder.length > 0 || endsBeforeFirstEvent) {
+      String reason =
+          endsBeforeFirstEvent
+              ? "the stream ended without an event"
+              : "the stream ended within an event";
       recordLost(reason);
       fail(reason);
       return;
