--- a/platform.test/src/test/java/org/wigeonwharf/platform/BackendStandIn.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/BackendStandIn.java
@@ -19,6 +19,7 @@
   private final ExecutorService executor = Executors.newCachedThreadPool();
   private final HttpServer server;
   final List<ReceivedRequest> received = new CopyOnWriteArrayList<>();
+  private volatile String limit = "";
   private volatile CountDownLatch hold = new CountDownLatch(0);
 
   /**
@@ -45,6 +46,11 @@
     return server.getAddress();
   }
 
+  /** Names a limit of requests per second in all answers. */
+  void nameLimit(String requestsPerSecond) {
+    limit = requestsPerSecond;
+  }
+
   /** Pauses answers after their first event until {@link #release}. */
   void hold() {
     hold = new CountDownLatch(1);
@@ -66,6 +72,9 @@
           .set(WireNames.REQUEST_ID, x.getRequestHeaders().getFirst(WireNames.REQUEST_ID));
       x.getResponseHeaders().set(WireNames.SIGNATURE, "signed");
       x.getResponseHeaders().set(WireNames.LOAD, "1,0,6,100");
+      if (!limit.isEmpty()) {
+        x.getResponseHeaders().set(WireNames.REQUEST_RATE_LIMIT, limit);
+      }
       x.getResponseHeaders().set("Content-Type", "text/event-stream");
       x.sendResponseHeaders(200, 0);
       OutputStream out = x.getResponseBody();
--- a/platform.test/src/test/java/org/wigeonwharf/platform/GatewayProcessTest.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/GatewayProcessTest.java
@@ -14,6 +14,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -166,6 +167,29 @@
         router.log().stream().anyMatch(l -> l.path("event").asText().equals("settings.reloaded")));
   }
 
+  @Test
+  void serverThatNamesItsLimitGetsNoMoreRequests() throws Exception {
+    store.put("op/config", CONFIG.formatted(2, "b").replace("host.example", "127.0.0.1"));
+    awaitVersion(2);
+    double perSecond = 2;
+    int seconds = 6;
+    backend.nameLimit(String.valueOf(perSecond));
+    List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+    for (int i = 0; i < seconds * 20; i++) {
+      answers.add(sendRequest("/b/x"));
+      Thread.sleep(50);
+    }
+    int received = backend.received.size();
+    // One and a half times the limit plus five requests in each 4 s, from the first answer on.
+    double allowed = 1.5 * perSecond * seconds + 5 * seconds / 4.0;
+    assertTrue(received <= allowed, received + " received, allowed " + allowed);
+    assertTrue(received >= 0.5 * perSecond * seconds, "idle: " + received + " received");
+    for (CompletableFuture<HttpResponse<String>> a : answers) {
+      int status = a.get(TIMEOUT_SECONDS, TimeUnit.SECONDS).statusCode();
+      assertTrue(status == 200 || status == 503, "status " + status);
+    }
+  }
+
   private void awaitVersion(int version) throws Exception {
     router.awaitLine(
         l ->
