--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
@@ -15,6 +15,8 @@
 import java.util.function.Function;
 import org.wigeonwharf.gateway.backend.BackendServer;
 import org.wigeonwharf.gateway.backend.ServerDirectory;
+import org.wigeonwharf.gateway.limit.LimitLog;
+import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.placement.InFlightTracker;
 import org.wigeonwharf.gateway.placement.PrefixCacheIndex;
 import org.wigeonwharf.gateway.placement.ServerChooser;
@@ -45,6 +47,8 @@
   final List<FakeAttempt> attempts = new ArrayList<>();
   final PromptQuarantine quarantine =
       new PromptQuarantine(new QuarantineLog(new MetricRegistry()), new Random(7), timers.nanos());
+  final ServerLimits limits =
+      new ServerLimits(new LimitLog(new MetricRegistry()), () -> 0, new Random(7), timers.nanos());
   Consumer<FakeAttempt> onAttempt = a -> {};
   Function<BackendServer, LivenessCheck.Result> liveness = s -> LivenessCheck.Result.ALIVE;
   final ExchangeManager exchanges;
@@ -140,7 +144,11 @@
             () -> routes,
             directory,
             new ServerChooser(
-                DOMAIN, new InFlightTracker(0), new PrefixCacheIndex(), ServerPenalties.DEFAULT),
+                DOMAIN,
+                new InFlightTracker(0),
+                new PrefixCacheIndex(),
+                ServerPenalties.DEFAULT,
+                limits),
             budget,
             new TestProtocol(),
             this::recordAttempt,
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeTest.java
@@ -5,8 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.wigeonwharf.gateway.http.ExchangeFixture.FakeAttempt;
 import org.wigeonwharf.gateway.http.ExchangeFixture.FakeCaller;
 import org.wigeonwharf.gateway.route.CallerLimits;
 import org.wigeonwharf.gateway.route.RequestKind;
@@ -22,6 +24,7 @@
 
   private final ExchangeFixture fixture = new ExchangeFixture();
   private final FakeCaller caller = new FakeCaller();
+  private final List<FakeCaller> callers = new ArrayList<>();
 
   @Test
   void responseIsDelivered() {
@@ -235,6 +238,43 @@
     assertTrue(caller.completed);
   }
 
+  @Test
+  void requestsOverTheLimitOfOneServerGoToAnother() {
+    fixture.timers.advanceMillis(5_000);
+    fixture.addServers(2);
+    for (int i = 0; i < 40; i++) {
+      fixture.begin(RequestKind.IDEMPOTENT, new FakeCaller());
+      FakeAttempt a = fixture.attempt(i);
+      a.respondHead(200, SIGNED, a.server.id().equals("s1") ? TestProtocol.LIMIT : SIGNED);
+      a.listener.onComplete();
+      fixture.timers.advanceMillis(50);
+    }
+    long limited = fixture.attempts.stream().filter(a -> a.server.id().equals("s1")).count();
+    // One request a second for two seconds, and the one whose answer named the limit.
+    assertTrue(limited >= 1 && limited <= 4, limited + " of 40");
+  }
+
+  @Test
+  void requestsOverTheLimitOfTheOnlyServerAreRefusedUnsent() {
+    fixture.timers.advanceMillis(5_000);
+    fixture.addServers(1).begin(RequestKind.UNREPEATABLE, new FakeCaller());
+    fixture.attempt(0).respondHead(200, SIGNED, TestProtocol.LIMIT);
+    fixture.attempt(0).listener.onComplete();
+    for (int i = 0; i < 10; i++) {
+      fixture.begin(RequestKind.UNREPEATABLE, addCaller());
+    }
+    fixture.timers.advanceMillis(1_500);
+    assertTrue(fixture.attempts.size() <= 4, fixture.attempts.size() + " sent");
+    long refused = callers.stream().filter(c -> c.status == 503).count();
+    assertTrue(refused >= 7, refused + " refused");
+  }
+
+  private FakeCaller addCaller() {
+    FakeCaller c = new FakeCaller();
+    callers.add(c);
+    return c;
+  }
+
   @Test
   void streamThatEndsWithinAnEventIsAborted() {
     fixture.addServers(1).begin(RequestKind.STREAM, caller);
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/NettyBackendConnectorTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/NettyBackendConnectorTest.java
@@ -182,7 +182,7 @@
   }
 
   @Test
-  void answerWithoutLengthIsLostWithAReset() throws Exception {
+  void answerWithoutLengthIsLostWhenReset() throws Exception {
     answerAndClose(OK + "\r\nanswer", true);
     assertEquals("lost", nextEvent());
   }
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/TestProtocol.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/TestProtocol.java
@@ -17,6 +17,7 @@
   static final String LAST_EVENT_ID = "last";
   static final String ACCOUNT = "account";
   static final String PROMPT = "prompt";
+  static final String LIMIT = "limit";
 
   /** Ids of the prompt's parts, separated by commas. */
   static final String PARTS = "parts";
@@ -54,7 +55,8 @@
   @Override
   public ResponseMetadata readResponse(int status, HttpHeaders h) {
     LoadReport load = h.contains("load") ? new LoadReport(h.getInt("load"), 0, 1, 1) : null;
+    Double limit = h.contains(LIMIT) ? Double.valueOf(h.get(LIMIT)) : null;
     return new ResponseMetadata(
-        h.contains(NOT_RUN), status == 421, h.contains(SIGNED), h.get(ID), load);
+        h.contains(NOT_RUN), status == 421, h.contains(SIGNED), h.get(ID), load, limit);
   }
 }
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
@@ -14,6 +14,8 @@
 import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.wigeonwharf.gateway.limit.LimitLog;
+import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.placement.Demand;
 import org.wigeonwharf.gateway.placement.InFlightTracker;
 import org.wigeonwharf.gateway.placement.PrefixCacheIndex;
@@ -51,6 +53,8 @@
     private final PrefixCacheIndex prefixCaches = new PrefixCacheIndex();
     private final PromptQuarantine quarantine =
         new PromptQuarantine(new QuarantineLog(new MetricRegistry()), new Random(7), now);
+    private final ServerLimits limits =
+        new ServerLimits(new LimitLog(new MetricRegistry()), () -> 0, random, now);
     private final List<Long> newerRevisions = new ArrayList<>();
     private final PeerGossip gossip;
     private final String domain;
@@ -67,6 +71,7 @@
               inFlight,
               prefixCaches,
               quarantine,
+              limits,
               new FleetSecret(secret),
               () -> now,
               new Random(number),
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/PromptPlacementTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/PromptPlacementTest.java
@@ -5,15 +5,19 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.codahale.metrics.MetricRegistry;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.wigeonwharf.gateway.backend.BackendServer;
+import org.wigeonwharf.gateway.limit.LimitLog;
+import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.route.EngineSpec;
 import org.wigeonwharf.gateway.route.ServiceSpec;
 import org.wigeonwharf.model.Clock;
@@ -24,6 +28,8 @@
  * needlessly, and servers that are overloaded or unreachable but still chosen over others.
  */
 class PromptPlacementTest {
+  private static final ServerLimits NO_LIMITS =
+      new ServerLimits(new LimitLog(new MetricRegistry()), () -> 0, new Random(7), 0);
   private static final FailureDomain LOCAL = new FailureDomain("local");
   private static final FailureDomain REMOTE = new FailureDomain("remote");
   private static final ServiceSpec MODEL_SERVICE =
@@ -35,7 +41,7 @@
   private final InFlightTracker inFlight = new InFlightTracker(Clock.NANOS_PER_SECOND);
   private final PrefixCacheIndex prefixCaches = new PrefixCacheIndex();
   private final ServerChooser chooser =
-      new ServerChooser(LOCAL, inFlight, prefixCaches, ServerPenalties.DEFAULT);
+      new ServerChooser(LOCAL, inFlight, prefixCaches, ServerPenalties.DEFAULT, NO_LIMITS);
   private final List<BackendServer> servers = new ArrayList<>();
   private long now = Clock.NANOS_PER_SECOND;
   private int nextPart;
@@ -70,7 +76,7 @@
   }
 
   private String place(Demand d) {
-    Choice c = chooser.choose(d, MODEL_SERVICE, servers, Set.of(), false, now);
+    Choice c = chooser.choose(d, MODEL_SERVICE, servers, Set.of(), false, true, now);
     String id = c.candidate().server().id();
     InFlightTracker.Entry entry = chooser.recordSent(d, c, now);
     chooser.recordResponse(id, true, now);
@@ -118,12 +124,12 @@
   void sharedPrefixStaysOnItsEngineIfCachesCannotBeFetched() {
     addEngines(2, 2);
     Demand first = longRequest("topic");
-    Choice c = chooser.choose(first, NO_FETCH_SERVICE, servers, Set.of(), false, now);
+    Choice c = chooser.choose(first, NO_FETCH_SERVICE, servers, Set.of(), false, true, now);
     chooser.recordSent(first, c, now);
     chooser.recordResponse(c.candidate().server().id(), true, now);
     now += Clock.NANOS_PER_SECOND;
     Choice next =
-        chooser.choose(longRequest("topic"), NO_FETCH_SERVICE, servers, Set.of(), false, now);
+        chooser.choose(longRequest("topic"), NO_FETCH_SERVICE, servers, Set.of(), false, true, now);
     assertEquals(c.candidate().server().id(), next.candidate().server().id());
   }
 
@@ -151,13 +157,14 @@
     addEngines(1, 1);
     prefixCaches.recordRemoteSends(Map.of("s1", List.of(new PromptPart("topic", 5_000))));
     Choice c =
-        chooser.choose(longRequest("topic"), NO_FETCH_SERVICE, servers, Set.of("s1"), false, now);
+        chooser.choose(
+            longRequest("topic"), NO_FETCH_SERVICE, servers, Set.of("s1"), false, true, now);
     assertNull(c.cacheSource());
     assertEquals(11_000, c.prefillTokens());
     assertEquals(
         "s1",
         chooser
-            .choose(longRequest("topic"), NO_FETCH_SERVICE, servers, Set.of(), false, now)
+            .choose(longRequest("topic"), NO_FETCH_SERVICE, servers, Set.of(), false, true, now)
             .candidate()
             .server()
             .id());
@@ -178,9 +185,11 @@
     addEngines(2, 0);
     String owner = place(longRequest("topic"));
     ServerChooser restarted =
-        new ServerChooser(LOCAL, inFlight, new PrefixCacheIndex(), ServerPenalties.DEFAULT);
+        new ServerChooser(
+            LOCAL, inFlight, new PrefixCacheIndex(), ServerPenalties.DEFAULT, NO_LIMITS);
     Choice c =
-        restarted.choose(longRequest("topic"), MODEL_SERVICE, servers, Set.of(owner), false, now);
+        restarted.choose(
+            longRequest("topic"), MODEL_SERVICE, servers, Set.of(owner), false, true, now);
     assertEquals(owner, c.cacheSource().id());
     assertEquals(11_000, c.prefillTokens());
   }
@@ -196,7 +205,7 @@
   }
 
   private Choice choose(Demand d, Set<String> tried) {
-    return chooser.choose(d, MODEL_SERVICE, servers, tried, false, now);
+    return chooser.choose(d, MODEL_SERVICE, servers, tried, false, true, now);
   }
 
   @Test
--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/DomainSummary.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/DomainSummary.java
@@ -39,6 +39,7 @@
         com.google.protobuf.LazyStringArrayList.emptyList();
     work_ = java.util.Collections.emptyList();
     reads_ = java.util.Collections.emptyList();
+    demand_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -308,6 +309,67 @@
     return unresponsive_;
   }
 
+  public static final int DEMAND_FIELD_NUMBER = 9;
+  @SuppressWarnings("serial")
+  private java.util.List<org.wigeonwharf.gateway.peer.wire.ServerDemandNews> demand_;
+  /**
+   * <pre>
+   * Sum of the demand of these routers, by server.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 9;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.wigeonwharf.gateway.peer.wire.ServerDemandNews> getDemandList() {
+    return demand_;
+  }
+  /**
+   * <pre>
+   * Sum of the demand of these routers, by server.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 9;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.wigeonwharf.gateway.peer.wire.ServerDemandNewsOrBuilder> 
+      getDemandOrBuilderList() {
+    return demand_;
+  }
+  /**
+   * <pre>
+   * Sum of the demand of these routers, by server.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 9;</code>
+   */
+  @java.lang.Override
+  public int getDemandCount() {
+    return demand_.size();
+  }
+  /**
+   * <pre>
+   * Sum of the demand of these routers, by server.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 9;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.gateway.peer.wire.ServerDemandNews getDemand(int index) {
+    return demand_.get(index);
+  }
+  /**
+   * <pre>
+   * Sum of the demand of these routers, by server.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 9;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.gateway.peer.wire.ServerDemandNewsOrBuilder getDemandOrBuilder(
+      int index) {
+    return demand_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -346,6 +408,9 @@
     if (unresponsive_ != false) {
       output.writeBool(8, unresponsive_);
     }
+    for (int i = 0; i < demand_.size(); i++) {
+      output.writeMessage(9, demand_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -390,6 +455,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(8, unresponsive_);
     }
+    for (int i = 0; i < demand_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(9, demand_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -421,6 +490,8 @@
         != other.getStoreRevision()) return false;
     if (getUnresponsive()
         != other.getUnresponsive()) return false;
+    if (!getDemandList()
+        .equals(other.getDemandList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -457,6 +528,10 @@
     hash = (37 * hash) + UNRESPONSIVE_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getUnresponsive());
+    if (getDemandCount() > 0) {
+      hash = (37 * hash) + DEMAND_FIELD_NUMBER;
+      hash = (53 * hash) + getDemandList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -615,6 +690,13 @@
       bitField0_ = (bitField0_ & ~0x00000020);
       storeRevision_ = 0L;
       unresponsive_ = false;
+      if (demandBuilder_ == null) {
+        demand_ = java.util.Collections.emptyList();
+      } else {
+        demand_ = null;
+        demandBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000100);
       return this;
     }
 
@@ -666,6 +748,15 @@
       } else {
         result.reads_ = readsBuilder_.build();
       }
+      if (demandBuilder_ == null) {
+        if (((bitField0_ & 0x00000100) != 0)) {
+          demand_ = java.util.Collections.unmodifiableList(demand_);
+          bitField0_ = (bitField0_ & ~0x00000100);
+        }
+        result.demand_ = demand_;
+      } else {
+        result.demand_ = demandBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.wigeonwharf.gateway.peer.wire.DomainSummary result) {
@@ -782,6 +873,32 @@
       if (other.getUnresponsive() != false) {
         setUnresponsive(other.getUnresponsive());
       }
+      if (demandBuilder_ == null) {
+        if (!other.demand_.isEmpty()) {
+          if (demand_.isEmpty()) {
+            demand_ = other.demand_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+          } else {
+            ensureDemandIsMutable();
+            demand_.addAll(other.demand_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.demand_.isEmpty()) {
+          if (demandBuilder_.isEmpty()) {
+            demandBuilder_.dispose();
+            demandBuilder_ = null;
+            demand_ = other.demand_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+            demandBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetDemandFieldBuilder() : null;
+          } else {
+            demandBuilder_.addAllMessages(other.demand_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -865,6 +982,19 @@
               bitField0_ |= 0x00000080;
               break;
             } // case 64
+            case 74: {
+              org.wigeonwharf.gateway.peer.wire.ServerDemandNews m =
+                  input.readMessage(
+                      org.wigeonwharf.gateway.peer.wire.ServerDemandNews.parser(),
+                      extensionRegistry);
+              if (demandBuilder_ == null) {
+                ensureDemandIsMutable();
+                demand_.add(m);
+              } else {
+                demandBuilder_.addMessage(m);
+              }
+              break;
+            } // case 74
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1829,6 +1959,318 @@
       return this;
     }
 
+    private java.util.List<org.wigeonwharf.gateway.peer.wire.ServerDemandNews> demand_ =
+      java.util.Collections.emptyList();
+    private void ensureDemandIsMutable() {
+      if (!((bitField0_ & 0x00000100) != 0)) {
+        demand_ = new java.util.ArrayList<org.wigeonwharf.gateway.peer.wire.ServerDemandNews>(demand_);
+        bitField0_ |= 0x00000100;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wigeonwharf.gateway.peer.wire.ServerDemandNews, org.wigeonwharf.gateway.peer.wire.ServerDemandNews.Builder, org.wigeonwharf.gateway.peer.wire.ServerDemandNewsOrBuilder> demandBuilder_;
+
+    /**
+     * <pre>
+     * Sum of the demand of these routers, by server.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 9;</code>
+     */
+    public java.util.List<org.wigeonwharf.gateway.peer.wire.ServerDemandNews> getDemandList() {
+      if (demandBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(demand_);
+      } else {
+        return demandBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Sum of the demand of these routers, by server.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 9;</code>
+     */
+    public int getDemandCount() {
+      if (demandBuilder_ == null) {
+        return demand_.size();
+      } else {
+        return demandBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Sum of the demand of these routers, by server.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 9;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.ServerDemandNews getDemand(int index) {
+      if (demandBuilder_ == null) {
+        return demand_.get(index);
+      } else {
+        return demandBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Sum of the demand of these routers, by server.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 9;</code>
+     */
+    public Builder setDemand(
+        int index, org.wigeonwharf.gateway.peer.wire.ServerDemandNews value) {
+      if (demandBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureDemandIsMutable();
+        demand_.set(index, value);
+        onChanged();
+      } else {
+        demandBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sum of the demand of these routers, by server.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 9;</code>
+     */
+    public Builder setDemand(
+        int index, org.wigeonwharf.gateway.peer.wire.ServerDemandNews.Builder builderForValue) {
+      if (demandBuilder_ == null) {
+        ensureDemandIsMutable();
+        demand_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        demandBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sum of the demand of these routers, by server.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 9;</code>
+     */
+    public Builder addDemand(org.wigeonwharf.gateway.peer.wire.ServerDemandNews value) {
+      if (demandBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureDemandIsMutable();
+        demand_.add(value);
+        onChanged();
+      } else {
+        demandBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sum of the demand of these routers, by server.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 9;</code>
+     */
+    public Builder addDemand(
+        int index, org.wigeonwharf.gateway.peer.wire.ServerDemandNews value) {
+      if (demandBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureDemandIsMutable();
+        demand_.add(index, value);
+        onChanged();
+      } else {
+        demandBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sum of the demand of these routers, by server.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 9;</code>
+     */
+    public Builder addDemand(
+        org.wigeonwharf.gateway.peer.wire.ServerDemandNews.Builder builderForValue) {
+      if (demandBuilder_ == null) {
+        ensureDemandIsMutable();
+        demand_.add(builderForValue.build());
+        onChanged();
+      } else {
+        demandBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sum of the demand of these routers, by server.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 9;</code>
+     */
+    public Builder addDemand(
+        int index, org.wigeonwharf.gateway.peer.wire.ServerDemandNews.Builder builderForValue) {
+      if (demandBuilder_ == null) {
+        ensureDemandIsMutable();
+        demand_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        demandBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sum of the demand of these routers, by server.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 9;</code>
+     */
+    public Builder addAllDemand(
+        java.lang.Iterable<? extends org.wigeonwharf.gateway.peer.wire.ServerDemandNews> values) {
+      if (demandBuilder_ == null) {
+        ensureDemandIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, demand_);
+        onChanged();
+      } else {
+        demandBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sum of the demand of these routers, by server.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 9;</code>
+     */
+    public Builder clearDemand() {
+      if (demandBuilder_ == null) {
+        demand_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000100);
+        onChanged();
+      } else {
+        demandBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sum of the demand of these routers, by server.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 9;</code>
+     */
+    public Builder removeDemand(int index) {
+      if (demandBuilder_ == null) {
+        ensureDemandIsMutable();
+        demand_.remove(index);
+        onChanged();
+      } else {
+        demandBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sum of the demand of these routers, by server.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 9;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.ServerDemandNews.Builder getDemandBuilder(
+        int index) {
+      return internalGetDemandFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Sum of the demand of these routers, by server.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 9;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.ServerDemandNewsOrBuilder getDemandOrBuilder(
+        int index) {
+      if (demandBuilder_ == null) {
+        return demand_.get(index);  } else {
+        return demandBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Sum of the demand of these routers, by server.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 9;</code>
+     */
+    public java.util.List<? extends org.wigeonwharf.gateway.peer.wire.ServerDemandNewsOrBuilder> 
+         getDemandOrBuilderList() {
+      if (demandBuilder_ != null) {
+        return demandBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(demand_);
+      }
+    }
+    /**
+     * <pre>
+     * Sum of the demand of these routers, by server.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 9;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.ServerDemandNews.Builder addDemandBuilder() {
+      return internalGetDemandFieldBuilder().addBuilder(
+          org.wigeonwharf.gateway.peer.wire.ServerDemandNews.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Sum of the demand of these routers, by server.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 9;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.ServerDemandNews.Builder addDemandBuilder(
+        int index) {
+      return internalGetDemandFieldBuilder().addBuilder(
+          index, org.wigeonwharf.gateway.peer.wire.ServerDemandNews.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Sum of the demand of these routers, by server.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 9;</code>
+     */
+    public java.util.List<org.wigeonwharf.gateway.peer.wire.ServerDemandNews.Builder> 
+         getDemandBuilderList() {
+      return internalGetDemandFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wigeonwharf.gateway.peer.wire.ServerDemandNews, org.wigeonwharf.gateway.peer.wire.ServerDemandNews.Builder, org.wigeonwharf.gateway.peer.wire.ServerDemandNewsOrBuilder> 
+        internalGetDemandFieldBuilder() {
+      if (demandBuilder_ == null) {
+        demandBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.wigeonwharf.gateway.peer.wire.ServerDemandNews, org.wigeonwharf.gateway.peer.wire.ServerDemandNews.Builder, org.wigeonwharf.gateway.peer.wire.ServerDemandNewsOrBuilder>(
+                demand_,
+                ((bitField0_ & 0x00000100) != 0),
+                getParentForChildren(),
+                isClean());
+        demand_ = null;
+      }
+      return demandBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:wigeonwharf.gateway.DomainSummary)
   }
 
--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/DomainSummaryOrBuilder.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/DomainSummaryOrBuilder.java
@@ -170,4 +170,48 @@
    * @return The unresponsive.
    */
   boolean getUnresponsive();
+
+  /**
+   * <pre>
+   * Sum of the demand of these routers, by server.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 9;</code>
+   */
+  java.util.List<org.wigeonwharf.gateway.peer.wire.ServerDemandNews> 
+      getDemandList();
+  /**
+   * <pre>
+   * Sum of the demand of these routers, by server.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 9;</code>
+   */
+  org.wigeonwharf.gateway.peer.wire.ServerDemandNews getDemand(int index);
+  /**
+   * <pre>
+   * Sum of the demand of these routers, by server.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 9;</code>
+   */
+  int getDemandCount();
+  /**
+   * <pre>
+   * Sum of the demand of these routers, by server.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 9;</code>
+   */
+  java.util.List<? extends org.wigeonwharf.gateway.peer.wire.ServerDemandNewsOrBuilder> 
+      getDemandOrBuilderList();
+  /**
+   * <pre>
+   * Sum of the demand of these routers, by server.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 9;</code>
+   */
+  org.wigeonwharf.gateway.peer.wire.ServerDemandNewsOrBuilder getDemandOrBuilder(
+      int index);
 }
--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/GatewayProto.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/GatewayProto.java
@@ -36,6 +36,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_wigeonwharf_gateway_PromptReadNews_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_wigeonwharf_gateway_ServerLimitNews_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_wigeonwharf_gateway_ServerLimitNews_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_wigeonwharf_gateway_ServerDemandNews_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_wigeonwharf_gateway_ServerDemandNews_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_wigeonwharf_gateway_MemberNews_descriptor;
   static final 
@@ -90,40 +100,48 @@
       "g\030\002 \001(\r\022\021\n\ttightness\030\003 \001(\r\022\026\n\016prefill_to" +
       "kens\030\004 \001(\r\022\025\n\rmemory_tokens\030\005 \001(\004\"?\n\016Pro" +
       "mptReadNews\022\016\n\006server\030\001 \001(\t\022\r\n\005parts\030\002 \003" +
-      "(\t\022\016\n\006tokens\030\003 \003(\r\"5\n\nMemberNews\022\017\n\007addr" +
-      "ess\030\001 \001(\t\022\026\n\016failure_domain\030\002 \001(\t\"\362\001\n\rDo" +
+      "(\t\022\016\n\006tokens\030\003 \003(\r\"\\\n\017ServerLimitNews\022\016\n" +
+      "\006server\030\001 \001(\t\022\022\n\nper_second\030\002 \001(\004\022\021\n\tunl" +
+      "imited\030\003 \001(\010\022\022\n\nage_millis\030\004 \001(\r\"@\n\020Serv" +
+      "erDemandNews\022\016\n\006server\030\001 \001(\t\022\016\n\006wanted\030\002" +
+      " \001(\004\022\014\n\004sent\030\003 \001(\004\"5\n\nMemberNews\022\017\n\007addr" +
+      "ess\030\001 \001(\t\022\026\n\016failure_domain\030\002 \001(\t\"\251\002\n\rDo" +
       "mainSummary\022\026\n\016failure_domain\030\001 \001(\t\022\022\n\na" +
       "ge_millis\030\002 \001(\r\022\017\n\007partial\030\003 \001(\010\022\017\n\007memb" +
       "ers\030\004 \003(\t\0221\n\004work\030\005 \003(\0132#.wigeonwharf.ga" +
       "teway.ServerWorkNews\0222\n\005reads\030\006 \003(\0132#.wi" +
       "geonwharf.gateway.PromptReadNews\022\026\n\016stor" +
-      "e_revision\030\007 \001(\003\022\024\n\014unresponsive\030\010 \001(\010\"k" +
-      "\n\rServerEndNews\022\016\n\006server\030\001 \001(\t\022\022\n\nstart" +
-      "ed_at\030\002 \001(\003\022\022\n\nage_millis\030\003 \001(\r\022\021\n\tanswe" +
-      "ring\030\004 \003(\t\022\017\n\007waiting\030\005 \003(\t\"2\n\016ProvenPar" +
-      "tNews\022\014\n\004part\030\001 \001(\t\022\022\n\nage_millis\030\002 \001(\r\"" +
-      "b\n\023QuarantinedPartNews\022\014\n\004part\030\001 \001(\t\022\022\n\n" +
-      "age_millis\030\002 \001(\r\022\030\n\020remaining_millis\030\003 \001" +
-      "(\r\022\017\n\007strikes\030\004 \001(\r\"\266\001\n\016QuarantineNews\0220" +
-      "\n\004ends\030\001 \003(\0132\".wigeonwharf.gateway.Serve" +
-      "rEndNews\0223\n\006proven\030\002 \003(\0132#.wigeonwharf.g" +
-      "ateway.ProvenPartNews\022=\n\013quarantined\030\003 \003" +
-      "(\0132(.wigeonwharf.gateway.QuarantinedPart" +
-      "News\"\331\003\n\nRouterNews\022\014\n\004name\030\001 \001(\t\022\023\n\013inc" +
-      "arnation\030\002 \001(\003\022\020\n\010sequence\030\003 \001(\003\022-\n\004self" +
-      "\030\004 \001(\0132\037.wigeonwharf.gateway.MemberNews\022" +
-      "\017\n\007leaving\030\006 \001(\010\0221\n\004work\030\007 \003(\0132#.wigeonw" +
-      "harf.gateway.ServerWorkNews\0220\n\007members\030\010" +
-      " \003(\0132\037.wigeonwharf.gateway.MemberNews\0222\n" +
-      "\005reads\030\t \003(\0132#.wigeonwharf.gateway.Promp" +
-      "tReadNews\0225\n\tsummaries\030\n \003(\0132\".wigeonwha" +
-      "rf.gateway.DomainSummary\022\026\n\016summaries_se" +
-      "nt\030\013 \001(\010\022\027\n\017reply_requested\030\014 \001(\010\022\026\n\016sto" +
-      "re_revision\030\r \001(\003\0227\n\nquarantine\030\016 \001(\0132#." +
-      "wigeonwharf.gateway.QuarantineNewsJ\004\010\005\020\006" +
-      "\"-\n\nSignedNews\022\014\n\004news\030\001 \001(\014\022\021\n\tsignatur" +
-      "e\030\002 \001(\014B3\n!org.wigeonwharf.gateway.peer." +
-      "wireB\014GatewayProtoP\001b\006proto3"
+      "e_revision\030\007 \001(\003\022\024\n\014unresponsive\030\010 \001(\010\0225" +
+      "\n\006demand\030\t \003(\0132%.wigeonwharf.gateway.Ser" +
+      "verDemandNews\"k\n\rServerEndNews\022\016\n\006server" +
+      "\030\001 \001(\t\022\022\n\nstarted_at\030\002 \001(\003\022\022\n\nage_millis" +
+      "\030\003 \001(\r\022\021\n\tanswering\030\004 \003(\t\022\017\n\007waiting\030\005 \003" +
+      "(\t\"2\n\016ProvenPartNews\022\014\n\004part\030\001 \001(\t\022\022\n\nag" +
+      "e_millis\030\002 \001(\r\"b\n\023QuarantinedPartNews\022\014\n" +
+      "\004part\030\001 \001(\t\022\022\n\nage_millis\030\002 \001(\r\022\030\n\020remai" +
+      "ning_millis\030\003 \001(\r\022\017\n\007strikes\030\004 \001(\r\"\266\001\n\016Q" +
+      "uarantineNews\0220\n\004ends\030\001 \003(\0132\".wigeonwhar" +
+      "f.gateway.ServerEndNews\0223\n\006proven\030\002 \003(\0132" +
+      "#.wigeonwharf.gateway.ProvenPartNews\022=\n\013" +
+      "quarantined\030\003 \003(\0132(.wigeonwharf.gateway." +
+      "QuarantinedPartNews\"\306\004\n\nRouterNews\022\014\n\004na" +
+      "me\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\020\n\010sequenc" +
+      "e\030\003 \001(\003\022-\n\004self\030\004 \001(\0132\037.wigeonwharf.gate" +
+      "way.MemberNews\022\017\n\007leaving\030\006 \001(\010\0221\n\004work\030" +
+      "\007 \003(\0132#.wigeonwharf.gateway.ServerWorkNe" +
+      "ws\0220\n\007members\030\010 \003(\0132\037.wigeonwharf.gatewa" +
+      "y.MemberNews\0222\n\005reads\030\t \003(\0132#.wigeonwhar" +
+      "f.gateway.PromptReadNews\0225\n\tsummaries\030\n " +
+      "\003(\0132\".wigeonwharf.gateway.DomainSummary\022" +
+      "\026\n\016summaries_sent\030\013 \001(\010\022\027\n\017reply_request" +
+      "ed\030\014 \001(\010\022\026\n\016store_revision\030\r \001(\003\0227\n\nquar" +
+      "antine\030\016 \001(\0132#.wigeonwharf.gateway.Quara" +
+      "ntineNews\0224\n\006limits\030\017 \003(\0132$.wigeonwharf." +
+      "gateway.ServerLimitNews\0225\n\006demand\030\020 \003(\0132" +
+      "%.wigeonwharf.gateway.ServerDemandNewsJ\004" +
+      "\010\005\020\006\"-\n\nSignedNews\022\014\n\004news\030\001 \001(\014\022\021\n\tsign" +
+      "ature\030\002 \001(\014B3\n!org.wigeonwharf.gateway.p" +
+      "eer.wireB\014GatewayProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -141,50 +159,62 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_PromptReadNews_descriptor,
         new java.lang.String[] { "Server", "Parts", "Tokens", });
-    internal_static_wigeonwharf_gateway_MemberNews_descriptor =
+    internal_static_wigeonwharf_gateway_ServerLimitNews_descriptor =
       getDescriptor().getMessageType(2);
+    internal_static_wigeonwharf_gateway_ServerLimitNews_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_wigeonwharf_gateway_ServerLimitNews_descriptor,
+        new java.lang.String[] { "Server", "PerSecond", "Unlimited", "AgeMillis", });
+    internal_static_wigeonwharf_gateway_ServerDemandNews_descriptor =
+      getDescriptor().getMessageType(3);
+    internal_static_wigeonwharf_gateway_ServerDemandNews_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_wigeonwharf_gateway_ServerDemandNews_descriptor,
+        new java.lang.String[] { "Server", "Wanted", "Sent", });
+    internal_static_wigeonwharf_gateway_MemberNews_descriptor =
+      getDescriptor().getMessageType(4);
     internal_static_wigeonwharf_gateway_MemberNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_MemberNews_descriptor,
         new java.lang.String[] { "Address", "FailureDomain", });
     internal_static_wigeonwharf_gateway_DomainSummary_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(5);
     internal_static_wigeonwharf_gateway_DomainSummary_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_DomainSummary_descriptor,
-        new java.lang.String[] { "FailureDomain", "AgeMillis", "Partial", "Members", "Work", "Reads", "StoreRevision", "Unresponsive", });
+        new java.lang.String[] { "FailureDomain", "AgeMillis", "Partial", "Members", "Work", "Reads", "StoreRevision", "Unresponsive", "Demand", });
     internal_static_wigeonwharf_gateway_ServerEndNews_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(6);
     internal_static_wigeonwharf_gateway_ServerEndNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_ServerEndNews_descriptor,
         new java.lang.String[] { "Server", "StartedAt", "AgeMillis", "Answering", "Waiting", });
     internal_static_wigeonwharf_gateway_ProvenPartNews_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(7);
     internal_static_wigeonwharf_gateway_ProvenPartNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_ProvenPartNews_descriptor,
         new java.lang.String[] { "Part", "AgeMillis", });
     internal_static_wigeonwharf_gateway_QuarantinedPartNews_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(8);
     internal_static_wigeonwharf_gateway_QuarantinedPartNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_QuarantinedPartNews_descriptor,
         new java.lang.String[] { "Part", "AgeMillis", "RemainingMillis", "Strikes", });
     internal_static_wigeonwharf_gateway_QuarantineNews_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(9);
     internal_static_wigeonwharf_gateway_QuarantineNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_QuarantineNews_descriptor,
         new java.lang.String[] { "Ends", "Proven", "Quarantined", });
     internal_static_wigeonwharf_gateway_RouterNews_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(10);
     internal_static_wigeonwharf_gateway_RouterNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_RouterNews_descriptor,
-        new java.lang.String[] { "Name", "Incarnation", "Sequence", "Self", "Leaving", "Work", "Members", "Reads", "Summaries", "SummariesSent", "ReplyRequested", "StoreRevision", "Quarantine", });
+        new java.lang.String[] { "Name", "Incarnation", "Sequence", "Self", "Leaving", "Work", "Members", "Reads", "Summaries", "SummariesSent", "ReplyRequested", "StoreRevision", "Quarantine", "Limits", "Demand", });
     internal_static_wigeonwharf_gateway_SignedNews_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(11);
     internal_static_wigeonwharf_gateway_SignedNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_SignedNews_descriptor,
--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNews.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNews.java
@@ -38,6 +38,8 @@
     members_ = java.util.Collections.emptyList();
     reads_ = java.util.Collections.emptyList();
     summaries_ = java.util.Collections.emptyList();
+    limits_ = java.util.Collections.emptyList();
+    demand_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -427,6 +429,128 @@
     return quarantine_ == null ? org.wigeonwharf.gateway.peer.wire.QuarantineNews.getDefaultInstance() : quarantine_;
   }
 
+  public static final int LIMITS_FIELD_NUMBER = 15;
+  @SuppressWarnings("serial")
+  private java.util.List<org.wigeonwharf.gateway.peer.wire.ServerLimitNews> limits_;
+  /**
+   * <pre>
+   * What the sender knows of the limits of servers, from all routers.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.ServerLimitNews limits = 15;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.wigeonwharf.gateway.peer.wire.ServerLimitNews> getLimitsList() {
+    return limits_;
+  }
+  /**
+   * <pre>
+   * What the sender knows of the limits of servers, from all routers.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.ServerLimitNews limits = 15;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.wigeonwharf.gateway.peer.wire.ServerLimitNewsOrBuilder> 
+      getLimitsOrBuilderList() {
+    return limits_;
+  }
+  /**
+   * <pre>
+   * What the sender knows of the limits of servers, from all routers.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.ServerLimitNews limits = 15;</code>
+   */
+  @java.lang.Override
+  public int getLimitsCount() {
+    return limits_.size();
+  }
+  /**
+   * <pre>
+   * What the sender knows of the limits of servers, from all routers.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.ServerLimitNews limits = 15;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.gateway.peer.wire.ServerLimitNews getLimits(int index) {
+    return limits_.get(index);
+  }
+  /**
+   * <pre>
+   * What the sender knows of the limits of servers, from all routers.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.ServerLimitNews limits = 15;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.gateway.peer.wire.ServerLimitNewsOrBuilder getLimitsOrBuilder(
+      int index) {
+    return limits_.get(index);
+  }
+
+  public static final int DEMAND_FIELD_NUMBER = 16;
+  @SuppressWarnings("serial")
+  private java.util.List<org.wigeonwharf.gateway.peer.wire.ServerDemandNews> demand_;
+  /**
+   * <pre>
+   * The sender's own demand.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 16;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.wigeonwharf.gateway.peer.wire.ServerDemandNews> getDemandList() {
+    return demand_;
+  }
+  /**
+   * <pre>
+   * The sender's own demand.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 16;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.wigeonwharf.gateway.peer.wire.ServerDemandNewsOrBuilder> 
+      getDemandOrBuilderList() {
+    return demand_;
+  }
+  /**
+   * <pre>
+   * The sender's own demand.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 16;</code>
+   */
+  @java.lang.Override
+  public int getDemandCount() {
+    return demand_.size();
+  }
+  /**
+   * <pre>
+   * The sender's own demand.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 16;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.gateway.peer.wire.ServerDemandNews getDemand(int index) {
+    return demand_.get(index);
+  }
+  /**
+   * <pre>
+   * The sender's own demand.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 16;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.gateway.peer.wire.ServerDemandNewsOrBuilder getDemandOrBuilder(
+      int index) {
+    return demand_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -480,6 +604,12 @@
     if (((bitField0_ & 0x00000002) != 0)) {
       output.writeMessage(14, getQuarantine());
     }
+    for (int i = 0; i < limits_.size(); i++) {
+      output.writeMessage(15, limits_.get(i));
+    }
+    for (int i = 0; i < demand_.size(); i++) {
+      output.writeMessage(16, demand_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -540,6 +670,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(14, getQuarantine());
     }
+    for (int i = 0; i < limits_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(15, limits_.get(i));
+    }
+    for (int i = 0; i < demand_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(16, demand_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -587,6 +725,10 @@
       if (!getQuarantine()
           .equals(other.getQuarantine())) return false;
     }
+    if (!getLimitsList()
+        .equals(other.getLimitsList())) return false;
+    if (!getDemandList()
+        .equals(other.getDemandList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -642,6 +784,14 @@
       hash = (37 * hash) + QUARANTINE_FIELD_NUMBER;
       hash = (53 * hash) + getQuarantine().hashCode();
     }
+    if (getLimitsCount() > 0) {
+      hash = (37 * hash) + LIMITS_FIELD_NUMBER;
+      hash = (53 * hash) + getLimitsList().hashCode();
+    }
+    if (getDemandCount() > 0) {
+      hash = (37 * hash) + DEMAND_FIELD_NUMBER;
+      hash = (53 * hash) + getDemandList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -783,6 +933,8 @@
         internalGetReadsFieldBuilder();
         internalGetSummariesFieldBuilder();
         internalGetQuarantineFieldBuilder();
+        internalGetLimitsFieldBuilder();
+        internalGetDemandFieldBuilder();
       }
     }
     @java.lang.Override
@@ -834,6 +986,20 @@
         quarantineBuilder_.dispose();
         quarantineBuilder_ = null;
       }
+      if (limitsBuilder_ == null) {
+        limits_ = java.util.Collections.emptyList();
+      } else {
+        limits_ = null;
+        limitsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00002000);
+      if (demandBuilder_ == null) {
+        demand_ = java.util.Collections.emptyList();
+      } else {
+        demand_ = null;
+        demandBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00004000);
       return this;
     }
 
@@ -903,6 +1069,24 @@
       } else {
         result.summaries_ = summariesBuilder_.build();
       }
+      if (limitsBuilder_ == null) {
+        if (((bitField0_ & 0x00002000) != 0)) {
+          limits_ = java.util.Collections.unmodifiableList(limits_);
+          bitField0_ = (bitField0_ & ~0x00002000);
+        }
+        result.limits_ = limits_;
+      } else {
+        result.limits_ = limitsBuilder_.build();
+      }
+      if (demandBuilder_ == null) {
+        if (((bitField0_ & 0x00004000) != 0)) {
+          demand_ = java.util.Collections.unmodifiableList(demand_);
+          bitField0_ = (bitField0_ & ~0x00004000);
+        }
+        result.demand_ = demand_;
+      } else {
+        result.demand_ = demandBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.wigeonwharf.gateway.peer.wire.RouterNews result) {
@@ -1089,6 +1273,58 @@
       if (other.hasQuarantine()) {
         mergeQuarantine(other.getQuarantine());
       }
+      if (limitsBuilder_ == null) {
+        if (!other.limits_.isEmpty()) {
+          if (limits_.isEmpty()) {
+            limits_ = other.limits_;
+            bitField0_ = (bitField0_ & ~0x00002000);
+          } else {
+            ensureLimitsIsMutable();
+            limits_.addAll(other.limits_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.limits_.isEmpty()) {
+          if (limitsBuilder_.isEmpty()) {
+            limitsBuilder_.dispose();
+            limitsBuilder_ = null;
+            limits_ = other.limits_;
+            bitField0_ = (bitField0_ & ~0x00002000);
+            limitsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetLimitsFieldBuilder() : null;
+          } else {
+            limitsBuilder_.addAllMessages(other.limits_);
+          }
+        }
+      }
+      if (demandBuilder_ == null) {
+        if (!other.demand_.isEmpty()) {
+          if (demand_.isEmpty()) {
+            demand_ = other.demand_;
+            bitField0_ = (bitField0_ & ~0x00004000);
+          } else {
+            ensureDemandIsMutable();
+            demand_.addAll(other.demand_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.demand_.isEmpty()) {
+          if (demandBuilder_.isEmpty()) {
+            demandBuilder_.dispose();
+            demandBuilder_ = null;
+            demand_ = other.demand_;
+            bitField0_ = (bitField0_ & ~0x00004000);
+            demandBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetDemandFieldBuilder() : null;
+          } else {
+            demandBuilder_.addAllMessages(other.demand_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1216,6 +1452,32 @@
               bitField0_ |= 0x00001000;
               break;
             } // case 114
+            case 122: {
+              org.wigeonwharf.gateway.peer.wire.ServerLimitNews m =
+                  input.readMessage(
+                      org.wigeonwharf.gateway.peer.wire.ServerLimitNews.parser(),
+                      extensionRegistry);
+              if (limitsBuilder_ == null) {
+                ensureLimitsIsMutable();
+                limits_.add(m);
+              } else {
+                limitsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 122
+            case 130: {
+              org.wigeonwharf.gateway.peer.wire.ServerDemandNews m =
+                  input.readMessage(
+                      org.wigeonwharf.gateway.peer.wire.ServerDemandNews.parser(),
+                      extensionRegistry);
+              if (demandBuilder_ == null) {
+                ensureDemandIsMutable();
+                demand_.add(m);
+              } else {
+                demandBuilder_.addMessage(m);
+              }
+              break;
+            } // case 130
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2879,6 +3141,630 @@
       return quarantineBuilder_;
     }
 
+    private java.util.List<org.wigeonwharf.gateway.peer.wire.ServerLimitNews> limits_ =
+      java.util.Collections.emptyList();
+    private void ensureLimitsIsMutable() {
+      if (!((bitField0_ & 0x00002000) != 0)) {
+        limits_ = new java.util.ArrayList<org.wigeonwharf.gateway.peer.wire.ServerLimitNews>(limits_);
+        bitField0_ |= 0x00002000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wigeonwharf.gateway.peer.wire.ServerLimitNews, org.wigeonwharf.gateway.peer.wire.ServerLimitNews.Builder, org.wigeonwharf.gateway.peer.wire.ServerLimitNewsOrBuilder> limitsBuilder_;
+
+    /**
+     * <pre>
+     * What the sender knows of the limits of servers, from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerLimitNews limits = 15;</code>
+     */
+    public java.util.List<org.wigeonwharf.gateway.peer.wire.ServerLimitNews> getLimitsList() {
+      if (limitsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(limits_);
+      } else {
+        return limitsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * What the sender knows of the limits of servers, from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerLimitNews limits = 15;</code>
+     */
+    public int getLimitsCount() {
+      if (limitsBuilder_ == null) {
+        return limits_.size();
+      } else {
+        return limitsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * What the sender knows of the limits of servers, from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerLimitNews limits = 15;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.ServerLimitNews getLimits(int index) {
+      if (limitsBuilder_ == null) {
+        return limits_.get(index);
+      } else {
+        return limitsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * What the sender knows of the limits of servers, from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerLimitNews limits = 15;</code>
+     */
+    public Builder setLimits(
+        int index, org.wigeonwharf.gateway.peer.wire.ServerLimitNews value) {
+      if (limitsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureLimitsIsMutable();
+        limits_.set(index, value);
+        onChanged();
+      } else {
+        limitsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender knows of the limits of servers, from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerLimitNews limits = 15;</code>
+     */
+    public Builder setLimits(
+        int index, org.wigeonwharf.gateway.peer.wire.ServerLimitNews.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        limitsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender knows of the limits of servers, from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerLimitNews limits = 15;</code>
+     */
+    public Builder addLimits(org.wigeonwharf.gateway.peer.wire.ServerLimitNews value) {
+      if (limitsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureLimitsIsMutable();
+        limits_.add(value);
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender knows of the limits of servers, from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerLimitNews limits = 15;</code>
+     */
+    public Builder addLimits(
+        int index, org.wigeonwharf.gateway.peer.wire.ServerLimitNews value) {
+      if (limitsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureLimitsIsMutable();
+        limits_.add(index, value);
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender knows of the limits of servers, from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerLimitNews limits = 15;</code>
+     */
+    public Builder addLimits(
+        org.wigeonwharf.gateway.peer.wire.ServerLimitNews.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.add(builderForValue.build());
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender knows of the limits of servers, from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerLimitNews limits = 15;</code>
+     */
+    public Builder addLimits(
+        int index, org.wigeonwharf.gateway.peer.wire.ServerLimitNews.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender knows of the limits of servers, from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerLimitNews limits = 15;</code>
+     */
+    public Builder addAllLimits(
+        java.lang.Iterable<? extends org.wigeonwharf.gateway.peer.wire.ServerLimitNews> values) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, limits_);
+        onChanged();
+      } else {
+        limitsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender knows of the limits of servers, from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerLimitNews limits = 15;</code>
+     */
+    public Builder clearLimits() {
+      if (limitsBuilder_ == null) {
+        limits_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00002000);
+        onChanged();
+      } else {
+        limitsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender knows of the limits of servers, from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerLimitNews limits = 15;</code>
+     */
+    public Builder removeLimits(int index) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.remove(index);
+        onChanged();
+      } else {
+        limitsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender knows of the limits of servers, from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerLimitNews limits = 15;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.ServerLimitNews.Builder getLimitsBuilder(
+        int index) {
+      return internalGetLimitsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * What the sender knows of the limits of servers, from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerLimitNews limits = 15;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.ServerLimitNewsOrBuilder getLimitsOrBuilder(
+        int index) {
+      if (limitsBuilder_ == null) {
+        return limits_.get(index);  } else {
+        return limitsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * What the sender knows of the limits of servers, from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerLimitNews limits = 15;</code>
+     */
+    public java.util.List<? extends org.wigeonwharf.gateway.peer.wire.ServerLimitNewsOrBuilder> 
+         getLimitsOrBuilderList() {
+      if (limitsBuilder_ != null) {
+        return limitsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(limits_);
+      }
+    }
+    /**
+     * <pre>
+     * What the sender knows of the limits of servers, from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerLimitNews limits = 15;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.ServerLimitNews.Builder addLimitsBuilder() {
+      return internalGetLimitsFieldBuilder().addBuilder(
+          org.wigeonwharf.gateway.peer.wire.ServerLimitNews.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * What the sender knows of the limits of servers, from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerLimitNews limits = 15;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.ServerLimitNews.Builder addLimitsBuilder(
+        int index) {
+      return internalGetLimitsFieldBuilder().addBuilder(
+          index, org.wigeonwharf.gateway.peer.wire.ServerLimitNews.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * What the sender knows of the limits of servers, from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerLimitNews limits = 15;</code>
+     */
+    public java.util.List<org.wigeonwharf.gateway.peer.wire.ServerLimitNews.Builder> 
+         getLimitsBuilderList() {
+      return internalGetLimitsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wigeonwharf.gateway.peer.wire.ServerLimitNews, org.wigeonwharf.gateway.peer.wire.ServerLimitNews.Builder, org.wigeonwharf.gateway.peer.wire.ServerLimitNewsOrBuilder> 
+        internalGetLimitsFieldBuilder() {
+      if (limitsBuilder_ == null) {
+        limitsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.wigeonwharf.gateway.peer.wire.ServerLimitNews, org.wigeonwharf.gateway.peer.wire.ServerLimitNews.Builder, org.wigeonwharf.gateway.peer.wire.ServerLimitNewsOrBuilder>(
+                limits_,
+                ((bitField0_ & 0x00002000) != 0),
+                getParentForChildren(),
+                isClean());
+        limits_ = null;
+      }
+      return limitsBuilder_;
+    }
+
+    private java.util.List<org.wigeonwharf.gateway.peer.wire.ServerDemandNews> demand_ =
+      java.util.Collections.emptyList();
+    private void ensureDemandIsMutable() {
+      if (!((bitField0_ & 0x00004000) != 0)) {
+        demand_ = new java.util.ArrayList<org.wigeonwharf.gateway.peer.wire.ServerDemandNews>(demand_);
+        bitField0_ |= 0x00004000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wigeonwharf.gateway.peer.wire.ServerDemandNews, org.wigeonwharf.gateway.peer.wire.ServerDemandNews.Builder, org.wigeonwharf.gateway.peer.wire.ServerDemandNewsOrBuilder> demandBuilder_;
+
+    /**
+     * <pre>
+     * The sender's own demand.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 16;</code>
+     */
+    public java.util.List<org.wigeonwharf.gateway.peer.wire.ServerDemandNews> getDemandList() {
+      if (demandBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(demand_);
+      } else {
+        return demandBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * The sender's own demand.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 16;</code>
+     */
+    public int getDemandCount() {
+      if (demandBuilder_ == null) {
+        return demand_.size();
+      } else {
+        return demandBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * The sender's own demand.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 16;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.ServerDemandNews getDemand(int index) {
+      if (demandBuilder_ == null) {
+        return demand_.get(index);
+      } else {
+        return demandBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * The sender's own demand.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 16;</code>
+     */
+    public Builder setDemand(
+        int index, org.wigeonwharf.gateway.peer.wire.ServerDemandNews value) {
+      if (demandBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureDemandIsMutable();
+        demand_.set(index, value);
+        onChanged();
+      } else {
+        demandBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender's own demand.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 16;</code>
+     */
+    public Builder setDemand(
+        int index, org.wigeonwharf.gateway.peer.wire.ServerDemandNews.Builder builderForValue) {
+      if (demandBuilder_ == null) {
+        ensureDemandIsMutable();
+        demand_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        demandBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender's own demand.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 16;</code>
+     */
+    public Builder addDemand(org.wigeonwharf.gateway.peer.wire.ServerDemandNews value) {
+      if (demandBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureDemandIsMutable();
+        demand_.add(value);
+        onChanged();
+      } else {
+        demandBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender's own demand.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 16;</code>
+     */
+    public Builder addDemand(
+        int index, org.wigeonwharf.gateway.peer.wire.ServerDemandNews value) {
+      if (demandBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureDemandIsMutable();
+        demand_.add(index, value);
+        onChanged();
+      } else {
+        demandBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender's own demand.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 16;</code>
+     */
+    public Builder addDemand(
+        org.wigeonwharf.gateway.peer.wire.ServerDemandNews.Builder builderForValue) {
+      if (demandBuilder_ == null) {
+        ensureDemandIsMutable();
+        demand_.add(builderForValue.build());
+        onChanged();
+      } else {
+        demandBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender's own demand.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 16;</code>
+     */
+    public Builder addDemand(
+        int index, org.wigeonwharf.gateway.peer.wire.ServerDemandNews.Builder builderForValue) {
+      if (demandBuilder_ == null) {
+        ensureDemandIsMutable();
+        demand_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        demandBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender's own demand.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 16;</code>
+     */
+    public Builder addAllDemand(
+        java.lang.Iterable<? extends org.wigeonwharf.gateway.peer.wire.ServerDemandNews> values) {
+      if (demandBuilder_ == null) {
+        ensureDemandIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, demand_);
+        onChanged();
+      } else {
+        demandBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender's own demand.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 16;</code>
+     */
+    public Builder clearDemand() {
+      if (demandBuilder_ == null) {
+        demand_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00004000);
+        onChanged();
+      } else {
+        demandBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender's own demand.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 16;</code>
+     */
+    public Builder removeDemand(int index) {
+      if (demandBuilder_ == null) {
+        ensureDemandIsMutable();
+        demand_.remove(index);
+        onChanged();
+      } else {
+        demandBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender's own demand.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 16;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.ServerDemandNews.Builder getDemandBuilder(
+        int index) {
+      return internalGetDemandFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * The sender's own demand.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 16;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.ServerDemandNewsOrBuilder getDemandOrBuilder(
+        int index) {
+      if (demandBuilder_ == null) {
+        return demand_.get(index);  } else {
+        return demandBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * The sender's own demand.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 16;</code>
+     */
+    public java.util.List<? extends org.wigeonwharf.gateway.peer.wire.ServerDemandNewsOrBuilder> 
+         getDemandOrBuilderList() {
+      if (demandBuilder_ != null) {
+        return demandBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(demand_);
+      }
+    }
+    /**
+     * <pre>
+     * The sender's own demand.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 16;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.ServerDemandNews.Builder addDemandBuilder() {
+      return internalGetDemandFieldBuilder().addBuilder(
+          org.wigeonwharf.gateway.peer.wire.ServerDemandNews.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * The sender's own demand.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 16;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.ServerDemandNews.Builder addDemandBuilder(
+        int index) {
+      return internalGetDemandFieldBuilder().addBuilder(
+          index, org.wigeonwharf.gateway.peer.wire.ServerDemandNews.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * The sender's own demand.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 16;</code>
+     */
+    public java.util.List<org.wigeonwharf.gateway.peer.wire.ServerDemandNews.Builder> 
+         getDemandBuilderList() {
+      return internalGetDemandFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wigeonwharf.gateway.peer.wire.ServerDemandNews, org.wigeonwharf.gateway.peer.wire.ServerDemandNews.Builder, org.wigeonwharf.gateway.peer.wire.ServerDemandNewsOrBuilder> 
+        internalGetDemandFieldBuilder() {
+      if (demandBuilder_ == null) {
+        demandBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.wigeonwharf.gateway.peer.wire.ServerDemandNews, org.wigeonwharf.gateway.peer.wire.ServerDemandNews.Builder, org.wigeonwharf.gateway.peer.wire.ServerDemandNewsOrBuilder>(
+                demand_,
+                ((bitField0_ & 0x00004000) != 0),
+                getParentForChildren(),
+                isClean());
+        demand_ = null;
+      }
+      return demandBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:wigeonwharf.gateway.RouterNews)
   }
 
--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNewsOrBuilder.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNewsOrBuilder.java
@@ -235,4 +235,92 @@
    * <code>.wigeonwharf.gateway.QuarantineNews quarantine = 14;</code>
    */
   org.wigeonwharf.gateway.peer.wire.QuarantineNewsOrBuilder getQuarantineOrBuilder();
+
+  /**
+   * <pre>
+   * What the sender knows of the limits of servers, from all routers.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.ServerLimitNews limits = 15;</code>
+   */
+  java.util.List<org.wigeonwharf.gateway.peer.wire.ServerLimitNews> 
+      getLimitsList();
+  /**
+   * <pre>
+   * What the sender knows of the limits of servers, from all routers.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.ServerLimitNews limits = 15;</code>
+   */
+  org.wigeonwharf.gateway.peer.wire.ServerLimitNews getLimits(int index);
+  /**
+   * <pre>
+   * What the sender knows of the limits of servers, from all routers.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.ServerLimitNews limits = 15;</code>
+   */
+  int getLimitsCount();
+  /**
+   * <pre>
+   * What the sender knows of the limits of servers, from all routers.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.ServerLimitNews limits = 15;</code>
+   */
+  java.util.List<? extends org.wigeonwharf.gateway.peer.wire.ServerLimitNewsOrBuilder> 
+      getLimitsOrBuilderList();
+  /**
+   * <pre>
+   * What the sender knows of the limits of servers, from all routers.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.ServerLimitNews limits = 15;</code>
+   */
+  org.wigeonwharf.gateway.peer.wire.ServerLimitNewsOrBuilder getLimitsOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * The sender's own demand.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 16;</code>
+   */
+  java.util.List<org.wigeonwharf.gateway.peer.wire.ServerDemandNews> 
+      getDemandList();
+  /**
+   * <pre>
+   * The sender's own demand.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 16;</code>
+   */
+  org.wigeonwharf.gateway.peer.wire.ServerDemandNews getDemand(int index);
+  /**
+   * <pre>
+   * The sender's own demand.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 16;</code>
+   */
+  int getDemandCount();
+  /**
+   * <pre>
+   * The sender's own demand.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 16;</code>
+   */
+  java.util.List<? extends org.wigeonwharf.gateway.peer.wire.ServerDemandNewsOrBuilder> 
+      getDemandOrBuilderList();
+  /**
+   * <pre>
+   * The sender's own demand.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.ServerDemandNews demand = 16;</code>
+   */
+  org.wigeonwharf.gateway.peer.wire.ServerDemandNewsOrBuilder getDemandOrBuilder(
+      int index);
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
@@ -23,6 +23,8 @@
 import org.wigeonwharf.gateway.http.NettyLivenessCheck;
 import org.wigeonwharf.gateway.http.RequestLog;
 import org.wigeonwharf.gateway.http.StatusServer;
+import org.wigeonwharf.gateway.limit.LimitLog;
+import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.peer.GossipTransport;
 import org.wigeonwharf.gateway.placement.InFlightTracker;
 import org.wigeonwharf.gateway.placement.PrefixCacheIndex;
@@ -73,6 +75,7 @@
   private final StoreFeed feed;
   private final RetryBudget retryBudget;
   private final PromptQuarantine quarantine;
+  private final ServerLimits limits;
   private final ExchangeManager exchanges;
   private final CallerListener callers;
   private final GossipTransport gossipTransport;
@@ -114,8 +117,10 @@
     InFlightTracker inFlight =
         new InFlightTracker(PEER_WORK_MAX_AGE_MILLIS * Clock.NANOS_PER_MILLI);
     PrefixCacheIndex prefixCaches = new PrefixCacheIndex();
+    this.limits = new ServerLimits(new LimitLog(metrics), this::peerCount, random, clock.nanos());
     this.chooser =
-        new ServerChooser(settings.domain(), inFlight, prefixCaches, ServerPenalties.DEFAULT);
+        new ServerChooser(
+            settings.domain(), inFlight, prefixCaches, ServerPenalties.DEFAULT, limits);
     this.timers = new EventLoopTimers(loop, clock);
     this.feed =
         new StoreFeed(
@@ -151,6 +156,7 @@
             inFlight,
             prefixCaches,
             quarantine,
+            limits,
             settings.secret(),
             clock,
             feed::changeRevision,
@@ -209,6 +215,7 @@
         "store.contact_age_ms", feed.contactAgeMillis(),
         "servers.known", directory.all().size(),
         "peers.known", peerCount(),
+        "servers.limited", limits.limitedCount(clock.nanos()),
         "quarantine.parts", quarantine.quarantined(clock.nanos()).size());
   }
 
@@ -217,6 +224,9 @@
     text.append("node ").append(self).append('\n');
     gauges().forEach((k, v) -> text.append(k).append(' ').append(v).append('\n'));
     directory.all().forEach(s -> text.append(s).append('\n'));
+    limits
+        .limits(clock.nanos())
+        .forEach((server, l) -> text.append(server).append(' ').append(l).append('\n'));
     quarantine
         .quarantined(clock.nanos())
         .forEach(p -> text.append("quarantined ").append(p).append('\n'));
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
@@ -47,6 +47,7 @@
   private int sends;
   private int possibleRuns;
   private Verdict verdict = Verdict.NOT_RUN;
+  private boolean placed;
   private boolean responseBegun;
   private boolean ended;
   private long firstByteMillis = -1;
@@ -176,7 +177,9 @@
                 servers,
                 triedServerIds,
                 mayWaitForIdleServer(a.demand(), now),
+                !placed,
                 now);
+    placed = true;
     if (choice == null) {
       hold(a, servers.size());
       return;
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/ResponseMetadata.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/ResponseMetadata.java
@@ -11,10 +11,13 @@
  * @param signed true if the response carries the server's signature
  * @param requestId the id of the request that it responds to, or null if absent
  * @param load the server's load, or null if absent
+ * @param rateLimit requests per second that the server accepts from all routers together, or null
+ *     if it names no limit
  */
 public record ResponseMetadata(
     boolean notExecuted,
     boolean misdirected,
     boolean signed,
     @Nullable String requestId,
-    @Nullable LoadReport load) {}
+    @Nullable LoadReport load,
+    @Nullable Double rateLimit) {}
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipCodec.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipCodec.java
@@ -7,12 +7,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.wigeonwharf.gateway.limit.NamedLimit;
+import org.wigeonwharf.gateway.limit.ServerDemand;
 import org.wigeonwharf.gateway.peer.wire.PromptReadNews;
 import org.wigeonwharf.gateway.peer.wire.ProvenPartNews;
 import org.wigeonwharf.gateway.peer.wire.QuarantineNews;
 import org.wigeonwharf.gateway.peer.wire.QuarantinedPartNews;
 import org.wigeonwharf.gateway.peer.wire.RouterNews;
+import org.wigeonwharf.gateway.peer.wire.ServerDemandNews;
 import org.wigeonwharf.gateway.peer.wire.ServerEndNews;
+import org.wigeonwharf.gateway.peer.wire.ServerLimitNews;
 import org.wigeonwharf.gateway.peer.wire.ServerWorkNews;
 import org.wigeonwharf.gateway.peer.wire.SignedNews;
 import org.wigeonwharf.gateway.placement.PromptPart;
@@ -27,6 +31,9 @@
   /** Factor from latency sensitivities to the integers on the wire, which are in thousandths. */
   private static final double SENSITIVITY_SCALE = 1_000;
 
+  /** Factor from rates per second to the integers on the wire, which are in thousandths. */
+  private static final double RATE_SCALE = 1_000;
+
   private final FleetSecret secret;
 
   GossipCodec(FleetSecret secret) {
@@ -153,6 +160,57 @@
     return new QuarantineState(ends, proven, quarantined);
   }
 
+  static List<ServerLimitNews> encodeLimits(Map<String, NamedLimit> limits) {
+    List<ServerLimitNews> news = new ArrayList<>();
+    limits.forEach(
+        (server, limit) ->
+            news.add(
+                ServerLimitNews.newBuilder()
+                    .setServer(server)
+                    .setPerSecond(limit.isLimited() ? toThousandths(limit.perSecond()) : 0)
+                    .setUnlimited(!limit.isLimited())
+                    .setAgeMillis(toMillis(limit.ageNanos()))
+                    .build()));
+    return news;
+  }
+
+  static Map<String, NamedLimit> decodeLimits(List<ServerLimitNews> news) {
+    Map<String, NamedLimit> limits = new HashMap<>();
+    for (ServerLimitNews n : news) {
+      double perSecond =
+          n.getUnlimited() ? NamedLimit.NONE : Math.max(0, n.getPerSecond()) / RATE_SCALE;
+      limits.put(n.getServer(), new NamedLimit(perSecond, toNanos(n.getAgeMillis())));
+    }
+    return limits;
+  }
+
+  static List<ServerDemandNews> encodeDemand(Map<String, ServerDemand> demand) {
+    List<ServerDemandNews> news = new ArrayList<>();
+    demand.forEach(
+        (server, d) ->
+            news.add(
+                ServerDemandNews.newBuilder()
+                    .setServer(server)
+                    .setWanted(toThousandths(d.wanted()))
+                    .setSent(toThousandths(d.sent()))
+                    .build()));
+    return news;
+  }
+
+  static Map<String, ServerDemand> decodeDemand(List<ServerDemandNews> news) {
+    Map<String, ServerDemand> demand = new HashMap<>();
+    for (ServerDemandNews n : news) {
+      double wanted = Math.max(0, n.getWanted()) / RATE_SCALE;
+      double sent = Math.max(0, n.getSent()) / RATE_SCALE;
+      demand.put(n.getServer(), new ServerDemand(wanted, sent));
+    }
+    return demand;
+  }
+
+  private static long toThousandths(double perSecond) {
+    return Math.round(perSecond * RATE_SCALE);
+  }
+
   private static int toMillis(long nanos) {
     return (int) Math.min(Integer.MAX_VALUE, Math.max(0, nanos / Clock.NANOS_PER_MILLI));
   }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipTransport.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipTransport.java
@@ -21,6 +21,7 @@
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.placement.InFlightTracker;
 import org.wigeonwharf.gateway.placement.PrefixCacheIndex;
 import org.wigeonwharf.gateway.quarantine.PromptQuarantine;
@@ -59,6 +60,7 @@
    * @param inFlight supplies this router's in-flight work and receives that of its peers
    * @param prefixCaches supplies this router's prompt sends and receives those of its peers
    * @param quarantine supplies and receives what is known of prompts that crash servers
+   * @param limits supplies and receives the limits of servers and the demand for them
    * @param secret signs and verifies messages
    * @param clock monotonic clock
    * @param storeRevision supplies the revision of the last change read from the store
@@ -73,6 +75,7 @@
       InFlightTracker inFlight,
       PrefixCacheIndex prefixCaches,
       PromptQuarantine quarantine,
+      ServerLimits limits,
       FleetSecret secret,
       Clock clock,
       LongSupplier storeRevision,
@@ -89,6 +92,7 @@
             inFlight,
             prefixCaches,
             quarantine,
+            limits,
             secret,
             clock,
             new Random(self.incarnation()),
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerGossip.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerGossip.java
@@ -14,6 +14,7 @@
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.peer.wire.DomainSummary;
 import org.wigeonwharf.gateway.peer.wire.MemberNews;
 import org.wigeonwharf.gateway.peer.wire.RouterNews;
@@ -117,6 +118,7 @@
   private final InFlightTracker inFlight;
   private final PrefixCacheIndex prefixCaches;
   private final PromptQuarantine quarantine;
+  private final ServerLimits limits;
   private final GossipCodec codec;
   private final Clock clock;
   private final Random random;
@@ -152,6 +154,7 @@
    * @param inFlight supplies this router's in-flight work and receives that of its peers
    * @param prefixCaches supplies this router's prompt sends and receives those of its peers
    * @param quarantine supplies and receives what is known of prompts that crash servers
+   * @param limits supplies and receives the limits of servers and the demand for them
    * @param secret signs and verifies messages
    * @param clock monotonic clock
    * @param random chooses receivers and the peers to list
@@ -167,6 +170,7 @@
       InFlightTracker inFlight,
       PrefixCacheIndex prefixCaches,
       PromptQuarantine quarantine,
+      ServerLimits limits,
       FleetSecret secret,
       Clock clock,
       Random random,
@@ -180,13 +184,14 @@
     this.inFlight = inFlight;
     this.prefixCaches = prefixCaches;
     this.quarantine = quarantine;
+    this.limits = limits;
     this.codec = new GossipCodec(secret);
     this.clock = clock;
     this.random = random;
     this.sender = sender;
     this.storeRevision = storeRevision;
     this.onNewerRevision = onNewerRevision;
-    this.peers = new PeerTable(domain, address, inFlight::removeReport);
+    this.peers = new PeerTable(domain, address, this::removeSource);
     this.startedAt = clock.nanos();
     this.sentAt = startedAt;
     this.summariesSentAt = startedAt;
@@ -194,6 +199,11 @@
     this.seedsSentAt = startedAt - toNanos(CONTACT_INTERVAL_MILLIS);
   }
 
+  private void removeSource(String source) {
+    inFlight.removeReport(source);
+    limits.removeDemand(source);
+  }
+
   private static long toNanos(long millis) {
     return millis * Clock.NANOS_PER_MILLI;
   }
@@ -320,6 +330,7 @@
         .sorted(Comparator.comparingInt(e -> -e.getValue().running()))
         .limit(MAX_SUMMARY_SERVERS)
         .forEach(e -> b.addWork(GossipCodec.encodeWork(e.getKey(), e.getValue())));
+    b.addAllDemand(GossipCodec.encodeDemand(limits.demandWith(sources, now)));
     prefixCaches
         .recentDomainSends(toNanos(SUMMARY_SENDS_MAX_AGE_MILLIS), now)
         .forEach((server, parts) -> b.addReads(GossipCodec.encodeSends(server, parts)));
@@ -379,6 +390,8 @@
         .setSelf(encodeMember(address, domain))
         .setStoreRevision(storeRevision.getAsLong())
         .setQuarantine(GossipCodec.encodeQuarantine(quarantine.state(clock.nanos())))
+        .addAllLimits(GossipCodec.encodeLimits(limits.limits(clock.nanos())))
+        .addAllDemand(GossipCodec.encodeDemand(limits.demand(clock.nanos())))
         .setLeaving(leaving);
   }
 
@@ -448,6 +461,7 @@
       sendStateTo(sender, senderDomain, false);
     }
     mergeQuarantine(state, sameDomain, now);
+    limits.merge(GossipCodec.decodeLimits(state.getLimitsList()), now);
     state.getSummariesList().forEach(s -> applySummary(s, !sameDomain, now));
     if (state.getStoreRevision() > storeRevision.getAsLong()) {
       onNewerRevision.accept(state.getStoreRevision());
@@ -472,6 +486,7 @@
       return false;
     }
     inFlight.replaceReport(node.name(), GossipCodec.decodeWork(state.getWorkList()), now);
+    limits.replaceDemand(node.name(), GossipCodec.decodeDemand(state.getDemandList()), now);
     prefixCaches.recordDomainSends(GossipCodec.decodeSends(state.getReadsList()), now);
     if (state.getSummariesSent()) {
       summariesSentAt = now;
@@ -490,6 +505,10 @@
     peers.recordSummary(summarized, summary.getUnresponsive(), madeAt);
     inFlight.replaceReport(
         PeerTable.domainSource(summarized), GossipCodec.decodeWork(summary.getWorkList()), madeAt);
+    limits.replaceDemand(
+        PeerTable.domainSource(summarized),
+        GossipCodec.decodeDemand(summary.getDemandList()),
+        madeAt);
     prefixCaches.recordRemoteSends(GossipCodec.decodeSends(summary.getReadsList()));
     if (summary.getStoreRevision() > storeRevision.getAsLong()) {
       onNewerRevision.accept(summary.getStoreRevision());
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerChooser.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerChooser.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.wigeonwharf.gateway.backend.BackendServer;
+import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.route.EngineSpec;
 import org.wigeonwharf.gateway.route.ServiceSpec;
 import org.wigeonwharf.model.FailureDomain;
@@ -41,6 +42,7 @@
   private final InFlightTracker inFlight;
   private final PrefixCacheIndex prefixCaches;
   private final ServerPenalties penalties;
+  private final ServerLimits limits;
   private final Map<String, ServerStats> stats = new HashMap<>();
   private final Map<String, PrefillRate> prefillRates = new HashMap<>();
 
@@ -51,16 +53,19 @@
    * @param inFlight the in-flight work per server
    * @param prefixCaches the prompts that engines are expected to have cached
    * @param penalties costs of distance and failures
+   * @param limits the request rates that servers accept
    */
   public ServerChooser(
       FailureDomain domain,
       InFlightTracker inFlight,
       PrefixCacheIndex prefixCaches,
-      ServerPenalties penalties) {
+      ServerPenalties penalties,
+      ServerLimits limits) {
     this.domain = domain;
     this.inFlight = inFlight;
     this.prefixCaches = prefixCaches;
     this.penalties = penalties;
+    this.limits = limits;
   }
 
   /**
@@ -71,6 +76,7 @@
    * @param servers the usable servers in the order of their ids
    * @param tried ids that the request was already sent to
    * @param canWait true if the request can wait for a less busy server
+   * @param firstChoice true if this is the request's first choice, which counts as demand
    * @param now the current time in nanoseconds
    * @return the choice, or null if no server may receive the request now
    */
@@ -80,21 +86,37 @@
       List<BackendServer> servers,
       Set<String> tried,
       boolean canWait,
+      boolean firstChoice,
       long now) {
     EngineSpec engine = service == null ? null : service.engine();
     PlacementPolicy policy = policy(demand, engine);
     List<Candidate> candidates = candidates(demand, engine, servers, now);
     Candidate best = null;
+    Candidate preferred = null;
     double lowestCost = Double.POSITIVE_INFINITY;
+    double preferredCost = Double.POSITIVE_INFINITY;
+    double lowestWaitingCost = Double.POSITIVE_INFINITY;
     for (Candidate c : candidates) {
       double cost =
           tried.contains(c.server().id()) ? Double.POSITIVE_INFINITY : policy.cost(demand, c);
-      if (cost < lowestCost) {
+      double waitMillis = limits.waitMillis(c.server().id(), now);
+      if (cost < preferredCost) {
+        preferred = c;
+        preferredCost = cost;
+      }
+      if (waitMillis > 0) {
+        lowestWaitingCost = Math.min(lowestWaitingCost, cost + waitMillis);
+      } else if (cost < lowestCost) {
         best = c;
         lowestCost = cost;
       }
     }
-    if (best == null || canWait && policy.isBusy(demand, best)) {
+    if (preferred != null && firstChoice) {
+      limits.recordDemand(preferred.server().id(), now);
+    }
+    boolean worthWaiting =
+        best == null || lowestWaitingCost < lowestCost || policy.isBusy(demand, best);
+    if (best == null || canWait && worthWaiting) {
       return null;
     }
     BackendServer source = cacheSource(demand, engine, candidates, best);
@@ -206,6 +228,7 @@
     String id = choice.candidate().server().id();
     stats(id, now).recordSent(now);
     prefixCaches.recordSent(id, demand.parts(), now);
+    limits.recordSent(id, now);
     return inFlight.add(id, demand, choice.prefillTokens());
   }
 
@@ -232,6 +255,17 @@
     stats(server, now).recordLoadReport(report, now);
   }
 
+  /**
+   * Records the request rate that a server accepts.
+   *
+   * @param server the server's id
+   * @param perSecond requests per second from all routers together, or null if it names no limit
+   * @param now the current time in nanoseconds
+   */
+  public void recordRateLimit(String server, @Nullable Double perSecond, long now) {
+    limits.recordAnswer(server, perSecond, now);
+  }
+
   /**
    * Records the end of a request at a server.
    *
@@ -271,6 +305,7 @@
   public void retainServers(Collection<String> known) {
     stats.keySet().retainAll(known);
     prefixCaches.retainServers(known);
+    limits.retainServers(known);
   }
 
   /**
