Bound what messages carry of crashes and limits, and remember crashes longer

A flood of crash reports with long part ids and 2,000 limited servers made messages of 140 KB, which no datagram holds, so that routers would have lost sight of each other. Ends of servers and proofs count for ten minutes rather than one, so that a part that seldom comes is found too. Both tests failed before.

--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
@@ -45,6 +45,7 @@
   private boolean partitioned;
   private long now = Clock.NANOS_PER_SECOND;
   private long messagesSent;
+  private int longestMessage;
   private long lastIncarnation;
 
   /** A router on the simulated network. */
@@ -83,6 +84,7 @@
 
     private void send(InetSocketAddress destination, byte[] datagram) {
       messagesSent++;
+      longestMessage = Math.max(longestMessage, datagram.length);
       Node receiver = nodes.get(destination);
       boolean blocked = partitioned && receiver != null && !receiver.domain.equals(domain);
       if (receiver != null && !blocked && random.nextDouble() >= lossRate) {
@@ -183,6 +185,31 @@
     assertTrue(isQuarantined(restarted, now));
   }
 
+  @Test
+  void messagesFitInADatagramWhateverCallersAndServersSend() {
+    Node a = addNode(1, "d");
+    final Node b = addNode(2, "d");
+    final Node c = addNode(3, "e");
+    advanceMillis(4_000);
+    longestMessage = 0;
+    for (int i = 0; i < 2_000; i++) {
+      String server = "server-with-a-rather-long-id-" + i;
+      String part = "x".repeat(500) + i;
+      a.quarantine.recordServerEnd(
+          new ServerEnd(server, 1, Set.of(part, part + "a"), Set.of(part + "b")), now, now);
+      a.quarantine.recordProven(List.of(part), now);
+      a.limits.recordAnswer(server, 5.0, now);
+      a.limits.recordDemand(server, now);
+      now += Clock.NANOS_PER_MILLI;
+    }
+    advanceMillis(1_000);
+    assertTrue(longestMessage > 1_000, longestMessage + " bytes");
+    assertTrue(longestMessage <= GossipTransport.MAX_DATAGRAM_BYTES, longestMessage + " bytes");
+    for (Node n : List.of(b, c)) {
+      assertTrue(n.limits.limitedCount(now) > 50, n.limits.limitedCount(now) + " limits");
+    }
+  }
+
   private long messagesInNextSecond(int routers, boolean crash) {
     nodes.clear();
     List<Node> all = new ArrayList<>();
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/quarantine/PromptQuarantineTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/quarantine/PromptQuarantineTest.java
@@ -180,14 +180,24 @@
     assertFalse(isQuarantined("shared"));
   }
 
+  @Test
+  void partThatSeldomComesIsQuarantinedToo() {
+    for (int i = 0; i < 4; i++) {
+      crash(quarantine, "bad");
+      advanceMillis(2 * MINUTE_MILLIS);
+      quarantine.find(List.of(), now);
+    }
+    assertTrue(isQuarantined("bad"));
+  }
+
   @Test
   void oldEvidenceExpires() {
     crashTimes(3, "part");
-    advanceMillis(2 * MINUTE_MILLIS);
+    advanceMillis(11 * MINUTE_MILLIS);
     quarantine.find(List.of(), now);
     crash(quarantine, "part");
     assertFalse(isQuarantined("part"));
-    advanceMillis(2 * MINUTE_MILLIS);
+    advanceMillis(11 * MINUTE_MILLIS);
     quarantine.find(List.of(), now);
     assertEquals(QuarantineState.EMPTY, quarantine.state(now));
   }
@@ -204,11 +214,11 @@
     int parts = 0;
     for (QuarantineState.AgedEnd e : state.ends()) {
       for (String id : e.end().answering()) {
-        assertTrue(id.length() <= 64, id);
+        assertTrue(id.length() <= 32, id);
         parts++;
       }
     }
-    assertTrue(parts > 0 && parts <= 250, parts + " parts");
+    assertTrue(parts > 0 && parts <= 170, parts + " parts");
     assertTrue(state.proven().size() <= 64, state.proven().size() + " proofs");
     assertTrue(state.quarantined().size() <= 64);
   }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/limit/ServerLimits.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/limit/ServerLimits.java
@@ -1,6 +1,7 @@
 package org.wigeonwharf.gateway.limit;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -59,6 +60,11 @@
 
   private static final int MAX_SERVERS = 1_024;
 
+  /**
+   * Maximum number of servers told to other routers in one message, which has to fit a datagram.
+   */
+  private static final int MAX_SHARED_SERVERS = 100;
+
   private final LimitLog log;
   private final IntSupplier peerCount;
   private final RandomGenerator random;
@@ -271,15 +277,22 @@
   // Exchange with other routers.
 
   /**
-   * Returns what the servers last said, by server id.
+   * Returns what servers last said, by server id; if there are too many, the newest.
    *
    * @param now the current time in nanoseconds
    */
   public Map<String, NamedLimit> limits(long now) {
     named.values().removeIf(n -> now - n.toldAt >= MAX_AGE_MILLIS * Clock.NANOS_PER_MILLI);
-    Map<String, NamedLimit> all = new HashMap<>();
-    named.forEach((server, n) -> all.put(server, new NamedLimit(n.perSecond, now - n.toldAt)));
-    return all;
+    Map<String, NamedLimit> newest = new HashMap<>();
+    named.entrySet().stream()
+        .sorted(Comparator.comparingLong(e -> now - e.getValue().toldAt))
+        .limit(MAX_SHARED_SERVERS)
+        .forEach(
+            e -> {
+              Named n = e.getValue();
+              newest.put(e.getKey(), new NamedLimit(n.perSecond, now - n.toldAt));
+            });
+    return newest;
   }
 
   /**
@@ -333,6 +346,15 @@
         r.servers.forEach((server, d) -> sum.merge(server, d, ServerDemand::plus));
       }
     }
+    if (sum.size() > MAX_SHARED_SERVERS) {
+      List<String> least =
+          sum.keySet().stream()
+              .sorted(
+                  Comparator.comparingDouble(s -> -sum.getOrDefault(s, ServerDemand.NONE).wanted()))
+              .skip(MAX_SHARED_SERVERS)
+              .toList();
+      least.forEach(sum::remove);
+    }
     return sum;
   }
 
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipTransport.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipTransport.java
@@ -33,7 +33,7 @@
 /** Sends and receives the messages of the gossip protocol as UDP datagrams. */
 public final class GossipTransport {
   /** Size in bytes of the receive buffer, above that of the largest message. */
-  private static final int MAX_DATAGRAM_BYTES = 16 * 1024;
+  static final int MAX_DATAGRAM_BYTES = 32 * 1024;
 
   /** Minimum time between two ticks, which keeps a failing one from running without pause. */
   private static final long MIN_TICK_INTERVAL_NANOS = Clock.NANOS_PER_MILLI;
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/quarantine/CrashEvidence.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/quarantine/CrashEvidence.java
@@ -28,7 +28,7 @@
   static final int WAITING_SCORE = 1;
 
   /** Time in ms for which ends and proofs count. */
-  static final long MAX_AGE_MILLIS = 60_000;
+  static final long MAX_AGE_MILLIS = 10 * 60_000;
 
   /** Time in ms within which ends count as simultaneous. */
   private static final long SIMULTANEOUS_MILLIS = 75;
@@ -38,7 +38,7 @@
 
   private static final int MAX_ENDS = 64;
   private static final int MAX_PARTS_PER_END = 24;
-  private static final int MAX_PROOFS = 1_024;
+  private static final int MAX_PROOFS = 4_096;
 
   private final Map<String, Entry> ends = new LinkedHashMap<>();
   private final Map<String, Long> provenAt = new LinkedHashMap<>();
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/quarantine/PromptQuarantine.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/quarantine/PromptQuarantine.java
@@ -27,8 +27,8 @@
   private static final int MIN_SCORE = 4 * CrashEvidence.ANSWERING_SCORE;
 
   /**
-   * Score at which a part is quarantined that was answered within the last minute. Chance alone
-   * loses such a part with some servers in succession while another one crashes them.
+   * Score at which a part is quarantined that was answered not long ago. Chance alone loses such a
+   * part with some servers in succession while another one crashes them.
    */
   private static final int MIN_SCORE_IF_PROVEN = 6 * CrashEvidence.ANSWERING_SCORE;
 
@@ -65,13 +65,13 @@
   private static final long MAX_SHARED_AGE_MILLIS = 10_000;
 
   /** Limits of the shared state, which has to fit in a datagram. */
-  private static final int MAX_SHARED_PARTS = 200;
+  private static final int MAX_SHARED_PARTS = 120;
 
-  private static final int MAX_SHARED_PROOFS = 64;
-  private static final int MAX_SHARED_QUARANTINED = 64;
+  private static final int MAX_SHARED_PROOFS = 40;
+  private static final int MAX_SHARED_QUARANTINED = 40;
 
-  private static final int MAX_ID_LENGTH = 64;
-  private static final int KEPT_ID_LENGTH = 40;
+  private static final int MAX_ID_LENGTH = 32;
+  private static final int KEPT_ID_LENGTH = 20;
 
   private final QuarantineLog log;
   private final RandomGenerator random;
