Advertise only prompts whose parts fit in a message

Callers choose the number and ids of prompt parts freely, up to the size of a header. A message lists up to 40 prompts, so a few callers with long ids made messages that no datagram holds, and their router was lost to its peers. Prompts with more than 16 shared parts or ids over 32 characters are still counted for this router's own choice, but not told to others. The test failed before.

--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
@@ -186,7 +186,7 @@
   }
 
   @Test
-  void messagesFitInADatagramWhateverCallersAndServersSend() {
+  void messagesFitInOneDatagramWhateverCallersAndServersSend() {
     Node a = addNode(1, "d");
     final Node b = addNode(2, "d");
     final Node c = addNode(3, "e");
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/PrefixCacheIndexTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/PrefixCacheIndexTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -49,6 +50,20 @@
     assertTrue(advertised <= 40, "advertised " + advertised);
   }
 
+  @Test
+  void promptsWithOversizedIdsOrManyPartsAreNotAdvertised() {
+    index.recordSent("s1", prompt("x".repeat(5_000), "own"), SECOND_NANOS);
+    List<PromptPart> many = new ArrayList<>();
+    for (int i = 0; i < 500; i++) {
+      many.add(new PromptPart("part" + i, 1));
+    }
+    index.recordSent("s1", many, SECOND_NANOS);
+    index.recordSent("s1", prompt("a", "own"), SECOND_NANOS);
+    assertEquals(
+        Map.of("s1", List.of(new PromptPart("a", 500))),
+        index.recentSends(SECOND_NANOS, SECOND_NANOS));
+  }
+
   @Test
   void peerSendsCountAsCached() {
     index.recordRemoteSends(Map.of("s1", List.of(new PromptPart("a", 500))));
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/PrefixCacheIndex.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/PrefixCacheIndex.java
@@ -25,6 +25,13 @@
   /** Maximum number of sends advertised in one message, so that it fits in one packet. */
   private static final int MAX_ADVERTISED_SENDS = 40;
 
+  /**
+   * Maximum number of parts of an advertised prompt; callers choose their number and ids freely.
+   */
+  private static final int MAX_ADVERTISED_PARTS = 16;
+
+  private static final int MAX_ADVERTISED_ID_LENGTH = 32;
+
   /** Assumed prefix cache size of an engine, in tokens, until its KV cache size is known. */
   private static final long DEFAULT_CAPACITY_TOKENS = 200_000;
 
@@ -43,13 +50,18 @@
    */
   public void recordSent(String server, List<PromptPart> parts, long now) {
     cacheOf(server).recordPrompt(parts);
-    if (parts.size() > 1) {
+    if (parts.size() > 1 && isAdvertisable(parts)) {
       Send send = new Send(server, List.copyOf(parts.subList(0, parts.size() - 1)), now);
       addRecent(recentSends, send);
       addRecent(recentDomainSends, send);
     }
   }
 
+  private static boolean isAdvertisable(List<PromptPart> parts) {
+    return parts.size() <= MAX_ADVERTISED_PARTS
+        && parts.stream().allMatch(p -> p.id().length() <= MAX_ADVERTISED_ID_LENGTH);
+  }
+
   private static void addRecent(Deque<Send> sends, Send send) {
     sends.addLast(send);
     while (send.sentAt - sends.getFirst().sentAt > SENDS_MAX_AGE_MILLIS * Clock.NANOS_PER_MILLI) {
