Wait in drain() for the threads that accept connections

Now and then a connection was still accepted right after drain() had returned: closing a listener returns while a thread waits in accept, and the kernel accepts until that thread has left it. The connector now counts the threads in accept and waits for them after closing.

--- a/org.wigeonwharf.relay.test/src/test/java/org/wigeonwharf/relay/GracefulStopTest.java
+++ b/org.wigeonwharf.relay.test/src/test/java/org/wigeonwharf/relay/GracefulStopTest.java
@@ -129,4 +129,16 @@
       assertThrows(IOException.class, fixture::connect);
     }
   }
+
+  @Test
+  void noConnectionIsAcceptedOnceDrainHasReturned() throws Exception {
+    try (ScriptedBackend backend = new ScriptedBackend(ScriptedBackend.Connection::awaitEnd)) {
+      for (int i = 0; i < 200; i++) {
+        try (RelayFixture fixture = new RelayFixture(RelayFixture.LONG_LIMITS, backend.address())) {
+          fixture.relay.drain();
+          assertThrows(IOException.class, fixture::connect, "attempt " + i);
+        }
+      }
+    }
+  }
 }
--- a/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/RelayService.java
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/RelayService.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpCompliance;
 import org.eclipse.jetty.http.HttpCookieStore;
@@ -9,8 +10,9 @@
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.NetworkConnectionLimit;
 import org.eclipse.jetty.server.Server;
-import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.wigeonwharf.config.ConfigStore;
 import org.wigeonwharf.model.Clock;
 import org.wigeonwharf.model.FailureDomain;
@@ -19,6 +21,7 @@
 import org.wigeonwharf.peer.FleetSecret;
 import org.wigeonwharf.peer.PeerTransport;
 import org.wigeonwharf.relay.internal.ConnectionGuard;
+import org.wigeonwharf.relay.internal.DrainableConnector;
 import org.wigeonwharf.relay.internal.LocalKeyedExecutor;
 import org.wigeonwharf.relay.internal.ProblemErrorHandler;
 import org.wigeonwharf.relay.internal.RelayContext;
@@ -30,6 +33,8 @@
 
 /** Accepts callers' HTTP requests and relays them to backend servers. */
 public final class RelayService implements Lifecycle {
+  private static final Logger LOG = LoggerFactory.getLogger(RelayService.class);
+
   private static final int MAX_THREADS = 32;
   private static final int MAX_CONNECTIONS_PER_SERVER = 512;
   private static final long SINGLE_USE_IDLE_MILLIS = 1_000;
@@ -41,7 +46,7 @@
   private final HttpClient pooledClient = new HttpClient();
   private final HttpClient singleUseClient = new HttpClient();
   private final Server server = new Server(new QueuedThreadPool(MAX_THREADS));
-  private final ServerConnector connector;
+  private final DrainableConnector connector;
   private final ConnectionGuard connections;
   private final RelayHandler handler;
   private final KeyService keys;
@@ -93,7 +98,7 @@
     http.setSendServerVersion(false);
     http.setRequestHeaderSize(limits.maxRequestHeadBytes());
     http.setHttpCompliance(HttpCompliance.RFC9110);
-    this.connector = new ServerConnector(server, new HttpConnectionFactory(http));
+    this.connector = new DrainableConnector(server, new HttpConnectionFactory(http));
   }
 
   @Override
@@ -158,13 +163,24 @@
    */
   public void drain() throws InterruptedException {
     handler.startDraining();
-    connector.setAccepting(false);
-    connector.close();
+    stopAccepting();
     awaitIdle();
     keys.drain();
     awaitIdle();
   }
 
+  private void stopAccepting() throws InterruptedException {
+    try {
+      connector.stopAccepting();
+    } catch (TimeoutException e) {
+      // Requests on connections that are still accepted are served like those on open ones.
+      LOG.atWarn()
+          .addKeyValue("event", "relay.listener_open")
+          .addKeyValue("reason", String.valueOf(e.getMessage()))
+          .log("the listener did not close in time");
+    }
+  }
+
   private void awaitIdle() throws InterruptedException {
     long idleSinceNanos = clock.nanos();
     while (inFlight() > 0 || (connections.count() > 0 && !isDrainComplete(idleSinceNanos))) {
