--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/EngineSimulation.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/EngineSimulation.java
@@ -26,32 +26,61 @@
   private static final long RESTART_MILLIS = 2_500;
   private static final long EXPIRY_MILLIS = 2_000;
 
-  private final ExchangeFixture fixture;
+  private final VirtualTimers timers;
+  private final List<ExchangeFixture> routers = new ArrayList<>();
   private final String crashingPart;
   private final Map<String, List<FakeAttempt>> running = new HashMap<>();
+  private final List<BackendServer> published = new ArrayList<>();
   private final Set<String> down = new HashSet<>();
   private final List<Long> crashTimes = new ArrayList<>();
+  private final List<Long> partCrashTimes = new ArrayList<>();
   private final List<Long> crashingSends = new ArrayList<>();
   private final Map<FakeCaller, Runnable> begun = new HashMap<>();
   private int lastServer;
 
-  EngineSimulation(ExchangeFixture fixture, String crashingPart, int servers) {
-    this.fixture = fixture;
+  EngineSimulation(ExchangeFixture router, String crashingPart, int servers) {
+    this(router.timers, crashingPart, servers);
+    addRouter(router);
+  }
+
+  EngineSimulation(VirtualTimers timers, String crashingPart, int servers) {
+    this.timers = timers;
     this.crashingPart = crashingPart;
     for (int i = 0; i < servers; i++) {
       addServer();
     }
-    fixture.onAttempt = this::accept;
-    fixture.liveness = s -> isDown(s) ? LivenessCheck.Result.ENDED : LivenessCheck.Result.ALIVE;
+  }
+
+  /** Lets a router use the servers. */
+  void addRouter(ExchangeFixture router) {
+    routers.add(router);
+    router.onAttempt = this::accept;
+    router.liveness = s -> isDown(s) ? LivenessCheck.Result.ENDED : LivenessCheck.Result.ALIVE;
+    published.forEach(router.directory::put);
+  }
+
+  /** Takes a router out that has ended; servers no longer answer it. */
+  void removeRouter(ExchangeFixture router) {
+    routers.remove(router);
+    router.attempts.forEach(a -> a.cancelled = true);
   }
 
   private void addServer() {
-    fixture.directory.put(ExchangeFixture.server("engine" + ++lastServer, false));
-    fixture.exchanges.retryHeld();
+    BackendServer added = ExchangeFixture.server("engine" + ++lastServer, false);
+    published.add(added);
+    for (ExchangeFixture router : routers) {
+      router.directory.put(added);
+      router.exchanges.retryHeld();
+    }
+  }
+
+  private void withdraw(BackendServer server) {
+    published.remove(server);
+    routers.forEach(r -> r.directory.withdraw(server.id(), timers.nanos()));
   }
 
   private void after(long millis, Runnable action) {
-    fixture.timers.schedule(millis * Clock.NANOS_PER_MILLI, action);
+    timers.schedule(millis * Clock.NANOS_PER_MILLI, action);
   }
 
   boolean isDown(BackendServer server) {
@@ -66,7 +95,7 @@
       return;
     }
     if (crashing) {
-      crashingSends.add(fixture.timers.nanos());
+      crashingSends.add(timers.nanos());
     }
     running.computeIfAbsent(attempt.server.id(), s -> new ArrayList<>()).add(attempt);
     after(PREFILL_MILLIS, () -> ifRunning(attempt, () -> beginAnswer(attempt, crashing)));
@@ -87,7 +116,7 @@
   private void beginAnswer(FakeAttempt attempt, boolean crashing) {
     attempt.respondHead(200, TestProtocol.SIGNED);
     if (crashing) {
-      after(CRASH_DELAY_MILLIS, () -> ifRunning(attempt, () -> crash(attempt.server)));
+      after(CRASH_DELAY_MILLIS, () -> ifRunning(attempt, () -> crashByPart(attempt.server)));
       return;
     }
     after(0, () -> sendEvents(attempt, 1));
@@ -107,15 +136,20 @@
         });
   }
 
+  private void crashByPart(BackendServer server) {
+    partCrashTimes.add(timers.nanos());
+    crash(server);
+  }
+
   /** Ends a server with all its connections; a successor starts some seconds later. */
   void crash(BackendServer server) {
     down.add(server.id());
-    crashTimes.add(fixture.timers.nanos());
+    crashTimes.add(timers.nanos());
     for (FakeAttempt a : running.getOrDefault(server.id(), List.of()).toArray(FakeAttempt[]::new)) {
       unlessCancelled(a, () -> a.listener.onConnectionLost("reset"));
     }
     running.remove(server.id());
-    after(EXPIRY_MILLIS, () -> fixture.directory.withdraw(server.id(), fixture.timers.nanos()));
+    after(EXPIRY_MILLIS, () -> withdraw(server));
     after(RESTART_MILLIS, this::addServer);
   }
 
@@ -143,6 +177,14 @@
     return crashTimes.get(number);
   }
 
+  /**
+   * Returns the time in nanoseconds of a crash by the part, counted from 0; never if there were
+   * fewer.
+   */
+  long partCrashedAt(int number) {
+    return number < partCrashTimes.size() ? partCrashTimes.get(number) : timers.nanos();
+  }
+
   /** Returns the number of requests with the part that were sent to live servers after a time. */
   int crashingSendsAfter(long time) {
     return (int) crashingSends.stream().filter(t -> t - time > 0).count();
@@ -150,8 +192,6 @@
 
   /** Returns the servers that are up. */
   List<BackendServer> liveServers() {
-    return fixture.directory.usable(ExchangeFixture.SERVICE).stream()
-        .filter(s -> !isDown(s))
-        .toList();
+    return published.stream().filter(s -> !isDown(s)).toList();
   }
 }
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
@@ -41,14 +41,14 @@
   private static final FailureDomain DOMAIN = new FailureDomain("here");
   private static final long WINDOW_NANOS = 10 * Clock.NANOS_PER_SECOND;
 
-  final VirtualTimers timers = new VirtualTimers();
+  final VirtualTimers timers;
+  final InFlightTracker inFlight = new InFlightTracker(1_500 * Clock.NANOS_PER_MILLI);
+  final PrefixCacheIndex prefixCaches = new PrefixCacheIndex();
   final ServerDirectory directory = new ServerDirectory(0);
   final RetryBudget budget = new RetryBudget(WINDOW_NANOS, slack -> slack);
   final List<FakeAttempt> attempts = new ArrayList<>();
-  final PromptQuarantine quarantine =
-      new PromptQuarantine(new QuarantineLog(new MetricRegistry()), new Random(7), timers.nanos());
-  final ServerLimits limits =
-      new ServerLimits(new LimitLog(new MetricRegistry()), () -> 0, new Random(7), timers.nanos());
+  final PromptQuarantine quarantine;
+  final ServerLimits limits;
   Consumer<FakeAttempt> onAttempt = a -> {};
   Function<BackendServer, LivenessCheck.Result> liveness = s -> LivenessCheck.Result.ALIVE;
   final ExchangeManager exchanges;
@@ -138,17 +138,20 @@
   }
 
   ExchangeFixture() {
+    this(new VirtualTimers());
+  }
+
+  ExchangeFixture(VirtualTimers timers) {
+    this.timers = timers;
+    long now = timers.nanos();
+    quarantine = new PromptQuarantine(new QuarantineLog(new MetricRegistry()), new Random(7), now);
+    limits = new ServerLimits(new LimitLog(new MetricRegistry()), () -> 0, new Random(7), now);
     budget.setLimits(0.5, 100);
     exchanges =
         new ExchangeManager(
             () -> routes,
             directory,
-            new ServerChooser(
-                DOMAIN,
-                new InFlightTracker(0),
-                new PrefixCacheIndex(),
-                ServerPenalties.DEFAULT,
-                limits),
+            new ServerChooser(DOMAIN, inFlight, prefixCaches, ServerPenalties.DEFAULT, limits),
             budget,
             new TestProtocol(),
             this::recordAttempt,
--- /dev/null
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/GossipFixture.java
@@ -0,0 +1,90 @@
+package org.wigeonwharf.gateway.peer;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Random;
+import org.wigeonwharf.gateway.limit.ServerLimits;
+import org.wigeonwharf.gateway.placement.InFlightTracker;
+import org.wigeonwharf.gateway.placement.PrefixCacheIndex;
+import org.wigeonwharf.gateway.quarantine.PromptQuarantine;
+import org.wigeonwharf.model.Clock;
+import org.wigeonwharf.model.FailureDomain;
+import org.wigeonwharf.model.NodeId;
+import org.wigeonwharf.peer.FleetSecret;
+
+/** Runs the gossip protocol of one router for tests of other packages, without a network. */
+public final class GossipFixture {
+  /** Sends a datagram over the test's network. */
+  public interface Network {
+    /**
+     * Sends a datagram.
+     *
+     * @param destination the number of the receiving router
+     * @param datagram the bytes
+     */
+    void send(int destination, byte[] datagram);
+  }
+
+  private static final int FIRST_PORT = 7_000;
+
+  private final PeerGossip gossip;
+
+  /**
+   * Creates a router's end of the protocol; router 0 is the seed.
+   *
+   * @param number the router's number
+   * @param incarnation distinguishes the router from its predecessors
+   * @param domain its failure domain
+   * @param inFlight its in-flight work
+   * @param prefixCaches its prompt sends
+   * @param quarantine its quarantine
+   * @param limits its limits
+   * @param clock the test's clock
+   * @param network sends its datagrams
+   */
+  public GossipFixture(
+      int number,
+      long incarnation,
+      String domain,
+      InFlightTracker inFlight,
+      PrefixCacheIndex prefixCaches,
+      PromptQuarantine quarantine,
+      ServerLimits limits,
+      Clock clock,
+      Network network) {
+    gossip =
+        new PeerGossip(
+            new NodeId("vm" + number, incarnation),
+            new FailureDomain(domain),
+            address(number),
+            List.of(address(0)),
+            inFlight,
+            prefixCaches,
+            quarantine,
+            limits,
+            new FleetSecret("secret-of-this-fleet"),
+            clock,
+            new Random(incarnation),
+            (destination, datagram) -> network.send(destination.getPort() - FIRST_PORT, datagram),
+            () -> 1,
+            revision -> {});
+  }
+
+  private static InetSocketAddress address(int number) {
+    return new InetSocketAddress("127.0.0.1", FIRST_PORT + number);
+  }
+
+  /** Sends what is due. */
+  public void tick() {
+    gossip.tick();
+  }
+
+  /**
+   * Receives a datagram.
+   *
+   * @param datagram the bytes
+   */
+  public void receive(byte[] datagram) {
+    gossip.receive(datagram);
+  }
+}
