--- a/platform.test/src/test/java/org/wigeonwharf/platform/PlatformProtocolTest.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/PlatformProtocolTest.java
@@ -119,4 +119,20 @@
     assertTrue(protocol.readResponse(421, headers()).misdirected());
     assertNull(protocol.readResponse(200, headers("X-Wigeonwharf-Server-Load", "x")).load());
   }
+
+  private Double rateLimit(String... headers) {
+    return protocol.readResponse(200, headers(headers)).rateLimit();
+  }
+
+  @Test
+  void decodesServerLimitAndIgnoresMalformedOnes() {
+    assertEquals(2.5, rateLimit("Server-Limit", "2.5"));
+    assertEquals(40.0, rateLimit("server-limit", " 40 "));
+    assertEquals(0.0, rateLimit("Server-Limit", "0"));
+    assertNull(rateLimit());
+    for (String malformed :
+        new String[] {"", "-1", "1e9", "NaN", "2.", ".5", "2,5", "9999999999"}) {
+      assertNull(rateLimit("Server-Limit", malformed), malformed);
+    }
+  }
 }
