Exit with 0 after a graceful stop

OPERATIONS.md promises exit code 0 after SIGTERM, but the JVM ends with 143, the number of the signal, once its shutdown hooks are done; supervisors count that as a failure. The process now halts with 0 after its own stop, unless its start failed. Found by a soak; GatewayProcessTest, which accepted any code, asks for 0 and failed before.

--- a/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/Main.java
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/Main.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Option;
@@ -146,12 +147,15 @@
 
   private static int runUntilStopped(Lifecycle process, PrintStream err) {
     CountDownLatch stopped = new CountDownLatch(1);
-    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(process, stopped), "shutdown"));
+    AtomicBoolean failed = new AtomicBoolean();
+    Runtime.getRuntime()
+        .addShutdownHook(new Thread(() -> stop(process, stopped, failed), "shutdown"));
     try {
       process.start();
       stopped.await();
       return EXIT_OK;
     } catch (Exception e) {
+      failed.set(true);
       LOG.atError().setCause(e).addKeyValue("event", "router.start.failed").log("start failed");
       err.println("wigeonwharf: can't start: " + e.getMessage());
       flushLog();
@@ -159,10 +163,14 @@
     }
   }
 
-  private static void stop(Lifecycle process, CountDownLatch stopped) {
+  private static void stop(Lifecycle process, CountDownLatch stopped, AtomicBoolean failed) {
     process.stop();
     flushLog();
     stopped.countDown();
+    if (!failed.get()) {
+      // The JVM would exit with the number of the signal, which supervisors take for a failure.
+      Runtime.getRuntime().halt(EXIT_OK);
+    }
   }
 
   /** Flushes the queued log lines, which a separate thread writes. */
--- a/platform.test/src/test/java/org/wigeonwharf/platform/GatewayProcessTest.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/GatewayProcessTest.java
@@ -146,7 +146,7 @@
     assertEquals(
         "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
         answer.get(TIMEOUT_SECONDS, TimeUnit.SECONDS).body());
-    assertTrue(router.awaitExit(TIMEOUT_SECONDS) >= 0);
+    assertEquals(0, router.awaitExit(TIMEOUT_SECONDS));
   }
 
   @Test
