Soak gateway processes from outside

Three routers, four servers that crash, drain and end over a prompt part, eight callers that keep their connections until a router closes them, and three overlapping series of SIGTERM, SIGKILL, SIGHUP, configuration changes and outages of the store. Checked from outside: unrepeatable requests run at most once, refused ones never, answers are whole and the request's own, and after the troubles 95 in 100 requests are served.

--- /dev/null
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/GatewaySoakTest.java
@@ -0,0 +1,327 @@
+package org.wigeonwharf.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.Random;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.wigeonwharf.model.Addresses;
+import org.wigeonwharf.standin.fleet.FleetProcess;
+
+/**
+ * Soaks router processes from outside: callers keep their connections until a router closes them,
+ * while series of signals, restarts, server crashes and configuration changes overlap.
+ *
+ * <p>{@code -Dsoak.seeds=N} plays N seeds, {@code -Dsoak.first=S} from seed S on.
+ */
+class GatewaySoakTest {
+  private static final int ROUTERS = 3;
+  private static final int CALLERS = 8;
+  private static final int SERIES = 3;
+  private static final long SOAK_MILLIS = 12_000;
+  private static final long RECOVERY_MILLIS = 4_000;
+  private static final long EXIT_SECONDS = 20;
+  private static final String LOCALHOST = "127.0.0.1";
+
+  @TempDir private Path folder;
+  private final ExecutorService threads = Executors.newCachedThreadPool();
+  private final Queue<Outcome> outcomes = new ConcurrentLinkedQueue<>();
+  private final List<Router> routers = new ArrayList<>();
+  private final AtomicInteger version = new AtomicInteger();
+  private StoreStandIn store;
+  private SoakBackends backends;
+  private volatile boolean troubled;
+  private volatile boolean running;
+
+  /**
+   * Holds how a request ended.
+   *
+   * @param id its id
+   * @param path its path
+   * @param response the whole response, or null if the connection ended before
+   * @param recovered true if it was sent after the end of all troubles
+   */
+  private record Outcome(
+      String id, String path, KeptConnection.Response response, boolean recovered) {}
+
+  /** One router process and its addresses, which it keeps over restarts. */
+  private final class Router {
+    private final int number;
+    private final InetSocketAddress callers = freeTcpAddress();
+    private final InetSocketAddress peers = freeUdpAddress();
+    private FleetProcess process;
+
+    Router(int number) throws IOException {
+      this.number = number;
+    }
+
+    private Path settings() {
+      return folder.resolve("router" + number + ".toml");
+    }
+
+    private void writeSettings(double ratio) throws IOException {
+      Path next = folder.resolve("next" + number);
+      Files.writeString(
+          next,
+          """
+          name = "vm%d"
+          failure_domain = "z%d"
+          fleet_secret = "secret-for-this-test"
+          stop_grace_ms = 6000
+          seeds = ["%s"]
+          [listen]
+          callers = "%s"
+          ready = "127.0.0.1:0"
+          peers = "%s"
+          metrics = "127.0.0.1:0"
+          [store]
+          address = "%s"
+          [retry]
+          ratio = %s
+          """
+              .formatted(
+                  number,
+                  number % 2,
+                  Addresses.format(routers.isEmpty() ? peers : routers.get(0).peers),
+                  Addresses.format(callers),
+                  Addresses.format(peers),
+                  Addresses.format(store.address()),
+                  ratio));
+      Files.move(next, settings(), StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    private synchronized void start() throws Exception {
+      process =
+          FleetProcess.start(
+              "router" + number,
+              "org.wigeonwharf.router.Main",
+              List.of("--settings", settings().toString()));
+      process.awaitEvent("config.adopted");
+    }
+
+    private synchronized void terminate() throws Exception {
+      process.signal("-TERM");
+      assertEquals(0, process.awaitExit(EXIT_SECONDS), "exit code after SIGTERM");
+      start();
+    }
+
+    private synchronized void kill() throws Exception {
+      process.kill();
+      process.awaitExit(EXIT_SECONDS);
+      start();
+    }
+
+    private synchronized void hangUp(double ratio) throws Exception {
+      writeSettings(ratio);
+      process.signal("-HUP");
+    }
+  }
+
+  private static InetSocketAddress freeTcpAddress() throws IOException {
+    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return new InetSocketAddress(LOCALHOST, s.getLocalPort());
+    }
+  }
+
+  private static InetSocketAddress freeUdpAddress() throws IOException {
+    try (DatagramSocket s = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+      return new InetSocketAddress(LOCALHOST, s.getLocalPort());
+    }
+  }
+
+  private void publishConfiguration() {
+    int v = version.incrementAndGet();
+    store.put(
+        "op/config",
+        """
+        {"version":%d,"routes":[
+         {"name":"r","host":"127.0.0.1","prefix":"/r/","kind":"safe","timeout-ms":%d,
+          "slo-ms":300,"priority":0,"service":"s1","max-attempts":3,"can-resume":false},
+         {"name":"u","host":"127.0.0.1","prefix":"/u/","kind":"unsafe","timeout-ms":5000,
+          "slo-ms":300,"priority":0,"service":"s1","max-attempts":2,"can-resume":false},
+         {"name":"s","host":"127.0.0.1","prefix":"/s/","kind":"streaming","timeout-ms":5000,
+          "slo-ms":300,"priority":0,"service":"s1","max-attempts":3,"can-resume":true}],
+         "services":[{"name":"s1","max-conns":100}],
+         "tenants":[{"name":"t1","api-keys":["k1"]}]}
+        """
+            .formatted(v, 5_000 + v));
+  }
+
+  private void callRouters(long seed) {
+    Random random = new Random(seed);
+    int sent = 0;
+    KeptConnection connection = null;
+    while (running) {
+      String id = "q" + Long.toHexString(seed) + "-" + ++sent;
+      String path = List.of("/r/x", "/u/x", "/s/x").get(random.nextInt(3));
+      boolean recovered = !troubled;
+      boolean crashing = !recovered && random.nextInt(40) == 0;
+      KeptConnection.Response response = null;
+      try {
+        if (connection == null) {
+          connection = new KeptConnection(routers.get(random.nextInt(ROUTERS)).callers);
+        }
+        connection.send(request(id, path, crashing, random));
+        response = connection.read();
+        if ("close".equalsIgnoreCase(response.headers().get("connection"))) {
+          connection.close();
+          connection = null;
+        }
+      } catch (IOException e) {
+        connection = null;
+        recovered = false;
+      }
+      if (!crashing) {
+        outcomes.add(new Outcome(id, path, response, recovered));
+      }
+    }
+  }
+
+  private static String request(String id, String path, boolean crashing, Random random) {
+    String parts = "common:10," + (crashing ? SoakBackends.CRASHING_PART + ":10," : "") + id + ":5";
+    return "POST "
+        + path
+        + " HTTP/1.1\r\nHost: 127.0.0.1\r\nAuthorization: Bearer k1\r\nContent-Length: 4\r\n"
+        + (path.startsWith("/s/") ? WireNames.PROMPT_PARTS + ": " + parts + "\r\n" : "")
+        + (path.startsWith("/s/") ? WireNames.TOKEN_COUNTS + ": 25,5\r\n" : "")
+        + WireNames.TIMEOUT
+        + ": "
+        + (2_000 + random.nextInt(2_000))
+        + "\r\n"
+        + WireNames.REQUEST_ID
+        + ": "
+        + id
+        + "\r\n\r\nbody";
+  }
+
+  /** Plays one series of troubles; several overlap. */
+  private Void makeTrouble(long seed, long endAt) throws Exception {
+    Random random = new Random(seed);
+    while (System.nanoTime() < endAt) {
+      Router router = routers.get(random.nextInt(ROUTERS));
+      switch (random.nextInt(7)) {
+        case 0 -> router.terminate();
+        case 1 -> router.kill();
+        case 2 -> router.hangUp(0.1 + random.nextInt(5) / 10.0);
+        case 3 -> publishConfiguration();
+        case 4 -> backends.crashOne();
+        case 5 -> backends.replaceOne();
+        default -> {
+          store.failWith(503);
+          Thread.sleep(500 + random.nextInt(1_000));
+          store.failWith(0);
+        }
+      }
+      Thread.sleep(random.nextInt(600));
+    }
+    return null;
+  }
+
+  static LongStream seeds() {
+    long first = Long.getLong("soak.first", 1);
+    return LongStream.range(first, first + Integer.getInteger("soak.seeds", 2));
+  }
+
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void promisesHoldWhileTroublesOverlap(long seed) throws Exception {
+    store = new StoreStandIn();
+    backends = new SoakBackends(store, 4);
+    publishConfiguration();
+    try {
+      for (int i = 0; i < ROUTERS; i++) {
+        Router r = new Router(i);
+        r.writeSettings(0.4);
+        routers.add(r);
+        r.start();
+      }
+      soak(seed);
+    } finally {
+      running = false;
+      for (Router r : routers) {
+        r.process.kill();
+      }
+      threads.shutdownNow();
+      backends.close();
+      store.close();
+    }
+    check();
+  }
+
+  private void soak(long seed) throws Exception {
+    running = true;
+    troubled = true;
+    List<Future<?>> callers = new ArrayList<>();
+    for (int i = 0; i < CALLERS; i++) {
+      long callerSeed = seed * 1_000 + i;
+      callers.add(threads.submit(() -> callRouters(callerSeed)));
+    }
+    long endAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(SOAK_MILLIS);
+    List<Future<Void>> series = new ArrayList<>();
+    for (int i = 0; i < SERIES; i++) {
+      long seriesSeed = seed * 100 + i;
+      series.add(threads.submit(() -> makeTrouble(seriesSeed, endAt)));
+    }
+    for (Future<Void> s : series) {
+      s.get(SOAK_MILLIS + 60_000, TimeUnit.MILLISECONDS);
+    }
+    store.failWith(0);
+    Thread.sleep(RECOVERY_MILLIS);
+    troubled = false;
+    Thread.sleep(RECOVERY_MILLIS);
+    running = false;
+    for (Future<?> c : callers) {
+      c.get(30, TimeUnit.SECONDS);
+    }
+  }
+
+  private void check() {
+    int recovered = 0;
+    int served = 0;
+    for (Outcome o : outcomes) {
+      int runs = backends.runsOf(o.id);
+      KeptConnection.Response r = o.response;
+      if (o.path.startsWith("/u/")) {
+        assertTrue(runs <= 1, o + " ran " + runs + " times");
+      }
+      if (r != null && List.of(408, 421, 429, 503).contains(r.status())) {
+        assertEquals(0, runs, o + " was refused and ran");
+      }
+      if (r != null && r.status() == 200) {
+        String expected =
+            o.path.startsWith("/s/")
+                ? SoakBackends.streamAnswer(o.id)
+                : SoakBackends.plainAnswer(o.id, "body");
+        assertEquals(expected, r.body(), o.id);
+        assertEquals("signed", r.headers().get("x-wigeonwharf-server-seal"), o.id);
+      }
+      if (o.recovered) {
+        recovered++;
+        served += r != null && r.status() == 200 ? 1 : 0;
+      }
+    }
+    assertTrue(outcomes.size() > 500, outcomes.size() + " requests");
+    assertTrue(recovered > 100, recovered + " requests after the troubles");
+    assertTrue(served >= 0.95 * recovered, served + " of " + recovered + " served at the end");
+  }
+}
--- /dev/null
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/SoakBackends.java
@@ -0,0 +1,169 @@
+package org.wigeonwharf.platform;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+/** Backend servers of a soak, which count the runs of each request and can be replaced. */
+final class SoakBackends implements AutoCloseable {
+  static final int EVENTS = 5;
+  private static final long EVENT_INTERVAL_MILLIS = 15;
+  private static final String SERVICE = "s1";
+
+  /** A prompt part with which a server ends as soon as it begins to answer. */
+  static final String CRASHING_PART = "bad";
+
+  private final StoreStandIn store;
+  private final Map<String, Integer> runs = new ConcurrentHashMap<>();
+  private final List<Backend> live = new ArrayList<>();
+  private int lastId;
+  private int crashes;
+
+  /** One running server. */
+  private final class Backend {
+    private final String id = "i-" + ++lastId;
+    private final ExecutorService executor = Executors.newCachedThreadPool();
+    private final HttpServer server;
+
+    Backend() throws IOException {
+      server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+      server.setExecutor(executor);
+      server.createContext("/", this::answer);
+      server.start();
+    }
+
+    private void answer(HttpExchange x) throws IOException {
+      try (x) {
+        String body = new String(x.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
+        if (!id.equals(x.getRequestHeaders().getFirst(WireNames.EXPECTED_SERVER))) {
+          x.sendResponseHeaders(421, -1);
+          return;
+        }
+        String requestId = x.getRequestHeaders().getFirst(WireNames.REQUEST_ID);
+        runs.merge(requestId, 1, Integer::sum);
+        x.getResponseHeaders().set(WireNames.REQUEST_ID, requestId);
+        x.getResponseHeaders().set(WireNames.SIGNATURE, "signed");
+        x.getResponseHeaders().set(WireNames.LOAD, "1,0,6,100");
+        if (x.getRequestURI().getPath().startsWith("/s/")) {
+          stream(x, requestId);
+        } else {
+          byte[] bytes = plainAnswer(requestId, body).getBytes(StandardCharsets.UTF_8);
+          x.sendResponseHeaders(200, bytes.length);
+          x.getResponseBody().write(bytes);
+        }
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+
+    private void stream(HttpExchange x, String requestId) throws IOException, InterruptedException {
+      String parts = x.getRequestHeaders().getFirst(WireNames.PROMPT_PARTS);
+      String resumed = x.getRequestHeaders().getFirst(WireNames.LAST_EVENT_ID);
+      x.getResponseHeaders().set("Content-Type", "text/event-stream");
+      x.sendResponseHeaders(200, 0);
+      OutputStream out = x.getResponseBody();
+      out.flush();
+      if (parts != null && parts.contains(CRASHING_PART + ":")) {
+        crash(this);
+        return;
+      }
+      for (int i = resumed == null ? 1 : Integer.parseInt(resumed) + 1; i <= EVENTS; i++) {
+        Thread.sleep(EVENT_INTERVAL_MILLIS);
+        out.write(event(requestId, i).getBytes(StandardCharsets.UTF_8));
+        out.flush();
+      }
+    }
+
+    private void end() {
+      server.stop(0);
+      executor.shutdownNow();
+    }
+  }
+
+  SoakBackends(StoreStandIn store, int count) throws IOException {
+    this.store = store;
+    for (int i = 0; i < count; i++) {
+      add();
+    }
+  }
+
+  static String plainAnswer(String requestId, String body) {
+    return "done " + requestId + " with " + body;
+  }
+
+  private static String event(String requestId, int number) {
+    return "id: " + number + "\ndata: " + requestId + "\n\n";
+  }
+
+  static String streamAnswer(String requestId) {
+    StringBuilder text = new StringBuilder();
+    for (int i = 1; i <= EVENTS; i++) {
+      text.append(event(requestId, i));
+    }
+    return text.toString();
+  }
+
+  private synchronized void add() throws IOException {
+    Backend b = new Backend();
+    live.add(b);
+    store.putServer(b.id, SERVICE, b.server.getAddress(), "ready");
+  }
+
+  /** Ends a server without notice; its entry expires and another one starts. */
+  private void crash(Backend b) throws IOException {
+    synchronized (this) {
+      if (!live.remove(b)) {
+        return;
+      }
+      crashes++;
+    }
+    b.end();
+    add();
+    store.delete("servers/" + b.id);
+  }
+
+  /** Ends one server without notice. */
+  void crashOne() throws IOException {
+    Backend b;
+    synchronized (this) {
+      b = live.get(0);
+    }
+    crash(b);
+  }
+
+  /** Replaces one server as in a planned release: the new one starts, the old one drains. */
+  void replaceOne() throws IOException, InterruptedException {
+    add();
+    Backend old;
+    synchronized (this) {
+      old = live.remove(0);
+    }
+    store.putServer(old.id, SERVICE, old.server.getAddress(), "draining");
+    Thread.sleep(1_500);
+    store.delete("servers/" + old.id);
+    old.end();
+  }
+
+  int runsOf(String requestId) {
+    return runs.getOrDefault(requestId, 0);
+  }
+
+  synchronized int crashes() {
+    return crashes;
+  }
+
+  @Override
+  public synchronized void close() {
+    live.forEach(Backend::end);
+  }
+}
