Attribute ends of servers to a part for good

Since ends count for ten minutes, those that led to a quarantine were still there when it ended after five. Any other crash then had them judged anew, with the low threshold of the probation, and renewed the quarantine although nobody had sent the part. An end now stays attributed to the part that explained it, unless an answer refutes that. The test failed before.

--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/quarantine/PromptQuarantineTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/quarantine/PromptQuarantineTest.java
@@ -138,6 +138,29 @@
     assertFalse(isQuarantined("bad"));
   }
 
+  @Test
+  void crashOfAnotherPartDoesNotRenewAQuarantine() {
+    crashTimes(4, "bad");
+    assertTrue(isQuarantined("bad"));
+    advanceMillis(6 * MINUTE_MILLIS);
+    assertFalse(isQuarantined("bad"));
+    crash(quarantine, "other");
+    assertFalse(isQuarantined("bad"));
+  }
+
+  @Test
+  void endsCountAgainstOthersAgainOnceTheirExplanationIsRefuted() {
+    crashTimes(2, "bad", "hasty");
+    crash(quarantine, "hasty");
+    crashTimes(2, "bad", "hasty");
+    assertTrue(isQuarantined("hasty"));
+    quarantine.recordProven(List.of("hasty"), now);
+    assertFalse(isQuarantined("hasty"));
+    quarantine.find(List.of(), now);
+    advanceMillis(300);
+    assertTrue(isQuarantined("bad"));
+  }
+
   @Test
   void partThatIsAnsweredAfterItsQuarantineIsForgotten() {
     crashTimes(4, "part");
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/quarantine/CrashEvidence.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/quarantine/CrashEvidence.java
@@ -50,6 +50,7 @@
     private final long endedAt;
     private final Set<String> answering = new HashSet<>();
     private final Set<String> waiting = new HashSet<>();
+    private @Nullable String explanation;
 
     private Entry(ServerEnd end, long endedAt) {
       this.server = end.server();
@@ -172,21 +173,46 @@
   }
 
   /**
-   * Scores parts by the ends that count against them: those since the part was last proven
-   * harmless. Ends at nearly the same time count once, since they have a common cause.
+   * Attributes ends to parts that are known to crash servers, so that they no longer count.
    *
-   * @param ignored tells which ends another cause explains, by their parts
+   * @param crashing tells whether a part is known to crash servers
    */
-  Map<String, Score> scores(Predicate<Set<String>> ignored) {
-    List<Entry> inOrder = new ArrayList<>(ends.values());
+  void explainEnds(Predicate<String> crashing) {
+    for (Entry e : ends.values()) {
+      if (e.explanation == null) {
+        e.explanation = e.parts().stream().filter(crashing).findFirst().orElse(null);
+      }
+    }
+  }
+
+  /** Lets the ends that were attributed to a part count again. */
+  void reconsider(String part) {
+    ends.values().stream()
+        .filter(e -> part.equals(e.explanation))
+        .forEach(e -> e.explanation = null);
+  }
+
+  /** Scores all parts by the ends without an explanation. */
+  Map<String, Score> scores() {
+    return scores(e -> e.explanation == null);
+  }
+
+  /** Scores one part by all ends. */
+  int scoreOf(String part) {
+    Score score = scores(e -> e.parts().contains(part)).get(part);
+    return score == null ? 0 : score.total();
+  }
+
+  /**
+   * Scores parts by the ends since the part was last proven harmless. Ends at nearly the same time
+   * count once, since they have a common cause.
+   */
+  private Map<String, Score> scores(Predicate<Entry> counted) {
+    List<Entry> inOrder = new ArrayList<>(ends.values().stream().filter(counted).toList());
     inOrder.sort(Comparator.comparingLong(e -> e.endedAt));
     Map<String, Score> scores = new HashMap<>();
     for (Entry e : inOrder) {
-      Set<String> parts = e.parts();
-      if (ignored.test(parts)) {
-        continue;
-      }
-      for (String part : parts) {
+      for (String part : e.parts()) {
         Long proven = provenAt.get(part);
         if (proven == null || e.endedAt - proven > 0) {
           scores.computeIfAbsent(part, k -> new Score()).add(e, part);
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/quarantine/PromptQuarantine.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/quarantine/PromptQuarantine.java
@@ -316,8 +316,9 @@
    */
   private boolean quarantineStrongest(long now) {
     List<Suspect> eligible = new ArrayList<>();
+    evidence.explainEnds(p -> isEnforced(p, now));
     evidence
-        .scores(parts -> parts.stream().anyMatch(p -> isEnforced(p, now)))
+        .scores()
         .forEach(
             (part, score) -> {
               if (score.total() >= minScore(part)) {
@@ -376,6 +377,7 @@
     Quarantine q = quarantines.get(part);
     if (q != null && isRefuted(part, q.since, now)) {
       quarantines.remove(part);
+      evidence.reconsider(part);
       log.logReleased(part, "answered without harm");
     }
   }
@@ -389,12 +391,7 @@
       return true;
     }
     boolean fresh = now - since < OBJECTION_MILLIS * Clock.NANOS_PER_MILLI;
-    return fresh && scoreOf(part) < MIN_SCORE_IF_PROVEN;
-  }
-
-  private int scoreOf(String part) {
-    CrashEvidence.Score score = evidence.scores(parts -> !parts.contains(part)).get(part);
-    return score == null ? 0 : score.total();
+    return fresh && evidence.scoreOf(part) < MIN_SCORE_IF_PROVEN;
   }
 
   // Exchange with other routers.
