--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/quarantine/CrashEvidence.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/quarantine/CrashEvidence.java
@@ -194,12 +194,12 @@
 
   /** Scores all parts by the ends without an explanation. */
   Map<String, Score> scores() {
-    return scores(e -> e.explanation == null);
+    return scoresOfEnds(e -> e.explanation == null);
   }
 
   /** Scores one part by all ends. */
   int scoreOf(String part) {
-    Score score = scores(e -> e.parts().contains(part)).get(part);
+    Score score = scoresOfEnds(e -> e.parts().contains(part)).get(part);
     return score == null ? 0 : score.total();
   }
 
@@ -207,7 +207,7 @@
    * Scores parts by the ends since the part was last proven harmless. Ends at nearly the same time
    * count once, since they have a common cause.
    */
-  private Map<String, Score> scores(Predicate<Entry> counted) {
+  private Map<String, Score> scoresOfEnds(Predicate<Entry> counted) {
     List<Entry> inOrder = new ArrayList<>(ends.values().stream().filter(counted).toList());
     inOrder.sort(Comparator.comparingLong(e -> e.endedAt));
     Map<String, Score> scores = new HashMap<>();
