--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/quarantine/PromptQuarantineTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/quarantine/PromptQuarantineTest.java
@@ -139,7 +139,7 @@
   }
 
   @Test
-  void crashOfAnotherPartDoesNotRenewAQuarantine() {
+  void crashOfAnotherPartDoesNotRenewTheQuarantine() {
     crashTimes(4, "bad");
     assertTrue(isQuarantined("bad"));
     advanceMillis(6 * MINUTE_MILLIS);
