--- a/platform.test/src/test/java/org/wigeonwharf/platform/GatewaySoakTest.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/GatewaySoakTest.java
@@ -320,6 +320,7 @@
         served += r != null && r.status() == 200 ? 1 : 0;
       }
     }
+    assertTrue(backends.crashes() > 0, "no server crashed");
     assertTrue(outcomes.size() > 500, outcomes.size() + " requests");
     assertTrue(recovered > 100, recovered + " requests after the troubles");
     assertTrue(served >= 0.95 * recovered, served + " of " + recovered + " served at the end");
--- a/platform.test/src/test/java/org/wigeonwharf/platform/SoakBackends.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/SoakBackends.java
@@ -44,7 +44,7 @@
 
     private void answer(HttpExchange x) throws IOException {
       try (x) {
-        String body = new String(x.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
+        final String body = new String(x.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
         if (!id.equals(x.getRequestHeaders().getFirst(WireNames.EXPECTED_SERVER))) {
           x.sendResponseHeaders(421, -1);
           return;
@@ -67,8 +67,8 @@
     }
 
     private void stream(HttpExchange x, String requestId) throws IOException, InterruptedException {
-      String parts = x.getRequestHeaders().getFirst(WireNames.PROMPT_PARTS);
-      String resumed = x.getRequestHeaders().getFirst(WireNames.LAST_EVENT_ID);
+      final String parts = x.getRequestHeaders().getFirst(WireNames.PROMPT_PARTS);
+      final String resumed = x.getRequestHeaders().getFirst(WireNames.LAST_EVENT_ID);
       x.getResponseHeaders().set("Content-Type", "text/event-stream");
       x.sendResponseHeaders(200, 0);
       OutputStream out = x.getResponseBody();
