--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/NettyBackendConnector.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/NettyBackendConnector.java
@@ -35,7 +35,7 @@
    * Connect timeout in ms: several round trips between regions. It is shorter than the second after
    * which TCP would retransmit a lost SYN.
    */
-  private static final int CONNECT_TIMEOUT_MILLIS = 250;
+  static final int CONNECT_TIMEOUT_MILLIS = 250;
 
   /** Maximum number of interim responses (status 1xx) ahead of an answer. */
   private static final int MAX_INTERIM_RESPONSES = 16;
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/NettyLivenessCheck.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/NettyLivenessCheck.java
@@ -13,9 +13,6 @@
 
 /** Checks backend servers by opening a connection, which is closed at once. */
 public final class NettyLivenessCheck implements LivenessCheck {
-  /** Connect timeout in ms: several round trips between regions. */
-  private static final int CONNECT_TIMEOUT_MILLIS = 250;
-
   private final EventLoop loop;
 
   /**
@@ -33,7 +30,8 @@
         new Bootstrap()
             .group(loop)
             .channel(NioSocketChannel.class)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+            .option(
+                ChannelOption.CONNECT_TIMEOUT_MILLIS, NettyBackendConnector.CONNECT_TIMEOUT_MILLIS)
             .handler(new ChannelInboundHandlerAdapter())
             .connect(server.address());
     connect.addListener(
