Keep all parts of the requests that a server was answering when it ended

An end kept 24 parts of requests whose answer had begun. A server with many slots has more of them, and the part at fault was dropped if its router reported last, so that it was never found. An end now keeps 192 such parts and 64 of waiting requests. The test, 60 requests at each of four servers, failed before; messages still fit in a datagram.

--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
@@ -202,6 +202,11 @@
       a.limits.recordDemand(server, now);
       now += Clock.NANOS_PER_MILLI;
     }
+    for (int i = 0; i < 400; i++) {
+      String part = "y".repeat(500) + i;
+      a.quarantine.recordServerEnd(
+          new ServerEnd("large", 1, Set.of(part), Set.of(part + "a")), now, now);
+    }
     advanceMillis(1_000);
     assertTrue(longestMessage > 1_000, longestMessage + " bytes");
     assertTrue(longestMessage <= GossipTransport.MAX_DATAGRAM_BYTES, longestMessage + " bytes");
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/quarantine/PromptQuarantineTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/quarantine/PromptQuarantineTest.java
@@ -213,6 +213,28 @@
     assertTrue(isQuarantined("bad"));
   }
 
+  @Test
+  void partIsFoundAmongThoseOfAllRequestsOfLargeServers() {
+    for (int end = 0; end < 4; end++) {
+      for (int request = 0; request < 60; request++) {
+        String session = "session" + end + "-" + request;
+        boolean last = request == 59;
+        quarantine.recordServerEnd(
+            new ServerEnd(
+                "s" + end,
+                1,
+                Set.copyOf(List.of("common", session, last ? "bad" : "common")),
+                Set.of()),
+            now,
+            now);
+      }
+      quarantine.recordProven(List.of("common"), now + 1);
+      advanceMillis(1_000);
+    }
+    assertTrue(isQuarantined("bad"));
+    assertFalse(isQuarantined("common"));
+  }
+
   @Test
   void oldEvidenceExpires() {
     crashTimes(3, "part");
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/quarantine/CrashEvidence.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/quarantine/CrashEvidence.java
@@ -37,7 +37,11 @@
   private static final long TRANSIT_MILLIS = 100;
 
   private static final int MAX_ENDS = 64;
-  private static final int MAX_PARTS_PER_END = 24;
+
+  /** Maximum number of parts of an end: those of the requests that one server begins to answer. */
+  private static final int MAX_ANSWERING_PARTS = 192;
+
+  private static final int MAX_WAITING_PARTS = 64;
   private static final int MAX_PROOFS = 4_096;
 
   private final Map<String, Entry> ends = new LinkedHashMap<>();
@@ -67,14 +71,14 @@
     }
 
     private boolean add(ServerEnd end) {
-      boolean changed = addSome(answering, end.answering());
-      return addSome(waiting, end.waiting()) || changed;
+      boolean changed = addSome(answering, end.answering(), MAX_ANSWERING_PARTS);
+      return addSome(waiting, end.waiting(), MAX_WAITING_PARTS) || changed;
     }
 
-    private static boolean addSome(Set<String> known, Collection<String> parts) {
+    private static boolean addSome(Set<String> known, Collection<String> parts, int maxParts) {
       boolean changed = false;
       for (String part : parts) {
-        changed |= known.size() < MAX_PARTS_PER_END && known.add(part);
+        changed |= known.size() < maxParts && known.add(part);
       }
       return changed;
     }
