--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/limit/ServerLimits.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/limit/ServerLimits.java
@@ -61,7 +61,7 @@
   private static final int MAX_SERVERS = 1_024;
 
   /**
-   * Maximum number of servers told to other routers in one message, which has to fit a datagram.
+   * Maximum number of servers sent to other routers in one message, which has to fit a datagram.
    */
   private static final int MAX_SHARED_SERVERS = 100;
 
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/quarantine/PromptQuarantine.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/quarantine/PromptQuarantine.java
@@ -61,7 +61,7 @@
   private static final int MAX_QUARANTINED = 256;
   private static final int MAX_PROVEN = 4_096;
 
-  /** Maximum age in ms of ends and proofs that are told to other routers. */
+  /** Maximum age in ms of ends and proofs that are sent to other routers. */
   private static final long MAX_SHARED_AGE_MILLIS = 10_000;
 
   /** Limits of the shared state, which has to fit in a datagram. */
