Read the stop grace and the retry window in seconds with a fraction

The template converted seconds to milliseconds by appending three zeros to the text of the figure, which gives 7.5000 for 7.5, and the check refused all settings. The settings now take both durations in seconds, as published, whole or with a fraction, and the program converts them. No figure of the template is changed as text any more. The lower limit of one second for the grace period is gone: a short grace is no reason not to start.

--- a/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/GatewaySettingsReader.java
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/GatewaySettingsReader.java
@@ -18,8 +18,9 @@
 
   private static final double MAX_RETRY_RATIO = 10;
   private static final int MAX_RETRY_SLACK = 100_000;
-  private static final int MAX_DURATION_MILLIS = 3_600_000;
-  private static final int MIN_STOP_GRACE_MILLIS = 1_000;
+  private static final double MAX_DURATION_SECONDS = 3_600;
+  private static final double MIN_WINDOW_SECONDS = 0.001;
+  private static final double MILLIS_PER_SECOND = 1_000;
 
   private GatewaySettingsReader() {}
 
@@ -56,10 +57,9 @@
     SectionReader retry = root.section("retry");
     final double retryRatio = retry.decimal("ratio", 0, 0, MAX_RETRY_RATIO);
     final double retrySlack = retry.decimal("slack", 0, 0, MAX_RETRY_SLACK);
-    final int retryWindowMillis = retry.integer("window_ms", 10_000, 1, MAX_DURATION_MILLIS);
+    final long retryWindowMillis = readSeconds(retry, "window_s", 10, MIN_WINDOW_SECONDS);
     retry.reportUnknownKeys();
-    final int stopGraceMillis =
-        root.integer("stop_grace_ms", 8_000, MIN_STOP_GRACE_MILLIS, MAX_DURATION_MILLIS);
+    final long stopGraceMillis = readSeconds(root, "stop_grace_s", 8, 0);
     final List<InetSocketAddress> seeds = readSeeds(root);
     final var secret = RouterSettings.readSecret(root);
     root.reportUnknownKeys();
@@ -83,6 +83,13 @@
             stopGraceMillis));
   }
 
+  /** Reads a duration in seconds, whole or with a fraction, and returns it in ms. */
+  private static long readSeconds(
+      SectionReader section, String key, double defaultSeconds, double minSeconds) {
+    double seconds = section.decimal(key, defaultSeconds, minSeconds, MAX_DURATION_SECONDS);
+    return Math.round(seconds * MILLIS_PER_SECOND);
+  }
+
   private static List<InetSocketAddress> readSeeds(SectionReader root) {
     List<InetSocketAddress> seeds = new ArrayList<>();
     for (String text : root.texts("seeds")) {
--- a/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/internal/TrainingMain.java
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/internal/TrainingMain.java
@@ -102,7 +102,7 @@
         failure_domain = "training"
         fleet_secret = "only-for-the-class-archive"
         seeds = ["127.0.0.1:9"]
-        stop_grace_ms = 1000
+        stop_grace_s = 1
         [listen]
         callers = "%s"
         ready = "127.0.0.1:0"
