Accept whole figures of published documents that are written with a fraction

A configuration with one figure written as 8.0, or with a duration such as 2500.5, was refused as a whole, and routers kept the version before; an account lost its priority without a log line; a server with "slots": 128.0 got no request.

Whole numbers count however they are written, durations in ms may have a fraction and are rounded. Figures that are no whole numbers where one is needed, out of range or too large stay refused, with the field's name.

--- a/platform.test/src/test/java/org/wigeonwharf/platform/ConfigurationDecoderTest.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/ConfigurationDecoderTest.java
@@ -73,6 +73,23 @@
     assertTrue(t.requiresKeys());
   }
 
+  // Guards against a configuration that is refused, or loses a priority, over the form of a figure.
+  @Test
+  void figureMayBeWrittenWithFraction() throws IOException {
+    RouteTable whole = decode(VALID);
+    RouteTable t =
+        decode(VALID.replaceAll("(-ms|slots|weight|priority|version)\":([0-9]+)", "$1\":$2.0"));
+    assertEquals(whole.version(), t.version());
+    assertEquals(whole.find("host.example", "/a/x"), t.find("host.example", "/a/x"));
+    assertEquals(whole.service("s1"), t.service("s1"));
+    assertEquals(whole.limits(), t.limits());
+    assertEquals(1, t.account("k2").priority().getAsInt());
+    Route r =
+        decode(VALID.replace("\"timeout-ms\":9000", "\"timeout-ms\":9000.25"))
+            .find("host.example", "/b/");
+    assertEquals(9_000, r.timeoutMillis());
+  }
+
   @Test
   void unknownKindIsUnrepeatable() throws IOException {
     assertEquals(RequestKind.UNREPEATABLE, decode(VALID).find("host.example", "/d/").kind());
@@ -100,6 +117,11 @@
             new String[] {"\"timeout-ms\":9000", "\"timeout-ms\":-1"},
             new String[] {"\"timeout-ms\":9000,", ""},
             new String[] {"\"timeout-ms\":9000", "\"timeout-ms\":1e99"},
+            new String[] {"\"timeout-ms\":9000", "\"timeout-ms\":1e999"},
+            new String[] {"\"timeout-ms\":9000", "\"timeout-ms\":0.2"},
+            new String[] {"\"version\":7", "\"version\":7.5"},
+            new String[] {"\"version\":7", "\"version\":1e300"},
+            new String[] {"\"weight\":90", "\"weight\":0.5"},
             new String[] {"\"service\":\"s1\"", "\"service\":\"nowhere\""},
             new String[] {"\"weight\":90", "\"weight\":\"all\""},
             new String[] {"\"kind\":\"safe\"", "\"kind\":null"},
--- a/platform.test/src/test/java/org/wigeonwharf/platform/ServerEntryDecoderTest.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/ServerEntryDecoderTest.java
@@ -41,6 +41,12 @@
     assertEquals(0, decode(VALID.replace(",\"born\":17", "")).startedAt());
   }
 
+  // Guards against a server that stays unused over the form of a figure.
+  @Test
+  void figureMayBeWrittenWithFraction() throws IOException {
+    assertEquals(128, decode(VALID.replace("128,", "128.0,")).slots());
+  }
+
   @Test
   void invalidEntriesAreRejected() {
     for (String[] change :
@@ -52,6 +58,8 @@
             new String[] {"10.128.0.9:8080", "10.128.0.9:99999"},
             new String[] {"\"slots\":128", "\"slots\":\"many\""},
             new String[] {"\"slots\":128", "\"slots\":0"},
+            new String[] {"\"slots\":128", "\"slots\":0.5"},
+            new String[] {"\"slots\":128", "\"slots\":4294967297"},
             new String[] {"\"service\":\"s1\",", ""},
             new String[] {"\"zone\":\"z1\"", "\"zone\":[]"},
             new String[] {"\"born\":17", "\"born\":1.5"},
