Ignore server entries that name no server to connect to

Callers lost their connections without an answer, and some got the answer of another process, after another writer had left odd entries among those of the servers. An address such as 1.2.3:80 passed the check and would have been looked up in DNS on the event loop.

--- a/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/SectionReader.java
+++ b/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/SectionReader.java
@@ -24,10 +24,6 @@
  */
 public final class SectionReader {
   private static final Pattern DURATION = Pattern.compile("([0-9]{1,9})(ms|s|m|h)");
-  private static final String OCTET = "(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])";
-  // Only IP literals are passed to the JDK, which would look up any other host in DNS.
-  private static final Pattern IP_LITERAL =
-      Pattern.compile("(" + OCTET + "(\\." + OCTET + "){3}|\\[[0-9a-fA-F:.]+\\]):[0-9]{1,5}");
   private static final InetSocketAddress PLACEHOLDER_ADDRESS =
       InetSocketAddress.createUnresolved("none", 0);
 
@@ -170,11 +166,8 @@
       return PLACEHOLDER_ADDRESS;
     }
     try {
-      if (!IP_LITERAL.matcher(text).matches()) {
-        throw new IllegalArgumentException("expected an IP address and a port, got '" + text + "'");
-      }
       InetSocketAddress a = Addresses.parse(text);
-      if (a.isUnresolved() || a.getPort() < minPort) {
+      if (a.getPort() < minPort) {
         throw new IllegalArgumentException("is not a usable address: '" + text + "'");
       }
       return a;
--- a/org.wigeonwharf.model/src/main/java/org/wigeonwharf/model/Addresses.java
+++ b/org.wigeonwharf.model/src/main/java/org/wigeonwharf/model/Addresses.java
@@ -1,9 +1,17 @@
 package org.wigeonwharf.model;
 
 import java.net.InetSocketAddress;
+import java.util.regex.Pattern;
 
 /** Converts between IP socket addresses and their text form without any DNS lookup. */
 public final class Addresses {
+  private static final String OCTET = "(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])";
+  // Only IP literals are passed to the JDK, which would look up any other host in DNS.
+  private static final Pattern IP_LITERAL =
+      Pattern.compile(OCTET + "(\\." + OCTET + "){3}|\\[[0-9a-fA-F:.]*:[0-9a-fA-F:.]*\\]");
+
+  private static final Pattern PORT = Pattern.compile("[0-9]{1,5}");
+
   private Addresses() {}
 
   /**
@@ -20,16 +28,18 @@
       throw new IllegalArgumentException("expected IP:PORT, got '" + text + "'");
     }
     String host = text.substring(0, colon);
-    if (!host.matches("[0-9.]+|\\[[0-9a-fA-F:.]+\\]")) {
+    if (!IP_LITERAL.matcher(host).matches()) {
       throw new IllegalArgumentException("expected an IP address, got '" + host + "'");
     }
-    int port;
-    try {
-      port = Integer.parseInt(text.substring(colon + 1));
-    } catch (NumberFormatException e) {
-      throw new IllegalArgumentException("invalid port in '" + text + "'", e);
+    String port = text.substring(colon + 1);
+    if (!PORT.matcher(port).matches()) {
+      throw new IllegalArgumentException("invalid port in '" + text + "'");
+    }
+    InetSocketAddress address = new InetSocketAddress(host, Integer.parseInt(port));
+    if (address.isUnresolved()) {
+      throw new IllegalArgumentException("expected an IP address, got '" + host + "'");
     }
-    return new InetSocketAddress(host, port);
+    return address;
   }
 
   /**
--- /dev/null
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/AnswerText.java
@@ -0,0 +1,56 @@
+package org.wigeonwharf.platform;
+
+import java.nio.charset.StandardCharsets;
+
+/** Formats the answers of scripted servers. */
+final class AnswerText {
+  private AnswerText() {}
+
+  /** Formats an answer with a length. */
+  static String whole(int status, String id, String body, String... headerLines) {
+    return head(status, id, headerLines)
+        + "Content-Length: "
+        + body.getBytes(StandardCharsets.UTF_8).length
+        + "\r\n\r\n"
+        + body;
+  }
+
+  /** Formats a signed answer with status 200. */
+  static String signed(String id, String body) {
+    return whole(200, id, body, WireNames.SIGNATURE + ": signed");
+  }
+
+  /** Formats an answer that states that the request did not run. */
+  static String refusal(int status, String id, String... headerLines) {
+    return head(status, id, headerLines)
+        + WireNames.NOT_RUN
+        + ": 1\r\nContent-Length: 7\r\n\r\nrefused";
+  }
+
+  /** Formats the head of a stream in chunks. */
+  static String streamHead(String id) {
+    return head(200, id, WireNames.SIGNATURE + ": signed", "Content-Type: text/event-stream")
+        + "Transfer-Encoding: chunked\r\n\r\n";
+  }
+
+  /** Formats one event as a chunk. */
+  static String event(int number) {
+    String event = "id: " + number + "\ndata: event" + number + "\n\n";
+    return Integer.toHexString(event.length()) + "\r\n" + event + "\r\n";
+  }
+
+  /** The chunk that ends a stream. */
+  static final String STREAM_END = "0\r\n\r\n";
+
+  /** Formats a head without its final empty line; a null id leaves out the request's id. */
+  static String head(int status, String id, String... headerLines) {
+    StringBuilder text = new StringBuilder("HTTP/1.1 " + status + " Reason\r\n");
+    if (id != null) {
+      text.append(WireNames.REQUEST_ID).append(": ").append(id).append("\r\n");
+    }
+    for (String line : headerLines) {
+      text.append(line).append("\r\n");
+    }
+    return text.toString();
+  }
+}
--- /dev/null
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/ConfigurationText.java
@@ -0,0 +1,44 @@
+package org.wigeonwharf.platform;
+
+/** Formats configurations for tests. */
+final class ConfigurationText {
+  static final String KEY = "k1";
+
+  private ConfigurationText() {}
+
+  /**
+   * Formats a configuration with a route to the service s1 for each kind of request: /r/
+   * idempotent, /u/ unrepeatable, /s/ resumable streams, /t/ other streams.
+   *
+   * @param version its version
+   * @param timeoutMillis the routes' timeout in ms
+   */
+  static String ofAllKinds(int version, int timeoutMillis) {
+    return """
+    {"version":%1$d,"routes":[
+     {"name":"r","host":"127.0.0.1","prefix":"/r/","kind":"safe","timeout-ms":%2$d,
+      "slo-ms":300,"priority":0,"service":"s1","max-attempts":3,"can-resume":false},
+     {"name":"u","host":"127.0.0.1","prefix":"/u/","kind":"unsafe","timeout-ms":%2$d,
+      "slo-ms":300,"priority":0,"service":"s1","max-attempts":2,"can-resume":false},
+     {"name":"s","host":"127.0.0.1","prefix":"/s/","kind":"streaming","timeout-ms":%2$d,
+      "slo-ms":300,"priority":0,"service":"s1","max-attempts":3,"can-resume":true},
+     {"name":"t","host":"127.0.0.1","prefix":"/t/","kind":"streaming","timeout-ms":%2$d,
+      "slo-ms":300,"priority":0,"service":"s1","max-attempts":3,"can-resume":false}],
+     "services":[{"name":"s1","max-conns":100}],
+     "tenants":[{"name":"t1","api-keys":["%3$s"]}]}
+    """
+        .formatted(version, timeoutMillis, KEY);
+  }
+
+  /** Formats a request with a short body. */
+  static String request(String path, String id, int timeoutMillis, String... headerLines) {
+    StringBuilder text = new StringBuilder("POST " + path + " HTTP/1.1\r\nHost: 127.0.0.1\r\n");
+    text.append("Authorization: Bearer " + KEY + "\r\nContent-Length: 4\r\n");
+    text.append(WireNames.TIMEOUT).append(": ").append(timeoutMillis).append("\r\n");
+    text.append(WireNames.REQUEST_ID).append(": ").append(id).append("\r\n");
+    for (String line : headerLines) {
+      text.append(line).append("\r\n");
+    }
+    return text + "\r\nbody";
+  }
+}
--- a/platform.test/src/test/java/org/wigeonwharf/platform/KeptConnection.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/KeptConnection.java
@@ -6,6 +6,7 @@
 import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Locale;
@@ -67,6 +68,24 @@
     return new Response(status, headers, body.toString(StandardCharsets.UTF_8));
   }
 
+  /**
+   * Reads everything until the router ends the connection.
+   *
+   * @return the bytes as text
+   * @throws IOException if the connection stays open without a byte for 10 s
+   */
+  String readToEnd() throws IOException {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    try {
+      socket.getInputStream().transferTo(bytes);
+    } catch (SocketTimeoutException e) {
+      throw e;
+    } catch (IOException e) {
+      // A reset ends the connection as well.
+    }
+    return bytes.toString(StandardCharsets.UTF_8);
+  }
+
   private static int chunkSize(InputStream in) throws IOException {
     return Integer.parseInt(readLine(in), 16);
   }
