Check whose answer it is before a refusal is believed

Callers were refused with 503 though their booking had run, and the booking was sent to a second server, after a faulty server had answered it first with a refusal of an earlier request. The id of the request was compared only after the statement "not run" had been acted on.

An answer with another request's id now fails the attempt whatever it states: the request may have run, so unrepeatable work ends with 502 and runs at no second server. Neither load nor limit is taken from such an answer.

RepeatedRefusalTest.refusalOfAnotherRequestSaysNothingOfThisOne (503, 429, 421, 408; unrepeatable work and streams) failed before with 503 and passes now. The two tests beside it held before and stay: a refusal written twice on one connection, and one behind a whole answer, reach no later request, since each connection to a server carries one request and is closed after its answer.

--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/AttemptHandler.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/AttemptHandler.java
@@ -39,7 +39,6 @@
   private @Nullable Attempt attempt;
   private @Nullable EventFramer framer;
   private @Nullable HttpHeaders headers;
-  private @Nullable ResponseMetadata metadata;
   private int status;
   private boolean stream;
   private boolean forwarding;
@@ -128,7 +127,11 @@
     this.status = status;
     this.headers = headers;
     ResponseMetadata m = manager.protocol().readResponse(status, headers);
-    metadata = m;
+    if (isMismatched(m)) {
+      // Not even a statement that a request did not run is about this one.
+      fail("an answer that is not this request's");
+      return;
+    }
     if (m.load() != null) {
       chooser().recordLoadReport(server.id(), m.load(), now());
     }
@@ -139,8 +142,6 @@
     HopByHopHeaders.remove(headers);
     if (m.notExecuted() || m.misdirected()) {
       handleNotExecuted(m);
-    } else if (isMismatched(m)) {
-      fail("an answer that is not this request's");
     } else if (isSuccess() && !m.signed()) {
       fail("an answer without the server's signature");
     } else if (isSuccess() && headers.contains(HttpHeaderNames.CONTENT_ENCODING)) {
