Cut a begun stream if the next server answers with an error

Callers whose stream had broken off got the text of the next server's error within it, or a connection that stayed open for good: a whole error of up to 256 KiB was written as a second head, which the codec refuses after the first one; a longer one was forwarded as the stream's next bytes. The other way round, a long error that broke off was continued by the next server's stream.

An answer other than a success fails the attempt as soon as its head is read if the caller's answer has begun; the request goes on to another server while its attempts, time and budget allow, else the connection is closed without the end of the stream. Only an answer that began as a stream is ever resumed.

ErrorAfterStreamTest plays 13 errors through a router process: with and without a length, short and long, resumable streams and others.

--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/AttemptHandler.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/AttemptHandler.java
@@ -146,6 +146,8 @@
       fail("an answer without the server's signature");
     } else if (isSuccess() && headers.contains(HttpHeaderNames.CONTENT_ENCODING)) {
       fail("an encoded answer");
+    } else if (!isSuccess() && exchange.hasResponseBegun()) {
+      fail("status " + status + " in answer to a resumed stream");
     } else if (isSuccess() && stream) {
       framer = new EventFramer(this::onEvent, manager.settings().maxBufferedBytes());
     }
@@ -236,7 +238,7 @@
       forwarding = true;
       recordPrefillRate();
       inFlightEntry.markPrefilled();
-      exchange.beginResponse(status, responseHeaders());
+      exchange.beginStream(status, responseHeaders());
     }
     exchange.forward(bytes, id);
   }
@@ -308,7 +310,7 @@
     recordProven();
     recordEnd(false);
     if (!forwarding) {
-      exchange.beginResponse(status, responseHeaders());
+      exchange.beginStream(status, responseHeaders());
     }
     exchange.onForwardingComplete();
   }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
@@ -49,6 +49,7 @@
   private Verdict verdict = Verdict.NOT_RUN;
   private boolean placed;
   private boolean responseBegun;
+  private boolean streamBegun;
   private boolean ended;
   private long firstByteMillis = -1;
   private long lastForwardedAt;
@@ -347,7 +348,7 @@
       return;
     }
     Route r = a.route();
-    boolean canResume = !responseBegun || r.kind() == RequestKind.RESUMABLE_STREAM;
+    boolean canResume = !responseBegun || (streamBegun && r.kind() == RequestKind.RESUMABLE_STREAM);
     boolean timeLeft = a.remainingMillis(timers.nanos()) >= manager.settings().minRemainingMillis();
     if (a.isRepeatable() && canResume && possibleRuns < r.maxAttempts() && timeLeft) {
       manager.log().logRetried(requestId(), lastServerId, reason, true);
@@ -377,6 +378,12 @@
     close(RequestOutcome.ANSWERED, response.status(), "");
   }
 
+  /** Begins the caller's response with a stream, unless an earlier attempt has begun it. */
+  void beginStream(int status, HttpHeaders headers) {
+    streamBegun = true;
+    beginResponse(status, headers);
+  }
+
   /** Begins the caller's response, unless an earlier attempt has begun it. */
   void beginResponse(int status, HttpHeaders headers) {
     verdict = Verdict.RAN;
