Heed servers that state that they leave or want a pause

Neither header was read.

platform/ decodes both into a ServerStatement. The new package notice keeps what servers state by run of a server, behind one interface with an implementation for leaving, pauses and limits each; the chooser asks it, and the limits moved behind it. Leaving holds until the end of the run, whatever the store or an answer that comes late says. A pause lasts for its longest statement, 600 s at most, and is followed by a gradual return. Requests that no server may receive within their time to be held are refused at once, with a Retry-After that fits. An unusable Retry-After is logged once for each server and costs no server. A limit ends with the run of its server too. The logs, counters and gauges say which servers are leaving or paused.

The check of Server-Limit in PlatformProtocolTest reads the figure from the new record, unchanged otherwise.

--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
@@ -17,6 +17,8 @@
 import org.wigeonwharf.gateway.backend.ServerDirectory;
 import org.wigeonwharf.gateway.limit.LimitLog;
 import org.wigeonwharf.gateway.limit.ServerLimits;
+import org.wigeonwharf.gateway.notice.NoticeLog;
+import org.wigeonwharf.gateway.notice.ServerNotices;
 import org.wigeonwharf.gateway.placement.InFlightTracker;
 import org.wigeonwharf.gateway.placement.PrefixCacheIndex;
 import org.wigeonwharf.gateway.placement.ServerChooser;
@@ -49,6 +51,7 @@
   final List<FakeAttempt> attempts = new ArrayList<>();
   final PromptQuarantine quarantine;
   final ServerLimits limits;
+  final ServerNotices notices;
   Consumer<FakeAttempt> onAttempt = a -> {};
   Function<BackendServer, LivenessCheck.Result> liveness = s -> LivenessCheck.Result.ALIVE;
   final ExchangeManager exchanges;
@@ -146,12 +149,14 @@
     long now = timers.nanos();
     quarantine = new PromptQuarantine(new QuarantineLog(new MetricRegistry()), new Random(7), now);
     limits = new ServerLimits(new LimitLog(new MetricRegistry()), () -> 0, new Random(7), now);
+    notices = new ServerNotices(limits, new NoticeLog(new MetricRegistry()));
     budget.setLimits(0.5, 100);
     exchanges =
         new ExchangeManager(
             () -> routes,
             directory,
-            new ServerChooser(DOMAIN, inFlight, prefixCaches, ServerPenalties.DEFAULT, limits),
+            new ServerChooser(DOMAIN, inFlight, prefixCaches, ServerPenalties.DEFAULT, notices),
+            notices,
             budget,
             new TestProtocol(),
             this::recordAttempt,
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/TestProtocol.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/TestProtocol.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.ArrayList;
 import java.util.List;
+import org.wigeonwharf.gateway.notice.ServerStatement;
 import org.wigeonwharf.gateway.placement.LoadReport;
 import org.wigeonwharf.gateway.placement.PromptPart;
 
@@ -18,6 +19,8 @@
   static final String ACCOUNT = "account";
   static final String PROMPT = "prompt";
   static final String LIMIT = "limit";
+  static final String LEAVING = "leaving";
+  static final String PAUSE = "pause";
 
   /** Ids of the prompt's parts, separated by commas. */
   static final String PARTS = "parts";
@@ -56,7 +59,13 @@
   public ResponseMetadata readResponse(int status, HttpHeaders h) {
     LoadReport load = h.contains("load") ? new LoadReport(h.getInt("load"), 0, 1, 1) : null;
     Double limit = h.contains(LIMIT) ? Double.valueOf(h.get(LIMIT)) : null;
+    Double pause = h.contains(PAUSE) ? Double.valueOf(h.get(PAUSE)) : null;
     return new ResponseMetadata(
-        h.contains(NOT_RUN), status == 421, h.contains(SIGNED), h.get(ID), load, limit);
+        h.contains(NOT_RUN),
+        status == 421,
+        h.contains(SIGNED),
+        h.get(ID),
+        load,
+        new ServerStatement(h.contains(SIGNED), h.contains(LEAVING), pause, limit));
   }
 }
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/PromptPlacementTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/PromptPlacementTest.java
@@ -18,6 +18,8 @@
 import org.wigeonwharf.gateway.backend.BackendServer;
 import org.wigeonwharf.gateway.limit.LimitLog;
 import org.wigeonwharf.gateway.limit.ServerLimits;
+import org.wigeonwharf.gateway.notice.NoticeLog;
+import org.wigeonwharf.gateway.notice.ServerNotices;
 import org.wigeonwharf.gateway.route.EngineSpec;
 import org.wigeonwharf.gateway.route.ServiceSpec;
 import org.wigeonwharf.model.Clock;
@@ -28,8 +30,10 @@
  * needlessly, and servers that are overloaded or unreachable but still chosen over others.
  */
 class PromptPlacementTest {
-  private static final ServerLimits NO_LIMITS =
-      new ServerLimits(new LimitLog(new MetricRegistry()), () -> 0, new Random(7), 0);
+  private static final ServerNotices NO_NOTICES =
+      new ServerNotices(
+          new ServerLimits(new LimitLog(new MetricRegistry()), () -> 0, new Random(7), 0),
+          new NoticeLog(new MetricRegistry()));
   private static final FailureDomain LOCAL = new FailureDomain("local");
   private static final FailureDomain REMOTE = new FailureDomain("remote");
   private static final ServiceSpec MODEL_SERVICE =
@@ -41,7 +45,7 @@
   private final InFlightTracker inFlight = new InFlightTracker(Clock.NANOS_PER_SECOND);
   private final PrefixCacheIndex prefixCaches = new PrefixCacheIndex();
   private final ServerChooser chooser =
-      new ServerChooser(LOCAL, inFlight, prefixCaches, ServerPenalties.DEFAULT, NO_LIMITS);
+      new ServerChooser(LOCAL, inFlight, prefixCaches, ServerPenalties.DEFAULT, NO_NOTICES);
   private final List<BackendServer> servers = new ArrayList<>();
   private long now = Clock.NANOS_PER_SECOND;
   private int nextPart;
@@ -186,7 +190,7 @@
     String owner = place(longRequest("topic"));
     ServerChooser restarted =
         new ServerChooser(
-            LOCAL, inFlight, new PrefixCacheIndex(), ServerPenalties.DEFAULT, NO_LIMITS);
+            LOCAL, inFlight, new PrefixCacheIndex(), ServerPenalties.DEFAULT, NO_NOTICES);
     Choice c =
         restarted.choose(
             longRequest("topic"), MODEL_SERVICE, servers, Set.of(owner), false, true, now);
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -25,6 +26,8 @@
 import org.wigeonwharf.gateway.http.StatusServer;
 import org.wigeonwharf.gateway.limit.LimitLog;
 import org.wigeonwharf.gateway.limit.ServerLimits;
+import org.wigeonwharf.gateway.notice.NoticeLog;
+import org.wigeonwharf.gateway.notice.ServerNotices;
 import org.wigeonwharf.gateway.peer.GossipTransport;
 import org.wigeonwharf.gateway.placement.InFlightTracker;
 import org.wigeonwharf.gateway.placement.PrefixCacheIndex;
@@ -76,6 +79,7 @@
   private final RetryBudget retryBudget;
   private final PromptQuarantine quarantine;
   private final ServerLimits limits;
+  private final ServerNotices notices;
   private final ExchangeManager exchanges;
   private final CallerListener callers;
   private final GossipTransport gossipTransport;
@@ -118,9 +122,10 @@
         new InFlightTracker(PEER_WORK_MAX_AGE_MILLIS * Clock.NANOS_PER_MILLI);
     PrefixCacheIndex prefixCaches = new PrefixCacheIndex();
     this.limits = new ServerLimits(new LimitLog(metrics), this::peerCount, random, clock.nanos());
+    this.notices = new ServerNotices(limits, new NoticeLog(metrics));
     this.chooser =
         new ServerChooser(
-            settings.domain(), inFlight, prefixCaches, ServerPenalties.DEFAULT, limits);
+            settings.domain(), inFlight, prefixCaches, ServerPenalties.DEFAULT, notices);
     this.timers = new EventLoopTimers(loop, clock);
     this.feed =
         new StoreFeed(
@@ -136,6 +141,7 @@
             feed::routes,
             directory,
             chooser,
+            notices,
             retryBudget,
             protocol,
             new NettyBackendConnector(loop),
@@ -194,7 +200,9 @@
     if (directory.hasUnconfirmed()) {
       scheduleExpiry();
     }
-    chooser.retainServers(directory.all().stream().map(BackendServer::id).toList());
+    List<BackendServer> servers = directory.all();
+    chooser.retainServers(servers.stream().map(BackendServer::id).toList());
+    notices.retain(servers, clock.nanos());
     exchanges.retryHeld();
   }
 
@@ -216,6 +224,8 @@
         "servers.known", directory.all().size(),
         "peers.known", peerCount(),
         "servers.limited", limits.limitedCount(clock.nanos()),
+        "servers.leaving", notices.leavingCount(),
+        "servers.paused", notices.pausedCount(clock.nanos()),
         "quarantine.parts", quarantine.quarantined(clock.nanos()).size());
   }
 
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/AttemptHandler.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/AttemptHandler.java
@@ -140,7 +140,9 @@
     if (m.load() != null) {
       chooser().recordLoadReport(server.id(), m.load(), now());
     }
-    recordRateLimit(m);
+    if (!m.misdirected()) {
+      manager.notices().recordAnswer(server, m.statement(), now());
+    }
     endsWithConnection =
         !headers.contains(HttpHeaderNames.CONTENT_LENGTH)
             && !headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
@@ -160,13 +162,6 @@
     }
   }
 
-  private void recordRateLimit(ResponseMetadata m) {
-    // Only a server's own answer tells that it names no limit any more.
-    if (m.rateLimit() != null || m.signed()) {
-      chooser().recordRateLimit(server.id(), m.rateLimit(), now());
-    }
-  }
-
   private boolean isMismatched(ResponseMetadata m) {
     String id = exchange.requestId();
     return m.requestId() != null && id != null && !m.requestId().equals(id);
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
@@ -43,6 +43,7 @@
   private @Nullable AttemptHandler currentAttempt;
   private Timers.@Nullable Timer deadlineTimer;
   private Timers.@Nullable Timer holdTimer;
+  private long holdEndsAt;
   private @Nullable FullResponse fallbackResponse;
   private int sends;
   private int possibleRuns;
@@ -168,7 +169,7 @@
       endQuarantined(hit);
       return;
     }
-    List<BackendServer> servers = manager.directory().usable(a.service());
+    List<BackendServer> servers = acceptingServers(a);
     Choice choice =
         manager
             .chooser()
@@ -182,7 +183,7 @@
                 now);
     placed = true;
     if (choice == null) {
-      hold(a, servers.size());
+      hold(a, now);
       return;
     }
     if (sends > 0 && !retryAcquired && !manager.budget().tryAcquire(a.service(), now)) {
@@ -279,7 +280,7 @@
     if (handler == null || a == null || callerBlocked) {
       return false;
     }
-    boolean untriedServer = manager.directory().usable(a.service()).size() > triedServerIds.size();
+    boolean untriedServer = acceptingServers(a).size() > triedServerIds.size();
     if (!untriedServer || !manager.budget().tryAcquire(a.service(), timers.nanos())) {
       return false;
     }
@@ -293,14 +294,23 @@
     return m.equals("POST") || m.equals("PUT") || m.equals("PATCH");
   }
 
-  private void hold(Admission a, int knownServers) {
+  private List<BackendServer> acceptingServers(Admission a) {
+    return manager.notices().accepting(manager.directory().usable(a.service()), arrivedAt());
+  }
+
+  /** Holds the request until a server may receive it, unless all want a longer pause than that. */
+  private void hold(Admission a, long now) {
     if (holdTimer == null) {
       ExchangeSettings s = manager.settings();
-      long remainingMillis = a.remainingMillis(timers.nanos());
+      long remainingMillis = a.remainingMillis(now);
       long maxMillis = Math.min(s.maxHoldMillis(), (long) (s.maxHoldFraction() * remainingMillis));
-      manager.log().logHeld(requestId(), a.service(), knownServers, manager.held().size());
-      holdTimer =
-          timers.schedule(maxMillis * Clock.NANOS_PER_MILLI, () -> expireHold(knownServers));
+      logHeld(a, now);
+      holdTimer = timers.schedule(maxMillis * Clock.NANOS_PER_MILLI, this::expireHold);
+      holdEndsAt = now + maxMillis * Clock.NANOS_PER_MILLI;
+    }
+    if (now + pauseMillis(a, now) * Clock.NANOS_PER_MILLI - holdEndsAt > 0) {
+      giveUp("all servers want a pause");
+      return;
     }
     if (!triedServerIds.isEmpty()) {
       triedServerIds.clear();
@@ -308,6 +318,20 @@
     manager.hold(this);
   }
 
+  private void logHeld(Admission a, long now) {
+    List<BackendServer> known = manager.directory().usable(a.service());
+    int leaving = (int) known.stream().filter(manager.notices()::isLeaving).count();
+    int paused = (int) known.stream().filter(s -> manager.notices().isClosed(s, now)).count();
+    manager
+        .log()
+        .logHeld(requestId(), a.service(), known.size(), leaving, paused, manager.held().size());
+  }
+
+  /** Returns the time in ms until the first server accepts requests again; 0 if one does now. */
+  private long pauseMillis(Admission a, long now) {
+    return manager.notices().pauseMillis(acceptingServers(a), now);
+  }
+
   private void cancelHold() {
     if (holdTimer != null) {
       holdTimer.cancel();
@@ -315,11 +339,13 @@
     }
   }
 
-  private void expireHold(int knownServers) {
+  private void expireHold() {
     holdTimer = null;
     manager.held().remove(this);
-    if (currentAttempt == null) {
-      giveUp(knownServers == 0 ? "no server of the service is known" : "all servers are full");
+    Admission a = admission;
+    if (currentAttempt == null && a != null) {
+      boolean unknown = manager.directory().usable(a.service()).isEmpty();
+      giveUp(unknown ? "no server of the service is known" : "no server accepts the request");
     }
   }
 
@@ -513,7 +539,10 @@
   }
 
   private void refuse(String reason) {
-    sendError(RequestOutcome.REFUSED, UNAVAILABLE, reason, manager.settings().retryAfterMillis());
+    Admission a = admission;
+    long pauseMillis = a == null ? 0 : pauseMillis(a, timers.nanos());
+    long retryAfterMillis = Math.max(manager.settings().retryAfterMillis(), pauseMillis);
+    sendError(RequestOutcome.REFUSED, UNAVAILABLE, reason, retryAfterMillis);
   }
 
   private void sendError(RequestOutcome outcome, int status, String reason, long retryAfterMillis) {
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/ExchangeManager.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/ExchangeManager.java
@@ -7,6 +7,7 @@
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.wigeonwharf.gateway.backend.ServerDirectory;
+import org.wigeonwharf.gateway.notice.ServerNotices;
 import org.wigeonwharf.gateway.placement.ServerChooser;
 import org.wigeonwharf.gateway.quarantine.PromptQuarantine;
 import org.wigeonwharf.gateway.retry.RetryBudget;
@@ -24,6 +25,7 @@
   private final Supplier<@Nullable RouteTable> routes;
   private final ServerDirectory directory;
   private final ServerChooser chooser;
+  private final ServerNotices notices;
   private final RetryBudget budget;
   private final ExchangeProtocol protocol;
   private final BackendConnector connector;
@@ -45,6 +47,7 @@
    * @param routes supplies the current routes, or null before the first configuration
    * @param directory the backend servers
    * @param chooser chooses the server of each request
+   * @param notices what servers state of themselves
    * @param budget limits retries
    * @param protocol reads and writes headers
    * @param connector sends requests to backend servers
@@ -60,6 +63,7 @@
       Supplier<@Nullable RouteTable> routes,
       ServerDirectory directory,
       ServerChooser chooser,
+      ServerNotices notices,
       RetryBudget budget,
       ExchangeProtocol protocol,
       BackendConnector connector,
@@ -72,6 +76,7 @@
     this.routes = routes;
     this.directory = directory;
     this.chooser = chooser;
+    this.notices = notices;
     this.budget = budget;
     this.protocol = protocol;
     this.connector = connector;
@@ -146,6 +151,10 @@
     return chooser;
   }
 
+  ServerNotices notices() {
+    return notices;
+  }
+
   RetryBudget budget() {
     return budget;
   }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/RequestLog.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/RequestLog.java
@@ -125,11 +125,19 @@
         .log("sent the request to a server");
   }
 
-  void logHeld(@Nullable String requestId, String service, int servers, int heldRequests) {
+  void logHeld(
+      @Nullable String requestId,
+      String service,
+      int servers,
+      int leaving,
+      int paused,
+      int heldRequests) {
     LoggingEventBuilder l = line("request.held", requestId);
     if (l != null) {
       l.addKeyValue("service", service)
           .addKeyValue("servers", servers)
+          .addKeyValue("leaving", leaving)
+          .addKeyValue("paused", paused)
           .addKeyValue("waiting", heldRequests)
           .log("no server may receive the request now");
     }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/ResponseMetadata.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/ResponseMetadata.java
@@ -1,6 +1,7 @@
 package org.wigeonwharf.gateway.http;
 
 import org.jspecify.annotations.Nullable;
+import org.wigeonwharf.gateway.notice.ServerStatement;
 import org.wigeonwharf.gateway.placement.LoadReport;
 
 /**
@@ -11,8 +12,7 @@
  * @param signed true if the response carries the server's signature
  * @param requestId the id of the request that it responds to, or null if absent
  * @param load the server's load, or null if absent
- * @param rateLimit requests per second that the server accepts from all routers together, or null
- *     if it names no limit
+ * @param statement what the server states of itself
  */
 public record ResponseMetadata(
     boolean notExecuted,
@@ -20,4 +20,4 @@
     boolean signed,
     @Nullable String requestId,
     @Nullable LoadReport load,
-    @Nullable Double rateLimit) {}
+    ServerStatement statement) {}
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerChooser.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerChooser.java
@@ -8,7 +8,7 @@
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.wigeonwharf.gateway.backend.BackendServer;
-import org.wigeonwharf.gateway.limit.ServerLimits;
+import org.wigeonwharf.gateway.notice.ServerNotices;
 import org.wigeonwharf.gateway.route.EngineSpec;
 import org.wigeonwharf.gateway.route.ServiceSpec;
 import org.wigeonwharf.model.FailureDomain;
@@ -38,11 +38,14 @@
    */
   private static final int LONG_PREFILL_TOKENS = 6_000;
 
+  /** Cost that makes any open server preferable to one that wants no request now. */
+  private static final double CLOSED_PENALTY_MILLIS = 1e9;
+
   private final FailureDomain domain;
   private final InFlightTracker inFlight;
   private final PrefixCacheIndex prefixCaches;
   private final ServerPenalties penalties;
-  private final ServerLimits limits;
+  private final ServerNotices notices;
   private final Map<String, ServerStats> stats = new HashMap<>();
   private final Map<String, PrefillRate> prefillRates = new HashMap<>();
 
@@ -53,19 +56,19 @@
    * @param inFlight the in-flight work per server
    * @param prefixCaches the prompts that engines are expected to have cached
    * @param penalties costs of distance and failures
-   * @param limits the request rates that servers accept
+   * @param notices what servers state of themselves
    */
   public ServerChooser(
       FailureDomain domain,
       InFlightTracker inFlight,
       PrefixCacheIndex prefixCaches,
       ServerPenalties penalties,
-      ServerLimits limits) {
+      ServerNotices notices) {
     this.domain = domain;
     this.inFlight = inFlight;
     this.prefixCaches = prefixCaches;
     this.penalties = penalties;
-    this.limits = limits;
+    this.notices = notices;
   }
 
   /**
@@ -99,10 +102,11 @@
     for (Candidate c : candidates) {
       double cost =
           tried.contains(c.server().id()) ? Double.POSITIVE_INFINITY : policy.cost(demand, c);
-      double waitMillis = limits.waitMillis(c.server().id(), now);
-      if (cost < preferredCost) {
+      double waitMillis = notices.waitMillis(c.server(), now);
+      double preference = notices.isClosed(c.server(), now) ? cost + CLOSED_PENALTY_MILLIS : cost;
+      if (preference < preferredCost) {
         preferred = c;
-        preferredCost = cost;
+        preferredCost = preference;
       }
       if (waitMillis > 0) {
         lowestWaitingCost = Math.min(lowestWaitingCost, cost + waitMillis);
@@ -112,7 +116,7 @@
       }
     }
     if (preferred != null && firstChoice) {
-      limits.recordDemand(preferred.server().id(), now);
+      notices.recordDemand(preferred.server(), now);
     }
     boolean worthWaiting =
         best == null || lowestWaitingCost < lowestCost || policy.isBusy(demand, best);
@@ -225,10 +229,11 @@
    * @return the request's entry among the in-flight requests
    */
   public InFlightTracker.Entry recordSent(Demand demand, Choice choice, long now) {
-    String id = choice.candidate().server().id();
+    BackendServer server = choice.candidate().server();
+    String id = server.id();
     stats(id, now).recordSent(now);
     prefixCaches.recordSent(id, demand.parts(), now);
-    limits.recordSent(id, now);
+    notices.recordSent(server, now);
     return inFlight.add(id, demand, choice.prefillTokens());
   }
 
@@ -255,17 +260,6 @@
     stats(server, now).recordLoadReport(report, now);
   }
 
-  /**
-   * Records the request rate that a server accepts.
-   *
-   * @param server the server's id
-   * @param perSecond requests per second from all routers together, or null if it names no limit
-   * @param now the current time in nanoseconds
-   */
-  public void recordRateLimit(String server, @Nullable Double perSecond, long now) {
-    limits.recordAnswer(server, perSecond, now);
-  }
-
   /**
    * Records the end of a request at a server.
    *
@@ -305,7 +299,6 @@
   public void retainServers(Collection<String> known) {
     stats.keySet().retainAll(known);
     prefixCaches.retainServers(known);
-    limits.retainServers(known);
   }
 
   /**
--- a/platform.test/src/test/java/org/wigeonwharf/platform/PlatformProtocolTest.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/PlatformProtocolTest.java
@@ -121,7 +121,34 @@
   }
 
   private Double rateLimit(String... headers) {
-    return protocol.readResponse(200, headers(headers)).rateLimit();
+    return protocol.readResponse(200, headers(headers)).statement().rateLimit();
+  }
+
+  private Double pauseSeconds(int status, String... headers) {
+    return protocol.readResponse(status, headers(headers)).statement().pauseSeconds();
+  }
+
+  @Test
+  void decodesServerLeaving() {
+    for (int status : new int[] {200, 404, 503}) {
+      assertTrue(
+          protocol.readResponse(status, headers("server-leaving", "1")).statement().leaving());
+    }
+    assertFalse(protocol.readResponse(200, headers()).statement().leaving());
+    assertFalse(protocol.readResponse(200, headers("Server-Leaving", "0")).statement().leaving());
+  }
+
+  @Test
+  void decodesRetryAfterOfRefusalsOnly() {
+    assertEquals(2.0, pauseSeconds(503, "Retry-After", "2"));
+    assertEquals(0.25, pauseSeconds(503, "retry-after", "0.25"));
+    assertEquals(1e20, pauseSeconds(503, "Retry-After", "1" + "0".repeat(20)));
+    assertNull(pauseSeconds(503));
+    assertNull(pauseSeconds(429, "Retry-After", "2"));
+    for (String malformed :
+        new String[] {"", "-1", "1e9", "soon", "Sat, 05 Dec 2026 12:00:00 GMT", "1,5"}) {
+      assertTrue(Double.isNaN(pauseSeconds(503, "Retry-After", malformed)), malformed);
+    }
   }
 
   @Test
