Apply the limits in force to each request of a kept connection

The listener read the limits once, when it accepted a connection, also before the first configuration was known.

A connection now looks up the limits at the head of each request; those hold for its body. The idle timeout is checked against the limit in force when it is over. The codec's own bound on heads is fixed for a connection; it is 64 KiB at least, and the configured bound is checked for each request.

CallerConnectionTest.keptConnectionFollowsChangedLimits and idleTimeoutThatIsRaisedMeanwhileHolds guard it.

--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/CallerConnectionTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/CallerConnectionTest.java
@@ -24,6 +24,7 @@
  */
 class CallerConnectionTest {
   private static final CallerLimits LIMITS = new CallerLimits(1_000, 2_000, 3_000, 15_000);
+  private static final int MAX_DECODED_HEADER_BYTES = 10_000;
   private static final String TARGET = "/" + RequestKind.UNREPEATABLE.name() + "/x";
   private static final String HEAD =
       "POST " + TARGET + " HTTP/1.1\r\nHost: host\r\nid: 1\r\nkey: key-1\r\n";
@@ -31,12 +32,13 @@
 
   private final ExchangeFixture fixture = new ExchangeFixture().addServers(2);
   private boolean stopping;
+  private CallerLimits limits = LIMITS;
   private final EmbeddedChannel channel = connect();
 
   private EmbeddedChannel connect() {
     CallerConnection connection =
-        new CallerConnection(fixture.exchanges, LIMITS, () -> stopping, fixture.timers);
-    HttpDecoderConfig decoder = new HttpDecoderConfig().setMaxHeaderSize(LIMITS.maxHeaderBytes());
+        new CallerConnection(fixture.exchanges, () -> limits, () -> stopping, fixture.timers);
+    HttpDecoderConfig decoder = new HttpDecoderConfig().setMaxHeaderSize(MAX_DECODED_HEADER_BYTES);
     return new EmbeddedChannel(
         new ChannelInboundHandlerAdapter() {
           @Override
@@ -62,6 +64,37 @@
     return text.toString();
   }
 
+  // Guards against a kept connection that goes on under the limits of an older configuration.
+  @Test
+  void keptConnectionFollowsChangedLimits() {
+    String large = HEAD + "Content-Length: 3000\r\n\r\n" + "b".repeat(3_000);
+    String longHead = HEAD + "more: " + "h".repeat(3_000) + "\r\nContent-Length: 0\r\n\r\n";
+    send(REQUEST);
+    fixture.attempt(0).respond(200, "first", TestProtocol.SIGNED);
+    limits = new CallerLimits(5_000, 5_000, 3_000, 60_000);
+    send(large);
+    fixture.attempt(1).respond(200, "second", TestProtocol.SIGNED);
+    send(longHead);
+    fixture.attempt(2).respond(200, "third", TestProtocol.SIGNED);
+    assertTrue(received().endsWith("third"));
+    fixture.timers.advanceMillis(50_000);
+    assertTrue(channel.isOpen(), "idle for less than the new limit");
+    limits = LIMITS;
+    send(large);
+    assertTrue(received().contains(" 413 "));
+    assertEquals(3, fixture.attempts.size());
+  }
+
+  @Test
+  void idleTimeoutThatIsRaisedMeanwhileHolds() {
+    fixture.timers.advanceMillis(10_000);
+    limits = new CallerLimits(1_000, 2_000, 3_000, 60_000);
+    fixture.timers.advanceMillis(45_000);
+    assertTrue(channel.isOpen());
+    fixture.timers.advanceMillis(10_000);
+    assertTrue(!channel.isOpen());
+  }
+
   @Test
   void pipelinedRequestsAreAnsweredInOrder() {
     send(REQUEST + REQUEST);
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/CallerConnection.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/CallerConnection.java
@@ -24,6 +24,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.wigeonwharf.gateway.route.CallerLimits;
 import org.wigeonwharf.model.Clock;
@@ -43,7 +44,7 @@
   private static final long LINGER_MILLIS = 500;
 
   private final ExchangeManager exchanges;
-  private final CallerLimits limits;
+  private final Supplier<CallerLimits> currentLimits;
   private final BooleanSupplier stopping;
   private final Timers timers;
   private final Deque<CallerRequest> pipelined = new ArrayDeque<>();
@@ -52,6 +53,8 @@
   private @Nullable HttpRequest head;
   private @Nullable ByteArrayOutputStream body;
   private Timers.@Nullable Timer readTimer;
+  private CallerLimits requestLimits;
+  private long idleSince;
   private boolean serving;
   private boolean startingExchange;
   private boolean closeAfterResponse;
@@ -59,10 +62,22 @@
   private boolean closed;
   private boolean reading;
 
+  /**
+   * Creates the handler of a connection.
+   *
+   * @param exchanges handles the requests
+   * @param currentLimits supplies the limits in force; those at the head of a request hold for it
+   * @param stopping tells whether the router stops
+   * @param timers clock and timers
+   */
   CallerConnection(
-      ExchangeManager exchanges, CallerLimits limits, BooleanSupplier stopping, Timers timers) {
+      ExchangeManager exchanges,
+      Supplier<CallerLimits> currentLimits,
+      BooleanSupplier stopping,
+      Timers timers) {
     this.exchanges = exchanges;
-    this.limits = limits;
+    this.currentLimits = currentLimits;
+    this.requestLimits = currentLimits.get();
     this.stopping = stopping;
     this.timers = timers;
   }
@@ -74,7 +89,23 @@
 
   @Override
   public void channelActive(ChannelHandlerContext ctx) {
-    startReadTimer(limits.idleTimeoutMillis(), this::close);
+    awaitRequest();
+  }
+
+  /** Closes the connection if no request begins within the idle timeout in force by then. */
+  private void awaitRequest() {
+    idleSince = timers.nanos();
+    startReadTimer(currentLimits.get().idleTimeoutMillis(), this::closeUnlessLimitWasRaised);
+  }
+
+  private void closeUnlessLimitWasRaised() {
+    long idleMillis = (timers.nanos() - idleSince) / Clock.NANOS_PER_MILLI;
+    long remainingMillis = currentLimits.get().idleTimeoutMillis() - idleMillis;
+    if (remainingMillis > 0) {
+      startReadTimer(remainingMillis, this::closeUnlessLimitWasRaised);
+    } else {
+      close();
+    }
   }
 
   /**
@@ -85,7 +116,8 @@
     if (!reading && !serving) {
       reading = true;
       startReadTimer(
-          limits.headerTimeoutMillis(), () -> reject(HttpResponseStatus.REQUEST_TIMEOUT));
+          currentLimits.get().headerTimeoutMillis(),
+          () -> reject(HttpResponseStatus.REQUEST_TIMEOUT));
     }
   }
 
@@ -134,7 +166,8 @@
   }
 
   private boolean readHead(HttpRequest request) {
-    HttpResponseStatus errorStatus = RequestValidator.validate(request, limits.maxBodyBytes());
+    requestLimits = currentLimits.get();
+    HttpResponseStatus errorStatus = RequestValidator.validate(request, requestLimits);
     if (errorStatus != null) {
       reject(errorStatus);
       return false;
@@ -142,7 +175,8 @@
     head = request;
     body = new ByteArrayOutputStream();
     if (!serving) {
-      startReadTimer(limits.idleTimeoutMillis(), () -> reject(HttpResponseStatus.REQUEST_TIMEOUT));
+      startReadTimer(
+          requestLimits.idleTimeoutMillis(), () -> reject(HttpResponseStatus.REQUEST_TIMEOUT));
     }
     if (HttpUtil.is100ContinueExpected(request) && !serving) {
       ctx()
@@ -160,7 +194,7 @@
       return;
     }
     int n = content.content().readableBytes();
-    if (b.size() + n > limits.maxBodyBytes()) {
+    if (b.size() + n > requestLimits.maxBodyBytes()) {
       reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
       return;
     }
@@ -205,7 +239,7 @@
     if (r == null) {
       ctx().channel().config().setAutoRead(true);
       if (!reading) {
-        startReadTimer(limits.idleTimeoutMillis(), this::close);
+        awaitRequest();
       }
       return;
     }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/CallerListener.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/CallerListener.java
@@ -25,6 +25,12 @@
    * Maximum number of connections queued to be accepted; all callers of a failure domain may
    * connect at once.
    */
+  /**
+   * Minimum size in bytes of a head that the decoder accepts. The decoder keeps its limit for the
+   * life of the connection, while the configured one, which is checked for each request, may rise.
+   */
+  private static final int MIN_DECODED_HEADER_BYTES = 65_536;
+
   private static final int BACKLOG = 1_024;
 
   private final EventLoop loop;
@@ -78,15 +84,15 @@
   }
 
   private void accept(SocketChannel channel) {
-    RouteTable routes = exchanges.routes();
-    CallerLimits limits = routes == null ? CallerLimits.DEFAULT : routes.limits();
-    CallerConnection connection = new CallerConnection(exchanges, limits, () -> stopping, timers);
+    CallerConnection connection =
+        new CallerConnection(exchanges, this::currentLimits, () -> stopping, timers);
     connections.add(connection);
     channel.closeFuture().addListener(f -> remove(connection));
+    int maxHeaderBytes = Math.max(MIN_DECODED_HEADER_BYTES, currentLimits().maxHeaderBytes());
     HttpDecoderConfig decoder =
         new HttpDecoderConfig()
-            .setMaxInitialLineLength(limits.maxHeaderBytes())
-            .setMaxHeaderSize(limits.maxHeaderBytes());
+            .setMaxInitialLineLength(maxHeaderBytes)
+            .setMaxHeaderSize(maxHeaderBytes);
     channel
         .pipeline()
         .addLast(
@@ -101,6 +107,11 @@
             connection);
   }
 
+  private CallerLimits currentLimits() {
+    RouteTable routes = exchanges.routes();
+    return routes == null ? CallerLimits.DEFAULT : routes.limits();
+  }
+
   private void remove(CallerConnection connection) {
     connections.remove(connection);
     onClose.run();
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/RequestValidator.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/RequestValidator.java
@@ -7,7 +7,9 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
+import java.util.Map;
 import org.jspecify.annotations.Nullable;
+import org.wigeonwharf.gateway.route.CallerLimits;
 
 /**
  * Rejects requests whose length or target two parties could interpret differently, which would
@@ -20,10 +22,10 @@
    * Validates the head of a request.
    *
    * @param request the head
-   * @param maxBodyBytes maximum size of the body in bytes
+   * @param limits the limits in force
    * @return the status to reject it with, or null if it is valid
    */
-  static @Nullable HttpResponseStatus validate(HttpRequest request, int maxBodyBytes) {
+  static @Nullable HttpResponseStatus validate(HttpRequest request, CallerLimits limits) {
     if (!request.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
       return HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED;
     }
@@ -31,7 +33,19 @@
     if (!request.uri().startsWith("/") || h.getAll(HttpHeaderNames.HOST).size() != 1) {
       return HttpResponseStatus.BAD_REQUEST;
     }
-    return validateBodyLength(h, maxBodyBytes);
+    if (request.uri().length() > limits.maxHeaderBytes()
+        || headerBytes(h) > limits.maxHeaderBytes()) {
+      return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
+    }
+    return validateBodyLength(h, limits.maxBodyBytes());
+  }
+
+  private static long headerBytes(HttpHeaders h) {
+    long bytes = 0;
+    for (Map.Entry<String, String> e : h) {
+      bytes += e.getKey().length() + e.getValue().length();
+    }
+    return bytes;
   }
 
   private static @Nullable HttpResponseStatus validateBodyLength(HttpHeaders h, int maxBodyBytes) {
