Keep reading the store after a call that throws

Without a descriptor the library hands out a channel that belongs to no event loop; PlatformClient.send() threw in place of failing, the exception ended the only chain that leads from one call to the next, and nothing logged it. For the same reason a failed connect to a backend server was reported on a thread of the library's own, beside the event loop.

StoreFeed treats an exception at any step, also while an answer is applied, as a failed call: it is logged and everything is read again after the usual delay. Failed connects to servers, also of the liveness check, go on on the event loop. Exceptions of all scheduled actions are logged.

StoreFeedTest.callThatThrowsIsRetried and changeThatCannotBeAppliedIsReadAgain failed before. Descriptors are not yet kept free for the store: callers' connections may still use them all.

--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreFeedTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreFeedTest.java
@@ -35,6 +35,8 @@
       new ServerDirectory(GRACE_MILLIS * Clock.NANOS_PER_MILLI);
   private final List<Call> calls = new ArrayList<>();
   private boolean frequentReader = true;
+  private boolean throwing;
+  private Runnable onChange = () -> {};
   private final StoreFeed feed =
       new StoreFeed(
           new FakeStore(),
@@ -42,7 +44,7 @@
           timers,
           new SplittableRandom(1),
           () -> frequentReader,
-          () -> {},
+          () -> onChange.run(),
           new MetricRegistry());
 
   /** A call of the feed to the store, to be completed by the test. */
@@ -69,6 +71,9 @@
     }
 
     private CompletableFuture<Batch> call(long after, Duration wait) {
+      if (throwing) {
+        throw new IllegalStateException("channel not registered to an event loop");
+      }
       Call c = new Call(after, wait);
       calls.add(c);
       return c.answer;
@@ -304,6 +309,40 @@
     assertEquals(9, feed.changeRevision());
   }
 
+  // Guards against a router that never reads again after a call threw in place of failing.
+  @Test
+  void callThatThrowsIsRetried() {
+    throwing = true;
+    feed.start();
+    timers.advanceMillis(5_000);
+    throwing = false;
+    timers.advanceMillis(5_000);
+    answer(5, routes(3));
+    throwing = true;
+    answer(6, routes(4));
+    timers.advanceMillis(5_000);
+    throwing = false;
+    timers.advanceMillis(5_000);
+    answer(9, routes(5));
+    assertEquals(5, feed.routes().version());
+    assertEquals(9, lastCall().after);
+  }
+
+  @Test
+  void changeThatCannotBeAppliedIsReadAgain() {
+    startWith(routes(3));
+    onChange =
+        () -> {
+          throw new IllegalStateException("fault of a listener");
+        };
+    answer(6, routes(4));
+    onChange = () -> {};
+    timers.advanceMillis(5_000);
+    assertEquals(-1, lastCall().after);
+    answer(7, routes(5));
+    assertEquals(7, lastCall().after);
+  }
+
   @Test
   void feedWithoutRoutesIsNotInitialized() {
     startWith(server("a"));
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/NettyBackendConnectorTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/NettyBackendConnectorTest.java
@@ -1,9 +1,12 @@
 package org.wigeonwharf.gateway.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.ChannelException;
+import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -53,7 +56,7 @@
   }
 
   /** Records what the connector reports. */
-  private final class Recorder implements AttemptListener {
+  private class Recorder implements AttemptListener {
     @Override
     public void onUnreachable(String reason) {
       events.add("unreachable");
@@ -98,6 +101,47 @@
     return String.valueOf(events.poll(WAIT_SECONDS, TimeUnit.SECONDS));
   }
 
+  // Guards against requests that go on beside the event loop after a connect without descriptors.
+  @Test
+  void connectWithoutFreeDescriptorIsReportedOnTheEventLoop() throws Exception {
+    EventLoop loop = loops.next();
+    NettyBackendConnector connector =
+        new NettyBackendConnector(
+            loop,
+            () -> {
+              throw new ChannelException("Too many open files");
+            });
+    BackendServer server =
+        new BackendServer(
+            "s",
+            "service",
+            (InetSocketAddress) listener.getLocalSocketAddress(),
+            new FailureDomain("d"),
+            1,
+            false,
+            1);
+    OutboundRequest request =
+        new OutboundRequest(HttpMethod.GET, "/", new DefaultHttpHeaders(), new byte[0]);
+    Recorder recorder =
+        new Recorder() {
+          @Override
+          public void onUnreachable(String reason) {
+            events.add(loop.inEventLoop() ? "on the loop" : "on another thread");
+          }
+        };
+    loop.submit(() -> connector.send(server, request, recorder))
+        .get(WAIT_SECONDS, TimeUnit.SECONDS);
+    assertEquals("on the loop", events.poll(WAIT_SECONDS, TimeUnit.SECONDS));
+    loop.submit(
+            () -> {
+              Attempt attempt = connector.send(server, request, recorder);
+              attempt.setPaused(true);
+              attempt.cancel();
+            })
+        .get(WAIT_SECONDS, TimeUnit.SECONDS);
+    assertNull(events.poll(100, TimeUnit.MILLISECONDS), "reported after it was cancelled");
+  }
+
   @Test
   void cancelledRequestResetsItsConnection() throws Exception {
     Attempt attempt = send();
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/StoreFeed.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/StoreFeed.java
@@ -4,9 +4,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -178,7 +180,7 @@
 
   private void readAll() {
     if (!stopped) {
-      store.readAll(ANSWER_TIMEOUT).whenComplete(unlessSuperseded(this::onReadAll));
+      call(() -> store.readAll(ANSWER_TIMEOUT), this::onReadAll);
     }
   }
 
@@ -214,9 +216,7 @@
   private void watch() {
     if (!stopped) {
       Duration wait = frequentReader.getAsBoolean() ? FREQUENT_WATCH_WAIT : WATCH_WAIT;
-      store
-          .awaitChanges(revision, wait, wait.plus(ANSWER_TIMEOUT))
-          .whenComplete(unlessSuperseded(this::onChanges));
+      call(() -> store.awaitChanges(revision, wait, wait.plus(ANSWER_TIMEOUT)), this::onChanges);
     }
   }
 
@@ -290,19 +290,47 @@
     scheduleCall(delayMillis * Clock.NANOS_PER_MILLI, action);
   }
 
-  /** Runs an action with the answer to the latest call; the answers to earlier ones are ignored. */
-  private BiConsumer<@Nullable Batch, @Nullable Throwable> unlessSuperseded(
+  /**
+   * Calls the store and runs an action with the answer, unless a later call has been made by then.
+   * An exception at any step counts as a failed call, since only the end of one call leads to the
+   * next.
+   */
+  private void call(
+      Supplier<CompletableFuture<Batch>> call,
       BiConsumer<@Nullable Batch, @Nullable Throwable> action) {
     long number = ++callNumber;
-    return (batch, error) ->
-        timers.schedule(
-            0,
-            () -> {
-              countCall(batch, error);
-              if (number == callNumber) {
-                action.accept(batch, error);
-              }
-            });
+    CompletableFuture<Batch> answer;
+    try {
+      answer = call.get();
+    } catch (RuntimeException e) {
+      answer = CompletableFuture.failedFuture(e);
+    }
+    answer.whenComplete(
+        (batch, error) ->
+            timers.schedule(
+                0,
+                () -> {
+                  countCall(batch, error);
+                  if (number == callNumber) {
+                    runStep(action, batch, error);
+                  }
+                }));
+  }
+
+  private void runStep(
+      BiConsumer<@Nullable Batch, @Nullable Throwable> action,
+      @Nullable Batch batch,
+      @Nullable Throwable error) {
+    try {
+      action.accept(batch, error);
+    } catch (RuntimeException e) {
+      LOG.atError()
+          .addKeyValue("event", "store.step_failed")
+          .addKeyValue("reason", String.valueOf(e))
+          .setCause(e)
+          .log("applying an answer of the store failed; reading all items again");
+      retryLater(e, this::readAll);
+    }
   }
 
   private void countCall(@Nullable Batch batch, @Nullable Throwable error) {
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/EventLoopTimers.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/EventLoopTimers.java
@@ -3,10 +3,14 @@
 import io.netty.channel.EventLoop;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.wigeonwharf.model.Clock;
 
 /** Schedules actions on an event loop. */
 public final class EventLoopTimers implements Timers {
+  private static final Logger LOG = LoggerFactory.getLogger(EventLoopTimers.class);
+
   private final EventLoop loop;
   private final Clock clock;
 
@@ -28,7 +32,20 @@
 
   @Override
   public Timer schedule(long delayNanos, Runnable action) {
-    Future<?> f = loop.schedule(action, Math.max(0, delayNanos), TimeUnit.NANOSECONDS);
+    Future<?> f = loop.schedule(() -> run(action), Math.max(0, delayNanos), TimeUnit.NANOSECONDS);
     return () -> f.cancel(false);
   }
+
+  /** Runs an action; nobody reads the future that would keep its exception. */
+  private static void run(Runnable action) {
+    try {
+      action.run();
+    } catch (RuntimeException e) {
+      LOG.atError()
+          .addKeyValue("event", "timer.failed")
+          .addKeyValue("reason", String.valueOf(e))
+          .setCause(e)
+          .log("a scheduled action failed");
+    }
+  }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/NettyBackendConnector.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/NettyBackendConnector.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -41,6 +42,7 @@
   private static final int MAX_INTERIM_RESPONSES = 16;
 
   private final EventLoop loop;
+  private final ChannelFactory<? extends Channel> channels;
 
   /**
    * Creates a connector.
@@ -48,7 +50,12 @@
    * @param loop the event loop of all connections
    */
   public NettyBackendConnector(EventLoop loop) {
+    this(loop, NioSocketChannel::new);
+  }
+
+  NettyBackendConnector(EventLoop loop, ChannelFactory<? extends Channel> channels) {
     this.loop = loop;
+    this.channels = channels;
   }
 
   @Override
@@ -57,7 +64,7 @@
     ChannelFuture connect =
         new Bootstrap()
             .group(loop)
-            .channel(NioSocketChannel.class)
+            .channelFactory(channels)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
             .handler(
@@ -72,12 +79,21 @@
     connect.addListener(
         f -> {
           if (!f.isSuccess()) {
-            connection.failConnect(f.cause());
+            // Without a free descriptor the result comes on a thread of the library's own.
+            runOn(loop, () -> connection.failConnect(f.cause()));
           }
         });
     return connection;
   }
 
+  private static void runOn(EventLoop loop, Runnable action) {
+    if (loop.inEventLoop()) {
+      action.run();
+    } else {
+      loop.execute(action);
+    }
+  }
+
   /** Carries one request and its response. */
   private static final class Connection extends ChannelInboundHandlerAdapter implements Attempt {
     private final OutboundRequest request;
@@ -106,6 +122,10 @@
      * after its caller has left.
      */
     private void reset() {
+      if (!channel.isRegistered()) {
+        // The channel could not be opened, or is closed already.
+        return;
+      }
       if (channel.isOpen()) {
         channel.config().setOption(ChannelOption.SO_LINGER, 0);
       }
@@ -114,7 +134,9 @@
 
     @Override
     public void setPaused(boolean paused) {
-      channel.config().setAutoRead(!paused);
+      if (channel.isRegistered()) {
+        channel.config().setAutoRead(!paused);
+      }
     }
 
     private void failConnect(Throwable cause) {
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/NettyLivenessCheck.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/NettyLivenessCheck.java
@@ -40,7 +40,8 @@
             connect.channel().close();
             callback.accept(Result.ALIVE);
           } else {
-            callback.accept(isRefusal(f.cause()) ? Result.ENDED : Result.UNKNOWN);
+            Result result = isRefusal(f.cause()) ? Result.ENDED : Result.UNKNOWN;
+            loop.execute(() -> callback.accept(result));
           }
         });
   }
