Take a wait for changes that is cut for what it is

Each cut counted as an outage, so the next answer began two seconds in which servers that are not listed stay in use. Routers that are not frequent readers read nothing for up to 3.6 s after a cut, also when keys were taken away.

A wait that is cut is renewed at once by every router. After one that is cut within 250 ms all items are read, with the delays as before, and the list is believed. An outage is only what may have let the entries of live servers expire: a wait that stays without an answer for its whole time, or a failed read of all items.

StoreFeedTest.waitThatIsCutIsRenewedAtOnceAndIsNoOutage and completeListAfterCutsInQuickSuccessionIsBelieved failed before. expiredEntryIsRemovedOnlyAfterReconnectGracePeriod took the cut itself for the outage, which is the fault; it now fails the read of all items as well, and waitThatEndsInSilenceIsAnOutage checks the other kind. All its other checks stay.

--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreFeedTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreFeedTest.java
@@ -199,6 +199,8 @@
   @Test
   void expiredEntryIsRemovedOnlyAfterReconnectGracePeriod() {
     startWith(routes(3), server("a"));
+    fail(new IOException("reset"));
+    timers.advanceMillis(2_000);
     fail(new IOException("no answer"));
     timers.advanceMillis(2_000);
     answer(30, routes(3));
@@ -208,6 +210,43 @@
     assertEquals(0, usableServers());
   }
 
+  @Test
+  void waitThatEndsInSilenceIsAnOutage() {
+    startWith(routes(3), server("a"));
+    timers.advanceMillis(lastCall().wait.toMillis() + 500);
+    fail(new IOException("no answer"));
+    assertEquals(-1, lastCall().after);
+    answer(30, routes(3));
+    assertEquals(1, usableServers());
+  }
+
+  // Guards against servers that have left and stay in use while waits for changes are cut.
+  @Test
+  void waitThatIsCutIsRenewedAtOnceAndIsNoOutage() {
+    frequentReader = false;
+    startWith(routes(3), server("a"));
+    for (int i = 0; i < 5; i++) {
+      int before = calls.size();
+      timers.advanceMillis(1_000);
+      fail(new IOException("connection closed"));
+      assertEquals(before + 1, calls.size());
+      assertEquals(5, lastCall().after);
+    }
+    answer(6, new PublishedItem.ServerRemoved("a"));
+    assertEquals(0, usableServers());
+  }
+
+  @Test
+  void completeListAfterCutsInQuickSuccessionIsBelieved() {
+    startWith(routes(3), server("a"));
+    timers.advanceMillis(100);
+    fail(new IOException("connection closed"));
+    timers.advanceMillis(200);
+    assertEquals(-1, lastCall().after);
+    answer(30, routes(3));
+    assertEquals(0, usableServers());
+  }
+
   @Test
   void changesInQuickSuccessionAreReadTogether() {
     startWith(routes(3));
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/StoreFeed.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/StoreFeed.java
@@ -45,9 +45,15 @@
    */
   private static final Duration WATCH_MIN_INTERVAL = Duration.ofMillis(250);
 
-  /** Maximum wait for an answer, in addition to the time that the store may hold the call. */
+  /** Maximum wait for the answer to a read of all items. */
   private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(1_000);
 
+  /** Maximum wait for the end of a wait for changes, beyond the time that the store may hold it. */
+  private static final Duration WATCH_TIMEOUT = Duration.ofMillis(1_000);
+
+  /** Minimum time after which a wait that was cut is renewed at once. */
+  private static final Duration MIN_CUT_WAIT = Duration.ofMillis(250);
+
   /**
    * Initial delay before a failed call is retried. It doubles up to {@link #MAX_RETRY_DELAY}, since
    * even calls that the store refuses add to its load.
@@ -84,6 +90,8 @@
   private long peerRevision;
   private boolean catchUpScheduled;
   private long callNumber;
+  private long watchingSince;
+  private Duration currentWait = WATCH_WAIT;
   private boolean stopped;
 
   /**
@@ -215,8 +223,10 @@
 
   private void watch() {
     if (!stopped) {
+      watchingSince = timers.nanos();
       Duration wait = frequentReader.getAsBoolean() ? FREQUENT_WATCH_WAIT : WATCH_WAIT;
-      call(() -> store.awaitChanges(revision, wait, wait.plus(ANSWER_TIMEOUT)), this::onChanges);
+      currentWait = wait;
+      call(() -> store.awaitChanges(revision, wait, wait.plus(WATCH_TIMEOUT)), this::onChanges);
     }
   }
 
@@ -229,7 +239,7 @@
             .log("the store has discarded the changes; reading all items again");
         readAll();
       } else {
-        retryLater(error, this::readAll);
+        onWatchFailed(error);
       }
       return;
     }
@@ -248,6 +258,32 @@
     scheduleCall(WATCH_MIN_INTERVAL.toNanos(), this::watch);
   }
 
+  /**
+   * Distinguishes a wait that was cut from a failed or silent store. Only a wait that took its full
+   * time without an answer, or a failed read of all items, is an outage: after those, entries of
+   * servers that live may be missing.
+   */
+  private void onWatchFailed(@Nullable Throwable error) {
+    Duration waited = Duration.ofNanos(timers.nanos() - watchingSince);
+    if (waited.compareTo(currentWait) >= 0) {
+      retryDelay = MIN_RETRY_DELAY;
+      recordLost(error);
+      readAll();
+      return;
+    }
+    LOG.atInfo()
+        .addKeyValue("event", "store.wait_cut")
+        .addKeyValue("reason", String.valueOf(cause(error)))
+        .addKeyValue("waited_ms", waited.toMillis())
+        .log("a wait for changes was cut");
+    if (waited.compareTo(MIN_CUT_WAIT) >= 0) {
+      retryDelay = MIN_RETRY_DELAY;
+      watch();
+    } else {
+      scheduleRetry(this::readAll);
+    }
+  }
+
   /** Makes a call later, unless another call has been made by then. */
   private void scheduleCall(long delayNanos, Runnable call) {
     long number = callNumber;
@@ -275,6 +311,11 @@
   }
 
   private void retryLater(@Nullable Throwable error, Runnable action) {
+    recordLost(error);
+    scheduleRetry(action);
+  }
+
+  private void recordLost(@Nullable Throwable error) {
     if (reachable) {
       reachable = false;
       LOG.atWarn()
@@ -283,6 +324,9 @@
           .addKeyValue("revision", revision)
           .log("the store is unreachable");
     }
+  }
+
+  private void scheduleRetry(Runnable action) {
     long delayMillis = (long) (retryDelay.toMillis() * (0.5 + random.nextDouble()));
     Duration maxDelay = frequentReader.getAsBoolean() ? FREQUENT_MAX_RETRY_DELAY : MAX_RETRY_DELAY;
     Duration doubled = retryDelay.multipliedBy(2);
