--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeTest.java
@@ -377,6 +377,24 @@
     assertEquals(503, caller.status);
   }
 
+  // Guards against held requests that wait in vain because another one could not be sent.
+  @Test
+  void heldRequestThatCannotBeSentKeepsNoOtherWaiting() {
+    fixture.begin(RequestKind.UNREPEATABLE, caller);
+    fixture.begin(RequestKind.UNREPEATABLE, new FakeCaller());
+    fixture.addServers(1);
+    fixture.onAttempt =
+        a -> {
+          if (fixture.attempts.size() == 1) {
+            throw new IllegalStateException("a header that the codec refuses");
+          }
+        };
+    fixture.exchanges.retryHeld();
+    assertEquals(2, fixture.attempts.size());
+    fixture.timers.advanceMillis(ExchangeFixture.TIMEOUT_MILLIS);
+    assertEquals(504, caller.status);
+  }
+
   @Test
   void requestWithoutServerIsHeldAndServedWhenOneAppears() {
     fixture.begin(RequestKind.UNREPEATABLE, caller);
