Start routers and servers of the process tests in one place

GatewayProcessTest, GatewaySoakTest and the new process tests wrote settings, configurations and requests each by themselves.

--- a/platform.test/src/test/java/org/wigeonwharf/platform/ErrorAfterStreamTest.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/ErrorAfterStreamTest.java
@@ -6,8 +6,6 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -25,37 +23,16 @@
   private static final int LARGE = 600 * 1024;
 
   @TempDir private Path folder;
-  private final List<ScriptedServer> servers = new ArrayList<>();
-  private StoreStandIn store;
+  private ScriptedFleet fleet;
 
   @BeforeEach
   void start() throws Exception {
-    store = new StoreStandIn();
-    store.put("op/config", ConfigurationText.ofAllKinds(1, TIMEOUT_MILLIS));
+    fleet = new ScriptedFleet(folder, TIMEOUT_MILLIS);
   }
 
   @AfterEach
   void stop() throws IOException {
-    for (ScriptedServer s : servers) {
-      s.close();
-    }
-    store.close();
-  }
-
-  private RouterProcess startRouter(ScriptedServer.Script script) throws Exception {
-    for (int i = 1; i <= 2; i++) {
-      ScriptedServer s = new ScriptedServer(script);
-      servers.add(s);
-      store.putServer("i-" + i, "s1", s.address(), "ready");
-    }
-    RouterProcess router = new RouterProcess(folder, store.address());
-    router.awaitServer("i-1");
-    router.awaitServer("i-2");
-    return router;
-  }
-
-  private long sends(String id) {
-    return servers.stream().mapToLong(s -> s.received(id)).sum();
+    fleet.close();
   }
 
   private static String errorText(boolean large) {
@@ -92,15 +69,15 @@
             c.close();
           }
         };
-    try (RouterProcess router = startRouter(script);
+    try (RouterProcess router = fleet.startRouter(2, script);
         KeptConnection c = new KeptConnection(router.callers())) {
-      c.send(ConfigurationText.request("/s/x", "q1", TIMEOUT_MILLIS));
+      c.send(RequestText.of("/s/x", "q1", TIMEOUT_MILLIS));
       assertCutAfterTwoEvents(c.readToEnd());
-      assertTrue(sends("q1") > 1, "the stream was not resumed");
+      assertTrue(fleet.sends("q1") > 1, "the stream was not resumed");
       try (KeptConnection next = new KeptConnection(router.callers())) {
-        next.send(ConfigurationText.request("/t/x", "q2", TIMEOUT_MILLIS));
+        next.send(RequestText.of("/t/x", "q2", TIMEOUT_MILLIS));
         assertCutAfterTwoEvents(next.readToEnd());
-        assertEquals(1, sends("q2"), "a stream that may not be resumed");
+        assertEquals(1, fleet.sends("q2"), "a stream that may not be resumed");
       }
     }
   }
@@ -109,7 +86,7 @@
   void largeErrorThatBreaksOffIsNotContinuedByStream() throws Exception {
     ScriptedServer.Script script =
         (r, c) -> {
-          if (sends(r.id()) == 1) {
+          if (fleet.sends(r.id()) == 1) {
             c.write(AnswerText.head(500, r.id(), "Content-Length: 2000000") + "\r\n");
             c.write(errorText(true));
             Thread.sleep(50);
@@ -118,9 +95,9 @@
             c.write(AnswerText.streamHead(r.id()) + AnswerText.event(1) + AnswerText.STREAM_END);
           }
         };
-    try (RouterProcess router = startRouter(script);
+    try (RouterProcess router = fleet.startRouter(2, script);
         KeptConnection c = new KeptConnection(router.callers())) {
-      c.send(ConfigurationText.request("/s/x", "q1", TIMEOUT_MILLIS, "Connection: close"));
+      c.send(RequestText.of("/s/x", "q1", TIMEOUT_MILLIS, "Connection: close"));
       String received = c.readToEnd();
       boolean error = received.startsWith("HTTP/1.1 500 ");
       assertFalse(error && received.contains("event1"), "an error and a stream joined");
--- a/platform.test/src/test/java/org/wigeonwharf/platform/GatewayProcessTest.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/GatewayProcessTest.java
@@ -5,15 +5,12 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -45,8 +42,8 @@
   @TempDir private Path folder;
   private StoreStandIn store;
   private BackendStandIn backend;
+  private RouterProcess process;
   private FleetProcess router;
-  private InetSocketAddress callers;
 
   @BeforeEach
   void start() throws Exception {
@@ -54,14 +51,8 @@
     backend = new BackendStandIn("i-1");
     store.put("op/config", CONFIG.formatted(1, "a"));
     store.putServer("i-1", "s1", backend.address(), "ready");
-    writeSettings(0.2);
-    router =
-        FleetProcess.start(
-            "router",
-            "org.wigeonwharf.router.Main",
-            List.of("--settings", folder.resolve("node.toml").toString()));
-    callers = router.awaitAddress("router.started", "callers");
-    router.awaitEvent("config.adopted");
+    process = new RouterProcess(folder, store.address());
+    router = process.process();
     router.awaitEvent("server.added");
   }
 
@@ -69,36 +60,12 @@
   void stop() throws InterruptedException {
     backend.close();
     store.close();
-    router.kill();
-    router.awaitExit(TIMEOUT_SECONDS);
-  }
-
-  private void writeSettings(double ratio) throws IOException {
-    Path next = folder.resolve("next.toml");
-    Files.writeString(
-        next,
-        """
-        name = "vm1"
-        failure_domain = "z1"
-        fleet_secret = "secret-for-this-test"
-        stop_grace_s = 30
-        [listen]
-        callers = "127.0.0.1:0"
-        ready = "127.0.0.1:0"
-        peers = "127.0.0.1:0"
-        metrics = "127.0.0.1:0"
-        [store]
-        address = "%s"
-        [retry]
-        ratio = %s
-        """
-            .formatted(Addresses.format(store.address()), ratio));
-    Files.move(next, folder.resolve("node.toml"), StandardCopyOption.REPLACE_EXISTING);
+    process.close();
   }
 
   private CompletableFuture<HttpResponse<String>> sendRequest(String path) {
     HttpRequest request =
-        HttpRequest.newBuilder(URI.create("http://" + Addresses.format(callers) + path))
+        HttpRequest.newBuilder(URI.create("http://" + Addresses.format(process.callers()) + path))
             .header(WireNames.REQUEST_ID, "9c41d07be2a35f68")
             .header(WireNames.TIMEOUT, "50000")
             .header(WireNames.ACCOUNT, "forged")
@@ -112,7 +79,7 @@
   void requestAndAnswerAreForwardedAndTranslated() throws Exception {
     // Routes match the Host header, which the HTTP client derives from the address.
     store.put("op/config", CONFIG.formatted(2, "b").replace("host.example", "127.0.0.1"));
-    awaitVersion(2);
+    process.awaitVersion(2);
     HttpResponse<String> r = sendRequest("/b/x?q=1").get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     assertEquals(200, r.statusCode(), r.body());
     assertEquals("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", r.body());
@@ -129,14 +96,14 @@
   @Test
   void newerVersionRemovesOldRoute() throws Exception {
     store.put("op/config", CONFIG.formatted(2, "b").replace("host.example", "127.0.0.1"));
-    awaitVersion(2);
+    process.awaitVersion(2);
     assertEquals(404, sendRequest("/a/x").get(TIMEOUT_SECONDS, TimeUnit.SECONDS).statusCode());
   }
 
   @Test
   void gracefulStopCompletesAnswersInFlight() throws Exception {
     store.put("op/config", CONFIG.formatted(2, "b").replace("host.example", "127.0.0.1"));
-    awaitVersion(2);
+    process.awaitVersion(2);
     backend.hold();
     final CompletableFuture<HttpResponse<String>> answer = sendRequest("/b/x");
     router.awaitEvent("request.sent");
@@ -151,7 +118,7 @@
 
   @Test
   void hangUpSignalReloadsSettingsWithoutRestart() throws Exception {
-    writeSettings(0.4);
+    process.writeSettings(0.4);
     router.signal("-HUP");
     assertEquals(0.4, router.awaitEvent("settings.reloaded").path("retry_ratio").asDouble(), 1e-9);
     assertEquals(-1, router.awaitExit(0));
@@ -170,7 +137,7 @@
   @Test
   void serverThatNamesItsLimitGetsNoMoreRequests() throws Exception {
     store.put("op/config", CONFIG.formatted(2, "b").replace("host.example", "127.0.0.1"));
-    awaitVersion(2);
+    process.awaitVersion(2);
     double perSecond = 2;
     int seconds = 6;
     backend.nameLimit(String.valueOf(perSecond));
@@ -189,12 +156,4 @@
       assertTrue(status == 200 || status == 503, "status " + status);
     }
   }
-
-  private void awaitVersion(int version) throws Exception {
-    router.awaitLine(
-        l ->
-            l.path("event").asText().equals("config.adopted")
-                && l.path("version").asInt() == version,
-        "version " + version);
-  }
 }
--- a/platform.test/src/test/java/org/wigeonwharf/platform/GatewaySoakTest.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/GatewaySoakTest.java
@@ -151,20 +151,7 @@
 
   private void publishConfiguration() {
     int v = version.incrementAndGet();
-    store.put(
-        "op/config",
-        """
-        {"version":%d,"routes":[
-         {"name":"r","host":"127.0.0.1","prefix":"/r/","kind":"safe","timeout-ms":%d,
-          "slo-ms":300,"priority":0,"service":"s1","max-attempts":3,"can-resume":false},
-         {"name":"u","host":"127.0.0.1","prefix":"/u/","kind":"unsafe","timeout-ms":5000,
-          "slo-ms":300,"priority":0,"service":"s1","max-attempts":2,"can-resume":false},
-         {"name":"s","host":"127.0.0.1","prefix":"/s/","kind":"streaming","timeout-ms":5000,
-          "slo-ms":300,"priority":0,"service":"s1","max-attempts":3,"can-resume":true}],
-         "services":[{"name":"s1","max-conns":100}],
-         "tenants":[{"name":"t1","api-keys":["k1"]}]}
-        """
-            .formatted(v, 5_000 + v));
+    store.put("op/config", ConfigurationText.ofAllKinds(v, 5_000 + v));
   }
 
   private void callRouters(long seed) {
@@ -199,19 +186,15 @@
 
   private static String request(String id, String path, boolean crashing, Random random) {
     String parts = "common:10," + (crashing ? SoakBackends.CRASHING_PART + ":10," : "") + id + ":5";
-    return "POST "
-        + path
-        + " HTTP/1.1\r\nHost: 127.0.0.1\r\nAuthorization: Bearer k1\r\nContent-Length: 4\r\n"
-        + (path.startsWith("/s/") ? WireNames.PROMPT_PARTS + ": " + parts + "\r\n" : "")
-        + (path.startsWith("/s/") ? WireNames.TOKEN_COUNTS + ": 25,5\r\n" : "")
-        + WireNames.TIMEOUT
-        + ": "
-        + (2_000 + random.nextInt(2_000))
-        + "\r\n"
-        + WireNames.REQUEST_ID
-        + ": "
-        + id
-        + "\r\n\r\nbody";
+    int timeoutMillis = 2_000 + random.nextInt(2_000);
+    return path.startsWith("/s/")
+        ? RequestText.of(
+            path,
+            id,
+            timeoutMillis,
+            WireNames.PROMPT_PARTS + ": " + parts,
+            WireNames.TOKEN_COUNTS + ": 25,5")
+        : RequestText.of(path, id, timeoutMillis);
   }
 
   /** Plays one series of troubles; several overlap. */
--- a/platform.test/src/test/java/org/wigeonwharf/platform/OddEntriesTest.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/OddEntriesTest.java
@@ -101,7 +101,7 @@
     for (int i = 0; i < REQUESTS; i++) {
       String id = "q" + ++requests;
       try (KeptConnection c = new KeptConnection(router.callers())) {
-        c.send(ConfigurationText.request(i % 2 == 0 ? "/r/x" : "/u/x", id, TIMEOUT_MILLIS));
+        c.send(RequestText.of(i % 2 == 0 ? "/r/x" : "/u/x", id, TIMEOUT_MILLIS));
         KeptConnection.Response r = c.read();
         if (r.status() != 200 || !r.body().equals("answer " + id)) {
           failures.add(id + ": " + r);
--- a/platform.test/src/test/java/org/wigeonwharf/platform/RepeatedRefusalTest.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/RepeatedRefusalTest.java
@@ -6,7 +6,6 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -26,40 +25,22 @@
   private static final int TIMEOUT_MILLIS = 3_000;
 
   @TempDir private Path folder;
-  private final List<ScriptedServer> servers = new ArrayList<>();
   private final Map<String, Integer> runs = new ConcurrentHashMap<>();
-  private StoreStandIn store;
+  private ScriptedFleet fleet;
 
   @BeforeEach
   void start() throws Exception {
-    store = new StoreStandIn();
-    store.put("op/config", ConfigurationText.ofAllKinds(1, TIMEOUT_MILLIS));
+    fleet = new ScriptedFleet(folder, TIMEOUT_MILLIS);
   }
 
   @AfterEach
   void stop() throws IOException {
-    for (ScriptedServer s : servers) {
-      s.close();
-    }
-    store.close();
-  }
-
-  private RouterProcess startRouter(int count, ScriptedServer.Script script) throws Exception {
-    for (int i = 1; i <= count; i++) {
-      ScriptedServer s = new ScriptedServer(script);
-      servers.add(s);
-      store.putServer("i-" + i, "s1", s.address(), "ready");
-    }
-    RouterProcess router = new RouterProcess(folder, store.address());
-    for (int i = 1; i <= count; i++) {
-      router.awaitServer("i-" + i);
-    }
-    return router;
+    fleet.close();
   }
 
   private KeptConnection.Response call(KeptConnection c, String path, String id)
       throws IOException {
-    c.send(ConfigurationText.request(path, id, TIMEOUT_MILLIS));
+    c.send(RequestText.of(path, id, TIMEOUT_MILLIS));
     return c.read();
   }
 
@@ -75,7 +56,7 @@
   @ValueSource(ints = {503, 429, 421, 408})
   void refusalOfAnotherRequestSaysNothingOfThisOne(int status) throws Exception {
     try (RouterProcess router =
-            startRouter(
+            fleet.startRouter(
                 2,
                 (r, c) -> {
                   if (r.id().equals("first")) {
@@ -101,7 +82,7 @@
   @Test
   void refusalWrittenTwiceReachesNoLaterRequest() throws Exception {
     try (RouterProcess router =
-            startRouter(
+            fleet.startRouter(
                 1,
                 (r, c) -> {
                   // Refuses every second request, twice, without an id as servers may.
@@ -127,7 +108,7 @@
         }
       }
       assertTrue(
-          servers.get(0).received.stream().allMatch(r -> r.number() == 1),
+          fleet.servers().get(0).received.stream().allMatch(r -> r.number() == 1),
           "a connection to a server was used again");
     }
   }
@@ -135,7 +116,7 @@
   @Test
   void refusalBehindAnAnswerReachesNobody() throws Exception {
     try (RouterProcess router =
-            startRouter(
+            fleet.startRouter(
                 2,
                 (r, c) -> {
                   runs.merge(r.id(), 1, Integer::sum);
--- a/platform.test/src/test/java/org/wigeonwharf/platform/ServerNoticesProcessTest.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/ServerNoticesProcessTest.java
@@ -5,10 +5,10 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -23,48 +23,29 @@
   private static final String SIGNED = WireNames.SIGNATURE + ": signed";
 
   @TempDir private Path folder;
-  private final List<ScriptedServer> servers = new ArrayList<>();
   private final Map<String, List<Long>> reachedAt = new ConcurrentHashMap<>();
   private final Map<String, String> headers = new ConcurrentHashMap<>();
-  private StoreStandIn store;
+  private ScriptedFleet fleet;
   private int requests;
 
   @BeforeEach
   void start() throws Exception {
-    store = new StoreStandIn();
-    store.put("op/config", ConfigurationText.ofAllKinds(1, TIMEOUT_MILLIS));
+    fleet = new ScriptedFleet(folder, TIMEOUT_MILLIS);
   }
 
   @AfterEach
   void stop() throws IOException {
-    for (ScriptedServer s : servers) {
-      s.close();
-    }
-    store.close();
+    fleet.close();
   }
 
   private RouterProcess startRouter(int count) throws Exception {
-    for (int i = 1; i <= count; i++) {
-      String id = "i-" + i;
-      reachedAt.put(id, new ArrayList<>());
-      ScriptedServer s = new ScriptedServer((r, c) -> answer(id, r, c));
-      servers.add(s);
-      store.putServer(id, "s1", s.address(), "ready");
-    }
-    RouterProcess router = new RouterProcess(folder, store.address());
-    for (int i = 1; i <= count; i++) {
-      router.awaitServer("i-" + i);
-    }
-    return router;
+    return fleet.startRouter(count, id -> (r, c) -> answer(id, r, c));
   }
 
   /** Answers 503 if the server's header line is a pause, else 200 with that line. */
   private void answer(String id, ScriptedServer.Request r, ScriptedServer.Connection c)
       throws IOException {
-    List<Long> times = reachedAt.get(id);
-    synchronized (times) {
-      times.add(System.nanoTime());
-    }
+    reachedAt.computeIfAbsent(id, i -> new CopyOnWriteArrayList<>()).add(System.nanoTime());
     String line = headers.getOrDefault(id, "");
     if (line.startsWith("Retry-After")) {
       c.write(AnswerText.refusal(503, r.id(), line));
@@ -76,7 +57,7 @@
   }
 
   private KeptConnection.Response call(KeptConnection c) throws IOException {
-    c.send(ConfigurationText.request("/u/x", "q" + ++requests, TIMEOUT_MILLIS));
+    c.send(RequestText.of("/u/x", "q" + ++requests, TIMEOUT_MILLIS));
     return c.read();
   }
 
@@ -88,10 +69,7 @@
   }
 
   private int reached(String id) {
-    List<Long> times = reachedAt.get(id);
-    synchronized (times) {
-      return times.size();
-    }
+    return reachedAt.getOrDefault(id, List.of()).size();
   }
 
   // Guards against requests to a server that leaves, though its entry is ready or can't be read.
@@ -102,7 +80,7 @@
       headers.put("i-1", WireNames.LEAVING + ": 1");
       callUntilReached(c, "i-1");
       headers.put("i-1", "");
-      store.failWith(503);
+      fleet.store.failWith(503);
       int before = reached("i-1");
       for (int i = 0; i < 60; i++) {
         assertEquals(200, call(c).status());
@@ -146,15 +124,13 @@
         assertEquals(200, call(c).status());
       }
       List<Long> times = reachedAt.get("i-1");
-      synchronized (times) {
-        long inPause =
-            times.stream()
-                .mapToLong(t -> t - refusedAt)
-                .filter(t -> t > 500_000_000L && t < 2_500_000_000L)
-                .count();
-        assertTrue(inPause <= 2, inPause + " requests in the pause");
-        assertTrue(times.size() > 1, "no request after the pause");
-      }
+      long inPause =
+          times.stream()
+              .mapToLong(t -> t - refusedAt)
+              .filter(t -> t > 500_000_000L && t < 2_500_000_000L)
+              .count();
+      assertTrue(inPause <= 2, inPause + " requests in the pause");
+      assertTrue(times.size() > 1, "no request after the pause");
     }
   }
 
