Let servers of the soak state that they leave or want a pause

Two more troubles: a server that is replaced and says so in its answers only, and one that turns requests away for a time that it names. Its checks stay.

--- a/platform.test/src/test/java/org/wigeonwharf/platform/GatewaySoakTest.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/GatewaySoakTest.java
@@ -202,13 +202,15 @@
     Random random = new Random(seed);
     while (System.nanoTime() < endAt) {
       Router router = routers.get(random.nextInt(ROUTERS));
-      switch (random.nextInt(7)) {
+      switch (random.nextInt(9)) {
         case 0 -> router.terminate();
         case 1 -> router.kill();
         case 2 -> router.hangUp(0.1 + random.nextInt(5) / 10.0);
         case 3 -> publishConfiguration();
         case 4 -> backends.crashOne();
         case 5 -> backends.replaceOne();
+        case 6 -> backends.replaceOneByAnswers();
+        case 7 -> backends.pauseOne(300 + random.nextInt(2_000));
         default -> {
           store.failWith(503);
           Thread.sleep(500 + random.nextInt(1_000));
--- a/platform.test/src/test/java/org/wigeonwharf/platform/SoakBackends.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/SoakBackends.java
@@ -34,6 +34,8 @@
     private final String id = "i-" + ++lastId;
     private final ExecutorService executor = Executors.newCachedThreadPool();
     private final HttpServer server;
+    private volatile boolean leaving;
+    private volatile long pausedUntil = System.nanoTime();
 
     Backend() throws IOException {
       server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
@@ -50,6 +52,14 @@
           return;
         }
         String requestId = x.getRequestHeaders().getFirst(WireNames.REQUEST_ID);
+        if (leaving) {
+          x.getResponseHeaders().set(WireNames.LEAVING, "1");
+        }
+        long pauseMillis = (pausedUntil - System.nanoTime()) / 1_000_000;
+        if (pauseMillis > 0) {
+          turnAway(x, requestId, pauseMillis);
+          return;
+        }
         runs.merge(requestId, 1, Integer::sum);
         x.getResponseHeaders().set(WireNames.REQUEST_ID, requestId);
         x.getResponseHeaders().set(WireNames.SIGNATURE, "signed");
@@ -66,6 +76,13 @@
       }
     }
 
+    private void turnAway(HttpExchange x, String requestId, long pauseMillis) throws IOException {
+      x.getResponseHeaders().set(WireNames.REQUEST_ID, requestId);
+      x.getResponseHeaders().set(WireNames.NOT_RUN, "1");
+      x.getResponseHeaders().set("Retry-After", String.valueOf(pauseMillis / 1e3));
+      x.sendResponseHeaders(503, -1);
+    }
+
     private void stream(HttpExchange x, String requestId) throws IOException, InterruptedException {
       final String parts = x.getRequestHeaders().getFirst(WireNames.PROMPT_PARTS);
       final String resumed = x.getRequestHeaders().getFirst(WireNames.LAST_EVENT_ID);
@@ -154,6 +171,25 @@
     old.end();
   }
 
+  /** Replaces one server that states its leaving in its answers only, never in the store. */
+  void replaceOneByAnswers() throws IOException, InterruptedException {
+    add();
+    Backend old;
+    synchronized (this) {
+      old = live.remove(0);
+    }
+    old.leaving = true;
+    Thread.sleep(1_500);
+    store.delete("servers/" + old.id);
+    Thread.sleep(1_500);
+    old.end();
+  }
+
+  /** Lets one server turn requests away for a time that it names. */
+  synchronized void pauseOne(long millis) {
+    live.get(0).pausedUntil = System.nanoTime() + millis * 1_000_000;
+  }
+
   int runsOf(String requestId) {
     return runs.getOrDefault(requestId, 0);
   }
