--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/notice/LeavingServers.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/notice/LeavingServers.java
@@ -21,7 +21,7 @@
    * Time in ms after a server's first statement in which arriving requests may still be sent there
    * if no other server is left: shorter than leaving servers keep serving.
    */
-  static final long LAST_RESORT_MILLIS = 2_000;
+  private static final long LAST_RESORT_MILLIS = 2_000;
 
   /** Time in ms for which the run of a server is remembered that is not published any more. */
   private static final long MEMORY_MILLIS = 600_000;
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/notice/PausedServers.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/notice/PausedServers.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 import org.wigeonwharf.gateway.backend.BackendServer;
 import org.wigeonwharf.model.Clock;
 
@@ -17,7 +18,7 @@
  */
 final class PausedServers implements ServerNotice {
   /** Longest pause in seconds; a server that names more would be lost for good. */
-  static final double MAX_PAUSE_SECONDS = 600;
+  private static final double MAX_PAUSE_SECONDS = 600;
 
   /** Time in ms after which the number of requests since the end of a pause may double. */
   private static final long DOUBLING_MILLIS = 200;
@@ -83,13 +84,13 @@
 
   @Override
   public boolean isClosed(BackendServer server, long now) {
-    Pause p = pauses.get(ServerRun.of(server));
+    Pause p = find(server);
     return p != null && !p.isOver(now);
   }
 
   @Override
   public double waitMillis(BackendServer server, long now) {
-    Pause p = pauses.get(ServerRun.of(server));
+    Pause p = find(server);
     return p == null || p.isRecovered(now)
         ? 0
         : Math.max(0, p.nextAt() - now) / (double) Clock.NANOS_PER_MILLI;
@@ -97,12 +98,16 @@
 
   @Override
   public void recordSent(BackendServer server, long now) {
-    Pause p = pauses.get(ServerRun.of(server));
+    Pause p = find(server);
     if (p != null) {
       p.sentSince++;
     }
   }
 
+  private @Nullable Pause find(BackendServer server) {
+    return pauses.isEmpty() ? null : pauses.get(ServerRun.of(server));
+  }
+
   int count(long now) {
     return (int) pauses.values().stream().filter(p -> !p.isOver(now)).count();
   }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/notice/ServerNotices.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/notice/ServerNotices.java
@@ -58,7 +58,12 @@
    * @param now the current time
    */
   public boolean isClosed(BackendServer server, long now) {
-    return all.stream().anyMatch(n -> n.isClosed(server, now));
+    for (ServerNotice n : all) {
+      if (n.isClosed(server, now)) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /**
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/notice/ServerStatement.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/notice/ServerStatement.java
@@ -14,7 +14,7 @@
  *     if it names no limit
  */
 public record ServerStatement(
-    boolean authentic, boolean leaving, @Nullable Double pauseSeconds, @Nullable Double rateLimit) {
-  /** Says nothing. */
-  public static final ServerStatement NONE = new ServerStatement(false, false, null, null);
-}
+    boolean authentic,
+    boolean leaving,
+    @Nullable Double pauseSeconds,
+    @Nullable Double rateLimit) {}
