Use a newer answer that arrives after the wait was begun anew

Its log shows store.behind every 0.4 to 0.5 s for over 6 s: the router found itself behind, began its wait anew, and threw away the answer that was under way, so that it was sent again.

The answer to a superseded call is applied if it is newer than what is known, and the time that a router allows itself to be behind doubles until it has read on.

--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/StoreFeed.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/StoreFeed.java
@@ -93,6 +93,7 @@
   private long changeRevision;
   private long peerRevision;
   private boolean catchUpScheduled;
+  private Duration behindGrace = BEHIND_GRACE;
   private long callNumber;
   private long watchingSince;
   private Duration currentWait = WATCH_WAIT;
@@ -172,7 +173,7 @@
     peerRevision = Math.max(peerRevision, newer);
     if (revision >= 0 && peerRevision > revision && !catchUpScheduled) {
       catchUpScheduled = true;
-      timers.schedule(BEHIND_GRACE.toNanos(), this::catchUp);
+      timers.schedule(behindGrace.toNanos(), this::catchUp);
     }
   }
 
@@ -187,6 +188,8 @@
         .addKeyValue("peer_revision", peerRevision)
         .addKeyValue("age_ms", contactAgeMillis())
         .log("another router has read later changes; waiting for changes anew");
+    // The answer may be under way on a slow link, where each further one delays it.
+    behindGrace = behindGrace.multipliedBy(2);
     watch();
   }
 
@@ -221,6 +224,7 @@
   }
 
   private void recordChanges(Batch batch) {
+    behindGrace = BEHIND_GRACE;
     revision = Math.max(revision, batch.revision());
     changeRevision = Math.max(changeRevision, revision);
   }
@@ -256,10 +260,15 @@
       watch();
       return;
     }
+    applyChanges(batch);
+    scheduleCall(WATCH_MIN_INTERVAL.toNanos(), this::watch);
+  }
+
+  private void applyChanges(Batch batch) {
+    long now = timers.nanos();
     batch.items().forEach(p -> apply(p, now));
     recordChanges(batch);
     onChange.run();
-    scheduleCall(WATCH_MIN_INTERVAL.toNanos(), this::watch);
   }
 
   /**
@@ -339,9 +348,9 @@
   }
 
   /**
-   * Calls the store and runs an action with the answer, unless a later call has been made by then.
-   * An exception at any step counts as a failed call, since only the end of one call leads to the
-   * next.
+   * Calls the store and runs an action with the answer. If a later call has been made by then, the
+   * answer is used for newer changes only. An exception at any step counts as a failed call, since
+   * only the end of one call leads to the next.
    */
   private void call(
       Supplier<CompletableFuture<Batch>> call,
@@ -361,6 +370,8 @@
                   countCall(batch, error);
                   if (number == callNumber) {
                     runStep(action, batch, error);
+                  } else if (batch != null && batch.revision() > revision) {
+                    runStep((late, none) -> applyChanges(late), batch, null);
                   }
                 }));
   }
