--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/EventLoopTimers.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/EventLoopTimers.java
@@ -36,7 +36,7 @@
     return () -> f.cancel(false);
   }
 
-  /** Runs an action; nobody reads the future that would keep its exception. */
+  /** Runs an action and logs its exception, which the future of the task would only keep. */
   private static void run(Runnable action) {
     try {
       action.run();
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/notice/ServerRun.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/notice/ServerRun.java
@@ -13,7 +13,7 @@
     return new ServerRun(server.id(), server.startedAt());
   }
 
-  /** Returns whether the run can be told from a later one under the same id. */
+  /** Returns whether the run differs from any later one under the same id. */
   boolean isUnique() {
     return startedAt != 0;
   }
