--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
@@ -13,6 +13,7 @@
 import java.util.Random;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import org.wigeonwharf.gateway.eligibility.EligibleServers;
 import org.wigeonwharf.gateway.backend.BackendServer;
 import org.wigeonwharf.gateway.backend.ServerDirectory;
 import org.wigeonwharf.gateway.limit.LimitLog;
@@ -155,6 +156,7 @@
         new ExchangeManager(
             () -> routes,
             directory,
+            new EligibleServers(directory, List.of()),
             new ServerChooser(DOMAIN, inFlight, prefixCaches, ServerPenalties.DEFAULT, notices),
             notices,
             budget,
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/PromptPlacementTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/PromptPlacementTest.java
@@ -15,6 +15,7 @@
 import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.wigeonwharf.gateway.route.AllowedRegions;
 import org.wigeonwharf.gateway.backend.BackendServer;
 import org.wigeonwharf.gateway.limit.LimitLog;
 import org.wigeonwharf.gateway.limit.ServerLimits;
@@ -76,7 +77,7 @@
   }
 
   private static Demand demand(int tokens, long interTokenMillis, List<PromptPart> parts) {
-    return new Demand("model", 0, parts, tokens, 300, 1_000, interTokenMillis);
+    return new Demand("model", 0, parts, tokens, 300, 1_000, interTokenMillis, null, AllowedRegions.ALL);
   }
 
   private String place(Demand d) {
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
@@ -13,6 +13,7 @@
 import org.slf4j.LoggerFactory;
 import org.wigeonwharf.gateway.backend.BackendServer;
 import org.wigeonwharf.gateway.backend.ServerDirectory;
+import org.wigeonwharf.gateway.eligibility.EligibleServers;
 import org.wigeonwharf.gateway.feed.PublishedStore;
 import org.wigeonwharf.gateway.feed.StoreFeed;
 import org.wigeonwharf.gateway.http.CallerListener;
@@ -140,6 +141,7 @@
         new ExchangeManager(
             feed::routes,
             directory,
+            new EligibleServers(directory, List.of()),
             chooser,
             notices,
             retryBudget,
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Admission.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Admission.java
@@ -5,6 +5,7 @@
 import org.jspecify.annotations.Nullable;
 import org.wigeonwharf.gateway.placement.Demand;
 import org.wigeonwharf.gateway.route.Account;
+import org.wigeonwharf.gateway.route.AllowedRegions;
 import org.wigeonwharf.gateway.route.Route;
 import org.wigeonwharf.gateway.route.RouteTable;
 import org.wigeonwharf.model.Clock;
@@ -66,7 +67,9 @@
             metadata.promptTokens(),
             metadata.outputTokens(),
             route.objectiveMillis(),
-            route.interTokenObjectiveMillis());
+            route.interTokenObjectiveMillis(),
+            account == null ? null : account.name(),
+            AllowedRegions.ALL);
     long timeoutMillis =
         metadata.timeoutMillis() < 0
             ? route.timeoutMillis()
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
@@ -295,7 +295,7 @@
   }
 
   private List<BackendServer> acceptingServers(Admission a) {
-    return manager.notices().accepting(manager.directory().usable(a.service()), arrivedAt());
+    return manager.notices().accepting(manager.eligible().find(a.demand()), arrivedAt());
   }
 
   /** Holds the request until a server may receive it, unless all want a longer pause than that. */
@@ -319,7 +319,7 @@
   }
 
   private void logHeld(Admission a, long now) {
-    List<BackendServer> known = manager.directory().usable(a.service());
+    List<BackendServer> known = manager.eligible().find(a.demand());
     int leaving = (int) known.stream().filter(manager.notices()::isLeaving).count();
     int paused = (int) known.stream().filter(s -> manager.notices().isClosed(s, now)).count();
     manager
@@ -344,7 +344,7 @@
     manager.held().remove(this);
     Admission a = admission;
     if (currentAttempt == null && a != null) {
-      boolean unknown = manager.directory().usable(a.service()).isEmpty();
+      boolean unknown = manager.eligible().find(a.demand()).isEmpty();
       giveUp(unknown ? "no server of the service is known" : "no server accepts the request");
     }
   }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/ExchangeManager.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/ExchangeManager.java
@@ -7,6 +7,7 @@
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.wigeonwharf.gateway.backend.ServerDirectory;
+import org.wigeonwharf.gateway.eligibility.EligibleServers;
 import org.wigeonwharf.gateway.notice.ServerNotices;
 import org.wigeonwharf.gateway.placement.ServerChooser;
 import org.wigeonwharf.gateway.quarantine.PromptQuarantine;
@@ -24,6 +25,7 @@
 
   private final Supplier<@Nullable RouteTable> routes;
   private final ServerDirectory directory;
+  private final EligibleServers eligible;
   private final ServerChooser chooser;
   private final ServerNotices notices;
   private final RetryBudget budget;
@@ -46,6 +48,7 @@
    *
    * @param routes supplies the current routes, or null before the first configuration
    * @param directory the backend servers
+   * @param eligible the servers that a request may be sent to
    * @param chooser chooses the server of each request
    * @param notices what servers state of themselves
    * @param budget limits retries
@@ -62,6 +65,7 @@
   public ExchangeManager(
       Supplier<@Nullable RouteTable> routes,
       ServerDirectory directory,
+      EligibleServers eligible,
       ServerChooser chooser,
       ServerNotices notices,
       RetryBudget budget,
@@ -75,6 +79,7 @@
       DoubleSupplier splitPoints) {
     this.routes = routes;
     this.directory = directory;
+    this.eligible = eligible;
     this.chooser = chooser;
     this.notices = notices;
     this.budget = budget;
@@ -147,6 +152,10 @@
     return directory;
   }
 
+  EligibleServers eligible() {
+    return eligible;
+  }
+
   ServerChooser chooser() {
     return chooser;
   }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/Demand.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/Demand.java
@@ -1,6 +1,8 @@
 package org.wigeonwharf.gateway.placement;
 
 import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.wigeonwharf.gateway.route.AllowedRegions;
 
 /**
  * Describes the properties of a request that decide its placement.
@@ -13,6 +15,8 @@
  * @param objectiveMillis latency objective for the answer, or for a stream's first event
  * @param interTokenObjectiveMillis latency objective for the time between two events of a stream; 0
  *     if there is none
+ * @param account the name of the client account, or null if the caller did not authenticate
+ * @param regions the regions in which it may be served, cached and stored
  */
 public record Demand(
     String service,
@@ -21,7 +25,9 @@
     int promptTokens,
     int outputTokens,
     long objectiveMillis,
-    long interTokenObjectiveMillis) {
+    long interTokenObjectiveMillis,
+    @Nullable String account,
+    AllowedRegions regions) {
   /** Inter-token latency objective of interactive chat, in ms; it has a sensitivity of 1. */
   private static final double INTERACTIVE_INTER_TOKEN_MILLIS = 200;
 
