--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
@@ -14,7 +14,6 @@
 import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
-import org.wigeonwharf.gateway.route.AllowedRegions;
 import org.wigeonwharf.gateway.limit.LimitLog;
 import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.placement.Demand;
@@ -24,6 +23,7 @@
 import org.wigeonwharf.gateway.quarantine.PromptQuarantine;
 import org.wigeonwharf.gateway.quarantine.QuarantineLog;
 import org.wigeonwharf.gateway.quarantine.ServerEnd;
+import org.wigeonwharf.gateway.route.AllowedRegions;
 import org.wigeonwharf.model.Clock;
 import org.wigeonwharf.model.FailureDomain;
 import org.wigeonwharf.model.NodeId;
@@ -35,7 +35,8 @@
  * a partition.
  */
 class PeerGossipTest {
-  private static final Demand REQUEST = new Demand("s", 0, List.of(), 1_000, 0, 100, 200, null, AllowedRegions.ALL);
+  private static final Demand REQUEST =
+      new Demand("s", 0, List.of(), 1_000, 0, 100, 200, null, AllowedRegions.ALL);
   private static final InetSocketAddress SEED = address(1);
 
   private final Map<InetSocketAddress, Node> nodes = new HashMap<>();
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/PlainPlacementTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/PlainPlacementTest.java
@@ -6,8 +6,8 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import org.wigeonwharf.gateway.route.AllowedRegions;
 import org.wigeonwharf.gateway.backend.BackendServer;
+import org.wigeonwharf.gateway.route.AllowedRegions;
 import org.wigeonwharf.model.FailureDomain;
 
 /**
@@ -15,7 +15,8 @@
  * failure domains without need, because load, distance and failures are weighed wrongly.
  */
 class PlainPlacementTest {
-  private static final Demand LOOKUP = new Demand("bookings", 0, List.of(), 0, 0, 250, 0, null, AllowedRegions.ALL);
+  private static final Demand LOOKUP =
+      new Demand("bookings", 0, List.of(), 0, 0, 250, 0, null, AllowedRegions.ALL);
 
   private final PlainPlacement policy = new PlainPlacement(ServerPenalties.DEFAULT);
 
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/PromptPlacementTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/PromptPlacementTest.java
@@ -15,12 +15,12 @@
 import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
-import org.wigeonwharf.gateway.route.AllowedRegions;
 import org.wigeonwharf.gateway.backend.BackendServer;
 import org.wigeonwharf.gateway.limit.LimitLog;
 import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.notice.NoticeLog;
 import org.wigeonwharf.gateway.notice.ServerNotices;
+import org.wigeonwharf.gateway.route.AllowedRegions;
 import org.wigeonwharf.gateway.route.EngineSpec;
 import org.wigeonwharf.gateway.route.ServiceSpec;
 import org.wigeonwharf.model.Clock;
@@ -77,7 +77,8 @@
   }
 
   private static Demand demand(int tokens, long interTokenMillis, List<PromptPart> parts) {
-    return new Demand("model", 0, parts, tokens, 300, 1_000, interTokenMillis, null, AllowedRegions.ALL);
+    return new Demand(
+        "model", 0, parts, tokens, 300, 1_000, interTokenMillis, null, AllowedRegions.ALL);
   }
 
   private String place(Demand d) {
