--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreFeedTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreFeedTest.java
@@ -36,6 +36,7 @@
   private final List<Call> calls = new ArrayList<>();
   private boolean frequentReader = true;
   private boolean throwing;
+  private final List<StoreChanges> passedOn = new ArrayList<>();
   private Runnable onChange = () -> {};
   private final StoreFeed feed =
       new StoreFeed(
@@ -45,6 +46,7 @@
           new SplittableRandom(1),
           () -> frequentReader,
           () -> onChange.run(),
+          passedOn::add,
           new MetricRegistry());
 
   /** A call of the feed to the store, to be completed by the test. */
@@ -407,4 +409,145 @@
     startWith(server("a"));
     assertFalse(feed.isInitialized());
   }
+
+  // Following the readers of the failure domain.
+
+  private static final ReaderState IN_CONTACT = new ReaderState(0, -1);
+
+  private void follow() {
+    frequentReader = false;
+    startWith(routes(3), server("a"));
+    feed.onPeerReader(IN_CONTACT);
+    answer(6, server("b"));
+    timers.advanceMillis(WATCH_MIN_INTERVAL_MILLIS);
+  }
+
+  private static StoreChanges changes(long after, long revision, PublishedItem... items) {
+    return new StoreChanges(after, revision, true, List.of(items));
+  }
+
+  @Test
+  void readerPassesOnChangesOfServersAndNamesOthers() {
+    startWith(routes(3));
+    answer(7, server("a"), new PublishedItem.ServerRemoved("b"));
+    timers.advanceMillis(WATCH_MIN_INTERVAL_MILLIS);
+    answer(8, routes(4));
+    assertEquals(
+        List.of(
+            changes(5, 7, server("a"), new PublishedItem.ServerRemoved("b")),
+            new StoreChanges(7, 8, false, List.of())),
+        passedOn);
+  }
+
+  @Test
+  void followerReadsNothingItselfWhileReadersAreInContact() {
+    follow();
+    int before = calls.size();
+    for (int i = 0; i < 50; i++) {
+      feed.onPeerReader(IN_CONTACT);
+      feed.onPeerChanges(changes(6 + i, 7 + i, server("s" + i)));
+      feed.onPeerRevision(7 + i);
+      timers.advanceMillis(400);
+    }
+    assertEquals(before, calls.size());
+    assertEquals(52, usableServers());
+    assertTrue(passedOn.isEmpty());
+  }
+
+  @Test
+  void followerWaitsForChangesItselfOnceTheReadersAreSilent() {
+    follow();
+    int before = calls.size();
+    timers.advanceMillis(1_600);
+    assertEquals(before + 1, calls.size());
+    assertEquals(6, lastCall().after);
+  }
+
+  @Test
+  void followerWaitsForChangesItselfOnceNoReaderIsInContact() {
+    follow();
+    int before = calls.size();
+    for (int i = 0; i < 20; i++) {
+      feed.onPeerReader(new ReaderState(i * 400L * Clock.NANOS_PER_MILLI, -1));
+      timers.advanceMillis(400);
+    }
+    assertEquals(before + 1, calls.size());
+  }
+
+  @Test
+  void followerReadsWhatWasLostOnTheWay() {
+    follow();
+    feed.onPeerChanges(changes(8, 9, server("d")));
+    assertEquals(2, usableServers());
+    feed.onPeerReader(IN_CONTACT);
+    feed.onPeerRevision(9);
+    timers.advanceMillis(BEHIND_GRACE_MILLIS);
+    assertEquals(6, lastCall().after);
+    answer(9, server("c"), server("d"));
+    assertEquals(4, usableServers());
+  }
+
+  @Test
+  void followerReadsAtOnceWhatIsNotPassedOn() {
+    follow();
+    final int before = calls.size();
+    feed.onPeerReader(IN_CONTACT);
+    feed.onPeerChanges(new StoreChanges(6, 7, false, List.of()));
+    timers.advanceMillis(100);
+    assertEquals(before + 1, calls.size());
+    answer(7, routes(4));
+    assertEquals(4, feed.routes().version());
+  }
+
+  // Guards against a removed server that returns with an answer under way when it was removed.
+  @Test
+  void answerThatWasOvertakenByPassedOnChangesIsDiscarded() {
+    frequentReader = false;
+    startWith(routes(3));
+    final Call pending = lastCall();
+    feed.onPeerReader(IN_CONTACT);
+    feed.onPeerChanges(changes(5, 6, server("a")));
+    feed.onPeerChanges(changes(6, 7, new PublishedItem.ServerRemoved("a")));
+    pending.answer.complete(new Batch(List.of(server("a")), 6));
+    timers.advanceMillis(0);
+    assertEquals(0, usableServers());
+  }
+
+  // Guards against changes that a complete list read meanwhile does not hold yet.
+  @Test
+  void changesPassedOnDuringCompleteReadAreNotLost() {
+    frequentReader = false;
+    startWith(routes(3));
+    fail(new HistoryLostException());
+    feed.onPeerReader(IN_CONTACT);
+    feed.onPeerChanges(changes(5, 8, server("a")));
+    answer(7, routes(3));
+    feed.onPeerRevision(8);
+    timers.advanceMillis(BEHIND_GRACE_MILLIS);
+    assertEquals(7, lastCall().after);
+    answer(8, server("a"));
+    assertEquals(1, usableServers());
+  }
+
+  @Test
+  void entriesThatExpiredInAnOutageOfTheReadersStayForTheGracePeriod() {
+    follow();
+    feed.onPeerReader(new ReaderState(0, 100 * Clock.NANOS_PER_MILLI));
+    feed.onPeerChanges(changes(6, 7, new PublishedItem.ServerRemoved("a")));
+    assertEquals(2, usableServers());
+    timers.advanceMillis(GRACE_MILLIS);
+    directory.expireUnconfirmed(timers.nanos());
+    assertEquals(1, usableServers());
+  }
+
+  @Test
+  void followerThatBecomesReaderWaitsForChangesItself() {
+    follow();
+    frequentReader = true;
+    feed.onPeerReader(IN_CONTACT);
+    timers.advanceMillis(500);
+    assertEquals(6, lastCall().after);
+    assertFalse(lastCall().answer.isDone());
+    assertEquals(-1, feed.readerState().reconnectAgeNanos());
+  }
 }
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreSilenceTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreSilenceTest.java
@@ -101,12 +101,24 @@
   private void tell(int number) {
     for (StoreFeed other : feeds) {
       if (other != feeds.get(number)) {
+        ReaderState state = feeds.get(number).readerState();
+        if (state != null) {
+          other.onPeerReader(state);
+        }
         other.onPeerRevision(feeds.get(number).changeRevision());
       }
     }
     timers.schedule(MESSAGE_INTERVAL_MILLIS * Clock.NANOS_PER_MILLI, () -> tell(number));
   }
 
+  private void passOn(int number, StoreChanges changes) {
+    for (StoreFeed other : feeds) {
+      if (other != feeds.get(number)) {
+        other.onPeerChanges(changes);
+      }
+    }
+  }
+
   private void startFleet(int routers, long seed) {
     Random random = new Random(seed);
     for (int i = 0; i < routers; i++) {
@@ -119,6 +131,7 @@
               new Random(seed + i),
               () -> number < FREQUENT_READERS,
               () -> {},
+              changes -> passOn(number, changes),
               new MetricRegistry());
       feeds.add(feed);
       timers.schedule(random.nextInt(300) * Clock.NANOS_PER_MILLI, feed::start);
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/GossipFixture.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/GossipFixture.java
@@ -66,8 +66,7 @@
             clock,
             new Random(incarnation),
             (destination, datagram) -> network.send(destination.getPort() - FIRST_PORT, datagram),
-            () -> 1,
-            revision -> {});
+            new RecordingStoreProgress());
   }
 
   private static InetSocketAddress address(int number) {
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/GossipFuzzTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/GossipFuzzTest.java
@@ -102,8 +102,7 @@
             () -> now,
             random,
             (destination, datagram) -> longestMessage = Math.max(longestMessage, datagram.length),
-            () -> 1,
-            revision -> {});
+            new RecordingStoreProgress());
     for (int i = 0; i < 100; i++) {
       now += 10 * Clock.NANOS_PER_MILLI;
       byte[] news = fill(RouterNews.newBuilder(), random, 0).toByteArray();
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
@@ -14,6 +14,10 @@
 import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.wigeonwharf.gateway.backend.BackendServer;
+import org.wigeonwharf.gateway.feed.PublishedItem;
+import org.wigeonwharf.gateway.feed.ReaderState;
+import org.wigeonwharf.gateway.feed.StoreChanges;
 import org.wigeonwharf.gateway.limit.LimitLog;
 import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.placement.Demand;
@@ -58,10 +62,9 @@
         new PromptQuarantine(new QuarantineLog(new MetricRegistry()), new Random(7), now);
     private final ServerLimits limits =
         new ServerLimits(new LimitLog(new MetricRegistry()), () -> 0, random, now);
-    private final List<Long> newerRevisions = new ArrayList<>();
+    private final RecordingStoreProgress store = new RecordingStoreProgress();
     private final PeerGossip gossip;
     private final String domain;
-    private long storeRevision = 1;
 
     Node(int number, String domain, String secret) {
       this.domain = domain;
@@ -79,8 +82,7 @@
               () -> now,
               new Random(number),
               this::send,
-              () -> storeRevision,
-              newerRevisions::add);
+              store);
       nodes.put(address(number), this);
     }
 
@@ -306,10 +308,10 @@
     Node a = addNode(1, "d");
     final Node b = addNode(2, "e");
     advanceMillis(2_000);
-    a.storeRevision = 5;
+    a.store.changeRevision = 5;
     advanceMillis(1_000);
-    assertTrue(b.newerRevisions.contains(5L));
-    assertTrue(a.newerRevisions.isEmpty());
+    assertTrue(b.store.newerRevisions.contains(5L));
+    assertTrue(a.store.newerRevisions.isEmpty());
   }
 
   @Test
@@ -497,4 +499,40 @@
     advanceMillis(2_000);
     assertEquals(0, b.inFlight.workAt("server", now).running());
   }
+
+  @Test
+  void changesOfTheStoreReachTheFailureDomainUnchangedAndNoOther() {
+    Node a = addNode(1, "d");
+    final Node b = addNode(2, "d");
+    final Node c = addNode(3, "e");
+    advanceMillis(4_000);
+    a.store.ownState = new ReaderState(300 * Clock.NANOS_PER_MILLI, -1);
+    StoreChanges changes =
+        new StoreChanges(
+            7,
+            9,
+            true,
+            List.of(
+                new PublishedItem.Server(
+                    new BackendServer(
+                        "s1", "model", address(99), new FailureDomain("e"), 12, true, 42)),
+                new PublishedItem.ServerRemoved("s2")));
+    a.gossip.passOn(changes);
+    a.gossip.passOn(new StoreChanges(9, 10, false, List.of()));
+    advanceMillis(400);
+    assertEquals(List.of(changes, new StoreChanges(9, 10, false, List.of())), b.store.changes);
+    assertTrue(c.store.changes.isEmpty());
+    assertEquals(a.store.ownState, b.store.readers.get(0));
+    assertTrue(c.store.readers.isEmpty());
+  }
+
+  @Test
+  void reconnectionOfReadersIsReported() {
+    Node a = addNode(1, "d");
+    final Node b = addNode(2, "d");
+    advanceMillis(4_000);
+    a.store.ownState = new ReaderState(0, 70 * Clock.NANOS_PER_MILLI);
+    advanceMillis(800);
+    assertEquals(70 * Clock.NANOS_PER_MILLI, b.store.readers.get(0).reconnectAgeNanos());
+  }
 }
--- /dev/null
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/RecordingStoreProgress.java
@@ -0,0 +1,42 @@
+package org.wigeonwharf.gateway.peer;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.wigeonwharf.gateway.feed.ReaderState;
+import org.wigeonwharf.gateway.feed.StoreChanges;
+import org.wigeonwharf.gateway.feed.StoreProgress;
+
+/** Records what other routers say of the store. */
+final class RecordingStoreProgress implements StoreProgress {
+  final List<Long> newerRevisions = new ArrayList<>();
+  final List<ReaderState> readers = new ArrayList<>();
+  final List<StoreChanges> changes = new ArrayList<>();
+  long changeRevision = 1;
+  @Nullable ReaderState ownState;
+
+  @Override
+  public long changeRevision() {
+    return changeRevision;
+  }
+
+  @Override
+  public @Nullable ReaderState readerState() {
+    return ownState;
+  }
+
+  @Override
+  public void onPeerRevision(long newer) {
+    newerRevisions.add(newer);
+  }
+
+  @Override
+  public void onPeerReader(ReaderState state) {
+    readers.add(state);
+  }
+
+  @Override
+  public void onPeerChanges(StoreChanges received) {
+    changes.add(received);
+  }
+}
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/SharedLimitTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/SharedLimitTest.java
@@ -87,8 +87,7 @@
               () -> now,
               random,
               this::send,
-              () -> 1,
-              revision -> {});
+              new RecordingStoreProgress());
       nodes.put(address, this);
     }
 
--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNews.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNews.java
@@ -40,6 +40,7 @@
     summaries_ = java.util.Collections.emptyList();
     limits_ = java.util.Collections.emptyList();
     demand_ = java.util.Collections.emptyList();
+    storeChanges_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -551,6 +552,105 @@
     return demand_.get(index);
   }
 
+  public static final int READER_FIELD_NUMBER = 30;
+  private org.wigeonwharf.gateway.peer.wire.StoreReaderNews reader_;
+  /**
+   * <pre>
+   * Set if the sender passes on what it reads from the store.
+   * </pre>
+   *
+   * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+   * @return Whether the reader field is set.
+   */
+  @java.lang.Override
+  public boolean hasReader() {
+    return ((bitField0_ & 0x00000004) != 0);
+  }
+  /**
+   * <pre>
+   * Set if the sender passes on what it reads from the store.
+   * </pre>
+   *
+   * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+   * @return The reader.
+   */
+  @java.lang.Override
+  public org.wigeonwharf.gateway.peer.wire.StoreReaderNews getReader() {
+    return reader_ == null ? org.wigeonwharf.gateway.peer.wire.StoreReaderNews.getDefaultInstance() : reader_;
+  }
+  /**
+   * <pre>
+   * Set if the sender passes on what it reads from the store.
+   * </pre>
+   *
+   * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.gateway.peer.wire.StoreReaderNewsOrBuilder getReaderOrBuilder() {
+    return reader_ == null ? org.wigeonwharf.gateway.peer.wire.StoreReaderNews.getDefaultInstance() : reader_;
+  }
+
+  public static final int STORE_CHANGES_FIELD_NUMBER = 31;
+  @SuppressWarnings("serial")
+  private java.util.List<org.wigeonwharf.gateway.peer.wire.StoreChangesNews> storeChanges_;
+  /**
+   * <pre>
+   * Within a failure domain only.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.wigeonwharf.gateway.peer.wire.StoreChangesNews> getStoreChangesList() {
+    return storeChanges_;
+  }
+  /**
+   * <pre>
+   * Within a failure domain only.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.wigeonwharf.gateway.peer.wire.StoreChangesNewsOrBuilder> 
+      getStoreChangesOrBuilderList() {
+    return storeChanges_;
+  }
+  /**
+   * <pre>
+   * Within a failure domain only.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+   */
+  @java.lang.Override
+  public int getStoreChangesCount() {
+    return storeChanges_.size();
+  }
+  /**
+   * <pre>
+   * Within a failure domain only.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.gateway.peer.wire.StoreChangesNews getStoreChanges(int index) {
+    return storeChanges_.get(index);
+  }
+  /**
+   * <pre>
+   * Within a failure domain only.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.gateway.peer.wire.StoreChangesNewsOrBuilder getStoreChangesOrBuilder(
+      int index) {
+    return storeChanges_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -610,6 +710,12 @@
     for (int i = 0; i < demand_.size(); i++) {
       output.writeMessage(16, demand_.get(i));
     }
+    if (((bitField0_ & 0x00000004) != 0)) {
+      output.writeMessage(30, getReader());
+    }
+    for (int i = 0; i < storeChanges_.size(); i++) {
+      output.writeMessage(31, storeChanges_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -678,6 +784,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(16, demand_.get(i));
     }
+    if (((bitField0_ & 0x00000004) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(30, getReader());
+    }
+    for (int i = 0; i < storeChanges_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(31, storeChanges_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -729,6 +843,13 @@
         .equals(other.getLimitsList())) return false;
     if (!getDemandList()
         .equals(other.getDemandList())) return false;
+    if (hasReader() != other.hasReader()) return false;
+    if (hasReader()) {
+      if (!getReader()
+          .equals(other.getReader())) return false;
+    }
+    if (!getStoreChangesList()
+        .equals(other.getStoreChangesList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -792,6 +913,14 @@
       hash = (37 * hash) + DEMAND_FIELD_NUMBER;
       hash = (53 * hash) + getDemandList().hashCode();
     }
+    if (hasReader()) {
+      hash = (37 * hash) + READER_FIELD_NUMBER;
+      hash = (53 * hash) + getReader().hashCode();
+    }
+    if (getStoreChangesCount() > 0) {
+      hash = (37 * hash) + STORE_CHANGES_FIELD_NUMBER;
+      hash = (53 * hash) + getStoreChangesList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -935,6 +1064,8 @@
         internalGetQuarantineFieldBuilder();
         internalGetLimitsFieldBuilder();
         internalGetDemandFieldBuilder();
+        internalGetReaderFieldBuilder();
+        internalGetStoreChangesFieldBuilder();
       }
     }
     @java.lang.Override
@@ -1000,6 +1131,18 @@
         demandBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00004000);
+      reader_ = null;
+      if (readerBuilder_ != null) {
+        readerBuilder_.dispose();
+        readerBuilder_ = null;
+      }
+      if (storeChangesBuilder_ == null) {
+        storeChanges_ = java.util.Collections.emptyList();
+      } else {
+        storeChanges_ = null;
+        storeChangesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00010000);
       return this;
     }
 
@@ -1087,6 +1230,15 @@
       } else {
         result.demand_ = demandBuilder_.build();
       }
+      if (storeChangesBuilder_ == null) {
+        if (((bitField0_ & 0x00010000) != 0)) {
+          storeChanges_ = java.util.Collections.unmodifiableList(storeChanges_);
+          bitField0_ = (bitField0_ & ~0x00010000);
+        }
+        result.storeChanges_ = storeChanges_;
+      } else {
+        result.storeChanges_ = storeChangesBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.wigeonwharf.gateway.peer.wire.RouterNews result) {
@@ -1125,6 +1277,12 @@
             : quarantineBuilder_.build();
         to_bitField0_ |= 0x00000002;
       }
+      if (((from_bitField0_ & 0x00008000) != 0)) {
+        result.reader_ = readerBuilder_ == null
+            ? reader_
+            : readerBuilder_.build();
+        to_bitField0_ |= 0x00000004;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -1325,6 +1483,35 @@
           }
         }
       }
+      if (other.hasReader()) {
+        mergeReader(other.getReader());
+      }
+      if (storeChangesBuilder_ == null) {
+        if (!other.storeChanges_.isEmpty()) {
+          if (storeChanges_.isEmpty()) {
+            storeChanges_ = other.storeChanges_;
+            bitField0_ = (bitField0_ & ~0x00010000);
+          } else {
+            ensureStoreChangesIsMutable();
+            storeChanges_.addAll(other.storeChanges_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.storeChanges_.isEmpty()) {
+          if (storeChangesBuilder_.isEmpty()) {
+            storeChangesBuilder_.dispose();
+            storeChangesBuilder_ = null;
+            storeChanges_ = other.storeChanges_;
+            bitField0_ = (bitField0_ & ~0x00010000);
+            storeChangesBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetStoreChangesFieldBuilder() : null;
+          } else {
+            storeChangesBuilder_.addAllMessages(other.storeChanges_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1478,6 +1665,26 @@
               }
               break;
             } // case 130
+            case 242: {
+              input.readMessage(
+                  internalGetReaderFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00008000;
+              break;
+            } // case 242
+            case 250: {
+              org.wigeonwharf.gateway.peer.wire.StoreChangesNews m =
+                  input.readMessage(
+                      org.wigeonwharf.gateway.peer.wire.StoreChangesNews.parser(),
+                      extensionRegistry);
+              if (storeChangesBuilder_ == null) {
+                ensureStoreChangesIsMutable();
+                storeChanges_.add(m);
+              } else {
+                storeChangesBuilder_.addMessage(m);
+              }
+              break;
+            } // case 250
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3765,6 +3972,475 @@
       return demandBuilder_;
     }
 
+    private org.wigeonwharf.gateway.peer.wire.StoreReaderNews reader_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wigeonwharf.gateway.peer.wire.StoreReaderNews, org.wigeonwharf.gateway.peer.wire.StoreReaderNews.Builder, org.wigeonwharf.gateway.peer.wire.StoreReaderNewsOrBuilder> readerBuilder_;
+    /**
+     * <pre>
+     * Set if the sender passes on what it reads from the store.
+     * </pre>
+     *
+     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+     * @return Whether the reader field is set.
+     */
+    public boolean hasReader() {
+      return ((bitField0_ & 0x00008000) != 0);
+    }
+    /**
+     * <pre>
+     * Set if the sender passes on what it reads from the store.
+     * </pre>
+     *
+     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+     * @return The reader.
+     */
+    public org.wigeonwharf.gateway.peer.wire.StoreReaderNews getReader() {
+      if (readerBuilder_ == null) {
+        return reader_ == null ? org.wigeonwharf.gateway.peer.wire.StoreReaderNews.getDefaultInstance() : reader_;
+      } else {
+        return readerBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * Set if the sender passes on what it reads from the store.
+     * </pre>
+     *
+     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+     */
+    public Builder setReader(org.wigeonwharf.gateway.peer.wire.StoreReaderNews value) {
+      if (readerBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        reader_ = value;
+      } else {
+        readerBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00008000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set if the sender passes on what it reads from the store.
+     * </pre>
+     *
+     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+     */
+    public Builder setReader(
+        org.wigeonwharf.gateway.peer.wire.StoreReaderNews.Builder builderForValue) {
+      if (readerBuilder_ == null) {
+        reader_ = builderForValue.build();
+      } else {
+        readerBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00008000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set if the sender passes on what it reads from the store.
+     * </pre>
+     *
+     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+     */
+    public Builder mergeReader(org.wigeonwharf.gateway.peer.wire.StoreReaderNews value) {
+      if (readerBuilder_ == null) {
+        if (((bitField0_ & 0x00008000) != 0) &&
+          reader_ != null &&
+          reader_ != org.wigeonwharf.gateway.peer.wire.StoreReaderNews.getDefaultInstance()) {
+          getReaderBuilder().mergeFrom(value);
+        } else {
+          reader_ = value;
+        }
+      } else {
+        readerBuilder_.mergeFrom(value);
+      }
+      if (reader_ != null) {
+        bitField0_ |= 0x00008000;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Set if the sender passes on what it reads from the store.
+     * </pre>
+     *
+     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+     */
+    public Builder clearReader() {
+      bitField0_ = (bitField0_ & ~0x00008000);
+      reader_ = null;
+      if (readerBuilder_ != null) {
+        readerBuilder_.dispose();
+        readerBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set if the sender passes on what it reads from the store.
+     * </pre>
+     *
+     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.StoreReaderNews.Builder getReaderBuilder() {
+      bitField0_ |= 0x00008000;
+      onChanged();
+      return internalGetReaderFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * Set if the sender passes on what it reads from the store.
+     * </pre>
+     *
+     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.StoreReaderNewsOrBuilder getReaderOrBuilder() {
+      if (readerBuilder_ != null) {
+        return readerBuilder_.getMessageOrBuilder();
+      } else {
+        return reader_ == null ?
+            org.wigeonwharf.gateway.peer.wire.StoreReaderNews.getDefaultInstance() : reader_;
+      }
+    }
+    /**
+     * <pre>
+     * Set if the sender passes on what it reads from the store.
+     * </pre>
+     *
+     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wigeonwharf.gateway.peer.wire.StoreReaderNews, org.wigeonwharf.gateway.peer.wire.StoreReaderNews.Builder, org.wigeonwharf.gateway.peer.wire.StoreReaderNewsOrBuilder> 
+        internalGetReaderFieldBuilder() {
+      if (readerBuilder_ == null) {
+        readerBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.wigeonwharf.gateway.peer.wire.StoreReaderNews, org.wigeonwharf.gateway.peer.wire.StoreReaderNews.Builder, org.wigeonwharf.gateway.peer.wire.StoreReaderNewsOrBuilder>(
+                getReader(),
+                getParentForChildren(),
+                isClean());
+        reader_ = null;
+      }
+      return readerBuilder_;
+    }
+
+    private java.util.List<org.wigeonwharf.gateway.peer.wire.StoreChangesNews> storeChanges_ =
+      java.util.Collections.emptyList();
+    private void ensureStoreChangesIsMutable() {
+      if (!((bitField0_ & 0x00010000) != 0)) {
+        storeChanges_ = new java.util.ArrayList<org.wigeonwharf.gateway.peer.wire.StoreChangesNews>(storeChanges_);
+        bitField0_ |= 0x00010000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wigeonwharf.gateway.peer.wire.StoreChangesNews, org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder, org.wigeonwharf.gateway.peer.wire.StoreChangesNewsOrBuilder> storeChangesBuilder_;
+
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public java.util.List<org.wigeonwharf.gateway.peer.wire.StoreChangesNews> getStoreChangesList() {
+      if (storeChangesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(storeChanges_);
+      } else {
+        return storeChangesBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public int getStoreChangesCount() {
+      if (storeChangesBuilder_ == null) {
+        return storeChanges_.size();
+      } else {
+        return storeChangesBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.StoreChangesNews getStoreChanges(int index) {
+      if (storeChangesBuilder_ == null) {
+        return storeChanges_.get(index);
+      } else {
+        return storeChangesBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public Builder setStoreChanges(
+        int index, org.wigeonwharf.gateway.peer.wire.StoreChangesNews value) {
+      if (storeChangesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureStoreChangesIsMutable();
+        storeChanges_.set(index, value);
+        onChanged();
+      } else {
+        storeChangesBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public Builder setStoreChanges(
+        int index, org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder builderForValue) {
+      if (storeChangesBuilder_ == null) {
+        ensureStoreChangesIsMutable();
+        storeChanges_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        storeChangesBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public Builder addStoreChanges(org.wigeonwharf.gateway.peer.wire.StoreChangesNews value) {
+      if (storeChangesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureStoreChangesIsMutable();
+        storeChanges_.add(value);
+        onChanged();
+      } else {
+        storeChangesBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public Builder addStoreChanges(
+        int index, org.wigeonwharf.gateway.peer.wire.StoreChangesNews value) {
+      if (storeChangesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureStoreChangesIsMutable();
+        storeChanges_.add(index, value);
+        onChanged();
+      } else {
+        storeChangesBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public Builder addStoreChanges(
+        org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder builderForValue) {
+      if (storeChangesBuilder_ == null) {
+        ensureStoreChangesIsMutable();
+        storeChanges_.add(builderForValue.build());
+        onChanged();
+      } else {
+        storeChangesBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public Builder addStoreChanges(
+        int index, org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder builderForValue) {
+      if (storeChangesBuilder_ == null) {
+        ensureStoreChangesIsMutable();
+        storeChanges_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        storeChangesBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public Builder addAllStoreChanges(
+        java.lang.Iterable<? extends org.wigeonwharf.gateway.peer.wire.StoreChangesNews> values) {
+      if (storeChangesBuilder_ == null) {
+        ensureStoreChangesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, storeChanges_);
+        onChanged();
+      } else {
+        storeChangesBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public Builder clearStoreChanges() {
+      if (storeChangesBuilder_ == null) {
+        storeChanges_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00010000);
+        onChanged();
+      } else {
+        storeChangesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public Builder removeStoreChanges(int index) {
+      if (storeChangesBuilder_ == null) {
+        ensureStoreChangesIsMutable();
+        storeChanges_.remove(index);
+        onChanged();
+      } else {
+        storeChangesBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder getStoreChangesBuilder(
+        int index) {
+      return internalGetStoreChangesFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.StoreChangesNewsOrBuilder getStoreChangesOrBuilder(
+        int index) {
+      if (storeChangesBuilder_ == null) {
+        return storeChanges_.get(index);  } else {
+        return storeChangesBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public java.util.List<? extends org.wigeonwharf.gateway.peer.wire.StoreChangesNewsOrBuilder> 
+         getStoreChangesOrBuilderList() {
+      if (storeChangesBuilder_ != null) {
+        return storeChangesBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(storeChanges_);
+      }
+    }
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder addStoreChangesBuilder() {
+      return internalGetStoreChangesFieldBuilder().addBuilder(
+          org.wigeonwharf.gateway.peer.wire.StoreChangesNews.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder addStoreChangesBuilder(
+        int index) {
+      return internalGetStoreChangesFieldBuilder().addBuilder(
+          index, org.wigeonwharf.gateway.peer.wire.StoreChangesNews.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public java.util.List<org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder> 
+         getStoreChangesBuilderList() {
+      return internalGetStoreChangesFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wigeonwharf.gateway.peer.wire.StoreChangesNews, org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder, org.wigeonwharf.gateway.peer.wire.StoreChangesNewsOrBuilder> 
+        internalGetStoreChangesFieldBuilder() {
+      if (storeChangesBuilder_ == null) {
+        storeChangesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.wigeonwharf.gateway.peer.wire.StoreChangesNews, org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder, org.wigeonwharf.gateway.peer.wire.StoreChangesNewsOrBuilder>(
+                storeChanges_,
+                ((bitField0_ & 0x00010000) != 0),
+                getParentForChildren(),
+                isClean());
+        storeChanges_ = null;
+      }
+      return storeChangesBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:wigeonwharf.gateway.RouterNews)
   }
 
--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNewsOrBuilder.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNewsOrBuilder.java
@@ -323,4 +323,75 @@
    */
   org.wigeonwharf.gateway.peer.wire.ServerDemandNewsOrBuilder getDemandOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Set if the sender passes on what it reads from the store.
+   * </pre>
+   *
+   * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+   * @return Whether the reader field is set.
+   */
+  boolean hasReader();
+  /**
+   * <pre>
+   * Set if the sender passes on what it reads from the store.
+   * </pre>
+   *
+   * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+   * @return The reader.
+   */
+  org.wigeonwharf.gateway.peer.wire.StoreReaderNews getReader();
+  /**
+   * <pre>
+   * Set if the sender passes on what it reads from the store.
+   * </pre>
+   *
+   * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+   */
+  org.wigeonwharf.gateway.peer.wire.StoreReaderNewsOrBuilder getReaderOrBuilder();
+
+  /**
+   * <pre>
+   * Within a failure domain only.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+   */
+  java.util.List<org.wigeonwharf.gateway.peer.wire.StoreChangesNews> 
+      getStoreChangesList();
+  /**
+   * <pre>
+   * Within a failure domain only.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+   */
+  org.wigeonwharf.gateway.peer.wire.StoreChangesNews getStoreChanges(int index);
+  /**
+   * <pre>
+   * Within a failure domain only.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+   */
+  int getStoreChangesCount();
+  /**
+   * <pre>
+   * Within a failure domain only.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+   */
+  java.util.List<? extends org.wigeonwharf.gateway.peer.wire.StoreChangesNewsOrBuilder> 
+      getStoreChangesOrBuilderList();
+  /**
+   * <pre>
+   * Within a failure domain only.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+   */
+  org.wigeonwharf.gateway.peer.wire.StoreChangesNewsOrBuilder getStoreChangesOrBuilder(
+      int index);
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
@@ -15,6 +15,7 @@
 import org.wigeonwharf.gateway.backend.ServerDirectory;
 import org.wigeonwharf.gateway.eligibility.EligibleServers;
 import org.wigeonwharf.gateway.feed.PublishedStore;
+import org.wigeonwharf.gateway.feed.StoreChanges;
 import org.wigeonwharf.gateway.feed.StoreFeed;
 import org.wigeonwharf.gateway.http.CallerListener;
 import org.wigeonwharf.gateway.http.EventLoopTimers;
@@ -62,8 +63,8 @@
   private static final long EXPIRY_CHECK_INTERVAL_MILLIS = 100;
 
   /**
-   * Number of routers in each failure domain that renew their wait for changes of the store often.
-   * They notice dead connections and tell the others what they miss; two, so that one may fail.
+   * Number of routers in each failure domain that follow the store closely and pass on what they
+   * read; two, so that one may fail.
    */
   private static final int FREQUENT_READERS_PER_DOMAIN = 2;
 
@@ -130,7 +131,14 @@
     this.timers = new EventLoopTimers(loop, clock);
     this.feed =
         new StoreFeed(
-            store, directory, timers, random, this::isFrequentReader, this::onStoreChange, metrics);
+            store,
+            directory,
+            timers,
+            random,
+            this::isFrequentReader,
+            this::onStoreChange,
+            this::passOn,
+            metrics);
     this.retryBudget =
         new RetryBudget(
             settings.retryWindowMillis() * Clock.NANOS_PER_MILLI,
@@ -167,8 +175,7 @@
             limits,
             settings.secret(),
             clock,
-            feed::changeRevision,
-            feed::onPeerRevision);
+            feed);
     this.stopSequence = new StopSequence(timers, new GracefulStages(), callers::pendingResponses);
     callers.onClose(stopSequence::onCallerDisconnected);
     this.readiness =
@@ -198,6 +205,10 @@
     return gossipTransport.gossip().rank() < FREQUENT_READERS_PER_DOMAIN;
   }
 
+  private void passOn(StoreChanges changes) {
+    gossipTransport.passOn(changes);
+  }
+
   private void onStoreChange() {
     if (directory.hasUnconfirmed()) {
       scheduleExpiry();
--- /dev/null
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/StoreChanges.java
@@ -0,0 +1,40 @@
+package org.wigeonwharf.gateway.feed;
+
+import java.util.List;
+
+/**
+ * Holds changes of the store that one router has read and passes on to others.
+ *
+ * @param after the store revision after which the changes begin
+ * @param revision the store revision up to which they are complete
+ * @param complete false if some of the changes are left out, so that a receiver has to read them
+ * @param items the changes in the store's order; empty if they are not complete
+ */
+public record StoreChanges(long after, long revision, boolean complete, List<PublishedItem> items) {
+  /** Maximum number of changes passed on together, which have to fit a datagram. */
+  static final int MAX_ITEMS = 30;
+
+  /** Copies {@code items}. */
+  public StoreChanges {
+    items = List.copyOf(items);
+  }
+
+  /**
+   * Describes a batch of changes. Only changes of servers are passed on; all others are read by
+   * each router itself.
+   *
+   * @param after the revision after which the batch begins
+   * @param batch the changes
+   */
+  static StoreChanges of(long after, Batch batch) {
+    boolean complete =
+        batch.items().size() <= MAX_ITEMS
+            && batch.items().stream().allMatch(StoreChanges::canPassOn);
+    return new StoreChanges(
+        after, batch.revision(), complete, complete ? batch.items() : List.of());
+  }
+
+  private static boolean canPassOn(PublishedItem item) {
+    return item instanceof PublishedItem.Server || item instanceof PublishedItem.ServerRemoved;
+  }
+}
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/StoreFeed.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/StoreFeed.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
@@ -26,11 +27,15 @@
  * items again. While the store is unreachable the last known state stays in use. A lower version of
  * the routes never replaces a higher one. All work runs on the thread that runs the timers.
  *
+ * <p>A few routers of each failure domain read often and pass on the changes of servers. The others
+ * follow them and read only what is not passed on, or lost; without a reader that is in contact
+ * with the store, they wait for changes themselves.
+ *
  * <p>If open connections to the store go silent, all routers of a failure domain have read on
  * within {@link #FREQUENT_WATCH_WAIT}, {@link #WATCH_TIMEOUT}, one interval of the routers'
  * messages and {@link #BEHIND_GRACE}, and the time of two calls.
  */
-public final class StoreFeed {
+public final class StoreFeed implements StoreProgress {
   /**
    * Maximum time that the store may hold the call of a frequent reader. A dead connection is
    * detected only after this time, but shorter waits cost more calls.
@@ -49,6 +54,12 @@
    */
   private static final Duration WATCH_MIN_INTERVAL = Duration.ofMillis(250);
 
+  /** Time between two checks whether the readers of the failure domain can still be followed. */
+  private static final Duration FOLLOW_CHECK_INTERVAL = Duration.ofMillis(500);
+
+  /** Maximum delay of a read of what the readers do not pass on, which spreads the calls. */
+  private static final Duration MAX_FOLLOW_DELAY = Duration.ofMillis(60);
+
   /** Maximum wait for the answer to a read of all items. */
   private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(1_000);
 
@@ -84,6 +95,9 @@
   private final RandomGenerator random;
   private final BooleanSupplier frequentReader;
   private final Runnable onChange;
+  private final Consumer<StoreChanges> passOn;
+  private final FollowedReaders readers =
+      new FollowedReaders(FREQUENT_WATCH_WAIT.plus(WATCH_TIMEOUT).plus(WATCH_MIN_INTERVAL));
   private final MetricRegistry metrics;
   private @Nullable RouteTable routes;
   private long revision = -1;
@@ -95,9 +109,13 @@
   private boolean catchUpScheduled;
   private Duration behindGrace = BEHIND_GRACE;
   private long callNumber;
+  private boolean callPending;
+  private boolean readingAll;
   private long watchingSince;
   private Duration currentWait = WATCH_WAIT;
   private boolean stopped;
+  private boolean reconnected;
+  private long reconnectedAt;
 
   /**
    * Creates a feed that is not started.
@@ -108,6 +126,7 @@
    * @param random adds jitter to retry delays
    * @param frequentReader tells whether this router renews its calls often
    * @param onChange called after each change of routes or servers
+   * @param passOn receives the changes that this router passes on to its failure domain
    * @param metrics receives the number of calls by outcome
    */
   public StoreFeed(
@@ -117,6 +136,7 @@
       RandomGenerator random,
       BooleanSupplier frequentReader,
       Runnable onChange,
+      Consumer<StoreChanges> passOn,
       MetricRegistry metrics) {
     this.store = store;
     this.directory = directory;
@@ -124,6 +144,7 @@
     this.random = random;
     this.frequentReader = frequentReader;
     this.onChange = onChange;
+    this.passOn = passOn;
     this.metrics = metrics;
     this.lastContactAt = timers.nanos();
   }
@@ -157,7 +178,7 @@
     return (timers.nanos() - lastContactAt) / Clock.NANOS_PER_MILLI;
   }
 
-  /** Returns the store revision of the last change that was read, or 0 before the first read. */
+  @Override
   public long changeRevision() {
     return changeRevision;
   }
@@ -169,6 +190,7 @@
    *
    * @param newer the store revision of the last change that the other router has read
    */
+  @Override
   public void onPeerRevision(long newer) {
     peerRevision = Math.max(peerRevision, newer);
     if (revision >= 0 && peerRevision > revision && !catchUpScheduled) {
@@ -190,16 +212,63 @@
         .log("another router has read later changes; waiting for changes anew");
     // The answer may be under way on a slow link, where each further one delays it.
     behindGrace = behindGrace.multipliedBy(2);
-    watch();
+    awaitChanges(frequentReader.getAsBoolean() || isFollowing() ? FREQUENT_WATCH_WAIT : WATCH_WAIT);
+  }
+
+  /** Returns whether this router relies on the readers of its failure domain. */
+  public boolean isFollowing() {
+    return !frequentReader.getAsBoolean() && readers.isCurrent(timers.nanos());
+  }
+
+  @Override
+  public @Nullable ReaderState readerState() {
+    if (stopped || !isInitialized() || !reachable || !frequentReader.getAsBoolean()) {
+      return null;
+    }
+    long now = timers.nanos();
+    return new ReaderState(now - lastContactAt, reconnected ? now - reconnectedAt : -1);
+  }
+
+  @Override
+  public void onPeerReader(ReaderState state) {
+    long now = timers.nanos();
+    readers.record(state, now);
+    if (reachable) {
+      lastContactAt = Math.max(lastContactAt, now - state.contactAgeNanos());
+    }
+    long at = now - state.reconnectAgeNanos();
+    if (state.reconnectAgeNanos() >= 0 && (!reconnected || at - reconnectedAt > 0)) {
+      recordReconnected(at);
+    }
+  }
+
+  @Override
+  public void onPeerChanges(StoreChanges changes) {
+    boolean continues = changes.after() <= revision && changes.revision() > revision;
+    if (stopped || revision < 0 || !continues || readingAll) {
+      return;
+    }
+    if (changes.complete()) {
+      metrics.counter("store.changes_followed").inc();
+      runStep(
+          (batch, none) -> applyChanges(batch),
+          new Batch(changes.items(), changes.revision()),
+          null);
+    } else if (isFollowing() && !callPending) {
+      long delay = (long) (random.nextDouble() * MAX_FOLLOW_DELAY.toNanos());
+      scheduleCall(delay, () -> awaitChanges(FREQUENT_WATCH_WAIT));
+    }
   }
 
   private void readAll() {
     if (!stopped) {
+      readingAll = true;
       call(() -> store.readAll(ANSWER_TIMEOUT), this::onReadAll);
     }
   }
 
   private void onReadAll(@Nullable Batch batch, @Nullable Throwable error) {
+    readingAll = false;
     if (batch == null) {
       retryLater(error, this::readAll);
       return;
@@ -230,15 +299,26 @@
   }
 
   private void watch() {
+    if (isFollowing()) {
+      scheduleCall(FOLLOW_CHECK_INTERVAL.toNanos(), this::watch);
+      return;
+    }
+    awaitChanges(frequentReader.getAsBoolean() ? FREQUENT_WATCH_WAIT : WATCH_WAIT);
+  }
+
+  private void awaitChanges(Duration wait) {
     if (!stopped) {
+      readingAll = false;
       watchingSince = timers.nanos();
-      Duration wait = frequentReader.getAsBoolean() ? FREQUENT_WATCH_WAIT : WATCH_WAIT;
       currentWait = wait;
-      call(() -> store.awaitChanges(revision, wait, wait.plus(WATCH_TIMEOUT)), this::onChanges);
+      long after = revision;
+      call(
+          () -> store.awaitChanges(after, wait, wait.plus(WATCH_TIMEOUT)),
+          (batch, error) -> onChanges(after, batch, error));
     }
   }
 
-  private void onChanges(@Nullable Batch batch, @Nullable Throwable error) {
+  private void onChanges(long after, @Nullable Batch batch, @Nullable Throwable error) {
     if (batch == null) {
       if (cause(error) instanceof HistoryLostException) {
         LOG.atInfo()
@@ -255,12 +335,16 @@
     // Only a successful watch resets the delay: a store that answers full reads may still
     // refuse watches.
     retryDelay = MIN_RETRY_DELAY;
-    if (batch.items().isEmpty()) {
+    boolean overtaken = after < revision && batch.revision() <= revision;
+    if (batch.items().isEmpty() || overtaken) {
       revision = Math.max(revision, batch.revision());
       watch();
       return;
     }
     applyChanges(batch);
+    if (frequentReader.getAsBoolean()) {
+      passOn.accept(StoreChanges.of(after, batch));
+    }
     scheduleCall(WATCH_MIN_INTERVAL.toNanos(), this::watch);
   }
 
@@ -313,7 +397,7 @@
     long now = timers.nanos();
     if (!reachable) {
       reachable = true;
-      directory.recordStoreReconnected(now);
+      recordReconnected(now);
       LOG.atInfo()
           .addKeyValue("event", "store.regained")
           .addKeyValue("away_ms", contactAgeMillis())
@@ -323,6 +407,12 @@
     return now;
   }
 
+  private void recordReconnected(long at) {
+    reconnected = true;
+    reconnectedAt = at;
+    directory.recordStoreReconnected(at);
+  }
+
   private void retryLater(@Nullable Throwable error, Runnable action) {
     recordLost(error);
     scheduleRetry(action);
@@ -356,6 +446,7 @@
       Supplier<CompletableFuture<Batch>> call,
       BiConsumer<@Nullable Batch, @Nullable Throwable> action) {
     long number = ++callNumber;
+    callPending = true;
     CompletableFuture<Batch> answer;
     try {
       answer = call.get();
@@ -369,6 +460,7 @@
                 () -> {
                   countCall(batch, error);
                   if (number == callNumber) {
+                    callPending = false;
                     runStep(action, batch, error);
                   } else if (batch != null && batch.revision() > revision) {
                     runStep((late, none) -> applyChanges(late), batch, null);
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipCodec.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipCodec.java
@@ -7,10 +7,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.wigeonwharf.gateway.backend.BackendServer;
+import org.wigeonwharf.gateway.feed.PublishedItem;
+import org.wigeonwharf.gateway.feed.ReaderState;
+import org.wigeonwharf.gateway.feed.StoreChanges;
 import org.wigeonwharf.gateway.limit.NamedLimit;
 import org.wigeonwharf.gateway.limit.ServerDemand;
 import org.wigeonwharf.gateway.peer.wire.PromptReadNews;
 import org.wigeonwharf.gateway.peer.wire.ProvenPartNews;
+import org.wigeonwharf.gateway.peer.wire.PublishedServerNews;
 import org.wigeonwharf.gateway.peer.wire.QuarantineNews;
 import org.wigeonwharf.gateway.peer.wire.QuarantinedPartNews;
 import org.wigeonwharf.gateway.peer.wire.RouterNews;
@@ -19,11 +24,16 @@
 import org.wigeonwharf.gateway.peer.wire.ServerLimitNews;
 import org.wigeonwharf.gateway.peer.wire.ServerWorkNews;
 import org.wigeonwharf.gateway.peer.wire.SignedNews;
+import org.wigeonwharf.gateway.peer.wire.StoreChangesNews;
+import org.wigeonwharf.gateway.peer.wire.StoreItemNews;
+import org.wigeonwharf.gateway.peer.wire.StoreReaderNews;
 import org.wigeonwharf.gateway.placement.PromptPart;
 import org.wigeonwharf.gateway.placement.ServerWork;
 import org.wigeonwharf.gateway.quarantine.QuarantineState;
 import org.wigeonwharf.gateway.quarantine.ServerEnd;
+import org.wigeonwharf.model.Addresses;
 import org.wigeonwharf.model.Clock;
+import org.wigeonwharf.model.FailureDomain;
 import org.wigeonwharf.peer.FleetSecret;
 
 /** Encodes the state of this router as signed datagrams and decodes the datagrams of its peers. */
@@ -207,6 +217,77 @@
     return demand;
   }
 
+  static StoreReaderNews encodeReader(ReaderState state) {
+    StoreReaderNews.Builder b =
+        StoreReaderNews.newBuilder().setContactAgeMillis(toMillis(state.contactAgeNanos()));
+    if (state.reconnectAgeNanos() >= 0) {
+      b.setReconnected(true).setReconnectAgeMillis(toMillis(state.reconnectAgeNanos()));
+    }
+    return b.build();
+  }
+
+  static ReaderState decodeReader(StoreReaderNews news) {
+    return new ReaderState(
+        toNanos(news.getContactAgeMillis()),
+        news.getReconnected() ? toNanos(news.getReconnectAgeMillis()) : -1);
+  }
+
+  static StoreChangesNews encodeChanges(StoreChanges changes) {
+    StoreChangesNews.Builder b =
+        StoreChangesNews.newBuilder()
+            .setAfter(changes.after())
+            .setRevision(changes.revision())
+            .setComplete(changes.complete());
+    for (PublishedItem item : changes.items()) {
+      if (item instanceof PublishedItem.Server s) {
+        b.addItems(StoreItemNews.newBuilder().setServer(encodeServer(s.server())));
+      } else if (item instanceof PublishedItem.ServerRemoved r) {
+        b.addItems(StoreItemNews.newBuilder().setRemovedServer(r.id()));
+      } else {
+        throw new IllegalArgumentException("not passed on: " + item);
+      }
+    }
+    return b.build();
+  }
+
+  static StoreChanges decodeChanges(StoreChangesNews news) {
+    List<PublishedItem> items = new ArrayList<>();
+    for (StoreItemNews item : news.getItemsList()) {
+      switch (item.getItemCase()) {
+        case SERVER -> items.add(new PublishedItem.Server(decodeServer(item.getServer())));
+        case REMOVED_SERVER -> items.add(new PublishedItem.ServerRemoved(item.getRemovedServer()));
+        default -> {
+          // Sent by a later version of the router; it has to be read from the store.
+          return new StoreChanges(news.getAfter(), news.getRevision(), false, List.of());
+        }
+      }
+    }
+    return new StoreChanges(news.getAfter(), news.getRevision(), news.getComplete(), items);
+  }
+
+  private static PublishedServerNews encodeServer(BackendServer s) {
+    return PublishedServerNews.newBuilder()
+        .setId(s.id())
+        .setService(s.service())
+        .setAddress(Addresses.format(s.address()))
+        .setFailureDomain(s.domain().value())
+        .setSlots(s.slots())
+        .setDraining(s.draining())
+        .setStartedAt(s.startedAt())
+        .build();
+  }
+
+  private static BackendServer decodeServer(PublishedServerNews n) {
+    return new BackendServer(
+        n.getId(),
+        n.getService(),
+        Addresses.parse(n.getAddress()),
+        new FailureDomain(n.getFailureDomain()),
+        Math.max(1, n.getSlots()),
+        n.getDraining(),
+        n.getStartedAt());
+  }
+
   private static long toThousandths(double perSecond) {
     return Math.round(perSecond * RATE_SCALE);
   }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipTransport.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipTransport.java
@@ -16,11 +16,11 @@
 import java.util.Random;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongConsumer;
-import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.wigeonwharf.gateway.feed.StoreChanges;
+import org.wigeonwharf.gateway.feed.StoreProgress;
 import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.placement.InFlightTracker;
 import org.wigeonwharf.gateway.placement.PrefixCacheIndex;
@@ -63,8 +63,7 @@
    * @param limits supplies and receives the limits of servers and the demand for them
    * @param secret signs and verifies messages
    * @param clock monotonic clock
-   * @param storeRevision supplies the revision of the last change read from the store
-   * @param onNewerRevision called with the revision of a peer if it has read later changes
+   * @param store exchanges what the routers have read from the store
    */
   public GossipTransport(
       EventLoop loop,
@@ -78,8 +77,7 @@
       ServerLimits limits,
       FleetSecret secret,
       Clock clock,
-      LongSupplier storeRevision,
-      LongConsumer onNewerRevision) {
+      StoreProgress store) {
     this.loop = loop;
     this.bindAddress = bindAddress;
     this.clock = clock;
@@ -97,8 +95,7 @@
             clock,
             new Random(self.incarnation()),
             this::send,
-            storeRevision,
-            onNewerRevision);
+            store);
     inFlight.onLocalChange(this::scheduleTick);
     quarantine.onChange(this::scheduleTick);
   }
@@ -176,6 +173,16 @@
     }
   }
 
+  /**
+   * Sends changes of the store to the routers of the same failure domain.
+   *
+   * @param changes the changes
+   */
+  public void passOn(StoreChanges changes) {
+    gossip.passOn(changes);
+    scheduleTick();
+  }
+
   /** Returns the gossip protocol, which may be used on the event loop only. */
   public PeerGossip gossip() {
     return gossip;
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerGossip.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerGossip.java
@@ -9,11 +9,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.function.LongConsumer;
-import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.wigeonwharf.gateway.feed.ReaderState;
+import org.wigeonwharf.gateway.feed.StoreChanges;
+import org.wigeonwharf.gateway.feed.StoreProgress;
 import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.peer.wire.DomainSummary;
 import org.wigeonwharf.gateway.peer.wire.MemberNews;
@@ -123,10 +124,10 @@
   private final Clock clock;
   private final Random random;
   private final DatagramSender sender;
-  private final LongSupplier storeRevision;
-  private final LongConsumer onNewerRevision;
+  private final StoreProgress store;
   private final PeerTable peers;
   private final List<ReceivedSummary> summariesToForward = new ArrayList<>();
+  private final List<StoreChanges> changesToPassOn = new ArrayList<>();
   private final Map<InetSocketAddress, Long> contactedAt = new HashMap<>();
   private final Map<String, InetSocketAddress> parsedAddresses = new HashMap<>();
   private final long startedAt;
@@ -159,8 +160,7 @@
    * @param clock monotonic clock
    * @param random chooses receivers and the peers to list
    * @param sender sends messages
-   * @param storeRevision supplies the revision of the last change read from the store
-   * @param onNewerRevision called with the revision of a peer if it has read later changes
+   * @param store exchanges what the routers have read from the store
    */
   PeerGossip(
       NodeId self,
@@ -175,8 +175,7 @@
       Clock clock,
       Random random,
       DatagramSender sender,
-      LongSupplier storeRevision,
-      LongConsumer onNewerRevision) {
+      StoreProgress store) {
     this.self = self;
     this.domain = domain;
     this.address = address;
@@ -189,8 +188,7 @@
     this.clock = clock;
     this.random = random;
     this.sender = sender;
-    this.storeRevision = storeRevision;
-    this.onNewerRevision = onNewerRevision;
+    this.store = store;
     this.peers = new PeerTable(domain, address, this::removeSource);
     this.startedAt = clock.nanos();
     this.sentAt = startedAt;
@@ -241,7 +239,8 @@
 
   private long nextStateAt() {
     int peerCount = peers.localPeerCount();
-    if (forwardQuarantine || quarantine.changeCount() != sentQuarantineChange) {
+    boolean urgent = forwardQuarantine || !changesToPassOn.isEmpty();
+    if (urgent || quarantine.changeCount() != sentQuarantineChange) {
       return sentAt + minInterval(LONG_PROMPT_INTERVAL_MILLIS_PER_PEER * peerCount);
     }
     if (inFlight.localPrefillTokens() - sentPrefillTokens >= LONG_PROMPT_TOKENS) {
@@ -323,7 +322,7 @@
             .setPartial(hasJustStarted(now))
             .setUnresponsive(peers.hasUnresponsivePeers(now))
             .addMembers(Addresses.format(address))
-            .setStoreRevision(storeRevision.getAsLong());
+            .setStoreRevision(store.changeRevision());
     listed.forEach(p -> b.addMembers(Addresses.format(p.address())));
     List<String> sources = listed.stream().map(p -> p.node().name()).toList();
     inFlight.workWith(sources, now).entrySet().stream()
@@ -352,6 +351,12 @@
       b.addSummaries(r.summary.toBuilder().setAgeMillis(ageMillis));
     }
     summariesToForward.clear();
+    ReaderState reader = store.readerState();
+    if (reader != null) {
+      b.setReader(GossipCodec.encodeReader(reader));
+    }
+    changesToPassOn.forEach(c -> b.addStoreChanges(GossipCodec.encodeChanges(c)));
+    changesToPassOn.clear();
     if (now - membersSentAt >= toNanos(HEARTBEAT_INTERVAL_MILLIS)) {
       membersSentAt = now;
       b.addAllMembers(advertisedPeers(null));
@@ -388,7 +393,7 @@
         .setIncarnation(self.incarnation())
         .setSequence(++sequence)
         .setSelf(encodeMember(address, domain))
-        .setStoreRevision(storeRevision.getAsLong())
+        .setStoreRevision(store.changeRevision())
         .setQuarantine(GossipCodec.encodeQuarantine(quarantine.state(clock.nanos())))
         .addAllLimits(GossipCodec.encodeLimits(limits.limits(clock.nanos())))
         .addAllDemand(GossipCodec.encodeDemand(limits.demand(clock.nanos())))
@@ -463,12 +468,22 @@
     mergeQuarantine(state, sameDomain, now);
     limits.merge(GossipCodec.decodeLimits(state.getLimitsList()), now);
     state.getSummariesList().forEach(s -> applySummary(s, !sameDomain, now));
-    if (state.getStoreRevision() > storeRevision.getAsLong()) {
-      onNewerRevision.accept(state.getStoreRevision());
+    if (sameDomain) {
+      applyStoreChanges(state);
+    }
+    if (state.getStoreRevision() > store.changeRevision()) {
+      store.onPeerRevision(state.getStoreRevision());
     }
     state.getMembersList().forEach(m -> contactIfUseful(m, now));
   }
 
+  private void applyStoreChanges(RouterNews state) {
+    if (state.hasReader()) {
+      store.onPeerReader(GossipCodec.decodeReader(state.getReader()));
+    }
+    state.getStoreChangesList().forEach(c -> store.onPeerChanges(GossipCodec.decodeChanges(c)));
+  }
+
   /** Merges what a peer knows; what comes from another failure domain is forwarded. */
   private void mergeQuarantine(RouterNews state, boolean sameDomain, long now) {
     boolean news = quarantine.merge(GossipCodec.decodeQuarantine(state.getQuarantine()), now);
@@ -510,8 +525,8 @@
         GossipCodec.decodeDemand(summary.getDemandList()),
         madeAt);
     prefixCaches.recordRemoteSends(GossipCodec.decodeSends(summary.getReadsList()));
-    if (summary.getStoreRevision() > storeRevision.getAsLong()) {
-      onNewerRevision.accept(summary.getStoreRevision());
+    if (summary.getStoreRevision() > store.changeRevision()) {
+      store.onPeerRevision(summary.getStoreRevision());
     }
     // Another router of this domain that received a copy has forwarded it already.
     long sameCopy = madeAt + toNanos(MIN_INTERVAL_MILLIS);
@@ -556,6 +571,15 @@
     }
   }
 
+  /**
+   * Sends changes of the store to the routers of the same failure domain with the next message.
+   *
+   * @param changes the changes
+   */
+  void passOn(StoreChanges changes) {
+    changesToPassOn.add(changes);
+  }
+
   /**
    * Replaces the seed addresses.
    *
