--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
@@ -229,17 +230,19 @@
   }
 
   private Map<String, Number> gauges() {
-    return Map.of(
-        "requests.active", exchanges.active(),
-        "requests.held", exchanges.heldCount(),
-        "config.version", configVersion(),
-        "store.contact_age_ms", feed.contactAgeMillis(),
-        "servers.known", directory.all().size(),
-        "peers.known", peerCount(),
-        "servers.limited", limits.limitedCount(clock.nanos()),
-        "servers.leaving", notices.leavingCount(),
-        "servers.paused", notices.pausedCount(clock.nanos()),
-        "quarantine.parts", quarantine.quarantined(clock.nanos()).size());
+    Map<String, Number> all = new LinkedHashMap<>();
+    all.put("requests.active", exchanges.active());
+    all.put("requests.held", exchanges.heldCount());
+    all.put("config.version", configVersion());
+    all.put("store.contact_age_ms", feed.contactAgeMillis());
+    all.put("store.following", feed.isFollowing() ? 1 : 0);
+    all.put("servers.known", directory.all().size());
+    all.put("peers.known", peerCount());
+    all.put("servers.limited", limits.limitedCount(clock.nanos()));
+    all.put("servers.leaving", notices.leavingCount());
+    all.put("servers.paused", notices.pausedCount(clock.nanos()));
+    all.put("quarantine.parts", quarantine.quarantined(clock.nanos()).size());
+    return all;
   }
 
   private String dump() {
