--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/EngineSimulation.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/EngineSimulation.java
@@ -91,7 +91,8 @@
     List<String> parts = List.of(attempt.request.headers().get(TestProtocol.PARTS).split(","));
     boolean crashing = parts.contains(crashingPart);
     if (isDown(attempt.server)) {
-      after(1, () -> unlessCancelled(attempt, () -> attempt.listener.onUnreachable("refused")));
+      after(
+          1, () -> unlessCancelled(attempt, () -> attempt.listener.onUnreachable("refused", true)));
       return;
     }
     if (crashing) {
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
@@ -14,6 +14,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.wigeonwharf.gateway.backend.BackendServer;
+import org.wigeonwharf.gateway.backend.EndedServers;
 import org.wigeonwharf.gateway.backend.ServerDirectory;
 import org.wigeonwharf.gateway.eligibility.EligibleServers;
 import org.wigeonwharf.gateway.limit.LimitLog;
@@ -44,6 +45,7 @@
   private static final FailureDomain DOMAIN = new FailureDomain("here");
   private static final long WINDOW_NANOS = 10 * Clock.NANOS_PER_SECOND;
 
+  final EndedServers endedServers = new EndedServers();
   final VirtualTimers timers;
   final InFlightTracker inFlight = new InFlightTracker(1_500 * Clock.NANOS_PER_MILLI);
   final PrefixCacheIndex prefixCaches = new PrefixCacheIndex();
@@ -163,6 +165,7 @@
             new TestProtocol(),
             this::recordAttempt,
             quarantine,
+            endedServers,
             (server, callback) -> timers.schedule(0, () -> callback.accept(liveness.apply(server))),
             timers,
             new RequestLog(timers, new MetricRegistry()),
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.wigeonwharf.gateway.backend.EndedServer;
 import org.wigeonwharf.gateway.http.ExchangeFixture.FakeAttempt;
 import org.wigeonwharf.gateway.http.ExchangeFixture.FakeCaller;
 import org.wigeonwharf.gateway.route.CallerLimits;
@@ -122,10 +123,24 @@
   @Test
   void unreachableServerCountsAsNotRun() {
     fixture.addServers(2).begin(RequestKind.UNREPEATABLE, caller);
-    fixture.attempt(0).listener.onUnreachable("refused");
+    fixture.attempt(0).listener.onUnreachable("refused", true);
     assertEquals(2, fixture.attempts.size());
   }
 
+  @Test
+  void refusedConnectionsAndOtherInstancesAreReportedToTheFleet() {
+    fixture.addServers(2).begin(RequestKind.UNREPEATABLE, caller);
+    final String refused = fixture.attempt(0).server.id();
+    fixture.attempt(0).listener.onUnreachable("timeout", false);
+    assertTrue(fixture.endedServers.recent(fixture.timers.nanos()).isEmpty());
+    fixture.attempt(1).listener.onUnreachable("refused", true);
+    fixture.begin(RequestKind.UNREPEATABLE, new FakeCaller());
+    fixture.attempt(2).respondHead(421);
+    List<EndedServer> ended = fixture.endedServers.recent(fixture.timers.nanos());
+    assertTrue(ended.stream().anyMatch(e -> !e.replaced() && !e.id().equals(refused)));
+    assertTrue(ended.stream().anyMatch(EndedServer::replaced));
+  }
+
   @Test
   void unrepeatableRequestThatMayHaveRunFailsWithoutRetry() {
     fixture.addServers(2).begin(RequestKind.UNREPEATABLE, caller);
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/NettyBackendConnectorTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/NettyBackendConnectorTest.java
@@ -58,7 +58,7 @@
   /** Records what the connector reports. */
   private class Recorder implements AttemptListener {
     @Override
-    public void onUnreachable(String reason) {
+    public void onUnreachable(String reason, boolean refused) {
       events.add("unreachable");
     }
 
@@ -125,7 +125,7 @@
     Recorder recorder =
         new Recorder() {
           @Override
-          public void onUnreachable(String reason) {
+          public void onUnreachable(String reason, boolean refused) {
             events.add(loop.inEventLoop() ? "on the loop" : "on another thread");
           }
         };
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/GossipFuzzTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/GossipFuzzTest.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.wigeonwharf.gateway.backend.EndedServers;
 import org.wigeonwharf.gateway.limit.LimitLog;
 import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.peer.wire.RouterNews;
@@ -98,6 +99,7 @@
             new PrefixCacheIndex(),
             quarantine,
             limits,
+            new EndedServers(),
             SECRET,
             () -> now,
             random,
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
@@ -15,6 +15,8 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.wigeonwharf.gateway.backend.BackendServer;
+import org.wigeonwharf.gateway.backend.EndedServer;
+import org.wigeonwharf.gateway.backend.EndedServers;
 import org.wigeonwharf.gateway.feed.PublishedItem;
 import org.wigeonwharf.gateway.feed.ReaderState;
 import org.wigeonwharf.gateway.feed.StoreChanges;
@@ -62,6 +64,7 @@
         new PromptQuarantine(new QuarantineLog(new MetricRegistry()), new Random(7), now);
     private final ServerLimits limits =
         new ServerLimits(new LimitLog(new MetricRegistry()), () -> 0, random, now);
+    private final EndedServers endedServers = new EndedServers();
     private final RecordingStoreProgress store = new RecordingStoreProgress();
     private final PeerGossip gossip;
     private final String domain;
@@ -78,6 +81,7 @@
               prefixCaches,
               quarantine,
               limits,
+              endedServers,
               new FleetSecret(secret),
               () -> now,
               new Random(number),
@@ -535,4 +539,26 @@
     advanceMillis(800);
     assertEquals(70 * Clock.NANOS_PER_MILLI, b.store.readers.get(0).reconnectAgeNanos());
   }
+
+  @Test
+  void endedServersAreKnownInAllFailureDomains() {
+    Node a = addNode(1, "d");
+    final Node b = addNode(2, "d");
+    final Node c = addNode(3, "e");
+    final Node d = addNode(4, "e");
+    advanceMillis(4_000);
+    a.endedServers.recordEnd(
+        new BackendServer("s1", "model", address(99), new FailureDomain("e"), 12, false, 42),
+        true,
+        now);
+    advanceMillis(40);
+    assertEquals(1, b.endedServers.recent(now).size());
+    advanceMillis(900);
+    for (Node n : List.of(c, d)) {
+      EndedServer e = n.endedServers.recent(now).get(0);
+      assertEquals("s1", e.id());
+      assertEquals(42, e.startedAt());
+      assertTrue(e.replaced());
+    }
+  }
 }
--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/GatewayProto.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/GatewayProto.java
@@ -76,6 +76,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_wigeonwharf_gateway_QuarantineNews_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_wigeonwharf_gateway_EndedServerNews_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_wigeonwharf_gateway_EndedServerNews_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_wigeonwharf_gateway_StoreReaderNews_descriptor;
   static final 
@@ -144,39 +149,43 @@
       "f.gateway.ServerEndNews\0223\n\006proven\030\002 \003(\0132" +
       "#.wigeonwharf.gateway.ProvenPartNews\022=\n\013" +
       "quarantined\030\003 \003(\0132(.wigeonwharf.gateway." +
-      "QuarantinedPartNews\"`\n\017StoreReaderNews\022\032" +
-      "\n\022contact_age_millis\030\001 \001(\r\022\023\n\013reconnecte" +
-      "d\030\002 \001(\010\022\034\n\024reconnect_age_millis\030\003 \001(\r\"\220\001" +
-      "\n\023PublishedServerNews\022\n\n\002id\030\001 \001(\t\022\017\n\007ser" +
-      "vice\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\022\026\n\016failure_d" +
-      "omain\030\004 \001(\t\022\r\n\005slots\030\005 \001(\r\022\020\n\010draining\030\006" +
-      " \001(\010\022\022\n\nstarted_at\030\007 \001(\003\"m\n\rStoreItemNew" +
-      "s\022:\n\006server\030\001 \001(\0132(.wigeonwharf.gateway." +
-      "PublishedServerNewsH\000\022\030\n\016removed_server\030" +
-      "\002 \001(\tH\000B\006\n\004item\"x\n\020StoreChangesNews\022\r\n\005a" +
-      "fter\030\001 \001(\003\022\020\n\010revision\030\002 \001(\003\022\020\n\010complete" +
-      "\030\003 \001(\010\0221\n\005items\030\004 \003(\0132\".wigeonwharf.gate" +
-      "way.StoreItemNews\"\272\005\n\nRouterNews\022\014\n\004name" +
-      "\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\020\n\010sequence\030" +
-      "\003 \001(\003\022-\n\004self\030\004 \001(\0132\037.wigeonwharf.gatewa" +
-      "y.MemberNews\022\017\n\007leaving\030\006 \001(\010\0221\n\004work\030\007 " +
-      "\003(\0132#.wigeonwharf.gateway.ServerWorkNews" +
-      "\0220\n\007members\030\010 \003(\0132\037.wigeonwharf.gateway." +
-      "MemberNews\0222\n\005reads\030\t \003(\0132#.wigeonwharf." +
-      "gateway.PromptReadNews\0225\n\tsummaries\030\n \003(" +
-      "\0132\".wigeonwharf.gateway.DomainSummary\022\026\n" +
-      "\016summaries_sent\030\013 \001(\010\022\027\n\017reply_requested" +
-      "\030\014 \001(\010\022\026\n\016store_revision\030\r \001(\003\0227\n\nquaran" +
-      "tine\030\016 \001(\0132#.wigeonwharf.gateway.Quarant" +
-      "ineNews\0224\n\006limits\030\017 \003(\0132$.wigeonwharf.ga" +
-      "teway.ServerLimitNews\0225\n\006demand\030\020 \003(\0132%." +
-      "wigeonwharf.gateway.ServerDemandNews\0224\n\006" +
-      "reader\030\036 \001(\0132$.wigeonwharf.gateway.Store" +
-      "ReaderNews\022<\n\rstore_changes\030\037 \003(\0132%.wige" +
-      "onwharf.gateway.StoreChangesNewsJ\004\010\005\020\006\"-" +
-      "\n\nSignedNews\022\014\n\004news\030\001 \001(\014\022\021\n\tsignature\030" +
-      "\002 \001(\014B3\n!org.wigeonwharf.gateway.peer.wi" +
-      "reB\014GatewayProtoP\001b\006proto3"
+      "QuarantinedPartNews\"[\n\017EndedServerNews\022\016" +
+      "\n\006server\030\001 \001(\t\022\022\n\nstarted_at\030\002 \001(\003\022\020\n\010re" +
+      "placed\030\003 \001(\010\022\022\n\nage_millis\030\004 \001(\r\"`\n\017Stor" +
+      "eReaderNews\022\032\n\022contact_age_millis\030\001 \001(\r\022" +
+      "\023\n\013reconnected\030\002 \001(\010\022\034\n\024reconnect_age_mi" +
+      "llis\030\003 \001(\r\"\220\001\n\023PublishedServerNews\022\n\n\002id" +
+      "\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007address\030\003 \001(\t" +
+      "\022\026\n\016failure_domain\030\004 \001(\t\022\r\n\005slots\030\005 \001(\r\022" +
+      "\020\n\010draining\030\006 \001(\010\022\022\n\nstarted_at\030\007 \001(\003\"m\n" +
+      "\rStoreItemNews\022:\n\006server\030\001 \001(\0132(.wigeonw" +
+      "harf.gateway.PublishedServerNewsH\000\022\030\n\016re" +
+      "moved_server\030\002 \001(\tH\000B\006\n\004item\"x\n\020StoreCha" +
+      "ngesNews\022\r\n\005after\030\001 \001(\003\022\020\n\010revision\030\002 \001(" +
+      "\003\022\020\n\010complete\030\003 \001(\010\0221\n\005items\030\004 \003(\0132\".wig" +
+      "eonwharf.gateway.StoreItemNews\"\367\005\n\nRoute" +
+      "rNews\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003" +
+      "\022\020\n\010sequence\030\003 \001(\003\022-\n\004self\030\004 \001(\0132\037.wigeo" +
+      "nwharf.gateway.MemberNews\022\017\n\007leaving\030\006 \001" +
+      "(\010\0221\n\004work\030\007 \003(\0132#.wigeonwharf.gateway.S" +
+      "erverWorkNews\0220\n\007members\030\010 \003(\0132\037.wigeonw" +
+      "harf.gateway.MemberNews\0222\n\005reads\030\t \003(\0132#" +
+      ".wigeonwharf.gateway.PromptReadNews\0225\n\ts" +
+      "ummaries\030\n \003(\0132\".wigeonwharf.gateway.Dom" +
+      "ainSummary\022\026\n\016summaries_sent\030\013 \001(\010\022\027\n\017re" +
+      "ply_requested\030\014 \001(\010\022\026\n\016store_revision\030\r " +
+      "\001(\003\0227\n\nquarantine\030\016 \001(\0132#.wigeonwharf.ga" +
+      "teway.QuarantineNews\0224\n\006limits\030\017 \003(\0132$.w" +
+      "igeonwharf.gateway.ServerLimitNews\0225\n\006de" +
+      "mand\030\020 \003(\0132%.wigeonwharf.gateway.ServerD" +
+      "emandNews\0224\n\006reader\030\036 \001(\0132$.wigeonwharf." +
+      "gateway.StoreReaderNews\022<\n\rstore_changes" +
+      "\030\037 \003(\0132%.wigeonwharf.gateway.StoreChange" +
+      "sNews\022;\n\rended_servers\030  \003(\0132$.wigeonwha" +
+      "rf.gateway.EndedServerNewsJ\004\010\005\020\006\"-\n\nSign" +
+      "edNews\022\014\n\004news\030\001 \001(\014\022\021\n\tsignature\030\002 \001(\014B" +
+      "3\n!org.wigeonwharf.gateway.peer.wireB\014Ga" +
+      "tewayProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -242,38 +251,44 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_QuarantineNews_descriptor,
         new java.lang.String[] { "Ends", "Proven", "Quarantined", });
-    internal_static_wigeonwharf_gateway_StoreReaderNews_descriptor =
+    internal_static_wigeonwharf_gateway_EndedServerNews_descriptor =
       getDescriptor().getMessageType(10);
+    internal_static_wigeonwharf_gateway_EndedServerNews_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_wigeonwharf_gateway_EndedServerNews_descriptor,
+        new java.lang.String[] { "Server", "StartedAt", "Replaced", "AgeMillis", });
+    internal_static_wigeonwharf_gateway_StoreReaderNews_descriptor =
+      getDescriptor().getMessageType(11);
     internal_static_wigeonwharf_gateway_StoreReaderNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_StoreReaderNews_descriptor,
         new java.lang.String[] { "ContactAgeMillis", "Reconnected", "ReconnectAgeMillis", });
     internal_static_wigeonwharf_gateway_PublishedServerNews_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_wigeonwharf_gateway_PublishedServerNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_PublishedServerNews_descriptor,
         new java.lang.String[] { "Id", "Service", "Address", "FailureDomain", "Slots", "Draining", "StartedAt", });
     internal_static_wigeonwharf_gateway_StoreItemNews_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_wigeonwharf_gateway_StoreItemNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_StoreItemNews_descriptor,
         new java.lang.String[] { "Server", "RemovedServer", "Item", });
     internal_static_wigeonwharf_gateway_StoreChangesNews_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_wigeonwharf_gateway_StoreChangesNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_StoreChangesNews_descriptor,
         new java.lang.String[] { "After", "Revision", "Complete", "Items", });
     internal_static_wigeonwharf_gateway_RouterNews_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_wigeonwharf_gateway_RouterNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_RouterNews_descriptor,
-        new java.lang.String[] { "Name", "Incarnation", "Sequence", "Self", "Leaving", "Work", "Members", "Reads", "Summaries", "SummariesSent", "ReplyRequested", "StoreRevision", "Quarantine", "Limits", "Demand", "Reader", "StoreChanges", });
+        new java.lang.String[] { "Name", "Incarnation", "Sequence", "Self", "Leaving", "Work", "Members", "Reads", "Summaries", "SummariesSent", "ReplyRequested", "StoreRevision", "Quarantine", "Limits", "Demand", "Reader", "StoreChanges", "EndedServers", });
     internal_static_wigeonwharf_gateway_SignedNews_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(16);
     internal_static_wigeonwharf_gateway_SignedNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_SignedNews_descriptor,
--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNews.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNews.java
@@ -41,6 +41,7 @@
     limits_ = java.util.Collections.emptyList();
     demand_ = java.util.Collections.emptyList();
     storeChanges_ = java.util.Collections.emptyList();
+    endedServers_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -651,6 +652,67 @@
     return storeChanges_.get(index);
   }
 
+  public static final int ENDED_SERVERS_FIELD_NUMBER = 32;
+  @SuppressWarnings("serial")
+  private java.util.List<org.wigeonwharf.gateway.peer.wire.EndedServerNews> endedServers_;
+  /**
+   * <pre>
+   * What the sender knows from all routers.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.wigeonwharf.gateway.peer.wire.EndedServerNews> getEndedServersList() {
+    return endedServers_;
+  }
+  /**
+   * <pre>
+   * What the sender knows from all routers.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.wigeonwharf.gateway.peer.wire.EndedServerNewsOrBuilder> 
+      getEndedServersOrBuilderList() {
+    return endedServers_;
+  }
+  /**
+   * <pre>
+   * What the sender knows from all routers.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+   */
+  @java.lang.Override
+  public int getEndedServersCount() {
+    return endedServers_.size();
+  }
+  /**
+   * <pre>
+   * What the sender knows from all routers.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.gateway.peer.wire.EndedServerNews getEndedServers(int index) {
+    return endedServers_.get(index);
+  }
+  /**
+   * <pre>
+   * What the sender knows from all routers.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.gateway.peer.wire.EndedServerNewsOrBuilder getEndedServersOrBuilder(
+      int index) {
+    return endedServers_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -716,6 +778,9 @@
     for (int i = 0; i < storeChanges_.size(); i++) {
       output.writeMessage(31, storeChanges_.get(i));
     }
+    for (int i = 0; i < endedServers_.size(); i++) {
+      output.writeMessage(32, endedServers_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -792,6 +857,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(31, storeChanges_.get(i));
     }
+    for (int i = 0; i < endedServers_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(32, endedServers_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -850,6 +919,8 @@
     }
     if (!getStoreChangesList()
         .equals(other.getStoreChangesList())) return false;
+    if (!getEndedServersList()
+        .equals(other.getEndedServersList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -921,6 +992,10 @@
       hash = (37 * hash) + STORE_CHANGES_FIELD_NUMBER;
       hash = (53 * hash) + getStoreChangesList().hashCode();
     }
+    if (getEndedServersCount() > 0) {
+      hash = (37 * hash) + ENDED_SERVERS_FIELD_NUMBER;
+      hash = (53 * hash) + getEndedServersList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1066,6 +1141,7 @@
         internalGetDemandFieldBuilder();
         internalGetReaderFieldBuilder();
         internalGetStoreChangesFieldBuilder();
+        internalGetEndedServersFieldBuilder();
       }
     }
     @java.lang.Override
@@ -1143,6 +1219,13 @@
         storeChangesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00010000);
+      if (endedServersBuilder_ == null) {
+        endedServers_ = java.util.Collections.emptyList();
+      } else {
+        endedServers_ = null;
+        endedServersBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00020000);
       return this;
     }
 
@@ -1239,6 +1322,15 @@
       } else {
         result.storeChanges_ = storeChangesBuilder_.build();
       }
+      if (endedServersBuilder_ == null) {
+        if (((bitField0_ & 0x00020000) != 0)) {
+          endedServers_ = java.util.Collections.unmodifiableList(endedServers_);
+          bitField0_ = (bitField0_ & ~0x00020000);
+        }
+        result.endedServers_ = endedServers_;
+      } else {
+        result.endedServers_ = endedServersBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.wigeonwharf.gateway.peer.wire.RouterNews result) {
@@ -1512,6 +1604,32 @@
           }
         }
       }
+      if (endedServersBuilder_ == null) {
+        if (!other.endedServers_.isEmpty()) {
+          if (endedServers_.isEmpty()) {
+            endedServers_ = other.endedServers_;
+            bitField0_ = (bitField0_ & ~0x00020000);
+          } else {
+            ensureEndedServersIsMutable();
+            endedServers_.addAll(other.endedServers_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.endedServers_.isEmpty()) {
+          if (endedServersBuilder_.isEmpty()) {
+            endedServersBuilder_.dispose();
+            endedServersBuilder_ = null;
+            endedServers_ = other.endedServers_;
+            bitField0_ = (bitField0_ & ~0x00020000);
+            endedServersBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetEndedServersFieldBuilder() : null;
+          } else {
+            endedServersBuilder_.addAllMessages(other.endedServers_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1685,6 +1803,19 @@
               }
               break;
             } // case 250
+            case 258: {
+              org.wigeonwharf.gateway.peer.wire.EndedServerNews m =
+                  input.readMessage(
+                      org.wigeonwharf.gateway.peer.wire.EndedServerNews.parser(),
+                      extensionRegistry);
+              if (endedServersBuilder_ == null) {
+                ensureEndedServersIsMutable();
+                endedServers_.add(m);
+              } else {
+                endedServersBuilder_.addMessage(m);
+              }
+              break;
+            } // case 258
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -4441,6 +4572,318 @@
       return storeChangesBuilder_;
     }
 
+    private java.util.List<org.wigeonwharf.gateway.peer.wire.EndedServerNews> endedServers_ =
+      java.util.Collections.emptyList();
+    private void ensureEndedServersIsMutable() {
+      if (!((bitField0_ & 0x00020000) != 0)) {
+        endedServers_ = new java.util.ArrayList<org.wigeonwharf.gateway.peer.wire.EndedServerNews>(endedServers_);
+        bitField0_ |= 0x00020000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wigeonwharf.gateway.peer.wire.EndedServerNews, org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder, org.wigeonwharf.gateway.peer.wire.EndedServerNewsOrBuilder> endedServersBuilder_;
+
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public java.util.List<org.wigeonwharf.gateway.peer.wire.EndedServerNews> getEndedServersList() {
+      if (endedServersBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(endedServers_);
+      } else {
+        return endedServersBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public int getEndedServersCount() {
+      if (endedServersBuilder_ == null) {
+        return endedServers_.size();
+      } else {
+        return endedServersBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.EndedServerNews getEndedServers(int index) {
+      if (endedServersBuilder_ == null) {
+        return endedServers_.get(index);
+      } else {
+        return endedServersBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public Builder setEndedServers(
+        int index, org.wigeonwharf.gateway.peer.wire.EndedServerNews value) {
+      if (endedServersBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureEndedServersIsMutable();
+        endedServers_.set(index, value);
+        onChanged();
+      } else {
+        endedServersBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public Builder setEndedServers(
+        int index, org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder builderForValue) {
+      if (endedServersBuilder_ == null) {
+        ensureEndedServersIsMutable();
+        endedServers_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        endedServersBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public Builder addEndedServers(org.wigeonwharf.gateway.peer.wire.EndedServerNews value) {
+      if (endedServersBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureEndedServersIsMutable();
+        endedServers_.add(value);
+        onChanged();
+      } else {
+        endedServersBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public Builder addEndedServers(
+        int index, org.wigeonwharf.gateway.peer.wire.EndedServerNews value) {
+      if (endedServersBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureEndedServersIsMutable();
+        endedServers_.add(index, value);
+        onChanged();
+      } else {
+        endedServersBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public Builder addEndedServers(
+        org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder builderForValue) {
+      if (endedServersBuilder_ == null) {
+        ensureEndedServersIsMutable();
+        endedServers_.add(builderForValue.build());
+        onChanged();
+      } else {
+        endedServersBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public Builder addEndedServers(
+        int index, org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder builderForValue) {
+      if (endedServersBuilder_ == null) {
+        ensureEndedServersIsMutable();
+        endedServers_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        endedServersBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public Builder addAllEndedServers(
+        java.lang.Iterable<? extends org.wigeonwharf.gateway.peer.wire.EndedServerNews> values) {
+      if (endedServersBuilder_ == null) {
+        ensureEndedServersIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, endedServers_);
+        onChanged();
+      } else {
+        endedServersBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public Builder clearEndedServers() {
+      if (endedServersBuilder_ == null) {
+        endedServers_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00020000);
+        onChanged();
+      } else {
+        endedServersBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public Builder removeEndedServers(int index) {
+      if (endedServersBuilder_ == null) {
+        ensureEndedServersIsMutable();
+        endedServers_.remove(index);
+        onChanged();
+      } else {
+        endedServersBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder getEndedServersBuilder(
+        int index) {
+      return internalGetEndedServersFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.EndedServerNewsOrBuilder getEndedServersOrBuilder(
+        int index) {
+      if (endedServersBuilder_ == null) {
+        return endedServers_.get(index);  } else {
+        return endedServersBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public java.util.List<? extends org.wigeonwharf.gateway.peer.wire.EndedServerNewsOrBuilder> 
+         getEndedServersOrBuilderList() {
+      if (endedServersBuilder_ != null) {
+        return endedServersBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(endedServers_);
+      }
+    }
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder addEndedServersBuilder() {
+      return internalGetEndedServersFieldBuilder().addBuilder(
+          org.wigeonwharf.gateway.peer.wire.EndedServerNews.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder addEndedServersBuilder(
+        int index) {
+      return internalGetEndedServersFieldBuilder().addBuilder(
+          index, org.wigeonwharf.gateway.peer.wire.EndedServerNews.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public java.util.List<org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder> 
+         getEndedServersBuilderList() {
+      return internalGetEndedServersFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wigeonwharf.gateway.peer.wire.EndedServerNews, org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder, org.wigeonwharf.gateway.peer.wire.EndedServerNewsOrBuilder> 
+        internalGetEndedServersFieldBuilder() {
+      if (endedServersBuilder_ == null) {
+        endedServersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.wigeonwharf.gateway.peer.wire.EndedServerNews, org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder, org.wigeonwharf.gateway.peer.wire.EndedServerNewsOrBuilder>(
+                endedServers_,
+                ((bitField0_ & 0x00020000) != 0),
+                getParentForChildren(),
+                isClean());
+        endedServers_ = null;
+      }
+      return endedServersBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:wigeonwharf.gateway.RouterNews)
   }
 
--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNewsOrBuilder.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNewsOrBuilder.java
@@ -394,4 +394,48 @@
    */
   org.wigeonwharf.gateway.peer.wire.StoreChangesNewsOrBuilder getStoreChangesOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * What the sender knows from all routers.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+   */
+  java.util.List<org.wigeonwharf.gateway.peer.wire.EndedServerNews> 
+      getEndedServersList();
+  /**
+   * <pre>
+   * What the sender knows from all routers.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+   */
+  org.wigeonwharf.gateway.peer.wire.EndedServerNews getEndedServers(int index);
+  /**
+   * <pre>
+   * What the sender knows from all routers.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+   */
+  int getEndedServersCount();
+  /**
+   * <pre>
+   * What the sender knows from all routers.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+   */
+  java.util.List<? extends org.wigeonwharf.gateway.peer.wire.EndedServerNewsOrBuilder> 
+      getEndedServersOrBuilderList();
+  /**
+   * <pre>
+   * What the sender knows from all routers.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+   */
+  org.wigeonwharf.gateway.peer.wire.EndedServerNewsOrBuilder getEndedServersOrBuilder(
+      int index);
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
@@ -13,6 +13,8 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.wigeonwharf.gateway.backend.BackendServer;
+import org.wigeonwharf.gateway.backend.EndedServer;
+import org.wigeonwharf.gateway.backend.EndedServers;
 import org.wigeonwharf.gateway.backend.ServerDirectory;
 import org.wigeonwharf.gateway.eligibility.EligibleServers;
 import org.wigeonwharf.gateway.feed.PublishedStore;
@@ -146,6 +148,8 @@
             new FleetShare(clock, this::peerCount)::of);
     retryBudget.setLimits(settings.retryRatio(), settings.retrySlack());
     this.quarantine = new PromptQuarantine(new QuarantineLog(metrics), random, clock.nanos());
+    EndedServers endedServers = new EndedServers();
+    endedServers.onPeerReport(this::applyPeerReport);
     this.exchanges =
         new ExchangeManager(
             feed::routes,
@@ -157,6 +161,7 @@
             protocol,
             new NettyBackendConnector(loop),
             quarantine,
+            endedServers,
             new NettyLivenessCheck(loop),
             timers,
             new RequestLog(clock, metrics),
@@ -174,6 +179,7 @@
             prefixCaches,
             quarantine,
             limits,
+            endedServers,
             settings.secret(),
             clock,
             feed);
@@ -220,6 +226,18 @@
     exchanges.retryHeld();
   }
 
+  private void applyPeerReport(EndedServer ended) {
+    BackendServer server = directory.find(ended.id());
+    if (server == null || server.startedAt() != ended.startedAt()) {
+      return;
+    }
+    if (ended.replaced()) {
+      directory.markMisdirected(ended.id());
+    } else {
+      chooser.recordRefusedElsewhere(ended.id(), clock.nanos());
+    }
+  }
+
   private boolean isReady() {
     return !stopping.get() && feed.isInitialized();
   }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/AttemptHandler.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/AttemptHandler.java
@@ -120,8 +120,11 @@
   }
 
   @Override
-  public void onUnreachable(String reason) {
+  public void onUnreachable(String reason, boolean refused) {
     chooser().recordUnreachable(server.id(), now());
+    if (refused) {
+      manager.endedServers().recordEnd(server, false, now());
+    }
     recordEnd(true);
     exchange.onNotExecuted("unreachable: " + reason);
   }
@@ -174,6 +177,7 @@
   private void handleNotExecuted(ResponseMetadata m) {
     if (m.misdirected()) {
       manager.directory().markMisdirected(server.id());
+      manager.endedServers().recordEnd(server, true, now());
     } else if (status == UNAVAILABLE) {
       chooser().recordFull(server.id(), now());
     }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/AttemptListener.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/AttemptListener.java
@@ -13,8 +13,9 @@
    * Called if no connection could be established, so that no byte of the request was sent.
    *
    * @param reason the cause
+   * @param refused true if the server's VM answered that no process listens at the address
    */
-  void onUnreachable(String reason);
+  void onUnreachable(String reason, boolean refused);
 
   /**
    * Called when the head of the response was received.
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/ExchangeManager.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/ExchangeManager.java
@@ -6,6 +6,7 @@
 import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
+import org.wigeonwharf.gateway.backend.EndedServers;
 import org.wigeonwharf.gateway.backend.ServerDirectory;
 import org.wigeonwharf.gateway.eligibility.EligibleServers;
 import org.wigeonwharf.gateway.notice.ServerNotices;
@@ -33,6 +34,7 @@
   private final BackendConnector connector;
   private final PromptQuarantine quarantine;
   private final ServerEndDetector serverEnds;
+  private final EndedServers endedServers;
   private final Timers timers;
   private final RequestLog log;
   private final ExchangeSettings settings;
@@ -55,6 +57,7 @@
    * @param protocol reads and writes headers
    * @param connector sends requests to backend servers
    * @param quarantine decides which prompts are kept from the backend servers
+   * @param endedServers receives the servers that no longer answer
    * @param livenessCheck finds out whether a server whose connections are lost has ended
    * @param timers clock and timers
    * @param log records decisions and outcomes
@@ -72,6 +75,7 @@
       ExchangeProtocol protocol,
       BackendConnector connector,
       PromptQuarantine quarantine,
+      EndedServers endedServers,
       LivenessCheck livenessCheck,
       Timers timers,
       RequestLog log,
@@ -86,6 +90,7 @@
     this.protocol = protocol;
     this.connector = connector;
     this.quarantine = quarantine;
+    this.endedServers = endedServers;
     this.serverEnds = new ServerEndDetector(directory, livenessCheck, quarantine, timers);
     quarantine.onQuarantine(this::endQuarantined);
     this.timers = timers;
@@ -180,6 +185,10 @@
     return serverEnds;
   }
 
+  EndedServers endedServers() {
+    return endedServers;
+  }
+
   BackendConnector connector() {
     return connector;
   }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/NettyBackendConnector.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/NettyBackendConnector.java
@@ -142,7 +142,8 @@
     private void failConnect(Throwable cause) {
       if (!ended) {
         ended = true;
-        listener.onUnreachable(String.valueOf(cause.getMessage()));
+        listener.onUnreachable(
+            String.valueOf(cause.getMessage()), NettyLivenessCheck.isRefusal(cause));
       }
     }
 
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/NettyLivenessCheck.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/NettyLivenessCheck.java
@@ -46,7 +46,7 @@
         });
   }
 
-  private static boolean isRefusal(Throwable cause) {
+  static boolean isRefusal(Throwable cause) {
     return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
   }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipCodec.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipCodec.java
@@ -8,11 +8,13 @@
 import java.util.Map;
 import java.util.Set;
 import org.wigeonwharf.gateway.backend.BackendServer;
+import org.wigeonwharf.gateway.backend.EndedServer;
 import org.wigeonwharf.gateway.feed.PublishedItem;
 import org.wigeonwharf.gateway.feed.ReaderState;
 import org.wigeonwharf.gateway.feed.StoreChanges;
 import org.wigeonwharf.gateway.limit.NamedLimit;
 import org.wigeonwharf.gateway.limit.ServerDemand;
+import org.wigeonwharf.gateway.peer.wire.EndedServerNews;
 import org.wigeonwharf.gateway.peer.wire.PromptReadNews;
 import org.wigeonwharf.gateway.peer.wire.ProvenPartNews;
 import org.wigeonwharf.gateway.peer.wire.PublishedServerNews;
@@ -217,6 +219,28 @@
     return demand;
   }
 
+  static List<EndedServerNews> encodeEndedServers(List<EndedServer> servers) {
+    return servers.stream()
+        .map(
+            e ->
+                EndedServerNews.newBuilder()
+                    .setServer(e.id())
+                    .setStartedAt(e.startedAt())
+                    .setReplaced(e.replaced())
+                    .setAgeMillis(toMillis(e.ageNanos()))
+                    .build())
+        .toList();
+  }
+
+  static List<EndedServer> decodeEndedServers(List<EndedServerNews> news) {
+    return news.stream()
+        .map(
+            n ->
+                new EndedServer(
+                    n.getServer(), n.getStartedAt(), n.getReplaced(), toNanos(n.getAgeMillis())))
+        .toList();
+  }
+
   static StoreReaderNews encodeReader(ReaderState state) {
     StoreReaderNews.Builder b =
         StoreReaderNews.newBuilder().setContactAgeMillis(toMillis(state.contactAgeNanos()));
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipTransport.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipTransport.java
@@ -19,6 +19,7 @@
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.wigeonwharf.gateway.backend.EndedServers;
 import org.wigeonwharf.gateway.feed.StoreChanges;
 import org.wigeonwharf.gateway.feed.StoreProgress;
 import org.wigeonwharf.gateway.limit.ServerLimits;
@@ -61,6 +62,7 @@
    * @param prefixCaches supplies this router's prompt sends and receives those of its peers
    * @param quarantine supplies and receives what is known of prompts that crash servers
    * @param limits supplies and receives the limits of servers and the demand for them
+   * @param endedServers supplies and receives the servers that no longer answer
    * @param secret signs and verifies messages
    * @param clock monotonic clock
    * @param store exchanges what the routers have read from the store
@@ -75,6 +77,7 @@
       PrefixCacheIndex prefixCaches,
       PromptQuarantine quarantine,
       ServerLimits limits,
+      EndedServers endedServers,
       FleetSecret secret,
       Clock clock,
       StoreProgress store) {
@@ -91,6 +94,7 @@
             prefixCaches,
             quarantine,
             limits,
+            endedServers,
             secret,
             clock,
             new Random(self.incarnation()),
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerGossip.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerGossip.java
@@ -12,6 +12,7 @@
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.wigeonwharf.gateway.backend.EndedServers;
 import org.wigeonwharf.gateway.feed.ReaderState;
 import org.wigeonwharf.gateway.feed.StoreChanges;
 import org.wigeonwharf.gateway.feed.StoreProgress;
@@ -120,6 +121,7 @@
   private final PrefixCacheIndex prefixCaches;
   private final PromptQuarantine quarantine;
   private final ServerLimits limits;
+  private final EndedServers endedServers;
   private final GossipCodec codec;
   private final Clock clock;
   private final Random random;
@@ -135,6 +137,7 @@
   private long sentChangeCount;
   private long sentPrefillTokens;
   private long sentQuarantineChange;
+  private long sentEndedServers;
   private long quarantineChangeSentToDomains;
   private boolean forwardQuarantine;
   private long sentAt;
@@ -156,6 +159,7 @@
    * @param prefixCaches supplies this router's prompt sends and receives those of its peers
    * @param quarantine supplies and receives what is known of prompts that crash servers
    * @param limits supplies and receives the limits of servers and the demand for them
+   * @param endedServers supplies and receives the servers that no longer answer
    * @param secret signs and verifies messages
    * @param clock monotonic clock
    * @param random chooses receivers and the peers to list
@@ -171,6 +175,7 @@
       PrefixCacheIndex prefixCaches,
       PromptQuarantine quarantine,
       ServerLimits limits,
+      EndedServers endedServers,
       FleetSecret secret,
       Clock clock,
       Random random,
@@ -184,6 +189,7 @@
     this.prefixCaches = prefixCaches;
     this.quarantine = quarantine;
     this.limits = limits;
+    this.endedServers = endedServers;
     this.codec = new GossipCodec(secret);
     this.clock = clock;
     this.random = random;
@@ -239,7 +245,10 @@
 
   private long nextStateAt() {
     int peerCount = peers.localPeerCount();
-    boolean urgent = forwardQuarantine || !changesToPassOn.isEmpty();
+    boolean urgent =
+        forwardQuarantine
+            || !changesToPassOn.isEmpty()
+            || endedServers.changeCount() != sentEndedServers;
     if (urgent || quarantine.changeCount() != sentQuarantineChange) {
       return sentAt + minInterval(LONG_PROMPT_INTERVAL_MILLIS_PER_PEER * peerCount);
     }
@@ -341,6 +350,7 @@
     sentChangeCount = inFlight.localChangeCount();
     sentPrefillTokens = inFlight.localPrefillTokens();
     sentQuarantineChange = quarantine.changeCount();
+    sentEndedServers = endedServers.changeCount();
     forwardQuarantine = false;
     RouterNews.Builder b = newState().addAllWork(encodeLocalWork()).setSummariesSent(summariesSent);
     prefixCaches
@@ -397,6 +407,7 @@
         .setQuarantine(GossipCodec.encodeQuarantine(quarantine.state(clock.nanos())))
         .addAllLimits(GossipCodec.encodeLimits(limits.limits(clock.nanos())))
         .addAllDemand(GossipCodec.encodeDemand(limits.demand(clock.nanos())))
+        .addAllEndedServers(GossipCodec.encodeEndedServers(endedServers.recent(clock.nanos())))
         .setLeaving(leaving);
   }
 
@@ -467,6 +478,7 @@
     }
     mergeQuarantine(state, sameDomain, now);
     limits.merge(GossipCodec.decodeLimits(state.getLimitsList()), now);
+    endedServers.merge(GossipCodec.decodeEndedServers(state.getEndedServersList()), now);
     state.getSummariesList().forEach(s -> applySummary(s, !sameDomain, now));
     if (sameDomain) {
       applyStoreChanges(state);
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerChooser.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerChooser.java
@@ -291,6 +291,16 @@
     stats(server, now).recordUnreachable(now);
   }
 
+  /**
+   * Records that a server refused the connection of another router.
+   *
+   * @param server the server's id
+   * @param now the current time in nanoseconds
+   */
+  public void recordRefusedElsewhere(String server, long now) {
+    stats(server, now).recordRefusedElsewhere(now);
+  }
+
   /**
    * Removes all servers except the given ones.
    *
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerStats.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerStats.java
@@ -34,6 +34,12 @@
 
   private static final long MAX_BACKOFF_MILLIS = 3_000;
 
+  /**
+   * Backoff in ms after another router was refused. It is short, since each router that tries in
+   * vain renews it for all.
+   */
+  private static final long REFUSED_ELSEWHERE_MILLIS = 600;
+
   /**
    * Time in ms with outstanding requests and no answer after which a server counts as unresponsive.
    */
@@ -97,6 +103,13 @@
     backoffMillis = Math.min(MAX_BACKOFF_MILLIS, backoffMillis * 2);
   }
 
+  void recordRefusedElsewhere(long now) {
+    long until = now + REFUSED_ELSEWHERE_MILLIS * Clock.NANOS_PER_MILLI;
+    if (until - backoffUntil > 0) {
+      backoffUntil = until;
+    }
+  }
+
   double failureRate(long now) {
     return averageFailures * decayFactor(now - averageFailuresAt, FAILURE_HALF_LIFE_MILLIS);
   }
