Keep requests in the regions that their route and account allow

Cause: allowed-regions of routes and tenants were not read, so requests went to servers anywhere.

Routes and accounts carry AllowedRegions, and RegionFilter excludes the servers outside from every choice, prefix owner and cache source. The settings name the region of each failure domain. A newer version restricts held and repeated requests further and never widens them. An empty intersection is logged once a version and refused at once.

--- a/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/SectionReader.java
+++ b/org.wigeonwharf.config/src/main/java/org/wigeonwharf/config/SectionReader.java
@@ -74,6 +74,13 @@
     return table.has(key);
   }
 
+  /** Returns the keys that are set in this section, for tables whose keys are names. */
+  public List<String> keys() {
+    List<String> keys = new ArrayList<>();
+    table.fieldNames().forEachRemaining(keys::add);
+    return keys;
+  }
+
   /**
    * Reads a table of sections, such as one per backend server.
    *
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
@@ -13,9 +13,11 @@
 import java.util.Random;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
 import org.wigeonwharf.gateway.backend.BackendServer;
 import org.wigeonwharf.gateway.backend.ServerDirectory;
 import org.wigeonwharf.gateway.eligibility.EligibleServers;
+import org.wigeonwharf.gateway.eligibility.RegionFilter;
 import org.wigeonwharf.gateway.limit.LimitLog;
 import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.notice.NoticeLog;
@@ -28,7 +30,9 @@
 import org.wigeonwharf.gateway.quarantine.QuarantineLog;
 import org.wigeonwharf.gateway.retry.RetryBudget;
 import org.wigeonwharf.gateway.route.Account;
+import org.wigeonwharf.gateway.route.AllowedRegions;
 import org.wigeonwharf.gateway.route.CallerLimits;
+import org.wigeonwharf.gateway.route.EngineSpec;
 import org.wigeonwharf.gateway.route.RequestKind;
 import org.wigeonwharf.gateway.route.Route;
 import org.wigeonwharf.gateway.route.RouteTable;
@@ -50,6 +54,7 @@
   final ServerDirectory directory = new ServerDirectory(0);
   final RetryBudget budget = new RetryBudget(WINDOW_NANOS, slack -> slack);
   final List<FakeAttempt> attempts = new ArrayList<>();
+  final RegionFilter regions = new RegionFilter(Map.of());
   final PromptQuarantine quarantine;
   final ServerLimits limits;
   final ServerNotices notices;
@@ -156,7 +161,7 @@
         new ExchangeManager(
             () -> routes,
             directory,
-            new EligibleServers(directory, List.of()),
+            new EligibleServers(directory, List.of(regions)),
             new ServerChooser(DOMAIN, inFlight, prefixCaches, ServerPenalties.DEFAULT, notices),
             notices,
             budget,
@@ -179,6 +184,14 @@
   }
 
   static RouteTable table(long version) {
+    return table(version, kind -> AllowedRegions.ALL, AllowedRegions.ALL, null);
+  }
+
+  static RouteTable table(
+      long version,
+      Function<RequestKind, AllowedRegions> routeRegions,
+      AllowedRegions accountRegions,
+      @Nullable EngineSpec engine) {
     List<Route> routes = new ArrayList<>();
     for (RequestKind kind : RequestKind.values()) {
       routes.add(
@@ -193,14 +206,15 @@
               1,
               List.of(new ServiceShare(SERVICE, 1)),
               2,
-              false));
+              false,
+              routeRegions.apply(kind)));
     }
     return new RouteTable(
         version,
         routes,
-        List.of(new ServiceSpec(SERVICE, 100, null)),
+        List.of(new ServiceSpec(SERVICE, 100, engine)),
         CallerLimits.DEFAULT,
-        Map.of("key-1", new Account("account-1", OptionalInt.empty())));
+        Map.of("key-1", new Account("account-1", OptionalInt.empty(), accountRegions)));
   }
 
   void routes(RouteTable table) {
@@ -219,6 +233,11 @@
         id, SERVICE, new InetSocketAddress("127.0.0.1", 9), DOMAIN, 6, draining, 1);
   }
 
+  static BackendServer server(String id, String domain, int port) {
+    InetSocketAddress address = new InetSocketAddress("127.0.0.1", port);
+    return new BackendServer(id, SERVICE, address, new FailureDomain(domain), 6, false, 1);
+  }
+
   Exchange begin(RequestKind kind, FakeCaller caller, String... headers) {
     HttpHeaders h = new DefaultHttpHeaders();
     h.set(TestProtocol.ID, "1").set(TestProtocol.KEY, "key-1");
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/TestProtocol.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/TestProtocol.java
@@ -25,6 +25,9 @@
   /** Ids of the prompt's parts, separated by commas. */
   static final String PARTS = "parts";
 
+  /** Port of the engine that a prompt is fetched from. */
+  static final String CACHE_SOURCE = "cache-source";
+
   private static final int TOKENS_PER_PART = 100;
 
   @Override
@@ -50,6 +53,9 @@
     if (f.account() != null) {
       h.set(ACCOUNT, f.account());
     }
+    if (f.cacheSourceAddress() != null) {
+      h.setInt(CACHE_SOURCE, f.cacheSourceAddress().getPort());
+    }
     if (f.lastEventId() != null) {
       h.set(LAST_EVENT_ID, f.lastEventId());
     }
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/route/RouteTableTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/route/RouteTableTest.java
@@ -15,7 +15,18 @@
 class RouteTableTest {
   private static Route route(String host, String prefix, ServiceShare... split) {
     return new Route(
-        prefix, host, prefix, RequestKind.IDEMPOTENT, 1, 1, 0, 0, List.of(split), 1, true);
+        prefix,
+        host,
+        prefix,
+        RequestKind.IDEMPOTENT,
+        1,
+        1,
+        0,
+        0,
+        List.of(split),
+        1,
+        true,
+        AllowedRegions.ALL);
   }
 
   private static final ServiceShare ALL = new ServiceShare("a", 1);
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
@@ -14,6 +15,8 @@
 import org.wigeonwharf.gateway.backend.BackendServer;
 import org.wigeonwharf.gateway.backend.ServerDirectory;
 import org.wigeonwharf.gateway.eligibility.EligibleServers;
+import org.wigeonwharf.gateway.eligibility.RegionFaults;
+import org.wigeonwharf.gateway.eligibility.RegionFilter;
 import org.wigeonwharf.gateway.feed.PublishedStore;
 import org.wigeonwharf.gateway.feed.StoreFeed;
 import org.wigeonwharf.gateway.http.CallerListener;
@@ -81,6 +84,8 @@
   private final PromptQuarantine quarantine;
   private final ServerLimits limits;
   private final ServerNotices notices;
+  private final RegionFilter regionFilter;
+  private final RegionFaults regionFaults;
   private final ExchangeManager exchanges;
   private final CallerListener callers;
   private final GossipTransport gossipTransport;
@@ -137,11 +142,13 @@
             new FleetShare(clock, this::peerCount)::of);
     retryBudget.setLimits(settings.retryRatio(), settings.retrySlack());
     this.quarantine = new PromptQuarantine(new QuarantineLog(metrics), random, clock.nanos());
+    this.regionFilter = new RegionFilter(settings.regions());
+    this.regionFaults = new RegionFaults(() -> regionFilter.regions().values());
     this.exchanges =
         new ExchangeManager(
             feed::routes,
             directory,
-            new EligibleServers(directory, List.of()),
+            new EligibleServers(directory, List.of(regionFilter)),
             chooser,
             notices,
             retryBudget,
@@ -202,6 +209,10 @@
     if (directory.hasUnconfirmed()) {
       scheduleExpiry();
     }
+    RouteTable table = feed.routes();
+    if (table != null) {
+      regionFaults.check(table);
+    }
     List<BackendServer> servers = directory.all();
     chooser.retainServers(servers.stream().map(BackendServer::id).toList());
     notices.retain(servers, clock.nanos());
@@ -218,17 +229,27 @@
   }
 
   private Map<String, Number> gauges() {
-    return Map.of(
-        "requests.active", exchanges.active(),
-        "requests.held", exchanges.heldCount(),
-        "config.version", configVersion(),
-        "store.contact_age_ms", feed.contactAgeMillis(),
-        "servers.known", directory.all().size(),
-        "peers.known", peerCount(),
-        "servers.limited", limits.limitedCount(clock.nanos()),
-        "servers.leaving", notices.leavingCount(),
-        "servers.paused", notices.pausedCount(clock.nanos()),
-        "quarantine.parts", quarantine.quarantined(clock.nanos()).size());
+    Map<String, Number> gauges = new LinkedHashMap<>();
+    gauges.put("requests.active", exchanges.active());
+    gauges.put("requests.held", exchanges.heldCount());
+    gauges.put("config.version", configVersion());
+    gauges.put("config.region_conflicts", regionFaults.conflicts());
+    gauges.put("store.contact_age_ms", feed.contactAgeMillis());
+    gauges.put("servers.known", directory.all().size());
+    gauges.put("servers.region_unknown", countServersOfUnknownRegion());
+    gauges.put("peers.known", peerCount());
+    gauges.put("servers.limited", limits.limitedCount(clock.nanos()));
+    gauges.put("servers.leaving", notices.leavingCount());
+    gauges.put("servers.paused", notices.pausedCount(clock.nanos()));
+    gauges.put("quarantine.parts", quarantine.quarantined(clock.nanos()).size());
+    return gauges;
+  }
+
+  private long countServersOfUnknownRegion() {
+    if (regionFilter.regions().isEmpty()) {
+      return 0;
+    }
+    return directory.all().stream().filter(s -> regionFilter.regionOf(s) == null).count();
   }
 
   private String dump() {
@@ -236,6 +257,9 @@
     text.append("node ").append(self).append('\n');
     gauges().forEach((k, v) -> text.append(k).append(' ').append(v).append('\n'));
     directory.all().forEach(s -> text.append(s).append('\n'));
+    regionFilter
+        .regions()
+        .forEach((d, region) -> text.append("region ").append(d + " " + region).append('\n'));
     limits
         .limits(clock.nanos())
         .forEach((server, l) -> text.append(server).append(' ').append(l).append('\n'));
@@ -262,7 +286,7 @@
   }
 
   /**
-   * Applies changed settings. Retry limits, seeds and the grace period change immediately.
+   * Applies changed settings. Retry limits, seeds, regions and the grace period change immediately.
    * Addresses, the name and the failure domain change only with a restart.
    *
    * @param next the validated settings
@@ -279,6 +303,7 @@
         () -> {
           retryBudget.setLimits(next.retryRatio(), next.retrySlack());
           gossipTransport.gossip().setSeeds(next.seeds());
+          regionFilter.setRegions(next.regions());
           settings = next;
         });
   }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/GatewaySettings.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Map;
 import org.wigeonwharf.model.FailureDomain;
 import org.wigeonwharf.peer.FleetSecret;
 
@@ -20,6 +21,7 @@
  * @param retryRatio number of retries per request that the fleet may make
  * @param retrySlack number of retries per window that the fleet may make in addition
  * @param retryWindowMillis length in ms of the window in which retries are counted
+ * @param regions the region of each failure domain; empty if regions are not in use
  * @param stopGraceMillis time in ms from the stop signal until the process is killed
  */
 public record GatewaySettings(
@@ -35,9 +37,11 @@
     double retryRatio,
     double retrySlack,
     long retryWindowMillis,
+    Map<FailureDomain, String> regions,
     long stopGraceMillis) {
-  /** Copies {@code seeds}. */
+  /** Copies {@code seeds} and {@code regions}. */
   public GatewaySettings {
     seeds = List.copyOf(seeds);
+    regions = Map.copyOf(regions);
   }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Admission.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Admission.java
@@ -5,7 +5,6 @@
 import org.jspecify.annotations.Nullable;
 import org.wigeonwharf.gateway.placement.Demand;
 import org.wigeonwharf.gateway.route.Account;
-import org.wigeonwharf.gateway.route.AllowedRegions;
 import org.wigeonwharf.gateway.route.Route;
 import org.wigeonwharf.gateway.route.RouteTable;
 import org.wigeonwharf.model.Clock;
@@ -69,7 +68,7 @@
             route.objectiveMillis(),
             route.interTokenObjectiveMillis(),
             account == null ? null : account.name(),
-            AllowedRegions.ALL);
+            RouteTable.regions(route, account));
     long timeoutMillis =
         metadata.timeoutMillis() < 0
             ? route.timeoutMillis()
@@ -78,6 +77,30 @@
     return Either.right(new Admission(table, route, account, demand, deadlineAt));
   }
 
+  /**
+   * Applies the regions that a newer configuration allows, in addition to those that applied so
+   * far. Everything else stays as it was when the request arrived.
+   *
+   * @param current the current configuration
+   * @param request the request
+   * @param metadata the metadata from its headers
+   * @return this admission, or a more restricted one; regions that were excluded once remain so
+   */
+  Admission restrictedBy(RouteTable current, CallerRequest request, RequestMetadata metadata) {
+    if (current.version() <= table.version()) {
+      return this;
+    }
+    Route newRoute = current.find(request.host(), request.target());
+    if (newRoute == null) {
+      return this;
+    }
+    Account newAccount = metadata.apiKey() == null ? null : current.account(metadata.apiKey());
+    Demand restricted = demand.restrictedTo(RouteTable.regions(newRoute, newAccount));
+    return restricted.regions().equals(demand.regions())
+        ? this
+        : new Admission(table, route, account, restricted, deadlineAt);
+  }
+
   /** Returns the name of the service that serves the request. */
   String service() {
     return demand.service();
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
@@ -159,6 +159,11 @@
       start();
       return;
     }
+    a = applyNewRegions(a);
+    if (a.demand().regions().isEmpty()) {
+      giveUp("the route and the account have no allowed region in common");
+      return;
+    }
     long now = timers.nanos();
     if (a.remainingMillis(now) < manager.settings().minRemainingMillis()) {
       giveUp("no time left");
@@ -194,6 +199,14 @@
     send(a, choice, now);
   }
 
+  /** Applies regions of a configuration that was activated after the request was admitted. */
+  private Admission applyNewRegions(Admission a) {
+    RouteTable current = manager.routes();
+    Admission next = current == null ? a : a.restrictedBy(current, request, metadata);
+    admission = next;
+    return next;
+  }
+
   /** Ends the request if a part of its prompt has been quarantined and is not proven harmless. */
   void endIfQuarantined() {
     Admission a = admission;
@@ -276,10 +289,10 @@
    */
   private boolean abandonStalledAttempt() {
     AttemptHandler handler = currentAttempt;
-    Admission a = admission;
-    if (handler == null || a == null || callerBlocked) {
+    if (handler == null || admission == null || callerBlocked) {
       return false;
     }
+    Admission a = applyNewRegions(admission);
     boolean untriedServer = acceptingServers(a).size() > triedServerIds.size();
     if (!untriedServer || !manager.budget().tryAcquire(a.service(), timers.nanos())) {
       return false;
@@ -345,10 +358,16 @@
     Admission a = admission;
     if (currentAttempt == null && a != null) {
       boolean unknown = manager.eligible().find(a.demand()).isEmpty();
-      giveUp(unknown ? "no server of the service is known" : "no server accepts the request");
+      giveUp(unknown ? noServerReason(a.demand()) : "no server accepts the request");
     }
   }
 
+  private static String noServerReason(Demand d) {
+    return d.regions().restricted()
+        ? "no server of the service is known in an allowed region"
+        : "no server of the service is known";
+  }
+
   // Outcomes of an attempt.
 
   /** Retries the request after an attempt that provably did not run it. */
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/Demand.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/Demand.java
@@ -42,6 +42,24 @@
     parts = List.copyOf(parts);
   }
 
+  /**
+   * Returns the same request with a further restriction of its regions.
+   *
+   * @param further the restriction, which applies in addition to the present one
+   */
+  public Demand restrictedTo(AllowedRegions further) {
+    return new Demand(
+        service,
+        priority,
+        parts,
+        promptTokens,
+        outputTokens,
+        objectiveMillis,
+        interTokenObjectiveMillis,
+        account,
+        regions.and(further));
+  }
+
   /**
    * Returns the number of tokens in all parts but the last, which belongs to this request alone.
    */
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/route/AllowedRegions.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/route/AllowedRegions.java
@@ -5,15 +5,20 @@
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
-/** Names the regions in which a request may be served, cached and stored. */
-public final class AllowedRegions {
+/**
+ * Names the regions in which a request may be served, cached and stored.
+ *
+ * @param restricted whether there is any restriction
+ * @param names the permitted regions; empty if there is no restriction, or if two restrictions
+ *     exclude each other
+ */
+public record AllowedRegions(boolean restricted, Set<String> names) {
   /** Permits servers in any region, known or not. */
-  public static final AllowedRegions ALL = new AllowedRegions(null);
+  public static final AllowedRegions ALL = new AllowedRegions(false, Set.of());
 
-  private final @Nullable Set<String> names;
-
-  private AllowedRegions(@Nullable Set<String> names) {
-    this.names = names;
+  /** Copies {@code names}. */
+  public AllowedRegions {
+    names = Set.copyOf(names);
   }
 
   /**
@@ -22,7 +27,7 @@
    * @param names the names of the regions; empty if there is no restriction
    */
   public static AllowedRegions of(Collection<String> names) {
-    return names.isEmpty() ? ALL : new AllowedRegions(Set.copyOf(names));
+    return names.isEmpty() ? ALL : new AllowedRegions(true, Set.copyOf(names));
   }
 
   /**
@@ -32,25 +37,20 @@
    * @return the restriction that permits what both permit
    */
   public AllowedRegions and(AllowedRegions other) {
-    if (names == null) {
+    if (!restricted) {
       return other;
     }
-    if (other.names == null) {
+    if (!other.restricted) {
       return this;
     }
     Set<String> common = new HashSet<>(names);
     common.retainAll(other.names);
-    return new AllowedRegions(Set.copyOf(common));
-  }
-
-  /** Returns whether there is any restriction. */
-  public boolean isRestricted() {
-    return names != null;
+    return new AllowedRegions(true, common);
   }
 
   /** Returns whether no region is permitted, because two restrictions exclude each other. */
   public boolean isEmpty() {
-    return names != null && names.isEmpty();
+    return restricted && names.isEmpty();
   }
 
   /**
@@ -59,22 +59,11 @@
    * @param region the region's name, or null if it is unknown
    */
   public boolean permits(@Nullable String region) {
-    return names == null || (region != null && names.contains(region));
-  }
-
-  @Override
-  public boolean equals(@Nullable Object other) {
-    return other instanceof AllowedRegions a
-        && (names == null ? a.names == null : names.equals(a.names));
-  }
-
-  @Override
-  public int hashCode() {
-    return names == null ? 0 : names.hashCode();
+    return !restricted || (region != null && names.contains(region));
   }
 
   @Override
   public String toString() {
-    return names == null ? "all" : names.stream().sorted().toList().toString();
+    return restricted ? names.stream().sorted().toList().toString() : "all";
   }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/route/Route.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/route/Route.java
@@ -17,6 +17,7 @@
  * @param split the services that share the requests by weight; at least one
  * @param maxAttempts maximum number of backend servers that one request may be sent to
  * @param open true if callers need no API key
+ * @param regions the regions in which its requests may be served, cached and stored
  */
 public record Route(
     String name,
@@ -29,7 +30,8 @@
     int priority,
     List<ServiceShare> split,
     int maxAttempts,
-    boolean open) {
+    boolean open,
+    AllowedRegions regions) {
   /** Maximum number of attempts if the route does not configure it. */
   public static final int DEFAULT_MAX_ATTEMPTS = 1;
 
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/route/RouteTable.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/route/RouteTable.java
@@ -6,16 +6,17 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /** Holds one published version of all routes, services, accounts and limits. */
 public final class RouteTable {
   private final long version;
+  private final List<Route> routes;
   private final Map<String, List<Route>> byHost;
   private final Map<String, ServiceSpec> services;
   private final CallerLimits limits;
   private final @Nullable Map<String, Account> byKey;
-  private final int size;
 
   /**
    * Creates a table.
@@ -34,13 +35,13 @@
       CallerLimits limits,
       @Nullable Map<String, Account> byKey) {
     this.version = version;
+    this.routes = List.copyOf(routes);
     this.byHost = groupByHost(routes);
     this.services = new HashMap<>();
     services.forEach(s -> this.services.put(s.name(), s));
     routes.forEach(this::checkServices);
     this.limits = limits;
     this.byKey = byKey == null ? null : Map.copyOf(byKey);
-    this.size = routes.size();
   }
 
   private void checkServices(Route route) {
@@ -118,6 +119,27 @@
     return services.get(name);
   }
 
+  /** Returns all routes, in the order in which they were published. */
+  public List<Route> routes() {
+    return routes;
+  }
+
+  /** Returns all client accounts; empty if there are none. */
+  public Set<Account> accounts() {
+    return byKey == null ? Set.of() : Set.copyOf(byKey.values());
+  }
+
+  /**
+   * Returns the regions in which the requests of a route and an account may be served.
+   *
+   * @param route the route
+   * @param account the account, or null if the caller has none
+   * @return what both permit
+   */
+  public static AllowedRegions regions(Route route, @Nullable Account account) {
+    return account == null ? route.regions() : route.regions().and(account.regions());
+  }
+
   /** Returns the published version. */
   public long version() {
     return version;
@@ -130,6 +152,6 @@
 
   /** Returns the number of routes. */
   public int size() {
-    return size;
+    return routes.size();
   }
 }
--- a/org.wigeonwharf.router.test/src/test/java/org/wigeonwharf/router/GatewaySettingsReaderTest.java
+++ b/org.wigeonwharf.router.test/src/test/java/org/wigeonwharf/router/GatewaySettingsReaderTest.java
@@ -15,18 +15,23 @@
 import java.util.function.ToDoubleFunction;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.wigeonwharf.config.Fault;
 import org.wigeonwharf.gateway.GatewaySettings;
+import org.wigeonwharf.model.FailureDomain;
 
 /** Renders the settings template of the deployment and reads the result. */
 class GatewaySettingsReaderTest {
   private static final Path TEMPLATE = Path.of("..", "deploy", "router.toml");
   private static final Pattern PLACEHOLDER = Pattern.compile("\\{\\{([^}]+)}}");
+  private static final Pattern SECTION = Pattern.compile("(?s)\\{\\{#\\w+}}\n(.*?)\\{\\{/\\w+}}");
   private static final Pattern BOUND = Pattern.compile("(?m)^(\\w+) = \\{\\{(bounds[.][^}]+)}}$");
   private static final List<String> FIGURES = List.of("8", "8.0", "7.5", "7.50", "0.5", "0.125");
 
+  private static final Map<String, String> REGIONS = Map.of("z1", "r1", "z-2.a", "r 2");
+
   /** What the router makes of each published bound, by the key of the settings. */
   private static final Map<String, ToDoubleFunction<GatewaySettings>> BOUNDS =
       Map.of(
@@ -59,10 +64,26 @@
     return RouterSettings.load(file).flatMap(GatewaySettingsReader::check);
   }
 
+  /** Renders the section of each table once for each of its entries. */
+  private static String renderSections(String template, Map<String, String> entries) {
+    return SECTION
+        .matcher(template)
+        .replaceAll(
+            s ->
+                entries.entrySet().stream()
+                    .map(e -> renderEntry(s.group(1), e.getKey(), e.getValue()))
+                    .collect(Collectors.joining()));
+  }
+
+  private static String renderEntry(String section, String key, String value) {
+    return section.replace("{{@}}", key).replace("{{.}}", value);
+  }
+
   private GatewaySettings readRendered(String field, String value) throws IOException {
     Map<String, String> all = new HashMap<>(fields);
     all.put(field, value);
-    Matcher m = PLACEHOLDER.matcher(Files.readString(TEMPLATE));
+    String template = renderSections(Files.readString(TEMPLATE), REGIONS);
+    Matcher m = PLACEHOLDER.matcher(template);
     String text = m.replaceAll(x -> Matcher.quoteReplacement(all.getOrDefault(x.group(1), "1")));
     Either<List<Fault>, GatewaySettings> settings = read(text);
     assertTrue(settings.isRight(), field + " = " + value + ": " + settings);
@@ -85,10 +106,31 @@
     assertEquals(BOUNDS.keySet(), checked);
   }
 
+  @Test
+  void regionOfEachFailureDomainIsRead() throws IOException {
+    assertEquals(
+        Map.of(new FailureDomain("z1"), "r1", new FailureDomain("z-2.a"), "r 2"),
+        readRendered("zone", "z1").regions());
+  }
+
+  @Test
+  void settingsWithoutRegionsAreValidAndFaultyOnesAreReported() throws IOException {
+    String template = SECTION.matcher(Files.readString(TEMPLATE)).replaceAll("");
+    Matcher m = PLACEHOLDER.matcher(template);
+    String text = m.replaceAll(x -> Matcher.quoteReplacement(fields.getOrDefault(x.group(1), "1")));
+    assertEquals(Map.of(), read(text).get().regions());
+    assertEquals(Map.of(), read(text.replace("[regions]", "")).get().regions());
+    String faults = read(text + "\nz1 = 3\nz2 = \" \"\n\" \" = \"r\"\n").swap().get().toString();
+    assertTrue(faults.contains("node.toml:regions.z1: expected a text"), faults);
+    assertTrue(faults.contains("node.toml:regions.z2: is blank"), faults);
+    assertTrue(faults.contains("the name of the failure domain is blank"), faults);
+  }
+
   @Test
   void figureOutOfRangeIsReportedByKey() throws IOException {
     String text =
-        Files.readString(TEMPLATE).replaceAll("\\{\\{(listen|platform)[^}]*}}", "127.0.0.1:1");
+        renderSections(Files.readString(TEMPLATE), REGIONS)
+            .replaceAll("\\{\\{(listen|platform)[^}]*}}", "127.0.0.1:1");
     for (String figure : List.of("-1", "inf", "nan", "\"8\"", "true")) {
       String settings =
           text.replace("{{bounds.grace-s}}", figure)
--- a/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/GatewaySettingsReader.java
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/GatewaySettingsReader.java
@@ -3,7 +3,9 @@
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.wigeonwharf.config.Fault;
 import org.wigeonwharf.config.MergedSettings;
 import org.wigeonwharf.config.SectionReader;
@@ -59,6 +61,7 @@
     final double retrySlack = retry.decimal("slack", 0, 0, MAX_RETRY_SLACK);
     final long retryWindowMillis = readSeconds(retry, "window_s", 10, MIN_WINDOW_SECONDS);
     retry.reportUnknownKeys();
+    final Map<FailureDomain, String> regions = readRegions(root.section("regions"));
     final long stopGraceMillis = readSeconds(root, "stop_grace_s", 8, 0);
     final List<InetSocketAddress> seeds = readSeeds(root);
     final var secret = RouterSettings.readSecret(root);
@@ -80,6 +83,7 @@
             retryRatio,
             retrySlack,
             retryWindowMillis,
+            regions,
             stopGraceMillis));
   }
 
@@ -90,6 +94,20 @@
     return Math.round(seconds * MILLIS_PER_SECOND);
   }
 
+  /** Reads the optional table of regions by failure domain. */
+  private static Map<FailureDomain, String> readRegions(SectionReader section) {
+    Map<FailureDomain, String> regions = new HashMap<>();
+    for (String domain : section.keys()) {
+      String region = section.requireText(domain);
+      if (domain.isBlank()) {
+        section.addFault(domain, "the name of the failure domain is blank");
+      } else if (!region.isBlank()) {
+        regions.put(new FailureDomain(domain), region);
+      }
+    }
+    return regions;
+  }
+
   private static List<InetSocketAddress> readSeeds(SectionReader root) {
     List<InetSocketAddress> seeds = new ArrayList<>();
     for (String text : root.texts("seeds")) {
--- a/platform.test/src/test/java/org/wigeonwharf/platform/ConfigurationDecoderTest.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/ConfigurationDecoderTest.java
@@ -9,7 +9,9 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.wigeonwharf.gateway.route.AllowedRegions;
 import org.wigeonwharf.gateway.route.EngineSpec;
 import org.wigeonwharf.gateway.route.RequestKind;
 import org.wigeonwharf.gateway.route.Route;
@@ -73,6 +75,35 @@
     assertTrue(t.requiresKeys());
   }
 
+  @Test
+  void allowedRegionsOfRoutesAndAccountsAreDecoded() throws IOException {
+    RouteTable t =
+        decode(
+            VALID
+                .replace("\"sticky\":true", "\"sticky\":true,\"allowed-regions\":[\"a\",\"b\"]")
+                .replace("\"can-resume\":true", "\"can-resume\":true,\"allowed-regions\":[]")
+                .replace("\"name\":\"t1\"", "\"name\":\"t1\",\"allowed-regions\":[\"b\",\"c\"]")
+                .replace("\"name\":\"t2\"", "\"name\":\"t2\",\"allowed-regions\":null"));
+    Route restricted = t.find("host.example", "/a/");
+    assertEquals(AllowedRegions.of(Set.of("a", "b")), restricted.regions());
+    assertEquals(AllowedRegions.ALL, t.find("host.example", "/b/").regions());
+    assertEquals(AllowedRegions.ALL, t.find("host.example", "/c/").regions());
+    assertEquals(AllowedRegions.of(Set.of("b", "c")), t.account("k1").regions());
+    assertEquals(AllowedRegions.ALL, t.account("k3").regions());
+    assertEquals(AllowedRegions.of(Set.of("b")), RouteTable.regions(restricted, t.account("k1")));
+  }
+
+  // Guards against requests that leave their regions because a restriction was not understood.
+  @Test
+  void malformedRegionsRejectTheConfiguration() {
+    for (String regions : List.of("\"a\"", "{}", "[3]", "[\"\"]", "[null]", "false", "[[\"a\"]]")) {
+      for (String entry : List.of("\"name\":\"r1\"", "\"name\":\"t1\"")) {
+        String text = VALID.replace(entry, entry + ",\"allowed-regions\":" + regions);
+        assertThrows(IOException.class, () -> decode(text), regions);
+      }
+    }
+  }
+
   // Guards against a configuration that is refused, or loses a priority, over the form of a figure.
   @Test
   void figureMayBeWrittenWithFraction() throws IOException {
