--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
@@ -17,6 +17,8 @@
 import org.wigeonwharf.gateway.backend.EndedServers;
 import org.wigeonwharf.gateway.backend.ServerDirectory;
 import org.wigeonwharf.gateway.eligibility.EligibleServers;
+import org.wigeonwharf.gateway.eligibility.RegionFaults;
+import org.wigeonwharf.gateway.eligibility.RegionFilter;
 import org.wigeonwharf.gateway.feed.PublishedStore;
 import org.wigeonwharf.gateway.feed.StoreChanges;
 import org.wigeonwharf.gateway.feed.StoreFeed;
@@ -85,6 +87,8 @@
   private final PromptQuarantine quarantine;
   private final ServerLimits limits;
   private final ServerNotices notices;
+  private final RegionFilter regionFilter;
+  private final RegionFaults regionFaults;
   private final ExchangeManager exchanges;
   private final CallerListener callers;
   private final GossipTransport gossipTransport;
@@ -150,11 +154,13 @@
     this.quarantine = new PromptQuarantine(new QuarantineLog(metrics), random, clock.nanos());
     EndedServers endedServers = new EndedServers();
     endedServers.onPeerReport(this::applyPeerReport);
+    this.regionFilter = new RegionFilter(settings.regions());
+    this.regionFaults = new RegionFaults(() -> regionFilter.regions().values());
     this.exchanges =
         new ExchangeManager(
             feed::routes,
             directory,
-            new EligibleServers(directory, List.of()),
+            new EligibleServers(directory, List.of(regionFilter)),
             chooser,
             notices,
             retryBudget,
@@ -220,6 +226,10 @@
     if (directory.hasUnconfirmed()) {
       scheduleExpiry();
     }
+    RouteTable table = feed.routes();
+    if (table != null) {
+      regionFaults.check(table);
+    }
     List<BackendServer> servers = directory.all();
     chooser.retainServers(servers.stream().map(BackendServer::id).toList());
     notices.retain(servers, clock.nanos());
@@ -248,19 +258,28 @@
   }
 
   private Map<String, Number> gauges() {
-    Map<String, Number> all = new LinkedHashMap<>();
-    all.put("requests.active", exchanges.active());
-    all.put("requests.held", exchanges.heldCount());
-    all.put("config.version", configVersion());
-    all.put("store.contact_age_ms", feed.contactAgeMillis());
-    all.put("store.following", feed.isFollowing() ? 1 : 0);
-    all.put("servers.known", directory.all().size());
-    all.put("peers.known", peerCount());
-    all.put("servers.limited", limits.limitedCount(clock.nanos()));
-    all.put("servers.leaving", notices.leavingCount());
-    all.put("servers.paused", notices.pausedCount(clock.nanos()));
-    all.put("quarantine.parts", quarantine.quarantined(clock.nanos()).size());
-    return all;
+    Map<String, Number> gauges = new LinkedHashMap<>();
+    gauges.put("requests.active", exchanges.active());
+    gauges.put("requests.held", exchanges.heldCount());
+    gauges.put("config.version", configVersion());
+    gauges.put("config.region_conflicts", regionFaults.conflicts());
+    gauges.put("store.contact_age_ms", feed.contactAgeMillis());
+    gauges.put("store.following", feed.isFollowing() ? 1 : 0);
+    gauges.put("servers.known", directory.all().size());
+    gauges.put("servers.region_unknown", countServersOfUnknownRegion());
+    gauges.put("peers.known", peerCount());
+    gauges.put("servers.limited", limits.limitedCount(clock.nanos()));
+    gauges.put("servers.leaving", notices.leavingCount());
+    gauges.put("servers.paused", notices.pausedCount(clock.nanos()));
+    gauges.put("quarantine.parts", quarantine.quarantined(clock.nanos()).size());
+    return gauges;
+  }
+
+  private long countServersOfUnknownRegion() {
+    if (regionFilter.regions().isEmpty()) {
+      return 0;
+    }
+    return directory.all().stream().filter(s -> regionFilter.regionOf(s) == null).count();
   }
 
   private String dump() {
@@ -268,6 +287,9 @@
     text.append("node ").append(self).append('\n');
     gauges().forEach((k, v) -> text.append(k).append(' ').append(v).append('\n'));
     directory.all().forEach(s -> text.append(s).append('\n'));
+    regionFilter
+        .regions()
+        .forEach((d, region) -> text.append("region ").append(d + " " + region).append('\n'));
     limits
         .limits(clock.nanos())
         .forEach((server, l) -> text.append(server).append(' ').append(l).append('\n'));
@@ -294,7 +316,7 @@
   }
 
   /**
-   * Applies changed settings. Retry limits, seeds and the grace period change immediately.
+   * Applies changed settings. Retry limits, seeds, regions and the grace period change immediately.
    * Addresses, the name and the failure domain change only with a restart.
    *
    * @param next the validated settings
@@ -311,6 +333,7 @@
         () -> {
           retryBudget.setLimits(next.retryRatio(), next.retrySlack());
           gossipTransport.gossip().setSeeds(next.seeds());
+          regionFilter.setRegions(next.regions());
           settings = next;
         });
   }
