Start cold servers gently

ColdServers keeps the cold time by run of a server. DomainShares divides the rate that the service names for cold servers into fixed parts by failure domain, each admitted by few routers that rendezvous hashing names, so that the rate holds without knowing the other failure domains. ServerLimits and DomainShares use the same token bucket. Placement counts a part of the mean load and a cost for servers that are cold or were so a moment ago; urgent, latency-sensitive and repeated requests use them last, and prompts are not fetched from them. Services without cold-per-s behave as before.

--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
@@ -16,6 +16,8 @@
 import org.wigeonwharf.gateway.backend.BackendServer;
 import org.wigeonwharf.gateway.backend.ServerDirectory;
 import org.wigeonwharf.gateway.eligibility.EligibleServers;
+import org.wigeonwharf.gateway.limit.DomainShares;
+import org.wigeonwharf.gateway.limit.FixedFleet;
 import org.wigeonwharf.gateway.limit.LimitLog;
 import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.notice.NoticeLog;
@@ -29,6 +31,7 @@
 import org.wigeonwharf.gateway.retry.RetryBudget;
 import org.wigeonwharf.gateway.route.Account;
 import org.wigeonwharf.gateway.route.CallerLimits;
+import org.wigeonwharf.gateway.route.ColdStart;
 import org.wigeonwharf.gateway.route.RequestKind;
 import org.wigeonwharf.gateway.route.Route;
 import org.wigeonwharf.gateway.route.RouteTable;
@@ -57,6 +60,7 @@
   Function<BackendServer, LivenessCheck.Result> liveness = s -> LivenessCheck.Result.ALIVE;
   final ExchangeManager exchanges;
   private RouteTable routes;
+  ColdStart coldStart = ColdStart.NONE;
 
   /** Records a request passed to the connector and lets the test respond to it. */
   static final class FakeAttempt implements Attempt {
@@ -150,7 +154,12 @@
     long now = timers.nanos();
     quarantine = new PromptQuarantine(new QuarantineLog(new MetricRegistry()), new Random(7), now);
     limits = new ServerLimits(new LimitLog(new MetricRegistry()), () -> 0, new Random(7), now);
-    notices = new ServerNotices(limits, new NoticeLog(new MetricRegistry()));
+    notices =
+        new ServerNotices(
+            limits,
+            new DomainShares(new FixedFleet(), new Random(7)),
+            service -> coldStart,
+            new NoticeLog(new MetricRegistry()));
     budget.setLimits(0.5, 100);
     exchanges =
         new ExchangeManager(
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ServerNoticesTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ServerNoticesTest.java
@@ -214,7 +214,7 @@
     fixture.timers.advanceMillis(2_600);
     fixture.notices.recordAnswer(
         fixture.attempt(1).server,
-        new ServerStatement(false, false, 0.6, 1_000.0),
+        new ServerStatement(false, false, 0.6, 1_000.0, null),
         fixture.timers.nanos());
     final int sends = fixture.attempts.size();
     begin();
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/TestProtocol.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/TestProtocol.java
@@ -20,6 +20,7 @@
   static final String PROMPT = "prompt";
   static final String LIMIT = "limit";
   static final String LEAVING = "leaving";
+  static final String COLD = "cold";
   static final String PAUSE = "pause";
 
   /** Ids of the prompt's parts, separated by commas. */
@@ -59,6 +60,7 @@
   public ResponseMetadata readResponse(int status, HttpHeaders h) {
     LoadReport load = h.contains("load") ? new LoadReport(h.getInt("load"), 0, 1, 1) : null;
     Double limit = h.contains(LIMIT) ? Double.valueOf(h.get(LIMIT)) : null;
+    Long cold = h.contains(COLD) ? Long.valueOf(h.get(COLD)) : null;
     Double pause = h.contains(PAUSE) ? Double.valueOf(h.get(PAUSE)) : null;
     return new ResponseMetadata(
         h.contains(NOT_RUN),
@@ -66,6 +68,6 @@
         h.contains(SIGNED),
         h.get(ID),
         load,
-        new ServerStatement(h.contains(SIGNED), h.contains(LEAVING), pause, limit));
+        new ServerStatement(h.contains(SIGNED), h.contains(LEAVING), pause, limit, cold));
   }
 }
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/GossipFixture.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/GossipFixture.java
@@ -28,6 +28,7 @@
   private static final int FIRST_PORT = 7_000;
 
   private final PeerGossip gossip;
+  private final KnownFleet fleet;
 
   /**
    * Creates a router's end of the protocol; router 0 is the seed.
@@ -68,12 +69,18 @@
             (destination, datagram) -> network.send(destination.getPort() - FIRST_PORT, datagram),
             () -> 1,
             revision -> {});
+    fleet = new KnownFleet("vm" + number, new FailureDomain(domain), () -> gossip);
   }
 
   private static InetSocketAddress address(int number) {
     return new InetSocketAddress("127.0.0.1", FIRST_PORT + number);
   }
 
+  /** Returns what the router knows of the fleet. */
+  public KnownFleet fleet() {
+    return fleet;
+  }
+
   /** Sends what is due. */
   public void tick() {
     gossip.tick();
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/PromptPlacementTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/PromptPlacementTest.java
@@ -16,11 +16,14 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.wigeonwharf.gateway.backend.BackendServer;
+import org.wigeonwharf.gateway.limit.DomainShares;
+import org.wigeonwharf.gateway.limit.FixedFleet;
 import org.wigeonwharf.gateway.limit.LimitLog;
 import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.notice.NoticeLog;
 import org.wigeonwharf.gateway.notice.ServerNotices;
 import org.wigeonwharf.gateway.route.AllowedRegions;
+import org.wigeonwharf.gateway.route.ColdStart;
 import org.wigeonwharf.gateway.route.EngineSpec;
 import org.wigeonwharf.gateway.route.ServiceSpec;
 import org.wigeonwharf.model.Clock;
@@ -34,6 +37,8 @@
   private static final ServerNotices NO_NOTICES =
       new ServerNotices(
           new ServerLimits(new LimitLog(new MetricRegistry()), () -> 0, new Random(7), 0),
+          new DomainShares(new FixedFleet(), new Random(7)),
+          service -> ColdStart.NONE,
           new NoticeLog(new MetricRegistry()));
   private static final FailureDomain LOCAL = new FailureDomain("local");
   private static final FailureDomain REMOTE = new FailureDomain("remote");
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
@@ -25,11 +25,14 @@
 import org.wigeonwharf.gateway.http.NettyLivenessCheck;
 import org.wigeonwharf.gateway.http.RequestLog;
 import org.wigeonwharf.gateway.http.StatusServer;
+import org.wigeonwharf.gateway.limit.DomainShares;
 import org.wigeonwharf.gateway.limit.LimitLog;
 import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.notice.NoticeLog;
 import org.wigeonwharf.gateway.notice.ServerNotices;
 import org.wigeonwharf.gateway.peer.GossipTransport;
+import org.wigeonwharf.gateway.peer.KnownFleet;
+import org.wigeonwharf.gateway.peer.PeerGossip;
 import org.wigeonwharf.gateway.placement.InFlightTracker;
 import org.wigeonwharf.gateway.placement.PrefixCacheIndex;
 import org.wigeonwharf.gateway.placement.ServerChooser;
@@ -38,7 +41,9 @@
 import org.wigeonwharf.gateway.quarantine.QuarantineLog;
 import org.wigeonwharf.gateway.retry.FleetShare;
 import org.wigeonwharf.gateway.retry.RetryBudget;
+import org.wigeonwharf.gateway.route.ColdStart;
 import org.wigeonwharf.gateway.route.RouteTable;
+import org.wigeonwharf.gateway.route.ServiceSpec;
 import org.wigeonwharf.model.Addresses;
 import org.wigeonwharf.model.Clock;
 import org.wigeonwharf.model.Lifecycle;
@@ -80,6 +85,7 @@
   private final RetryBudget retryBudget;
   private final PromptQuarantine quarantine;
   private final ServerLimits limits;
+  private final KnownFleet fleet;
   private final ServerNotices notices;
   private final ExchangeManager exchanges;
   private final CallerListener callers;
@@ -119,11 +125,14 @@
     this.loop = loops.next();
     this.clock = clock;
     this.directory = new ServerDirectory(RECONNECT_GRACE_MILLIS * Clock.NANOS_PER_MILLI);
+    this.limits = new ServerLimits(new LimitLog(metrics), this::peerCount, random, clock.nanos());
+    this.fleet = new KnownFleet(self.name(), settings.domain(), this::gossip);
+    this.notices =
+        new ServerNotices(
+            limits, new DomainShares(fleet, random), this::coldStart, new NoticeLog(metrics));
     InFlightTracker inFlight =
         new InFlightTracker(PEER_WORK_MAX_AGE_MILLIS * Clock.NANOS_PER_MILLI);
     PrefixCacheIndex prefixCaches = new PrefixCacheIndex();
-    this.limits = new ServerLimits(new LimitLog(metrics), this::peerCount, random, clock.nanos());
-    this.notices = new ServerNotices(limits, new NoticeLog(metrics));
     this.chooser =
         new ServerChooser(
             settings.domain(), inFlight, prefixCaches, ServerPenalties.DEFAULT, notices);
@@ -190,12 +199,22 @@
     return t == null ? 0 : t.version();
   }
 
+  private PeerGossip gossip() {
+    return gossipTransport.gossip();
+  }
+
   private int peerCount() {
-    return gossipTransport.gossip().peerCount();
+    return gossip().peerCount();
+  }
+
+  private ColdStart coldStart(String service) {
+    RouteTable t = feed.routes();
+    ServiceSpec spec = t == null ? null : t.service(service);
+    return spec == null ? ColdStart.NONE : spec.coldStart();
   }
 
   private boolean isFrequentReader() {
-    return gossipTransport.gossip().rank() < FREQUENT_READERS_PER_DOMAIN;
+    return gossip().rank() < FREQUENT_READERS_PER_DOMAIN;
   }
 
   private void onStoreChange() {
@@ -203,6 +222,7 @@
       scheduleExpiry();
     }
     List<BackendServer> servers = directory.all();
+    fleet.addDomainsOf(servers);
     chooser.retainServers(servers.stream().map(BackendServer::id).toList());
     notices.retain(servers, clock.nanos());
     exchanges.retryHeld();
@@ -218,17 +238,19 @@
   }
 
   private Map<String, Number> gauges() {
-    return Map.of(
-        "requests.active", exchanges.active(),
-        "requests.held", exchanges.heldCount(),
-        "config.version", configVersion(),
-        "store.contact_age_ms", feed.contactAgeMillis(),
-        "servers.known", directory.all().size(),
-        "peers.known", peerCount(),
-        "servers.limited", limits.limitedCount(clock.nanos()),
-        "servers.leaving", notices.leavingCount(),
-        "servers.paused", notices.pausedCount(clock.nanos()),
-        "quarantine.parts", quarantine.quarantined(clock.nanos()).size());
+    long now = clock.nanos();
+    return Map.ofEntries(
+        Map.entry("requests.active", exchanges.active()),
+        Map.entry("requests.held", exchanges.heldCount()),
+        Map.entry("config.version", configVersion()),
+        Map.entry("store.contact_age_ms", feed.contactAgeMillis()),
+        Map.entry("servers.known", directory.all().size()),
+        Map.entry("peers.known", peerCount()),
+        Map.entry("servers.limited", limits.limitedCount(now)),
+        Map.entry("servers.leaving", notices.leavingCount()),
+        Map.entry("servers.paused", notices.pausedCount(now)),
+        Map.entry("servers.cold", notices.coldCount(directory.all(), now)),
+        Map.entry("quarantine.parts", quarantine.quarantined(now).size()));
   }
 
   private String dump() {
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/backend/BackendServer.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/backend/BackendServer.java
@@ -14,6 +14,10 @@
  * @param draining true if it is about to stop and must not receive new requests
  * @param startedAt its start time in Unix milliseconds by its own wall clock, which distinguishes
  *     two runs with the same id; 0 if it is not published
+ * @param coldMillis time in ms for which it stays cold from the moment its entry was written; 0 if
+ *     it is warm
+ * @param revision the store's revision of its entry, which tells a renewed cold time from one that
+ *     is read again; 0 if unknown
  */
 public record BackendServer(
     String id,
@@ -22,4 +26,44 @@
     FailureDomain domain,
     int slots,
     boolean draining,
-    long startedAt) {}
+    long startedAt,
+    long coldMillis,
+    long revision) {
+  /**
+   * Creates a server that is warm.
+   *
+   * @param id the server's id
+   * @param service the name of its service
+   * @param address its address
+   * @param domain its failure domain
+   * @param slots maximum number of concurrent requests
+   * @param draining true if it is about to stop
+   * @param startedAt its start time in Unix milliseconds, or 0
+   */
+  public BackendServer(
+      String id,
+      String service,
+      InetSocketAddress address,
+      FailureDomain domain,
+      int slots,
+      boolean draining,
+      long startedAt) {
+    this(id, service, address, domain, slots, draining, startedAt, 0, 0);
+  }
+
+  /** Returns whether a server differs from this one in more than its cold time and revision. */
+  boolean differsFrom(BackendServer other) {
+    return !withCold(0, 0).equals(other.withCold(0, 0));
+  }
+
+  /**
+   * Returns the same server with another cold time.
+   *
+   * @param millis time in ms for which it stays cold
+   * @param entryRevision the store's revision of its entry
+   */
+  public BackendServer withCold(long millis, long entryRevision) {
+    return new BackendServer(
+        id, service, address, domain, slots, draining, startedAt, millis, entryRevision);
+  }
+}
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/backend/ServerDirectory.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/backend/ServerDirectory.java
@@ -74,7 +74,7 @@
       e = new Entry(server);
       entries.put(server.id(), e);
       logChange("server.added", server, "published");
-    } else if (!e.server.equals(server)) {
+    } else if (server.differsFrom(e.server)) {
       logChange(server.draining() ? "server.draining" : "server.changed", server, "published");
       e.misdirected &= e.server.address().equals(server.address());
     }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/limit/ServerLimits.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/limit/ServerLimits.java
@@ -55,9 +55,6 @@
   /** Time in ms of its share that a router may send at once. */
   private static final double MAX_BURST_MILLIS = 1_000;
 
-  /** Maximum time in ms that counts between two uses, since a suspended VM earns nothing. */
-  private static final long MAX_REFILL_MILLIS = 1_000;
-
   private static final int MAX_SERVERS = 1_024;
 
   /**
@@ -85,17 +82,13 @@
   private static final class Share {
     private final DemandRate demand;
     private final DemandRate sent;
-    private final double phase;
+    private final TokenBucket bucket;
     private double weight;
-    private double tokens;
-    private long refilledAt;
 
     private Share(double phase, long now) {
       this.demand = new DemandRate(now);
       this.sent = new DemandRate(now);
-      this.phase = phase;
-      this.tokens = phase;
-      this.refilledAt = now;
+      this.bucket = new TokenBucket(phase, now);
     }
 
     private ServerDemand total(long now) {
@@ -176,7 +169,7 @@
     }
     Share share = share(server, now);
     refill(server, share, limit, now);
-    return Math.max(0, 1 - share.tokens) / sharePerSecond(server, share, limit, now) * 1_000;
+    return share.bucket.waitMillis(sharePerSecond(server, share, limit, now));
   }
 
   private Share share(String server, long now) {
@@ -184,19 +177,18 @@
   }
 
   private void refill(String server, Share share, Named limit, long now) {
-    double elapsedMillis = (now - share.refilledAt) / (double) Clock.NANOS_PER_MILLI;
-    share.refilledAt = now;
+    double elapsedMillis = share.bucket.elapsedMillis(now);
     double adaption = 1 - Math.exp(-elapsedMillis / WEIGHT_LAG_MILLIS);
     share.weight += (share.demand.perSecond(now) - share.weight) * adaption;
     if (now - startedAt < DISCOVERY_MILLIS * Clock.NANOS_PER_MILLI) {
+      share.bucket.skip(now);
       return;
     }
-    double perMilli = sharePerSecond(server, share, limit, now) / 1_000;
-    double earned = perMilli * Math.min(MAX_REFILL_MILLIS, elapsedMillis);
-    share.tokens = Math.min(Math.max(1, perMilli * MAX_BURST_MILLIS), share.tokens + earned);
-    if (share.demand.perSecond(now) < MIN_DEMAND && share.tokens >= 1) {
+    double perSecond = sharePerSecond(server, share, limit, now);
+    share.bucket.earn(perSecond, Math.max(1, perSecond * MAX_BURST_MILLIS / 1_000), now);
+    if (share.demand.perSecond(now) < MIN_DEMAND && share.bucket.hasToken()) {
       // Otherwise all routers could send at once when demand returns.
-      share.tokens = share.phase;
+      share.bucket.reset();
     }
   }
 
@@ -259,7 +251,7 @@
   public void recordSent(String server, long now) {
     if (isLimited(server, now)) {
       Share share = share(server, now);
-      share.tokens -= 1;
+      share.bucket.take();
       share.sent.recordEvent(now);
     }
   }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/notice/NoticeLog.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/notice/NoticeLog.java
@@ -70,4 +70,24 @@
           .log("backend server names a pause that can't be kept as named");
     }
   }
+
+  void logCold(String server, long leftMillis, double perSecond, double share, String source) {
+    metrics.counter("notices.cold").inc();
+    LOG.atInfo()
+        .addKeyValue("event", "server.cold")
+        .addKeyValue("server", server)
+        .addKeyValue("left_ms", leftMillis)
+        .addKeyValue("per_second", perSecond)
+        .addKeyValue("share_per_second", share)
+        .addKeyValue("source", source)
+        .log("backend server is cold and has to be started gently");
+  }
+
+  void countColdSent() {
+    metrics.counter("notices.cold_sent").inc();
+  }
+
+  void countColdWithheld() {
+    metrics.counter("notices.cold_withheld").inc();
+  }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/notice/ServerNotices.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/notice/ServerNotices.java
@@ -2,30 +2,41 @@
 
 import java.util.Collection;
 import java.util.List;
+import java.util.function.Function;
 import org.wigeonwharf.gateway.backend.BackendServer;
+import org.wigeonwharf.gateway.limit.DomainShares;
 import org.wigeonwharf.gateway.limit.ServerLimits;
+import org.wigeonwharf.gateway.route.ColdStart;
 
 /**
  * Combines all that backend servers state of themselves in their answers: that they are leaving,
- * that they want a pause, and the request rates that they accept.
+ * that they want a pause, that they are cold, and the request rates that they accept.
  *
  * <p>Not thread-safe. All times are in nanoseconds of the monotonic clock.
  */
 public final class ServerNotices {
   private final LeavingServers leaving;
   private final PausedServers paused;
+  private final ColdServers cold;
   private final List<ServerNotice> all;
 
   /**
    * Creates an instance that knows of no statement.
    *
    * @param limits the request rates that servers accept, which the routers share
+   * @param shares divides the rates of cold servers among the routers
+   * @param coldStarts supplies what a service names for its cold servers, by its name
    * @param log records what servers state
    */
-  public ServerNotices(ServerLimits limits, NoticeLog log) {
+  public ServerNotices(
+      ServerLimits limits,
+      DomainShares shares,
+      Function<String, ColdStart> coldStarts,
+      NoticeLog log) {
     this.leaving = new LeavingServers(log);
     this.paused = new PausedServers(log);
-    this.all = List.of(leaving, paused, new LimitNotice(limits));
+    this.cold = new ColdServers(shares, coldStarts, log);
+    this.all = List.of(leaving, paused, cold, new LimitNotice(limits));
   }
 
   /**
@@ -117,7 +128,7 @@
   }
 
   /**
-   * Discards what servers have stated that are not among the known ones.
+   * Records what the entries of the known servers state, and discards what others have stated.
    *
    * @param known all published servers
    * @param now the current time
@@ -135,6 +146,46 @@
     return leaving.isLeaving(server);
   }
 
+  /**
+   * Returns whether a server is cold and has to be started gently.
+   *
+   * @param server the server
+   * @param now the current time
+   */
+  public boolean isCold(BackendServer server, long now) {
+    return cold.isCold(server, now);
+  }
+
+  /**
+   * Returns whether all servers bear full load, as is the case most of the time.
+   *
+   * @param now the current time
+   */
+  public boolean areAllWarm(long now) {
+    return cold.areAllWarm(now);
+  }
+
+  /**
+   * Returns how far a server that has to be started gently is from bearing full load.
+   *
+   * @param server the server
+   * @param now the current time
+   * @return 1 while it is cold, then falling to 0 over some seconds; 0 if it is warm
+   */
+  public double coldness(BackendServer server, long now) {
+    return cold.coldness(server, now);
+  }
+
+  /**
+   * Returns the number of servers that are cold now.
+   *
+   * @param known all published servers
+   * @param now the current time
+   */
+  public int coldCount(Collection<BackendServer> known, long now) {
+    return cold.count(known, now);
+  }
+
   /** Returns the number of runs of servers that are known to be leaving or to have left. */
   public int leavingCount() {
     return leaving.count();
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/notice/ServerStatement.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/notice/ServerStatement.java
@@ -12,9 +12,11 @@
  *     or null if it names none; NaN if the value could not be read
  * @param rateLimit requests per second that the server accepts from all routers together, or null
  *     if it names no limit
+ * @param coldMillis time in ms for which the server stays cold, or null if it names none
  */
 public record ServerStatement(
     boolean authentic,
     boolean leaving,
     @Nullable Double pauseSeconds,
-    @Nullable Double rateLimit) {}
+    @Nullable Double rateLimit,
+    @Nullable Long coldMillis) {}
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerGossip.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerGossip.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
@@ -97,6 +98,18 @@
   /** Time in ms between messages to seeds or listed routers that are not known as peers. */
   private static final long CONTACT_INTERVAL_MILLIS = 1_000;
 
+  /**
+   * Time in ms without a new router of the same failure domain after which a router knows those
+   * that there are.
+   */
+  private static final long DISCOVERY_MILLIS = 2_500;
+
+  /**
+   * Time in ms after the first contact with another failure domain after which a router counts as
+   * the only one of its own.
+   */
+  private static final long LONE_DISCOVERY_MILLIS = 10_000;
+
   /** Maximum number of peers listed in one message beside those of the receiver's domain. */
   private static final int MAX_ADVERTISED_PEERS = 12;
 
@@ -136,6 +149,8 @@
   private long sentQuarantineChange;
   private long quarantineChangeSentToDomains;
   private boolean forwardQuarantine;
+  private long settlesAt;
+  private int localPeersBefore;
   private long sentAt;
   private long summariesSentAt;
   private long membersSentAt;
@@ -193,6 +208,7 @@
     this.onNewerRevision = onNewerRevision;
     this.peers = new PeerTable(domain, address, this::removeSource);
     this.startedAt = clock.nanos();
+    this.settlesAt = startedAt + toNanos(DISCOVERY_MILLIS);
     this.sentAt = startedAt;
     this.summariesSentAt = startedAt;
     this.membersSentAt = startedAt;
@@ -212,6 +228,7 @@
   void tick() {
     long now = clock.nanos();
     peers.removeSilent(now);
+    updateSettled(now);
     boolean summariesSent = now - nextSummaryAt(now) >= 0;
     if (summariesSent) {
       sendSummaries(now);
@@ -579,4 +596,33 @@
   public int peerCount() {
     return peers.size();
   }
+
+  /**
+   * Returns whether this router has been in contact with others for long enough to know its peers,
+   * or has none.
+   */
+  public boolean isSettled() {
+    return clock.nanos() - settlesAt >= 0;
+  }
+
+  private void updateSettled(long now) {
+    int localPeers = peers.localPeerCount();
+    boolean others = seeds.stream().anyMatch(s -> !s.equals(address));
+    if (peers.size() == 0 && others) {
+      settlesAt = now + toNanos(LONE_DISCOVERY_MILLIS);
+    } else if (localPeers > localPeersBefore && now - settlesAt < 0) {
+      settlesAt = now + toNanos(DISCOVERY_MILLIS);
+    }
+    localPeersBefore = localPeers;
+  }
+
+  /** Returns the names of the other routers of the same failure domain that are alive. */
+  public List<String> domainPeers() {
+    return peers.localPeers().stream().map(p -> p.node().name()).toList();
+  }
+
+  /** Returns the other failure domains with routers that are alive. */
+  public Set<FailureDomain> otherDomains() {
+    return peers.remoteDomains();
+  }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerTable.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerTable.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -325,6 +326,11 @@
     return all;
   }
 
+  /** Returns the other failure domains that have routers in the table. */
+  Set<FailureDomain> remoteDomains() {
+    return Set.copyOf(remoteDomains.keySet());
+  }
+
   /**
    * Returns the routers of other failure domains that receive the next summary: one of each domain
    * in turn, or several if some of its routers may have failed.
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/Candidate.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/Candidate.java
@@ -58,4 +58,28 @@
   public int load() {
     return Math.max(work.running(), reportedLoad);
   }
+
+  /**
+   * Returns the same candidate with a higher load, as far as it leaves a free slot.
+   *
+   * @param requests number of requests to add
+   */
+  Candidate withAddedLoad(double requests) {
+    int raised = Math.min(load() + (int) Math.round(requests), server.slots() - 1);
+    return new Candidate(
+        server,
+        local,
+        serversAfter,
+        prefixOwner,
+        work,
+        Math.max(load(), raised),
+        slowdown,
+        reportAgeMillis,
+        failureRate,
+        state,
+        cachedTokens,
+        cachedElsewhereTokens,
+        averageSensitivity,
+        longPrefillShare);
+  }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/PrefixOwner.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/PrefixOwner.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.wigeonwharf.gateway.backend.BackendServer;
+import org.wigeonwharf.gateway.backend.RendezvousWeight;
 
 /**
  * Finds the prefix owner: the engine preferred for the first prefill of a prompt's shared prefix if
@@ -27,7 +28,7 @@
     String owner = null;
     long minWeight = 0;
     for (BackendServer s : servers) {
-      long w = weight(lastSharedId, s.id());
+      long w = RendezvousWeight.of(lastSharedId, s.id());
       if (owner == null || w < minWeight) {
         owner = s.id();
         minWeight = w;
@@ -35,13 +36,4 @@
     }
     return owner;
   }
-
-  private static long weight(String part, String server) {
-    // Mixes the bits by a 64-bit finalizer, since String.hashCode differs little between similar
-    // strings.
-    long h = part.hashCode() * 0x9E3779B97F4A7C15L + server.hashCode();
-    h = (h ^ (h >>> 30)) * 0xBF58476D1CE4E5B9L;
-    h = (h ^ (h >>> 27)) * 0x94D049BB133111EBL;
-    return h ^ (h >>> 31);
-  }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerChooser.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerChooser.java
@@ -102,6 +102,7 @@
     for (Candidate c : candidates) {
       double cost =
           tried.contains(c.server().id()) ? Double.POSITIVE_INFINITY : policy.cost(demand, c);
+      cost += ColdStartCost.millis(demand, !tried.isEmpty(), notices.coldness(c.server(), now));
       double waitMillis = notices.waitMillis(c.server(), now);
       double preference = notices.isClosed(c.server(), now) ? cost + CLOSED_PENALTY_MILLIS : cost;
       if (preference < preferredCost) {
@@ -123,7 +124,7 @@
     if (best == null || canWait && worthWaiting) {
       return null;
     }
-    BackendServer source = cacheSource(demand, engine, candidates, best);
+    BackendServer source = cacheSource(demand, engine, candidates, best, now);
     return new Choice(best, lowestCost, source, policy.prefillTokens(demand, best));
   }
 
@@ -139,18 +140,22 @@
    * it cached. If none is known and the prefix is long, it is the prefix owner, which may have it
    * cached without this router knowing.
    */
-  private static @Nullable BackendServer cacheSource(
-      Demand demand, @Nullable EngineSpec engine, List<Candidate> candidates, Candidate best) {
+  private @Nullable BackendServer cacheSource(
+      Demand demand,
+      @Nullable EngineSpec engine,
+      List<Candidate> candidates,
+      Candidate best,
+      long now) {
     int missingTokens = demand.sharedPrefixTokens() - best.cachedTokens();
     if (engine == null || !engine.canFetch() || missingTokens < MIN_FETCH_TOKENS) {
       return null;
     }
-    Candidate holder = largestHolder(candidates);
+    Candidate holder = largestHolder(candidates, now);
     if (holder != null && best.cachedElsewhereTokens() >= MIN_FETCH_TOKENS) {
       return holder.server();
     }
     for (Candidate c : candidates) {
-      boolean mayHold = c.prefixOwner() && c != best && c.state() == Candidate.State.SOUND;
+      boolean mayHold = c.prefixOwner() && c != best && isSource(c, now);
       if (mayHold && missingTokens >= MIN_SPECULATIVE_FETCH_TOKENS) {
         return c.server();
       }
@@ -158,17 +163,22 @@
     return null;
   }
 
-  private static @Nullable Candidate largestHolder(List<Candidate> candidates) {
+  private @Nullable Candidate largestHolder(List<Candidate> candidates, long now) {
     Candidate holder = null;
     for (Candidate c : candidates) {
       boolean more = holder == null || c.cachedTokens() > holder.cachedTokens();
-      if (c.state() == Candidate.State.SOUND && more) {
+      if (more && isSource(c, now)) {
         holder = c;
       }
     }
     return holder;
   }
 
+  /** Returns whether prompts may be fetched from a server, which also loads it. */
+  private boolean isSource(Candidate c, long now) {
+    return c.state() == Candidate.State.SOUND && !notices.isCold(c.server(), now);
+  }
+
   private List<Candidate> candidates(
       Demand demand, @Nullable EngineSpec engine, List<BackendServer> servers, long now) {
     Map<FailureDomain, Integer> remaining = new HashMap<>();
@@ -179,7 +189,7 @@
       if (engine != null) {
         prefixCaches.setCapacity(s.id(), (long) (PREFIX_CACHE_FRACTION * engine.kvCacheTokens()));
       }
-      if (stats(s.id(), now).state(now) == Candidate.State.SOUND) {
+      if (stats(s.id(), now).state(now) == Candidate.State.SOUND && !notices.isCold(s, now)) {
         maxCachedTokens =
             Math.max(maxCachedTokens, prefixCaches.cachedTokens(s.id(), demand.parts()));
       }
@@ -189,7 +199,23 @@
       int serversAfter = remaining.merge(s.domain(), -1, Integer::sum);
       found.add(toCandidate(demand, s, serversAfter, s.id().equals(ownerId), maxCachedTokens, now));
     }
-    return found;
+    return notices.areAllWarm(now) ? found : withRisingLoad(found, now);
+  }
+
+  /**
+   * Adds a part of the mean load to servers that are cold or were so a moment ago. All routers
+   * would otherwise prefer them at once.
+   */
+  private List<Candidate> withRisingLoad(List<Candidate> candidates, long now) {
+    double meanLoad =
+        candidates.stream()
+            .filter(c -> notices.coldness(c.server(), now) == 0)
+            .mapToInt(Candidate::load)
+            .average()
+            .orElse(0);
+    return candidates.stream()
+        .map(c -> c.withAddedLoad(notices.coldness(c.server(), now) * meanLoad))
+        .toList();
   }
 
   private Candidate toCandidate(
--- a/platform.test/src/test/java/org/wigeonwharf/platform/ConfigurationDecoderTest.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/ConfigurationDecoderTest.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.wigeonwharf.gateway.route.ColdStart;
 import org.wigeonwharf.gateway.route.EngineSpec;
 import org.wigeonwharf.gateway.route.RequestKind;
 import org.wigeonwharf.gateway.route.Route;
@@ -36,7 +37,7 @@
        "services":[
         {"name":"s1","max-conns":620,"engine":{"slots":128,"kv-capacity":797615,
          "kv-token-bytes":18000,"link-mbps":180000.0}},
-        {"name":"s2","max-conns":110}],
+        {"name":"s2","max-conns":110,"cold-s":3.0,"cold-per-s":15}],
        "limits":{"max-header-bytes":16000,"max-body-bytes":4000000,"header-timeout-ms":3000,
          "idle-timeout-ms":15000},
        "tenants":[{"name":"t1","api-keys":["k1","k2"],"priority":1},
@@ -67,6 +68,8 @@
     assertEquals(2, r2.maxAttempts());
     assertTrue(t.find("host.example", "/c/").open());
     assertEquals(new EngineSpec(128, 797_615, 1_250), t.service("s1").engine());
+    assertEquals(ColdStart.NONE, t.service("s1").coldStart());
+    assertEquals(new ColdStart(3, 15), t.service("s2").coldStart());
     assertEquals(16_000, t.limits().maxHeaderBytes());
     assertEquals(1, t.account("k2").priority().getAsInt());
     assertFalse(t.account("k3").priority().isPresent());
@@ -122,6 +125,8 @@
             new String[] {"\"version\":7", "\"version\":7.5"},
             new String[] {"\"version\":7", "\"version\":1e300"},
             new String[] {"\"weight\":90", "\"weight\":0.5"},
+            new String[] {"\"cold-per-s\":15", "\"cold-per-s\":-1"},
+            new String[] {"\"cold-per-s\":15", "\"cold-per-s\":\"15\""},
             new String[] {"\"service\":\"s1\"", "\"service\":\"nowhere\""},
             new String[] {"\"weight\":90", "\"weight\":\"all\""},
             new String[] {"\"kind\":\"safe\"", "\"kind\":null"},
--- a/platform.test/src/test/java/org/wigeonwharf/platform/PlatformProtocolTest.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/PlatformProtocolTest.java
@@ -162,4 +162,21 @@
       assertNull(rateLimit("Server-Limit", malformed), malformed);
     }
   }
+
+  @Test
+  void decodesColdTimeOfAnswers() {
+    assertEquals(3_000, coldMillis("3000"));
+    assertEquals(13, coldMillis("12.5"));
+    assertEquals(0, coldMillis("0"));
+    assertNull(coldMillis("soon"));
+    assertNull(coldMillis("-3"));
+    assertNull(protocol.readResponse(200, headers()).statement().coldMillis());
+  }
+
+  private Long coldMillis(String text) {
+    return protocol
+        .readResponse(200, headers("X-Wigeonwharf-Cold-Ms", text))
+        .statement()
+        .coldMillis();
+  }
 }
--- a/platform.test/src/test/java/org/wigeonwharf/platform/ServerEntryDecoderTest.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/ServerEntryDecoderTest.java
@@ -24,7 +24,7 @@
   private final ServerEntryDecoder decoder = new ServerEntryDecoder(new ObjectMapper());
 
   private BackendServer decode(String text) throws IOException {
-    return decoder.decode("i-1", text.getBytes(StandardCharsets.UTF_8));
+    return decoder.decode("i-1", text.getBytes(StandardCharsets.UTF_8), 23);
   }
 
   @Test
@@ -36,6 +36,8 @@
     assertEquals("z1", s.domain().value());
     assertEquals(128, s.slots());
     assertEquals(17, s.startedAt());
+    assertEquals(0, s.coldMillis());
+    assertEquals(23, s.revision());
     assertFalse(s.draining());
     assertTrue(decode(VALID.replace("ready", "draining")).draining());
     assertEquals(0, decode(VALID.replace(",\"born\":17", "")).startedAt());
@@ -47,6 +49,20 @@
     assertEquals(128, decode(VALID.replace("128,", "128.0,")).slots());
   }
 
+  @Test
+  void coldTimeIsRoundedUpAndCountsAsNoneIfItIsNoDuration() throws IOException {
+    assertEquals(3_000, decode(cold("3000")).coldMillis());
+    assertEquals(2_501, decode(cold("2500.2")).coldMillis());
+    for (String invalid : List.of("-5", "\"3000\"", "null", "[]", "true")) {
+      assertEquals(0, decode(cold(invalid)).coldMillis(), invalid);
+    }
+    assertEquals(0, decode(VALID.replace("\"cold-left-ms\":0,", "")).coldMillis());
+  }
+
+  private static String cold(String millis) {
+    return VALID.replace("\"cold-left-ms\":0", "\"cold-left-ms\":" + millis);
+  }
+
   @Test
   void invalidEntriesAreRejected() {
     for (String[] change :
