--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
@@ -19,6 +19,8 @@
 import org.wigeonwharf.gateway.backend.ServerDirectory;
 import org.wigeonwharf.gateway.eligibility.EligibleServers;
 import org.wigeonwharf.gateway.eligibility.RegionFilter;
+import org.wigeonwharf.gateway.limit.DomainShares;
+import org.wigeonwharf.gateway.limit.FixedFleet;
 import org.wigeonwharf.gateway.limit.LimitLog;
 import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.notice.NoticeLog;
@@ -33,6 +35,7 @@
 import org.wigeonwharf.gateway.route.Account;
 import org.wigeonwharf.gateway.route.AllowedRegions;
 import org.wigeonwharf.gateway.route.CallerLimits;
+import org.wigeonwharf.gateway.route.ColdStart;
 import org.wigeonwharf.gateway.route.EngineSpec;
 import org.wigeonwharf.gateway.route.RequestKind;
 import org.wigeonwharf.gateway.route.Route;
@@ -64,6 +67,7 @@
   Function<BackendServer, LivenessCheck.Result> liveness = s -> LivenessCheck.Result.ALIVE;
   final ExchangeManager exchanges;
   private RouteTable routes;
+  ColdStart coldStart = ColdStart.NONE;
 
   /** Records a request passed to the connector and lets the test respond to it. */
   static final class FakeAttempt implements Attempt {
@@ -157,7 +161,12 @@
     long now = timers.nanos();
     quarantine = new PromptQuarantine(new QuarantineLog(new MetricRegistry()), new Random(7), now);
     limits = new ServerLimits(new LimitLog(new MetricRegistry()), () -> 0, new Random(7), now);
-    notices = new ServerNotices(limits, new NoticeLog(new MetricRegistry()));
+    notices =
+        new ServerNotices(
+            limits,
+            new DomainShares(new FixedFleet(), new Random(7)),
+            service -> coldStart,
+            new NoticeLog(new MetricRegistry()));
     budget.setLimits(0.5, 100);
     exchanges =
         new ExchangeManager(
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/GossipFixture.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/GossipFixture.java
@@ -29,6 +29,7 @@
   private static final int FIRST_PORT = 7_000;
 
   private final PeerGossip gossip;
+  private final KnownFleet fleet;
 
   /**
    * Creates a router's end of the protocol; router 0 is the seed.
@@ -69,12 +70,18 @@
             new Random(incarnation),
             (destination, datagram) -> network.send(destination.getPort() - FIRST_PORT, datagram),
             new RecordingStoreProgress());
+    fleet = new KnownFleet("vm" + number, new FailureDomain(domain), () -> gossip);
   }
 
   private static InetSocketAddress address(int number) {
     return new InetSocketAddress("127.0.0.1", FIRST_PORT + number);
   }
 
+  /** Returns what the router knows of the fleet. */
+  public KnownFleet fleet() {
+    return fleet;
+  }
+
   /** Sends what is due. */
   public void tick() {
     gossip.tick();
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
@@ -519,7 +519,15 @@
             List.of(
                 new PublishedItem.Server(
                     new BackendServer(
-                        "s1", "model", address(99), new FailureDomain("e"), 12, true, 42)),
+                        "s1",
+                        "model",
+                        address(99),
+                        new FailureDomain("e"),
+                        12,
+                        true,
+                        42,
+                        2_500,
+                        9)),
                 new PublishedItem.ServerRemoved("s2")));
     a.gossip.passOn(changes);
     a.gossip.passOn(new StoreChanges(9, 10, false, List.of()));
--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/PublishedServerNews.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/PublishedServerNews.java
@@ -252,6 +252,36 @@
     return startedAt_;
   }
 
+  public static final int COLD_MILLIS_FIELD_NUMBER = 8;
+  private long coldMillis_ = 0L;
+  /**
+   * <pre>
+   * Time for which the server stays cold from the writing of its entry, in ms.
+   * </pre>
+   *
+   * <code>uint64 cold_millis = 8;</code>
+   * @return The coldMillis.
+   */
+  @java.lang.Override
+  public long getColdMillis() {
+    return coldMillis_;
+  }
+
+  public static final int REVISION_FIELD_NUMBER = 9;
+  private long revision_ = 0L;
+  /**
+   * <pre>
+   * The store's revision of the entry.
+   * </pre>
+   *
+   * <code>int64 revision = 9;</code>
+   * @return The revision.
+   */
+  @java.lang.Override
+  public long getRevision() {
+    return revision_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -287,6 +317,12 @@
     if (startedAt_ != 0L) {
       output.writeInt64(7, startedAt_);
     }
+    if (coldMillis_ != 0L) {
+      output.writeUInt64(8, coldMillis_);
+    }
+    if (revision_ != 0L) {
+      output.writeInt64(9, revision_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -320,6 +356,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(7, startedAt_);
     }
+    if (coldMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(8, coldMillis_);
+    }
+    if (revision_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(9, revision_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -349,6 +393,10 @@
         != other.getDraining()) return false;
     if (getStartedAt()
         != other.getStartedAt()) return false;
+    if (getColdMillis()
+        != other.getColdMillis()) return false;
+    if (getRevision()
+        != other.getRevision()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -376,6 +424,12 @@
     hash = (37 * hash) + STARTED_AT_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getStartedAt());
+    hash = (37 * hash) + COLD_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getColdMillis());
+    hash = (37 * hash) + REVISION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getRevision());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -518,6 +572,8 @@
       slots_ = 0;
       draining_ = false;
       startedAt_ = 0L;
+      coldMillis_ = 0L;
+      revision_ = 0L;
       return this;
     }
 
@@ -572,6 +628,12 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.startedAt_ = startedAt_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.coldMillis_ = coldMillis_;
+      }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.revision_ = revision_;
+      }
     }
 
     @java.lang.Override
@@ -615,6 +677,12 @@
       if (other.getStartedAt() != 0L) {
         setStartedAt(other.getStartedAt());
       }
+      if (other.getColdMillis() != 0L) {
+        setColdMillis(other.getColdMillis());
+      }
+      if (other.getRevision() != 0L) {
+        setRevision(other.getRevision());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -676,6 +744,16 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 56
+            case 64: {
+              coldMillis_ = input.readUInt64();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
+            case 72: {
+              revision_ = input.readInt64();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1109,6 +1187,94 @@
       return this;
     }
 
+    private long coldMillis_ ;
+    /**
+     * <pre>
+     * Time for which the server stays cold from the writing of its entry, in ms.
+     * </pre>
+     *
+     * <code>uint64 cold_millis = 8;</code>
+     * @return The coldMillis.
+     */
+    @java.lang.Override
+    public long getColdMillis() {
+      return coldMillis_;
+    }
+    /**
+     * <pre>
+     * Time for which the server stays cold from the writing of its entry, in ms.
+     * </pre>
+     *
+     * <code>uint64 cold_millis = 8;</code>
+     * @param value The coldMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setColdMillis(long value) {
+
+      coldMillis_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Time for which the server stays cold from the writing of its entry, in ms.
+     * </pre>
+     *
+     * <code>uint64 cold_millis = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearColdMillis() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      coldMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long revision_ ;
+    /**
+     * <pre>
+     * The store's revision of the entry.
+     * </pre>
+     *
+     * <code>int64 revision = 9;</code>
+     * @return The revision.
+     */
+    @java.lang.Override
+    public long getRevision() {
+      return revision_;
+    }
+    /**
+     * <pre>
+     * The store's revision of the entry.
+     * </pre>
+     *
+     * <code>int64 revision = 9;</code>
+     * @param value The revision to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRevision(long value) {
+
+      revision_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The store's revision of the entry.
+     * </pre>
+     *
+     * <code>int64 revision = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRevision() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      revision_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wigeonwharf.gateway.PublishedServerNews)
   }
 
--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/PublishedServerNewsOrBuilder.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/PublishedServerNewsOrBuilder.java
@@ -87,4 +87,24 @@
    * @return The startedAt.
    */
   long getStartedAt();
+
+  /**
+   * <pre>
+   * Time for which the server stays cold from the writing of its entry, in ms.
+   * </pre>
+   *
+   * <code>uint64 cold_millis = 8;</code>
+   * @return The coldMillis.
+   */
+  long getColdMillis();
+
+  /**
+   * <pre>
+   * The store's revision of the entry.
+   * </pre>
+   *
+   * <code>int64 revision = 9;</code>
+   * @return The revision.
+   */
+  long getRevision();
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
@@ -31,11 +31,14 @@
 import org.wigeonwharf.gateway.http.NettyLivenessCheck;
 import org.wigeonwharf.gateway.http.RequestLog;
 import org.wigeonwharf.gateway.http.StatusServer;
+import org.wigeonwharf.gateway.limit.DomainShares;
 import org.wigeonwharf.gateway.limit.LimitLog;
 import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.notice.NoticeLog;
 import org.wigeonwharf.gateway.notice.ServerNotices;
 import org.wigeonwharf.gateway.peer.GossipTransport;
+import org.wigeonwharf.gateway.peer.KnownFleet;
+import org.wigeonwharf.gateway.peer.PeerGossip;
 import org.wigeonwharf.gateway.placement.InFlightTracker;
 import org.wigeonwharf.gateway.placement.PrefixCacheIndex;
 import org.wigeonwharf.gateway.placement.ServerChooser;
@@ -44,7 +47,9 @@
 import org.wigeonwharf.gateway.quarantine.QuarantineLog;
 import org.wigeonwharf.gateway.retry.FleetShare;
 import org.wigeonwharf.gateway.retry.RetryBudget;
+import org.wigeonwharf.gateway.route.ColdStart;
 import org.wigeonwharf.gateway.route.RouteTable;
+import org.wigeonwharf.gateway.route.ServiceSpec;
 import org.wigeonwharf.model.Addresses;
 import org.wigeonwharf.model.Clock;
 import org.wigeonwharf.model.Lifecycle;
@@ -86,6 +91,7 @@
   private final RetryBudget retryBudget;
   private final PromptQuarantine quarantine;
   private final ServerLimits limits;
+  private final KnownFleet fleet;
   private final ServerNotices notices;
   private final RegionFilter regionFilter;
   private final RegionFaults regionFaults;
@@ -127,11 +133,14 @@
     this.loop = loops.next();
     this.clock = clock;
     this.directory = new ServerDirectory(RECONNECT_GRACE_MILLIS * Clock.NANOS_PER_MILLI);
+    this.limits = new ServerLimits(new LimitLog(metrics), this::peerCount, random, clock.nanos());
+    this.fleet = new KnownFleet(self.name(), settings.domain(), this::gossip);
+    this.notices =
+        new ServerNotices(
+            limits, new DomainShares(fleet, random), this::coldStart, new NoticeLog(metrics));
     InFlightTracker inFlight =
         new InFlightTracker(PEER_WORK_MAX_AGE_MILLIS * Clock.NANOS_PER_MILLI);
     PrefixCacheIndex prefixCaches = new PrefixCacheIndex();
-    this.limits = new ServerLimits(new LimitLog(metrics), this::peerCount, random, clock.nanos());
-    this.notices = new ServerNotices(limits, new NoticeLog(metrics));
     this.chooser =
         new ServerChooser(
             settings.domain(), inFlight, prefixCaches, ServerPenalties.DEFAULT, notices);
@@ -210,12 +219,22 @@
     return t == null ? 0 : t.version();
   }
 
+  private PeerGossip gossip() {
+    return gossipTransport.gossip();
+  }
+
   private int peerCount() {
-    return gossipTransport.gossip().peerCount();
+    return gossip().peerCount();
+  }
+
+  private ColdStart coldStart(String service) {
+    RouteTable t = feed.routes();
+    ServiceSpec spec = t == null ? null : t.service(service);
+    return spec == null ? ColdStart.NONE : spec.coldStart();
   }
 
   private boolean isFrequentReader() {
-    return gossipTransport.gossip().rank() < FREQUENT_READERS_PER_DOMAIN;
+    return gossip().rank() < FREQUENT_READERS_PER_DOMAIN;
   }
 
   private void passOn(StoreChanges changes) {
@@ -231,6 +250,7 @@
       regionFaults.check(table);
     }
     List<BackendServer> servers = directory.all();
+    fleet.addDomainsOf(servers);
     chooser.retainServers(servers.stream().map(BackendServer::id).toList());
     notices.retain(servers, clock.nanos());
     exchanges.retryHeld();
@@ -271,6 +291,7 @@
     gauges.put("servers.limited", limits.limitedCount(clock.nanos()));
     gauges.put("servers.leaving", notices.leavingCount());
     gauges.put("servers.paused", notices.pausedCount(clock.nanos()));
+    gauges.put("servers.cold", notices.coldCount(directory.all(), clock.nanos()));
     gauges.put("quarantine.parts", quarantine.quarantined(clock.nanos()).size());
     return gauges;
   }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipCodec.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipCodec.java
@@ -298,6 +298,8 @@
         .setSlots(s.slots())
         .setDraining(s.draining())
         .setStartedAt(s.startedAt())
+        .setColdMillis(s.coldMillis())
+        .setRevision(s.revision())
         .build();
   }
 
@@ -309,7 +311,9 @@
         new FailureDomain(n.getFailureDomain()),
         Math.max(1, n.getSlots()),
         n.getDraining(),
-        n.getStartedAt());
+        n.getStartedAt(),
+        Math.max(0, n.getColdMillis()),
+        n.getRevision());
   }
 
   private static long toThousandths(double perSecond) {
