Count each log line that is lost: at the stop, and with several threads

LogConfiguratorTest.blockedOutputDropsLinesAndReportsTheirNumber failed once beside load with 13147 dropped and 11854 reported. Two faults of BoundedLogAppender: - Drops since the last notice were reported only with the next line, so those before the stop never were. The test stops as soon as it sees a notice; beside load its lines meanwhile fill the queue again. - Threads checked the free slots and used them without a lock, so that the queue refused lines that nobody counted. The appender now checks and fills the queue under one lock and keeps a slot for a notice at the stop.

New tests, red before: 7925 dropped and 0 reported at a stop without another line; 265 of 40000 lines of four threads neither written nor reported. The tests now wait for the writer thread, for which a stop waits one second only; the equality of dropped and reported is checked as before.

--- a/org.wigeonwharf.router.test/src/test/java/org/wigeonwharf/router/internal/LogConfiguratorTest.java
+++ b/org.wigeonwharf.router.test/src/test/java/org/wigeonwharf/router/internal/LogConfiguratorTest.java
@@ -13,8 +13,11 @@
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -26,10 +29,12 @@
  */
 class LogConfiguratorTest {
   private static final int LINES = 10_000;
+  private static final int THREADS = 4;
 
   private final PrintStream stdout = System.out;
   private final CountDownLatch readerResumed = new CountDownLatch(1);
   private final ByteArrayOutputStream written = new ByteArrayOutputStream();
+  private final Set<Thread> ownWriters = new HashSet<>();
 
   @AfterEach
   void restoreStandardOutput() {
@@ -40,7 +45,10 @@
     System.setOut(new PrintStream(blockedOutput()));
     LoggerContext context = new LoggerContext();
     context.setMDCAdapter(new LogbackMDCAdapter());
+    Set<Thread> others = writers();
     new LogConfigurator().configure(context);
+    ownWriters.addAll(writers());
+    ownWriters.removeAll(others);
     return context;
   }
 
@@ -62,6 +70,34 @@
     };
   }
 
+  private static void flood(Logger log) {
+    for (int i = 0; i < LINES; i++) {
+      log.atInfo().addKeyValue("event", "flood").log("line");
+    }
+  }
+
+  private static Set<Thread> writers() {
+    return Thread.getAllStackTraces().keySet().stream()
+        .filter(t -> t.getName().startsWith("AsyncAppender-Worker"))
+        .collect(Collectors.toSet());
+  }
+
+  /** Stops logging and waits for the writer to end; the stop itself waits a bounded time only. */
+  private void stop(LoggerContext context) throws InterruptedException {
+    context.stop();
+    for (Thread t : ownWriters) {
+      t.join();
+    }
+  }
+
+  private long writtenLines(String event) throws IOException {
+    return parseLines().stream().filter(l -> l.path("event").asText().equals(event)).count();
+  }
+
+  private long reportedDrops() throws IOException {
+    return parseLines().stream().mapToLong(l -> l.path("lines").asLong()).sum();
+  }
+
   private List<JsonNode> parseLines() throws IOException {
     List<JsonNode> lines = new ArrayList<>();
     for (String line : written.toString(StandardCharsets.UTF_8).split("\n")) {
@@ -75,18 +111,46 @@
   void blockedOutputDropsLinesAndReportsTheirNumber() throws Exception {
     LoggerContext context = createContext();
     Logger log = context.getLogger("test");
-    long before = BoundedLogAppender.droppedLines();
-    for (int i = 0; i < LINES; i++) {
-      log.atInfo().addKeyValue("event", "flood").log("line");
-    }
+    final long before = BoundedLogAppender.droppedLines();
+    flood(log);
     assertTrue(BoundedLogAppender.droppedLines() > before);
     readerResumed.countDown();
     while (!written.toString(StandardCharsets.UTF_8).contains("log.dropped")) {
       log.info("reader resumed");
     }
-    context.stop();
-    long reported = parseLines().stream().mapToLong(l -> l.path("lines").asLong()).sum();
-    assertEquals(BoundedLogAppender.droppedLines() - before, reported);
+    stop(context);
+    assertEquals(BoundedLogAppender.droppedLines() - before, reportedDrops());
+  }
+
+  @Test
+  @Timeout(60)
+  void linesDroppedSinceTheLastNoticeAreReportedWhenLoggingStops() throws Exception {
+    LoggerContext context = createContext();
+    Logger log = context.getLogger("test");
+    final long before = BoundedLogAppender.droppedLines();
+    flood(log);
+    readerResumed.countDown();
+    stop(context);
+    assertEquals(BoundedLogAppender.droppedLines() - before, reportedDrops());
+    assertEquals(LINES, writtenLines("flood") + reportedDrops());
+  }
+
+  @Test
+  @Timeout(60)
+  void eachLineIsWrittenOrReportedWhenThreadsLogAtOnce() throws Exception {
+    LoggerContext context = createContext();
+    Logger log = context.getLogger("test");
+    List<Thread> threads = new ArrayList<>();
+    for (int i = 0; i < THREADS; i++) {
+      threads.add(new Thread(() -> flood(log)));
+    }
+    threads.forEach(Thread::start);
+    readerResumed.countDown();
+    for (Thread t : threads) {
+      t.join();
+    }
+    stop(context);
+    assertEquals((long) THREADS * LINES, writtenLines("flood") + reportedDrops());
   }
 
   @Test
@@ -94,7 +158,7 @@
     readerResumed.countDown();
     LoggerContext context = createContext();
     context.getLogger("test").atInfo().addKeyValue("event", "e").addKeyValue("n", 3).log("text");
-    context.stop();
+    stop(context);
     JsonNode line = parseLines().get(0);
     assertEquals("e", line.path("event").asText());
     assertEquals(3, line.path("n").asInt());
--- a/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/internal/BoundedLogAppender.java
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/internal/BoundedLogAppender.java
@@ -5,6 +5,7 @@
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.classic.spi.LoggingEvent;
+import java.time.Instant;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
 import org.slf4j.event.KeyValuePair;
@@ -16,10 +17,16 @@
 final class BoundedLogAppender extends AsyncAppender {
   private static final AtomicLong DROPPED_LINES = new AtomicLong();
 
-  /** Free queue slots that a line needs: its own and one for the notice of dropped lines. */
-  private static final int MIN_FREE_SLOTS = 2;
+  /**
+   * Free queue slots that a line needs: its own, one for the notice of dropped lines before it, and
+   * one that stays free for the notice that is written when the appender stops.
+   */
+  private static final int MIN_FREE_SLOTS = 3;
 
-  private final AtomicLong unreportedDrops = new AtomicLong();
+  /** Guards the free slots between their check and their use, and {@link #unreportedDrops}. */
+  private final Object queueLock = new Object();
+
+  private long unreportedDrops;
 
   /** Returns the number of lines that this process has dropped because the queue was full. */
   static long droppedLines() {
@@ -28,25 +35,41 @@
 
   @Override
   protected void append(ILoggingEvent event) {
-    if (getRemainingCapacity() < MIN_FREE_SLOTS) {
-      DROPPED_LINES.incrementAndGet();
-      unreportedDrops.incrementAndGet();
-      return;
+    synchronized (queueLock) {
+      if (getRemainingCapacity() < MIN_FREE_SLOTS) {
+        DROPPED_LINES.incrementAndGet();
+        unreportedDrops++;
+        return;
+      }
+      reportDrops(event.getInstant(), event.getThreadName());
+      super.append(event);
     }
-    long drops = unreportedDrops.getAndSet(0);
-    if (drops > 0) {
-      super.append(dropNotice(event, drops));
+  }
+
+  @Override
+  public void stop() {
+    synchronized (queueLock) {
+      if (isStarted()) {
+        reportDrops(Instant.now(), Thread.currentThread().getName());
+      }
+    }
+    super.stop();
+  }
+
+  private void reportDrops(Instant time, String thread) {
+    if (unreportedDrops > 0) {
+      super.append(dropNotice(time, thread, unreportedDrops));
+      unreportedDrops = 0;
     }
-    super.append(event);
   }
 
-  private LoggingEvent dropNotice(ILoggingEvent next, long drops) {
+  private LoggingEvent dropNotice(Instant time, String thread, long drops) {
     LoggingEvent notice = new LoggingEvent();
     notice.setLoggerContext((LoggerContext) getContext());
-    notice.setInstant(next.getInstant());
+    notice.setInstant(time);
     notice.setLevel(Level.WARN);
     notice.setLoggerName(BoundedLogAppender.class.getName());
-    notice.setThreadName(next.getThreadName());
+    notice.setThreadName(thread);
     notice.setMessage("log lines dropped because the output is not read fast enough");
     notice.setKeyValuePairs(
         List.of(new KeyValuePair("event", "log.dropped"), new KeyValuePair("lines", drops)));
