--- /dev/null
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/evacuation/EvacuationsTest.java
@@ -0,0 +1,171 @@
+package org.wigeonwharf.gateway.evacuation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.wigeonwharf.model.FailureDomain;
+
+/**
+ * Guards against an evacuation that ends early, comes back after its end or is never learned of,
+ * because reads and peers' statements arrive late, in another order or not at all.
+ */
+class EvacuationsTest {
+  private static final FailureDomain D = new FailureDomain("d");
+
+  private final Evacuations evacuations = new Evacuations();
+
+  private static Evacuation of(boolean active, long revision) {
+    return new Evacuation(D, active, revision);
+  }
+
+  @Test
+  void newestRevisionWinsInAnyOrder() {
+    evacuations.apply(of(false, 8));
+    evacuations.apply(of(true, 5));
+    assertFalse(evacuations.isEvacuated(D));
+    evacuations.apply(of(true, 9));
+    evacuations.apply(of(false, 8));
+    assertTrue(evacuations.isEvacuated(D));
+    assertEquals(List.of(of(true, 9)), evacuations.active());
+  }
+
+  @Test
+  void completeReadEndsOnlyEvacuationsThatItCovers() {
+    evacuations.apply(of(true, 5));
+    evacuations.replaceAll(List.of(), 4);
+    assertTrue(evacuations.isEvacuated(D));
+    evacuations.replaceAll(List.of(), 6);
+    assertFalse(evacuations.isEvacuated(D));
+  }
+
+  @Test
+  void peerIsBelievedOnlyBeyondWhatWasRead() {
+    evacuations.merge(List.of(of(true, 5)));
+    assertTrue(evacuations.isEvacuated(D));
+    evacuations.replaceAll(List.of(), 7);
+    evacuations.merge(List.of(of(true, 7)));
+    assertFalse(evacuations.isEvacuated(D));
+    evacuations.merge(List.of(of(true, 8)));
+    assertTrue(evacuations.isEvacuated(D));
+    evacuations.recordRead(9);
+    evacuations.merge(List.of(of(false, 9)));
+    assertTrue(evacuations.isEvacuated(D));
+  }
+
+  @Test
+  void endsAreForgottenButEvacuationsAreNot() {
+    for (int i = 1; i <= 500; i++) {
+      evacuations.apply(new Evacuation(new FailureDomain("d" + i), i % 5 == 0, i));
+    }
+    assertEquals(100, evacuations.active().size());
+    assertEquals(Evacuations.MAX_ADVERTISED, evacuations.advertised().size());
+    assertTrue(evacuations.isEvacuated(new FailureDomain("d5")));
+  }
+
+  /** A store and routers that read it and tell each other, each late or not at all. */
+  private static final class Fleet {
+    private final Random random;
+    private final List<Evacuation> history = new ArrayList<>();
+    private final List<Evacuations> routers = new ArrayList<>();
+    private final List<Integer> read = new ArrayList<>();
+    private final List<Runnable> inTransit = new ArrayList<>();
+
+    Fleet(long seed) {
+      random = new Random(seed);
+      for (int i = 0; i < 5; i++) {
+        routers.add(new Evacuations());
+        read.add(0);
+      }
+    }
+
+    private Map<FailureDomain, Evacuation> stateAt(int revision) {
+      Map<FailureDomain, Evacuation> state = new TreeMap<>();
+      history.subList(0, revision).forEach(e -> state.put(e.domain(), e));
+      state.values().removeIf(e -> !e.active());
+      return state;
+    }
+
+    private void step() {
+      int i = random.nextInt(routers.size());
+      Evacuations router = routers.get(i);
+      switch (random.nextInt(8)) {
+        case 0 -> {
+          FailureDomain domain = new FailureDomain("d" + random.nextInt(3));
+          boolean active = stateAt(history.size()).get(domain) == null;
+          history.add(new Evacuation(domain, active, history.size() + 1));
+        }
+        case 1 -> readChanges(i);
+        case 2 -> readAll(i);
+        case 3 -> {
+          routers.set(i, new Evacuations());
+          read.set(i, 0);
+        }
+        case 4, 5 -> {
+          List<Evacuation> told = List.copyOf(router.advertised());
+          int receiver = random.nextInt(routers.size());
+          inTransit.add(() -> routers.get(receiver).merge(told));
+        }
+        default -> {
+          if (!inTransit.isEmpty()) {
+            inTransit.remove(random.nextInt(inTransit.size())).run();
+          }
+        }
+      }
+    }
+
+    private void readChanges(int i) {
+      if (read.get(i) > 0) {
+        history.subList(read.get(i), history.size()).forEach(routers.get(i)::apply);
+        routers.get(i).recordRead(history.size());
+        read.set(i, history.size());
+      }
+    }
+
+    /** Reads all; what is read later than the first page may be newer than its revision. */
+    private void readAll(int i) {
+      int revision = random.nextInt(read.get(i), history.size() + 1);
+      routers.get(i).replaceAll(stateAt(history.size()).values(), revision);
+      read.set(i, revision);
+    }
+
+    /** Checks that a router knows at least what it has read, and nothing that never was. */
+    private void check() {
+      for (int i = 0; i < routers.size(); i++) {
+        for (int d = 0; d < 3; d++) {
+          FailureDomain domain = new FailureDomain("d" + d);
+          boolean known = routers.get(i).isEvacuated(domain);
+          int from = read.get(i);
+          boolean possible = false;
+          for (int r = from; r <= history.size(); r++) {
+            possible |= stateAt(r).containsKey(domain) == known;
+          }
+          assertTrue(possible, domain + " at router " + i + ": " + known + " since " + from);
+        }
+      }
+    }
+  }
+
+  @Property(tries = 500)
+  void noRouterFallsBehindWhatItHasRead(@ForAll long seed) {
+    Fleet fleet = new Fleet(seed);
+    for (int i = 0; i < 200; i++) {
+      fleet.step();
+      fleet.check();
+    }
+    for (int i = 0; i < fleet.routers.size(); i++) {
+      fleet.routers.get(i).replaceAll(fleet.stateAt(fleet.history.size()).values(), 1_000);
+      assertEquals(
+          List.copyOf(fleet.stateAt(fleet.history.size()).keySet()),
+          fleet.routers.get(i).active().stream().map(Evacuation::domain).toList());
+    }
+  }
+}
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreFeedTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreFeedTest.java
@@ -15,6 +15,8 @@
 import org.junit.jupiter.api.Test;
 import org.wigeonwharf.gateway.backend.BackendServer;
 import org.wigeonwharf.gateway.backend.ServerDirectory;
+import org.wigeonwharf.gateway.evacuation.Evacuation;
+import org.wigeonwharf.gateway.evacuation.Evacuations;
 import org.wigeonwharf.gateway.http.VirtualTimers;
 import org.wigeonwharf.gateway.route.CallerLimits;
 import org.wigeonwharf.gateway.route.RouteTable;
@@ -33,6 +35,7 @@
   private final VirtualTimers timers = new VirtualTimers();
   private final ServerDirectory directory =
       new ServerDirectory(GRACE_MILLIS * Clock.NANOS_PER_MILLI);
+  private final Evacuations evacuations = new Evacuations();
   private final List<Call> calls = new ArrayList<>();
   private boolean frequentReader = true;
   private boolean throwing;
@@ -41,6 +44,7 @@
       new StoreFeed(
           new FakeStore(),
           directory,
+          evacuations,
           timers,
           new SplittableRandom(1),
           () -> frequentReader,
@@ -97,6 +101,15 @@
             1));
   }
 
+  private static PublishedItem evacuation(String domain, boolean active, long revision) {
+    return new PublishedItem.EvacuationChange(
+        new Evacuation(new FailureDomain(domain), active, revision));
+  }
+
+  private boolean isEvacuated(String domain) {
+    return evacuations.isEvacuated(new FailureDomain(domain));
+  }
+
   private Call lastCall() {
     return calls.get(calls.size() - 1);
   }
@@ -168,6 +181,37 @@
     assertEquals(1, usableServers());
   }
 
+  @Test
+  void evacuationsAreReadAndEnd() {
+    startWith(routes(3), evacuation("d", true, 4));
+    assertTrue(isEvacuated("d"));
+    answer(7, evacuation("d", false, 7), evacuation("e", true, 6));
+    assertFalse(isEvacuated("d"));
+    assertTrue(isEvacuated("e"));
+  }
+
+  @Test
+  void evacuationStaysInForceDuringStoreOutageUntilCompleteReadLacksIt() {
+    startWith(routes(3), evacuation("d", true, 4));
+    for (int i = 0; i < 10; i++) {
+      fail(new IOException("no answer"));
+      timers.advanceMillis(2_000);
+    }
+    assertTrue(isEvacuated("d"));
+    answer(20, routes(3));
+    assertFalse(isEvacuated("d"));
+  }
+
+  // The pages of a read are no snapshot: the entry may have changed after the first of them.
+  @Test
+  void evacuationThatIsNewerThanCompleteReadStays() {
+    startWith(routes(3));
+    answer(9, evacuation("d", true, 9));
+    fail(new HistoryLostException());
+    answer(8, routes(3));
+    assertTrue(isEvacuated("d"));
+  }
+
   @Test
   void callsToUnreachableStoreBackOff() {
     startWith(routes(3));
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreSilenceTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreSilenceTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.wigeonwharf.gateway.backend.ServerDirectory;
+import org.wigeonwharf.gateway.evacuation.Evacuations;
 import org.wigeonwharf.gateway.http.VirtualTimers;
 import org.wigeonwharf.gateway.route.CallerLimits;
 import org.wigeonwharf.gateway.route.RouteTable;
@@ -115,6 +116,7 @@
           new StoreFeed(
               new Store(),
               new ServerDirectory(0),
+              new Evacuations(),
               timers,
               new Random(seed + i),
               () -> number < FREQUENT_READERS,
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
@@ -17,7 +17,9 @@
 import org.wigeonwharf.gateway.backend.BackendServer;
 import org.wigeonwharf.gateway.backend.ServerDirectory;
 import org.wigeonwharf.gateway.eligibility.EligibleServers;
+import org.wigeonwharf.gateway.eligibility.EvacuationFilter;
 import org.wigeonwharf.gateway.eligibility.RegionFilter;
+import org.wigeonwharf.gateway.evacuation.Evacuations;
 import org.wigeonwharf.gateway.limit.LimitLog;
 import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.notice.NoticeLog;
@@ -54,6 +56,7 @@
   final ServerDirectory directory = new ServerDirectory(0);
   final RetryBudget budget = new RetryBudget(WINDOW_NANOS, slack -> slack);
   final List<FakeAttempt> attempts = new ArrayList<>();
+  final Evacuations evacuations = new Evacuations();
   final RegionFilter regions = new RegionFilter(Map.of());
   final PromptQuarantine quarantine;
   final ServerLimits limits;
@@ -161,7 +164,7 @@
         new ExchangeManager(
             () -> routes,
             directory,
-            new EligibleServers(directory, List.of(regions)),
+            new EligibleServers(directory, List.of(new EvacuationFilter(evacuations), regions)),
             new ServerChooser(DOMAIN, inFlight, prefixCaches, ServerPenalties.DEFAULT, notices),
             notices,
             budget,
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/GossipFixture.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/GossipFixture.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Random;
+import org.wigeonwharf.gateway.evacuation.Evacuations;
 import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.placement.InFlightTracker;
 import org.wigeonwharf.gateway.placement.PrefixCacheIndex;
@@ -62,6 +63,7 @@
             prefixCaches,
             quarantine,
             limits,
+            new Evacuations(),
             new FleetSecret("secret-of-this-fleet"),
             clock,
             new Random(incarnation),
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/GossipFuzzTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/GossipFuzzTest.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.wigeonwharf.gateway.evacuation.Evacuations;
 import org.wigeonwharf.gateway.limit.LimitLog;
 import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.peer.wire.RouterNews;
@@ -88,6 +89,7 @@
         new PromptQuarantine(new QuarantineLog(new MetricRegistry()), random, now);
     ServerLimits limits =
         new ServerLimits(new LimitLog(new MetricRegistry()), () -> 0, random, now);
+    Evacuations evacuations = new Evacuations();
     PeerGossip gossip =
         new PeerGossip(
             new NodeId("vm1", 1),
@@ -98,6 +100,7 @@
             new PrefixCacheIndex(),
             quarantine,
             limits,
+            evacuations,
             SECRET,
             () -> now,
             random,
@@ -114,6 +117,7 @@
       gossip.tick();
       quarantine.find(List.of("sound"), now);
       limits.waitMillis("s1", now);
+      evacuations.isEvacuated(new FailureDomain("d1"));
     }
     assertTrue(quarantine.find(List.of("sound"), now) == null);
     assertTrue(longestMessage <= GossipTransport.MAX_DATAGRAM_BYTES, longestMessage + " bytes");
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
@@ -1,6 +1,7 @@
 package org.wigeonwharf.gateway.peer;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
@@ -14,8 +15,11 @@
 import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.wigeonwharf.gateway.evacuation.Evacuation;
+import org.wigeonwharf.gateway.evacuation.Evacuations;
 import org.wigeonwharf.gateway.limit.LimitLog;
 import org.wigeonwharf.gateway.limit.ServerLimits;
+import org.wigeonwharf.gateway.peer.wire.EvacuationNews;
 import org.wigeonwharf.gateway.placement.Demand;
 import org.wigeonwharf.gateway.placement.InFlightTracker;
 import org.wigeonwharf.gateway.placement.PrefixCacheIndex;
@@ -58,6 +62,7 @@
         new PromptQuarantine(new QuarantineLog(new MetricRegistry()), new Random(7), now);
     private final ServerLimits limits =
         new ServerLimits(new LimitLog(new MetricRegistry()), () -> 0, random, now);
+    private final Evacuations evacuations = new Evacuations();
     private final List<Long> newerRevisions = new ArrayList<>();
     private final PeerGossip gossip;
     private final String domain;
@@ -75,6 +80,7 @@
               prefixCaches,
               quarantine,
               limits,
+              evacuations,
               new FleetSecret(secret),
               () -> now,
               new Random(number),
@@ -132,6 +138,75 @@
     all.forEach(n -> assertEquals(7, n.gossip.peerCount()));
   }
 
+  private static Evacuation evacuation(boolean active, long revision) {
+    return new Evacuation(new FailureDomain("x"), active, revision);
+  }
+
+  private static boolean isEvacuated(Node n) {
+    return n.evacuations.isEvacuated(new FailureDomain("x"));
+  }
+
+  // Only one router can read the store.
+  @Test
+  void evacuationReachesAllRoutersWithinSecondsDespiteLosses() {
+    List<Node> all = new ArrayList<>();
+    for (int i = 1; i <= 12; i++) {
+      all.add(addNode(i, "d" + i % 3));
+    }
+    advanceMillis(4_000);
+    lossRate = 0.1;
+    all.get(0).evacuations.apply(evacuation(true, 7));
+    advanceMillis(3_000);
+    all.forEach(n -> assertTrue(isEvacuated(n)));
+    all.get(5).evacuations.apply(evacuation(false, 9));
+    advanceMillis(3_000);
+    all.forEach(n -> assertFalse(isEvacuated(n)));
+  }
+
+  @Test
+  void routerThatStartsLearnsOfEvacuationFromItsFirstPeer() {
+    Node seed = addNode(1, "d");
+    seed.evacuations.apply(evacuation(true, 7));
+    advanceMillis(3_000);
+    Node started = addNode(2, "e");
+    advanceMillis(100);
+    assertTrue(isEvacuated(started));
+  }
+
+  @Test
+  void removalThatWasReadOutweighsPeersThatStillKnowTheEvacuation() {
+    Node cutFromStore = addNode(1, "d");
+    cutFromStore.evacuations.apply(evacuation(true, 7));
+    Node started = addNode(2, "d");
+    started.evacuations.replaceAll(List.of(), 9);
+    advanceMillis(3_000);
+    assertFalse(isEvacuated(started));
+    started.evacuations.apply(evacuation(true, 12));
+    advanceMillis(1_000);
+    assertTrue(isEvacuated(cutFromStore));
+  }
+
+  @Test
+  void malformedEvacuationsAreIgnoredAndTheirNumberIsBounded() {
+    final Node a = addNode(1, "d");
+    final Node b = addNode(2, "d");
+    advanceMillis(3_000);
+    List<EvacuationNews> malformed =
+        List.of(
+            EvacuationNews.newBuilder().setActive(true).setRevision(5).build(),
+            EvacuationNews.newBuilder().setFailureDomain(" ").setActive(true).build(),
+            EvacuationNews.newBuilder().setFailureDomain("x").setActive(true).build(),
+            EvacuationNews.newBuilder().setFailureDomain("x").setRevision(-1).build());
+    assertEquals(List.of(), GossipCodec.decodeEvacuations(malformed));
+    for (int i = 1; i <= 1_000; i++) {
+      a.evacuations.apply(new Evacuation(new FailureDomain("x" + i), true, i));
+    }
+    advanceMillis(1_000);
+    assertEquals(32, b.evacuations.active().size());
+    assertTrue(b.evacuations.isEvacuated(new FailureDomain("x1000")));
+    assertTrue(longestMessage < GossipTransport.MAX_DATAGRAM_BYTES);
+  }
+
   @Test
   void sentPromptsReachSameAndOtherFailureDomains() {
     Node a = addNode(1, "d");
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/SharedLimitTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/SharedLimitTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.wigeonwharf.gateway.evacuation.Evacuations;
 import org.wigeonwharf.gateway.limit.LimitLog;
 import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.placement.InFlightTracker;
@@ -83,6 +84,7 @@
               new PrefixCacheIndex(),
               new PromptQuarantine(new QuarantineLog(new MetricRegistry()), random, now),
               limits,
+              new Evacuations(),
               new FleetSecret("secret-of-this-fleet"),
               () -> now,
               random,
--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/GatewayProto.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/GatewayProto.java
@@ -76,6 +76,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_wigeonwharf_gateway_QuarantineNews_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_wigeonwharf_gateway_EvacuationNews_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_wigeonwharf_gateway_EvacuationNews_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_wigeonwharf_gateway_RouterNews_descriptor;
   static final 
@@ -124,24 +129,28 @@
       "f.gateway.ServerEndNews\0223\n\006proven\030\002 \003(\0132" +
       "#.wigeonwharf.gateway.ProvenPartNews\022=\n\013" +
       "quarantined\030\003 \003(\0132(.wigeonwharf.gateway." +
-      "QuarantinedPartNews\"\306\004\n\nRouterNews\022\014\n\004na" +
-      "me\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\020\n\010sequenc" +
-      "e\030\003 \001(\003\022-\n\004self\030\004 \001(\0132\037.wigeonwharf.gate" +
-      "way.MemberNews\022\017\n\007leaving\030\006 \001(\010\0221\n\004work\030" +
-      "\007 \003(\0132#.wigeonwharf.gateway.ServerWorkNe" +
-      "ws\0220\n\007members\030\010 \003(\0132\037.wigeonwharf.gatewa" +
-      "y.MemberNews\0222\n\005reads\030\t \003(\0132#.wigeonwhar" +
-      "f.gateway.PromptReadNews\0225\n\tsummaries\030\n " +
-      "\003(\0132\".wigeonwharf.gateway.DomainSummary\022" +
-      "\026\n\016summaries_sent\030\013 \001(\010\022\027\n\017reply_request" +
-      "ed\030\014 \001(\010\022\026\n\016store_revision\030\r \001(\003\0227\n\nquar" +
-      "antine\030\016 \001(\0132#.wigeonwharf.gateway.Quara" +
-      "ntineNews\0224\n\006limits\030\017 \003(\0132$.wigeonwharf." +
-      "gateway.ServerLimitNews\0225\n\006demand\030\020 \003(\0132" +
-      "%.wigeonwharf.gateway.ServerDemandNewsJ\004" +
-      "\010\005\020\006\"-\n\nSignedNews\022\014\n\004news\030\001 \001(\014\022\021\n\tsign" +
-      "ature\030\002 \001(\014B3\n!org.wigeonwharf.gateway.p" +
-      "eer.wireB\014GatewayProtoP\001b\006proto3"
+      "QuarantinedPartNews\"J\n\016EvacuationNews\022\026\n" +
+      "\016failure_domain\030\001 \001(\t\022\016\n\006active\030\002 \001(\010\022\020\n" +
+      "\010revision\030\003 \001(\003\"\200\005\n\nRouterNews\022\014\n\004name\030\001" +
+      " \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\020\n\010sequence\030\003 " +
+      "\001(\003\022-\n\004self\030\004 \001(\0132\037.wigeonwharf.gateway." +
+      "MemberNews\022\017\n\007leaving\030\006 \001(\010\0221\n\004work\030\007 \003(" +
+      "\0132#.wigeonwharf.gateway.ServerWorkNews\0220" +
+      "\n\007members\030\010 \003(\0132\037.wigeonwharf.gateway.Me" +
+      "mberNews\0222\n\005reads\030\t \003(\0132#.wigeonwharf.ga" +
+      "teway.PromptReadNews\0225\n\tsummaries\030\n \003(\0132" +
+      "\".wigeonwharf.gateway.DomainSummary\022\026\n\016s" +
+      "ummaries_sent\030\013 \001(\010\022\027\n\017reply_requested\030\014" +
+      " \001(\010\022\026\n\016store_revision\030\r \001(\003\0227\n\nquaranti" +
+      "ne\030\016 \001(\0132#.wigeonwharf.gateway.Quarantin" +
+      "eNews\0224\n\006limits\030\017 \003(\0132$.wigeonwharf.gate" +
+      "way.ServerLimitNews\0225\n\006demand\030\020 \003(\0132%.wi" +
+      "geonwharf.gateway.ServerDemandNews\0228\n\013ev" +
+      "acuations\030\024 \003(\0132#.wigeonwharf.gateway.Ev" +
+      "acuationNewsJ\004\010\005\020\006\"-\n\nSignedNews\022\014\n\004news" +
+      "\030\001 \001(\014\022\021\n\tsignature\030\002 \001(\014B3\n!org.wigeonw" +
+      "harf.gateway.peer.wireB\014GatewayProtoP\001b\006" +
+      "proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -207,14 +216,20 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_QuarantineNews_descriptor,
         new java.lang.String[] { "Ends", "Proven", "Quarantined", });
-    internal_static_wigeonwharf_gateway_RouterNews_descriptor =
+    internal_static_wigeonwharf_gateway_EvacuationNews_descriptor =
       getDescriptor().getMessageType(10);
+    internal_static_wigeonwharf_gateway_EvacuationNews_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_wigeonwharf_gateway_EvacuationNews_descriptor,
+        new java.lang.String[] { "FailureDomain", "Active", "Revision", });
+    internal_static_wigeonwharf_gateway_RouterNews_descriptor =
+      getDescriptor().getMessageType(11);
     internal_static_wigeonwharf_gateway_RouterNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_RouterNews_descriptor,
-        new java.lang.String[] { "Name", "Incarnation", "Sequence", "Self", "Leaving", "Work", "Members", "Reads", "Summaries", "SummariesSent", "ReplyRequested", "StoreRevision", "Quarantine", "Limits", "Demand", });
+        new java.lang.String[] { "Name", "Incarnation", "Sequence", "Self", "Leaving", "Work", "Members", "Reads", "Summaries", "SummariesSent", "ReplyRequested", "StoreRevision", "Quarantine", "Limits", "Demand", "Evacuations", });
     internal_static_wigeonwharf_gateway_SignedNews_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_wigeonwharf_gateway_SignedNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_SignedNews_descriptor,
--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNews.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNews.java
@@ -40,6 +40,7 @@
     summaries_ = java.util.Collections.emptyList();
     limits_ = java.util.Collections.emptyList();
     demand_ = java.util.Collections.emptyList();
+    evacuations_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -551,6 +552,67 @@
     return demand_.get(index);
   }
 
+  public static final int EVACUATIONS_FIELD_NUMBER = 20;
+  @SuppressWarnings("serial")
+  private java.util.List<org.wigeonwharf.gateway.peer.wire.EvacuationNews> evacuations_;
+  /**
+   * <pre>
+   * The newest evacuations and ends of evacuations that the sender knows.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.wigeonwharf.gateway.peer.wire.EvacuationNews> getEvacuationsList() {
+    return evacuations_;
+  }
+  /**
+   * <pre>
+   * The newest evacuations and ends of evacuations that the sender knows.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder> 
+      getEvacuationsOrBuilderList() {
+    return evacuations_;
+  }
+  /**
+   * <pre>
+   * The newest evacuations and ends of evacuations that the sender knows.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+   */
+  @java.lang.Override
+  public int getEvacuationsCount() {
+    return evacuations_.size();
+  }
+  /**
+   * <pre>
+   * The newest evacuations and ends of evacuations that the sender knows.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.gateway.peer.wire.EvacuationNews getEvacuations(int index) {
+    return evacuations_.get(index);
+  }
+  /**
+   * <pre>
+   * The newest evacuations and ends of evacuations that the sender knows.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder getEvacuationsOrBuilder(
+      int index) {
+    return evacuations_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -610,6 +672,9 @@
     for (int i = 0; i < demand_.size(); i++) {
       output.writeMessage(16, demand_.get(i));
     }
+    for (int i = 0; i < evacuations_.size(); i++) {
+      output.writeMessage(20, evacuations_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -678,6 +743,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(16, demand_.get(i));
     }
+    for (int i = 0; i < evacuations_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(20, evacuations_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -729,6 +798,8 @@
         .equals(other.getLimitsList())) return false;
     if (!getDemandList()
         .equals(other.getDemandList())) return false;
+    if (!getEvacuationsList()
+        .equals(other.getEvacuationsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -792,6 +863,10 @@
       hash = (37 * hash) + DEMAND_FIELD_NUMBER;
       hash = (53 * hash) + getDemandList().hashCode();
     }
+    if (getEvacuationsCount() > 0) {
+      hash = (37 * hash) + EVACUATIONS_FIELD_NUMBER;
+      hash = (53 * hash) + getEvacuationsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -935,6 +1010,7 @@
         internalGetQuarantineFieldBuilder();
         internalGetLimitsFieldBuilder();
         internalGetDemandFieldBuilder();
+        internalGetEvacuationsFieldBuilder();
       }
     }
     @java.lang.Override
@@ -1000,6 +1076,13 @@
         demandBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00004000);
+      if (evacuationsBuilder_ == null) {
+        evacuations_ = java.util.Collections.emptyList();
+      } else {
+        evacuations_ = null;
+        evacuationsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00008000);
       return this;
     }
 
@@ -1087,6 +1170,15 @@
       } else {
         result.demand_ = demandBuilder_.build();
       }
+      if (evacuationsBuilder_ == null) {
+        if (((bitField0_ & 0x00008000) != 0)) {
+          evacuations_ = java.util.Collections.unmodifiableList(evacuations_);
+          bitField0_ = (bitField0_ & ~0x00008000);
+        }
+        result.evacuations_ = evacuations_;
+      } else {
+        result.evacuations_ = evacuationsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.wigeonwharf.gateway.peer.wire.RouterNews result) {
@@ -1325,6 +1417,32 @@
           }
         }
       }
+      if (evacuationsBuilder_ == null) {
+        if (!other.evacuations_.isEmpty()) {
+          if (evacuations_.isEmpty()) {
+            evacuations_ = other.evacuations_;
+            bitField0_ = (bitField0_ & ~0x00008000);
+          } else {
+            ensureEvacuationsIsMutable();
+            evacuations_.addAll(other.evacuations_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.evacuations_.isEmpty()) {
+          if (evacuationsBuilder_.isEmpty()) {
+            evacuationsBuilder_.dispose();
+            evacuationsBuilder_ = null;
+            evacuations_ = other.evacuations_;
+            bitField0_ = (bitField0_ & ~0x00008000);
+            evacuationsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetEvacuationsFieldBuilder() : null;
+          } else {
+            evacuationsBuilder_.addAllMessages(other.evacuations_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1478,6 +1596,19 @@
               }
               break;
             } // case 130
+            case 162: {
+              org.wigeonwharf.gateway.peer.wire.EvacuationNews m =
+                  input.readMessage(
+                      org.wigeonwharf.gateway.peer.wire.EvacuationNews.parser(),
+                      extensionRegistry);
+              if (evacuationsBuilder_ == null) {
+                ensureEvacuationsIsMutable();
+                evacuations_.add(m);
+              } else {
+                evacuationsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 162
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3765,6 +3896,318 @@
       return demandBuilder_;
     }
 
+    private java.util.List<org.wigeonwharf.gateway.peer.wire.EvacuationNews> evacuations_ =
+      java.util.Collections.emptyList();
+    private void ensureEvacuationsIsMutable() {
+      if (!((bitField0_ & 0x00008000) != 0)) {
+        evacuations_ = new java.util.ArrayList<org.wigeonwharf.gateway.peer.wire.EvacuationNews>(evacuations_);
+        bitField0_ |= 0x00008000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wigeonwharf.gateway.peer.wire.EvacuationNews, org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder, org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder> evacuationsBuilder_;
+
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public java.util.List<org.wigeonwharf.gateway.peer.wire.EvacuationNews> getEvacuationsList() {
+      if (evacuationsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(evacuations_);
+      } else {
+        return evacuationsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public int getEvacuationsCount() {
+      if (evacuationsBuilder_ == null) {
+        return evacuations_.size();
+      } else {
+        return evacuationsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.EvacuationNews getEvacuations(int index) {
+      if (evacuationsBuilder_ == null) {
+        return evacuations_.get(index);
+      } else {
+        return evacuationsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public Builder setEvacuations(
+        int index, org.wigeonwharf.gateway.peer.wire.EvacuationNews value) {
+      if (evacuationsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureEvacuationsIsMutable();
+        evacuations_.set(index, value);
+        onChanged();
+      } else {
+        evacuationsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public Builder setEvacuations(
+        int index, org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder builderForValue) {
+      if (evacuationsBuilder_ == null) {
+        ensureEvacuationsIsMutable();
+        evacuations_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        evacuationsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public Builder addEvacuations(org.wigeonwharf.gateway.peer.wire.EvacuationNews value) {
+      if (evacuationsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureEvacuationsIsMutable();
+        evacuations_.add(value);
+        onChanged();
+      } else {
+        evacuationsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public Builder addEvacuations(
+        int index, org.wigeonwharf.gateway.peer.wire.EvacuationNews value) {
+      if (evacuationsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureEvacuationsIsMutable();
+        evacuations_.add(index, value);
+        onChanged();
+      } else {
+        evacuationsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public Builder addEvacuations(
+        org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder builderForValue) {
+      if (evacuationsBuilder_ == null) {
+        ensureEvacuationsIsMutable();
+        evacuations_.add(builderForValue.build());
+        onChanged();
+      } else {
+        evacuationsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public Builder addEvacuations(
+        int index, org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder builderForValue) {
+      if (evacuationsBuilder_ == null) {
+        ensureEvacuationsIsMutable();
+        evacuations_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        evacuationsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public Builder addAllEvacuations(
+        java.lang.Iterable<? extends org.wigeonwharf.gateway.peer.wire.EvacuationNews> values) {
+      if (evacuationsBuilder_ == null) {
+        ensureEvacuationsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, evacuations_);
+        onChanged();
+      } else {
+        evacuationsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public Builder clearEvacuations() {
+      if (evacuationsBuilder_ == null) {
+        evacuations_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00008000);
+        onChanged();
+      } else {
+        evacuationsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public Builder removeEvacuations(int index) {
+      if (evacuationsBuilder_ == null) {
+        ensureEvacuationsIsMutable();
+        evacuations_.remove(index);
+        onChanged();
+      } else {
+        evacuationsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder getEvacuationsBuilder(
+        int index) {
+      return internalGetEvacuationsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder getEvacuationsOrBuilder(
+        int index) {
+      if (evacuationsBuilder_ == null) {
+        return evacuations_.get(index);  } else {
+        return evacuationsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public java.util.List<? extends org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder> 
+         getEvacuationsOrBuilderList() {
+      if (evacuationsBuilder_ != null) {
+        return evacuationsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(evacuations_);
+      }
+    }
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder addEvacuationsBuilder() {
+      return internalGetEvacuationsFieldBuilder().addBuilder(
+          org.wigeonwharf.gateway.peer.wire.EvacuationNews.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder addEvacuationsBuilder(
+        int index) {
+      return internalGetEvacuationsFieldBuilder().addBuilder(
+          index, org.wigeonwharf.gateway.peer.wire.EvacuationNews.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public java.util.List<org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder> 
+         getEvacuationsBuilderList() {
+      return internalGetEvacuationsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wigeonwharf.gateway.peer.wire.EvacuationNews, org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder, org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder> 
+        internalGetEvacuationsFieldBuilder() {
+      if (evacuationsBuilder_ == null) {
+        evacuationsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.wigeonwharf.gateway.peer.wire.EvacuationNews, org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder, org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder>(
+                evacuations_,
+                ((bitField0_ & 0x00008000) != 0),
+                getParentForChildren(),
+                isClean());
+        evacuations_ = null;
+      }
+      return evacuationsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:wigeonwharf.gateway.RouterNews)
   }
 
--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNewsOrBuilder.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNewsOrBuilder.java
@@ -323,4 +323,48 @@
    */
   org.wigeonwharf.gateway.peer.wire.ServerDemandNewsOrBuilder getDemandOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * The newest evacuations and ends of evacuations that the sender knows.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+   */
+  java.util.List<org.wigeonwharf.gateway.peer.wire.EvacuationNews> 
+      getEvacuationsList();
+  /**
+   * <pre>
+   * The newest evacuations and ends of evacuations that the sender knows.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+   */
+  org.wigeonwharf.gateway.peer.wire.EvacuationNews getEvacuations(int index);
+  /**
+   * <pre>
+   * The newest evacuations and ends of evacuations that the sender knows.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+   */
+  int getEvacuationsCount();
+  /**
+   * <pre>
+   * The newest evacuations and ends of evacuations that the sender knows.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+   */
+  java.util.List<? extends org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder> 
+      getEvacuationsOrBuilderList();
+  /**
+   * <pre>
+   * The newest evacuations and ends of evacuations that the sender knows.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+   */
+  org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder getEvacuationsOrBuilder(
+      int index);
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
@@ -15,8 +15,11 @@
 import org.wigeonwharf.gateway.backend.BackendServer;
 import org.wigeonwharf.gateway.backend.ServerDirectory;
 import org.wigeonwharf.gateway.eligibility.EligibleServers;
+import org.wigeonwharf.gateway.eligibility.EvacuationFilter;
 import org.wigeonwharf.gateway.eligibility.RegionFaults;
 import org.wigeonwharf.gateway.eligibility.RegionFilter;
+import org.wigeonwharf.gateway.evacuation.Evacuation;
+import org.wigeonwharf.gateway.evacuation.Evacuations;
 import org.wigeonwharf.gateway.feed.PublishedStore;
 import org.wigeonwharf.gateway.feed.StoreFeed;
 import org.wigeonwharf.gateway.http.CallerListener;
@@ -79,6 +82,7 @@
   private final Clock clock;
   private final ServerDirectory directory;
   private final ServerChooser chooser;
+  private final Evacuations evacuations = new Evacuations();
   private final StoreFeed feed;
   private final RetryBudget retryBudget;
   private final PromptQuarantine quarantine;
@@ -135,7 +139,14 @@
     this.timers = new EventLoopTimers(loop, clock);
     this.feed =
         new StoreFeed(
-            store, directory, timers, random, this::isFrequentReader, this::onStoreChange, metrics);
+            store,
+            directory,
+            evacuations,
+            timers,
+            random,
+            this::isFrequentReader,
+            this::onStoreChange,
+            metrics);
     this.retryBudget =
         new RetryBudget(
             settings.retryWindowMillis() * Clock.NANOS_PER_MILLI,
@@ -148,7 +159,8 @@
         new ExchangeManager(
             feed::routes,
             directory,
-            new EligibleServers(directory, List.of(regionFilter)),
+            new EligibleServers(
+                directory, List.of(new EvacuationFilter(evacuations), regionFilter)),
             chooser,
             notices,
             retryBudget,
@@ -172,6 +184,7 @@
             prefixCaches,
             quarantine,
             limits,
+            evacuations,
             settings.secret(),
             clock,
             feed::changeRevision,
@@ -234,6 +247,8 @@
     gauges.put("requests.held", exchanges.heldCount());
     gauges.put("config.version", configVersion());
     gauges.put("config.region_conflicts", regionFaults.conflicts());
+    evacuations.active().forEach(e -> gauges.put(evacuationGauge(e), e.revision()));
+    gauges.put("domains.evacuated", evacuations.active().size());
     gauges.put("store.contact_age_ms", feed.contactAgeMillis());
     gauges.put("servers.known", directory.all().size());
     gauges.put("servers.region_unknown", countServersOfUnknownRegion());
@@ -245,6 +260,11 @@
     return gauges;
   }
 
+  private static String evacuationGauge(Evacuation e) {
+    String label = e.domain().value().replaceAll("[^A-Za-z0-9._-]", "_");
+    return "domain.evacuated_revision{failure_domain=\"" + label + "\"}";
+  }
+
   private long countServersOfUnknownRegion() {
     if (regionFilter.regions().isEmpty()) {
       return 0;
@@ -257,6 +277,13 @@
     text.append("node ").append(self).append('\n');
     gauges().forEach((k, v) -> text.append(k).append(' ').append(v).append('\n'));
     directory.all().forEach(s -> text.append(s).append('\n'));
+    evacuations
+        .active()
+        .forEach(
+            e ->
+                text.append("evacuated ")
+                    .append(e.domain() + " since revision " + e.revision())
+                    .append('\n'));
     regionFilter
         .regions()
         .forEach((d, region) -> text.append("region ").append(d + " " + region).append('\n'));
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/eligibility/EligibleServers.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/eligibility/EligibleServers.java
@@ -1,6 +1,7 @@
 package org.wigeonwharf.gateway.eligibility;
 
 import java.util.List;
+import org.jspecify.annotations.Nullable;
 import org.wigeonwharf.gateway.backend.BackendServer;
 import org.wigeonwharf.gateway.backend.ServerDirectory;
 import org.wigeonwharf.gateway.placement.Demand;
@@ -34,4 +35,24 @@
     }
     return servers;
   }
+
+  /**
+   * Explains why a request may be sent to no server.
+   *
+   * @param demand the request
+   * @return the reason, or null if there is a server
+   */
+  public @Nullable String reasonForNone(Demand demand) {
+    List<BackendServer> servers = directory.usable(demand.service());
+    if (servers.isEmpty()) {
+      return "no server of the service is known";
+    }
+    for (ServerFilter f : filters) {
+      servers = f.select(demand, servers);
+      if (servers.isEmpty()) {
+        return f.reason();
+      }
+    }
+    return null;
+  }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/eligibility/RegionFilter.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/eligibility/RegionFilter.java
@@ -63,4 +63,9 @@
     Key key = new Key(demand.service(), allowed);
     return cache.select(key, servers, s -> allowed.permits(regionOf(s)));
   }
+
+  @Override
+  public String reason() {
+    return "no server of the service is in an allowed region";
+  }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/eligibility/ServerFilter.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/eligibility/ServerFilter.java
@@ -20,4 +20,7 @@
    *     excluded
    */
   List<BackendServer> select(Demand demand, List<BackendServer> servers);
+
+  /** Returns why a request finds no server if this filter has excluded the last one. */
+  String reason();
 }
--- /dev/null
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/evacuation/Evacuations.java
@@ -0,0 +1,154 @@
+package org.wigeonwharf.gateway.evacuation;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.wigeonwharf.model.FailureDomain;
+
+/**
+ * Holds the failure domains that operators have evacuated, as read from the store or told by peers.
+ *
+ * <p>For each failure domain the newest revision of the store wins, in whatever order changes
+ * arrive. A peer's statement counts only if it is newer than what this router has read itself, so
+ * that a peer without contact to the store can't bring back what was removed. Not thread-safe.
+ */
+public final class Evacuations {
+  /** Maximum number of statements that are told to peers, so that they fit in one message. */
+  static final int MAX_ADVERTISED = 32;
+
+  /** Maximum number of failure domains that peers may add to those read from the store. */
+  private static final int MAX_DOMAINS_WITH_PEERS = 256;
+
+  /** Maximum length of a failure domain's name that a peer may state, that of the store's keys. */
+  private static final int MAX_NAME_LENGTH = 200;
+
+  private static final Comparator<Evacuation> NEWEST_FIRST =
+      Comparator.comparingLong(Evacuation::revision).reversed();
+
+  private static final Logger LOG = LoggerFactory.getLogger(Evacuations.class);
+
+  private final Map<FailureDomain, Evacuation> newest = new HashMap<>();
+  private long readRevision = -1;
+  private long changeCount;
+
+  /**
+   * Applies a change that was read from the store.
+   *
+   * @param change the change
+   */
+  public void apply(Evacuation change) {
+    take(change, "store");
+  }
+
+  /**
+   * Applies a complete read of the store: failure domains that it does not list are not evacuated.
+   *
+   * @param listed all evacuations in the store
+   * @param revision the store's revision up to which the read is complete
+   */
+  public void replaceAll(Collection<Evacuation> listed, long revision) {
+    Set<FailureDomain> present = new HashSet<>();
+    for (Evacuation e : listed) {
+      present.add(e.domain());
+      take(e, "store");
+    }
+    for (Evacuation known : List.copyOf(newest.values())) {
+      if (known.active() && !present.contains(known.domain())) {
+        take(new Evacuation(known.domain(), false, revision), "store");
+      }
+    }
+    recordRead(revision);
+  }
+
+  /**
+   * Records that all changes up to a revision were applied.
+   *
+   * @param revision the store's revision
+   */
+  public void recordRead(long revision) {
+    readRevision = Math.max(readRevision, revision);
+  }
+
+  /**
+   * Applies what a peer states. Statements that this router knows better are ignored.
+   *
+   * @param stated the peer's statements
+   */
+  public void merge(Collection<Evacuation> stated) {
+    for (Evacuation e : stated) {
+      boolean fits = newest.containsKey(e.domain()) || newest.size() < MAX_DOMAINS_WITH_PEERS;
+      if (e.revision() > readRevision && fits && e.domain().value().length() <= MAX_NAME_LENGTH) {
+        take(e, "peer");
+      }
+    }
+  }
+
+  private void take(Evacuation next, String source) {
+    Evacuation known = newest.get(next.domain());
+    if (known != null && next.revision() <= known.revision()) {
+      return;
+    }
+    newest.put(next.domain(), next);
+    if (next.active() != isActive(known)) {
+      changeCount++;
+      LOG.atWarn()
+          .addKeyValue("event", next.active() ? "domain.evacuated" : "domain.restored")
+          .addKeyValue("failure_domain", next.domain().value())
+          .addKeyValue("revision", next.revision())
+          .addKeyValue("source", source)
+          .log(
+              next.active()
+                  ? "the servers of a failure domain receive no more requests"
+                  : "the servers of a failure domain may receive requests again");
+    }
+    removeOldest();
+  }
+
+  private static boolean isActive(@Nullable Evacuation e) {
+    return e != null && e.active();
+  }
+
+  /** Forgets the oldest removals, of which only a peer that is long out of contact has not read. */
+  private void removeOldest() {
+    List<Evacuation> ended =
+        newest.values().stream().filter(e -> !e.active()).sorted(NEWEST_FIRST).toList();
+    ended.stream().skip(MAX_ADVERTISED).forEach(e -> newest.remove(e.domain()));
+  }
+
+  /**
+   * Tells whether the servers of a failure domain must receive no requests.
+   *
+   * @param domain the failure domain
+   */
+  public boolean isEvacuated(FailureDomain domain) {
+    return isActive(newest.get(domain));
+  }
+
+  /** Returns the evacuations in force, in the order of the failure domains' names. */
+  public List<Evacuation> active() {
+    return newest.values().stream()
+        .filter(Evacuation::active)
+        .sorted(Comparator.comparing(Evacuation::domain))
+        .toList();
+  }
+
+  /** Returns what peers are told: the newest evacuations and ends of evacuations. */
+  public List<Evacuation> advertised() {
+    if (newest.isEmpty()) {
+      return List.of();
+    }
+    return newest.values().stream().sorted(NEWEST_FIRST).limit(MAX_ADVERTISED).toList();
+  }
+
+  /** Returns the number of times that a failure domain was evacuated or restored. */
+  public long changeCount() {
+    return changeCount;
+  }
+}
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/PublishedItem.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/PublishedItem.java
@@ -1,6 +1,7 @@
 package org.wigeonwharf.gateway.feed;
 
 import org.wigeonwharf.gateway.backend.BackendServer;
+import org.wigeonwharf.gateway.evacuation.Evacuation;
 import org.wigeonwharf.gateway.route.RouteTable;
 
 /** Represents an item of the platform's store, or its removal. */
@@ -26,6 +27,13 @@
    */
   record ServerRemoved(String id) implements PublishedItem {}
 
+  /**
+   * An entry that evacuates a failure domain, or its removal.
+   *
+   * @param evacuation the decoded entry
+   */
+  record EvacuationChange(Evacuation evacuation) implements PublishedItem {}
+
   /**
    * An item that can't be decoded. Previously read state stays in use.
    *
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/StoreFeed.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/StoreFeed.java
@@ -15,12 +15,15 @@
 import org.slf4j.LoggerFactory;
 import org.wigeonwharf.gateway.backend.BackendServer;
 import org.wigeonwharf.gateway.backend.ServerDirectory;
+import org.wigeonwharf.gateway.evacuation.Evacuation;
+import org.wigeonwharf.gateway.evacuation.Evacuations;
 import org.wigeonwharf.gateway.http.Timers;
 import org.wigeonwharf.gateway.route.RouteTable;
 import org.wigeonwharf.model.Clock;
 
 /**
- * Keeps the route table and the server directory up to date with the platform's store.
+ * Keeps the route table, the server directory and the evacuations up to date with the platform's
+ * store.
  *
  * <p>Reads all items once and then waits for changes. After lost history or an outage it reads all
  * items again. While the store is unreachable the last known state stays in use. A lower version of
@@ -80,6 +83,7 @@
 
   private final PublishedStore store;
   private final ServerDirectory directory;
+  private final Evacuations evacuations;
   private final Timers timers;
   private final RandomGenerator random;
   private final BooleanSupplier frequentReader;
@@ -104,6 +108,7 @@
    *
    * @param store the platform's store
    * @param directory the server directory to keep up to date
+   * @param evacuations the evacuated failure domains to keep up to date
    * @param timers runs all work
    * @param random adds jitter to retry delays
    * @param frequentReader tells whether this router renews its calls often
@@ -113,6 +118,7 @@
   public StoreFeed(
       PublishedStore store,
       ServerDirectory directory,
+      Evacuations evacuations,
       Timers timers,
       RandomGenerator random,
       BooleanSupplier frequentReader,
@@ -120,6 +126,7 @@
       MetricRegistry metrics) {
     this.store = store;
     this.directory = directory;
+    this.evacuations = evacuations;
     this.timers = timers;
     this.random = random;
     this.frequentReader = frequentReader;
@@ -211,13 +218,17 @@
   private void applyAll(Batch batch) {
     long now = recordContact();
     List<BackendServer> servers = new ArrayList<>();
+    List<Evacuation> evacuated = new ArrayList<>();
     for (PublishedItem item : batch.items()) {
       if (item instanceof PublishedItem.Server s) {
         servers.add(s.server());
+      } else if (item instanceof PublishedItem.EvacuationChange e) {
+        evacuated.add(e.evacuation());
       } else {
         apply(item, now);
       }
     }
+    evacuations.replaceAll(evacuated, batch.revision());
     directory.replaceAll(servers, now);
     recordChanges(batch);
     onChange.run();
@@ -227,6 +238,7 @@
     behindGrace = BEHIND_GRACE;
     revision = Math.max(revision, batch.revision());
     changeRevision = Math.max(changeRevision, revision);
+    evacuations.recordRead(revision);
   }
 
   private void watch() {
@@ -413,6 +425,8 @@
       activate(r.table());
     } else if (item instanceof PublishedItem.Server s) {
       directory.put(s.server());
+    } else if (item instanceof PublishedItem.EvacuationChange e) {
+      evacuations.apply(e.evacuation());
     } else if (item instanceof PublishedItem.ServerRemoved g) {
       directory.withdraw(g.id(), now);
     } else if (item instanceof PublishedItem.Unusable u) {
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
@@ -357,17 +357,11 @@
     manager.held().remove(this);
     Admission a = admission;
     if (currentAttempt == null && a != null) {
-      boolean unknown = manager.eligible().find(a.demand()).isEmpty();
-      giveUp(unknown ? noServerReason(a.demand()) : "no server accepts the request");
+      String reason = manager.eligible().reasonForNone(a.demand());
+      giveUp(reason == null ? "no server accepts the request" : reason);
     }
   }
 
-  private static String noServerReason(Demand d) {
-    return d.regions().restricted()
-        ? "no server of the service is known in an allowed region"
-        : "no server of the service is known";
-  }
-
   // Outcomes of an attempt.
 
   /** Retries the request after an attempt that provably did not run it. */
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipCodec.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipCodec.java
@@ -7,8 +7,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.wigeonwharf.gateway.evacuation.Evacuation;
 import org.wigeonwharf.gateway.limit.NamedLimit;
 import org.wigeonwharf.gateway.limit.ServerDemand;
+import org.wigeonwharf.gateway.peer.wire.EvacuationNews;
 import org.wigeonwharf.gateway.peer.wire.PromptReadNews;
 import org.wigeonwharf.gateway.peer.wire.ProvenPartNews;
 import org.wigeonwharf.gateway.peer.wire.QuarantineNews;
@@ -24,6 +26,7 @@
 import org.wigeonwharf.gateway.quarantine.QuarantineState;
 import org.wigeonwharf.gateway.quarantine.ServerEnd;
 import org.wigeonwharf.model.Clock;
+import org.wigeonwharf.model.FailureDomain;
 import org.wigeonwharf.peer.FleetSecret;
 
 /** Encodes the state of this router as signed datagrams and decodes the datagrams of its peers. */
@@ -207,6 +210,29 @@
     return demand;
   }
 
+  static List<EvacuationNews> encodeEvacuations(List<Evacuation> evacuations) {
+    return evacuations.stream()
+        .map(
+            e ->
+                EvacuationNews.newBuilder()
+                    .setFailureDomain(e.domain().value())
+                    .setActive(e.active())
+                    .setRevision(e.revision())
+                    .build())
+        .toList();
+  }
+
+  /** Decodes what a peer states of evacuations, without statements that are malformed. */
+  static List<Evacuation> decodeEvacuations(List<EvacuationNews> news) {
+    return news.stream()
+        .filter(n -> !n.getFailureDomain().isBlank() && n.getRevision() > 0)
+        .map(
+            n ->
+                new Evacuation(
+                    new FailureDomain(n.getFailureDomain()), n.getActive(), n.getRevision()))
+        .toList();
+  }
+
   private static long toThousandths(double perSecond) {
     return Math.round(perSecond * RATE_SCALE);
   }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipTransport.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipTransport.java
@@ -21,6 +21,7 @@
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.wigeonwharf.gateway.evacuation.Evacuations;
 import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.placement.InFlightTracker;
 import org.wigeonwharf.gateway.placement.PrefixCacheIndex;
@@ -61,6 +62,7 @@
    * @param prefixCaches supplies this router's prompt sends and receives those of its peers
    * @param quarantine supplies and receives what is known of prompts that crash servers
    * @param limits supplies and receives the limits of servers and the demand for them
+   * @param evacuations supplies and receives the evacuated failure domains
    * @param secret signs and verifies messages
    * @param clock monotonic clock
    * @param storeRevision supplies the revision of the last change read from the store
@@ -76,6 +78,7 @@
       PrefixCacheIndex prefixCaches,
       PromptQuarantine quarantine,
       ServerLimits limits,
+      Evacuations evacuations,
       FleetSecret secret,
       Clock clock,
       LongSupplier storeRevision,
@@ -93,6 +96,7 @@
             prefixCaches,
             quarantine,
             limits,
+            evacuations,
             secret,
             clock,
             new Random(self.incarnation()),
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerGossip.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerGossip.java
@@ -14,6 +14,7 @@
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.wigeonwharf.gateway.evacuation.Evacuations;
 import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.peer.wire.DomainSummary;
 import org.wigeonwharf.gateway.peer.wire.MemberNews;
@@ -119,6 +120,7 @@
   private final PrefixCacheIndex prefixCaches;
   private final PromptQuarantine quarantine;
   private final ServerLimits limits;
+  private final Evacuations evacuations;
   private final GossipCodec codec;
   private final Clock clock;
   private final Random random;
@@ -155,6 +157,7 @@
    * @param prefixCaches supplies this router's prompt sends and receives those of its peers
    * @param quarantine supplies and receives what is known of prompts that crash servers
    * @param limits supplies and receives the limits of servers and the demand for them
+   * @param evacuations supplies and receives the evacuated failure domains
    * @param secret signs and verifies messages
    * @param clock monotonic clock
    * @param random chooses receivers and the peers to list
@@ -171,6 +174,7 @@
       PrefixCacheIndex prefixCaches,
       PromptQuarantine quarantine,
       ServerLimits limits,
+      Evacuations evacuations,
       FleetSecret secret,
       Clock clock,
       Random random,
@@ -185,6 +189,7 @@
     this.prefixCaches = prefixCaches;
     this.quarantine = quarantine;
     this.limits = limits;
+    this.evacuations = evacuations;
     this.codec = new GossipCodec(secret);
     this.clock = clock;
     this.random = random;
@@ -392,6 +397,7 @@
         .setQuarantine(GossipCodec.encodeQuarantine(quarantine.state(clock.nanos())))
         .addAllLimits(GossipCodec.encodeLimits(limits.limits(clock.nanos())))
         .addAllDemand(GossipCodec.encodeDemand(limits.demand(clock.nanos())))
+        .addAllEvacuations(GossipCodec.encodeEvacuations(evacuations.advertised()))
         .setLeaving(leaving);
   }
 
@@ -462,6 +468,7 @@
     }
     mergeQuarantine(state, sameDomain, now);
     limits.merge(GossipCodec.decodeLimits(state.getLimitsList()), now);
+    evacuations.merge(GossipCodec.decodeEvacuations(state.getEvacuationsList()));
     state.getSummariesList().forEach(s -> applySummary(s, !sameDomain, now));
     if (state.getStoreRevision() > storeRevision.getAsLong()) {
       onNewerRevision.accept(state.getStoreRevision());
--- a/platform.test/src/test/java/org/wigeonwharf/platform/GatewayProcessTest.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/GatewayProcessTest.java
@@ -134,6 +134,26 @@
         router.log().stream().anyMatch(l -> l.path("event").asText().equals("settings.reloaded")));
   }
 
+  // The store is away while the evacuation lasts, which must not end it.
+  @Test
+  void evacuatedFailureDomainGetsNoRequestsUntilItsEntryIsRemoved() throws Exception {
+    store.put("op/config", CONFIG.formatted(2, "b").replace("host.example", "127.0.0.1"));
+    process.awaitVersion(2);
+    store.put("op/evacuate/z1", "{}");
+    router.awaitEvent("domain.evacuated");
+    store.failWith(503);
+    router.awaitEvent("store.lost");
+    HttpResponse<String> refused = sendRequest("/b/x").get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    assertEquals(503, refused.statusCode(), refused.body());
+    assertTrue(refused.headers().firstValue("Retry-After").isPresent());
+    assertEquals(0, backend.received.size());
+    store.delete("op/evacuate/z1");
+    store.failWith(0);
+    router.awaitEvent("domain.restored");
+    HttpResponse<String> served = sendRequest("/b/x").get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    assertEquals(200, served.statusCode(), served.body());
+  }
+
   @Test
   void serverThatNamesItsLimitGetsNoMoreRequests() throws Exception {
     store.put("op/config", CONFIG.formatted(2, "b").replace("host.example", "127.0.0.1"));
--- a/platform.test/src/test/java/org/wigeonwharf/platform/HttpPublishedStoreTest.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/HttpPublishedStoreTest.java
@@ -11,14 +11,17 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.ExecutionException;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.wigeonwharf.gateway.evacuation.Evacuation;
 import org.wigeonwharf.gateway.feed.Batch;
 import org.wigeonwharf.gateway.feed.HistoryLostException;
 import org.wigeonwharf.gateway.feed.PublishedItem;
+import org.wigeonwharf.model.FailureDomain;
 
 /** Checks paging, watching, and the decoding of invalid items and error answers of the store. */
 class HttpPublishedStoreTest {
@@ -74,6 +77,26 @@
     assertEquals(3, items.filter(p -> p instanceof PublishedItem.Unusable).count());
   }
 
+  @Test
+  void evacuationsAreReadWithTheirRevision() throws Exception {
+    standIn.put("op/config", ConfigurationDecoderTest.VALID);
+    standIn.put("op/evacuate/z-1", "{}");
+    standIn.putBytes("op/evacuate/z 2", new byte[] {0, 1, 2});
+    standIn.put("op/evacuate/", "{}");
+    Batch all = readAll();
+    assertTrue(all.items().contains(evacuation("z-1", true, all.revision() - 2)));
+    assertTrue(all.items().contains(evacuation("z 2", true, all.revision() - 1)));
+    assertEquals(1, all.items().stream().filter(p -> p instanceof PublishedItem.Unusable).count());
+    standIn.delete("op/evacuate/z-1");
+    Batch changes = awaitChanges(all.revision());
+    assertEquals(List.of(evacuation("z-1", false, changes.revision())), changes.items());
+  }
+
+  private static PublishedItem evacuation(String domain, boolean active, long revision) {
+    return new PublishedItem.EvacuationChange(
+        new Evacuation(new FailureDomain(domain), active, revision));
+  }
+
   @Test
   void lostHistoryIsDistinguishedFromOtherFailures() {
     standIn.dropHistory();
