--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/GossipFixture.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/GossipFixture.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Random;
 import org.wigeonwharf.gateway.backend.EndedServers;
+import org.wigeonwharf.gateway.evacuation.Evacuations;
 import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.placement.InFlightTracker;
 import org.wigeonwharf.gateway.placement.PrefixCacheIndex;
@@ -65,6 +66,7 @@
             quarantine,
             limits,
             new EndedServers(),
+            new Evacuations(),
             new FleetSecret("secret-of-this-fleet"),
             clock,
             new Random(incarnation),
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/SharedLimitTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/SharedLimitTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.wigeonwharf.gateway.backend.EndedServers;
+import org.wigeonwharf.gateway.evacuation.Evacuations;
 import org.wigeonwharf.gateway.limit.LimitLog;
 import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.placement.InFlightTracker;
@@ -85,6 +86,7 @@
               new PromptQuarantine(new QuarantineLog(new MetricRegistry()), random, now),
               limits,
               new EndedServers(),
+              new Evacuations(),
               new FleetSecret("secret-of-this-fleet"),
               () -> now,
               random,
--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNews.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNews.java
@@ -42,6 +42,7 @@
     demand_ = java.util.Collections.emptyList();
     storeChanges_ = java.util.Collections.emptyList();
     endedServers_ = java.util.Collections.emptyList();
+    evacuations_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -713,6 +714,67 @@
     return endedServers_.get(index);
   }
 
+  public static final int EVACUATIONS_FIELD_NUMBER = 20;
+  @SuppressWarnings("serial")
+  private java.util.List<org.wigeonwharf.gateway.peer.wire.EvacuationNews> evacuations_;
+  /**
+   * <pre>
+   * The newest evacuations and ends of evacuations that the sender knows.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.wigeonwharf.gateway.peer.wire.EvacuationNews> getEvacuationsList() {
+    return evacuations_;
+  }
+  /**
+   * <pre>
+   * The newest evacuations and ends of evacuations that the sender knows.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder> 
+      getEvacuationsOrBuilderList() {
+    return evacuations_;
+  }
+  /**
+   * <pre>
+   * The newest evacuations and ends of evacuations that the sender knows.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+   */
+  @java.lang.Override
+  public int getEvacuationsCount() {
+    return evacuations_.size();
+  }
+  /**
+   * <pre>
+   * The newest evacuations and ends of evacuations that the sender knows.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.gateway.peer.wire.EvacuationNews getEvacuations(int index) {
+    return evacuations_.get(index);
+  }
+  /**
+   * <pre>
+   * The newest evacuations and ends of evacuations that the sender knows.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder getEvacuationsOrBuilder(
+      int index) {
+    return evacuations_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -772,6 +834,9 @@
     for (int i = 0; i < demand_.size(); i++) {
       output.writeMessage(16, demand_.get(i));
     }
+    for (int i = 0; i < evacuations_.size(); i++) {
+      output.writeMessage(20, evacuations_.get(i));
+    }
     if (((bitField0_ & 0x00000004) != 0)) {
       output.writeMessage(30, getReader());
     }
@@ -849,6 +914,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(16, demand_.get(i));
     }
+    for (int i = 0; i < evacuations_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(20, evacuations_.get(i));
+    }
     if (((bitField0_ & 0x00000004) != 0)) {
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(30, getReader());
@@ -921,6 +990,8 @@
         .equals(other.getStoreChangesList())) return false;
     if (!getEndedServersList()
         .equals(other.getEndedServersList())) return false;
+    if (!getEvacuationsList()
+        .equals(other.getEvacuationsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -996,6 +1067,10 @@
       hash = (37 * hash) + ENDED_SERVERS_FIELD_NUMBER;
       hash = (53 * hash) + getEndedServersList().hashCode();
     }
+    if (getEvacuationsCount() > 0) {
+      hash = (37 * hash) + EVACUATIONS_FIELD_NUMBER;
+      hash = (53 * hash) + getEvacuationsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1142,6 +1217,7 @@
         internalGetReaderFieldBuilder();
         internalGetStoreChangesFieldBuilder();
         internalGetEndedServersFieldBuilder();
+        internalGetEvacuationsFieldBuilder();
       }
     }
     @java.lang.Override
@@ -1226,6 +1302,13 @@
         endedServersBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00020000);
+      if (evacuationsBuilder_ == null) {
+        evacuations_ = java.util.Collections.emptyList();
+      } else {
+        evacuations_ = null;
+        evacuationsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00040000);
       return this;
     }
 
@@ -1331,6 +1414,15 @@
       } else {
         result.endedServers_ = endedServersBuilder_.build();
       }
+      if (evacuationsBuilder_ == null) {
+        if (((bitField0_ & 0x00040000) != 0)) {
+          evacuations_ = java.util.Collections.unmodifiableList(evacuations_);
+          bitField0_ = (bitField0_ & ~0x00040000);
+        }
+        result.evacuations_ = evacuations_;
+      } else {
+        result.evacuations_ = evacuationsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.wigeonwharf.gateway.peer.wire.RouterNews result) {
@@ -1630,6 +1722,32 @@
           }
         }
       }
+      if (evacuationsBuilder_ == null) {
+        if (!other.evacuations_.isEmpty()) {
+          if (evacuations_.isEmpty()) {
+            evacuations_ = other.evacuations_;
+            bitField0_ = (bitField0_ & ~0x00040000);
+          } else {
+            ensureEvacuationsIsMutable();
+            evacuations_.addAll(other.evacuations_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.evacuations_.isEmpty()) {
+          if (evacuationsBuilder_.isEmpty()) {
+            evacuationsBuilder_.dispose();
+            evacuationsBuilder_ = null;
+            evacuations_ = other.evacuations_;
+            bitField0_ = (bitField0_ & ~0x00040000);
+            evacuationsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetEvacuationsFieldBuilder() : null;
+          } else {
+            evacuationsBuilder_.addAllMessages(other.evacuations_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1783,6 +1901,19 @@
               }
               break;
             } // case 130
+            case 162: {
+              org.wigeonwharf.gateway.peer.wire.EvacuationNews m =
+                  input.readMessage(
+                      org.wigeonwharf.gateway.peer.wire.EvacuationNews.parser(),
+                      extensionRegistry);
+              if (evacuationsBuilder_ == null) {
+                ensureEvacuationsIsMutable();
+                evacuations_.add(m);
+              } else {
+                evacuationsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 162
             case 242: {
               input.readMessage(
                   internalGetReaderFieldBuilder().getBuilder(),
@@ -4884,6 +5015,318 @@
       return endedServersBuilder_;
     }
 
+    private java.util.List<org.wigeonwharf.gateway.peer.wire.EvacuationNews> evacuations_ =
+      java.util.Collections.emptyList();
+    private void ensureEvacuationsIsMutable() {
+      if (!((bitField0_ & 0x00040000) != 0)) {
+        evacuations_ = new java.util.ArrayList<org.wigeonwharf.gateway.peer.wire.EvacuationNews>(evacuations_);
+        bitField0_ |= 0x00040000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wigeonwharf.gateway.peer.wire.EvacuationNews, org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder, org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder> evacuationsBuilder_;
+
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public java.util.List<org.wigeonwharf.gateway.peer.wire.EvacuationNews> getEvacuationsList() {
+      if (evacuationsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(evacuations_);
+      } else {
+        return evacuationsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public int getEvacuationsCount() {
+      if (evacuationsBuilder_ == null) {
+        return evacuations_.size();
+      } else {
+        return evacuationsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.EvacuationNews getEvacuations(int index) {
+      if (evacuationsBuilder_ == null) {
+        return evacuations_.get(index);
+      } else {
+        return evacuationsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public Builder setEvacuations(
+        int index, org.wigeonwharf.gateway.peer.wire.EvacuationNews value) {
+      if (evacuationsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureEvacuationsIsMutable();
+        evacuations_.set(index, value);
+        onChanged();
+      } else {
+        evacuationsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public Builder setEvacuations(
+        int index, org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder builderForValue) {
+      if (evacuationsBuilder_ == null) {
+        ensureEvacuationsIsMutable();
+        evacuations_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        evacuationsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public Builder addEvacuations(org.wigeonwharf.gateway.peer.wire.EvacuationNews value) {
+      if (evacuationsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureEvacuationsIsMutable();
+        evacuations_.add(value);
+        onChanged();
+      } else {
+        evacuationsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public Builder addEvacuations(
+        int index, org.wigeonwharf.gateway.peer.wire.EvacuationNews value) {
+      if (evacuationsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureEvacuationsIsMutable();
+        evacuations_.add(index, value);
+        onChanged();
+      } else {
+        evacuationsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public Builder addEvacuations(
+        org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder builderForValue) {
+      if (evacuationsBuilder_ == null) {
+        ensureEvacuationsIsMutable();
+        evacuations_.add(builderForValue.build());
+        onChanged();
+      } else {
+        evacuationsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public Builder addEvacuations(
+        int index, org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder builderForValue) {
+      if (evacuationsBuilder_ == null) {
+        ensureEvacuationsIsMutable();
+        evacuations_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        evacuationsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public Builder addAllEvacuations(
+        java.lang.Iterable<? extends org.wigeonwharf.gateway.peer.wire.EvacuationNews> values) {
+      if (evacuationsBuilder_ == null) {
+        ensureEvacuationsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, evacuations_);
+        onChanged();
+      } else {
+        evacuationsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public Builder clearEvacuations() {
+      if (evacuationsBuilder_ == null) {
+        evacuations_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00040000);
+        onChanged();
+      } else {
+        evacuationsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public Builder removeEvacuations(int index) {
+      if (evacuationsBuilder_ == null) {
+        ensureEvacuationsIsMutable();
+        evacuations_.remove(index);
+        onChanged();
+      } else {
+        evacuationsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder getEvacuationsBuilder(
+        int index) {
+      return internalGetEvacuationsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder getEvacuationsOrBuilder(
+        int index) {
+      if (evacuationsBuilder_ == null) {
+        return evacuations_.get(index);  } else {
+        return evacuationsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public java.util.List<? extends org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder> 
+         getEvacuationsOrBuilderList() {
+      if (evacuationsBuilder_ != null) {
+        return evacuationsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(evacuations_);
+      }
+    }
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder addEvacuationsBuilder() {
+      return internalGetEvacuationsFieldBuilder().addBuilder(
+          org.wigeonwharf.gateway.peer.wire.EvacuationNews.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder addEvacuationsBuilder(
+        int index) {
+      return internalGetEvacuationsFieldBuilder().addBuilder(
+          index, org.wigeonwharf.gateway.peer.wire.EvacuationNews.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * The newest evacuations and ends of evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     */
+    public java.util.List<org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder> 
+         getEvacuationsBuilderList() {
+      return internalGetEvacuationsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wigeonwharf.gateway.peer.wire.EvacuationNews, org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder, org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder> 
+        internalGetEvacuationsFieldBuilder() {
+      if (evacuationsBuilder_ == null) {
+        evacuationsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.wigeonwharf.gateway.peer.wire.EvacuationNews, org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder, org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder>(
+                evacuations_,
+                ((bitField0_ & 0x00040000) != 0),
+                getParentForChildren(),
+                isClean());
+        evacuations_ = null;
+      }
+      return evacuationsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:wigeonwharf.gateway.RouterNews)
   }
 
