Contact seeds sooner after a start without peers

While a router knows no peer in its first 4 s, it contacts the seeds each 100 ms instead of each second, which is at most 40 small datagrams a seed.

PeerGossipTest: routers of three failure domains that listen before the seed know each other 160 ms after its start (0 peers before); one that reaches no seed sends at most 42 messages in the first 4 s and one a second later.

--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
@@ -132,6 +132,31 @@
     all.forEach(n -> assertEquals(7, n.gossip.peerCount()));
   }
 
+  @Test
+  void routersThatListenBeforeTheSeedKnowEachOtherShortlyAfterItsStart() {
+    List<Node> all = new ArrayList<>();
+    for (int i = 2; i <= 20; i++) {
+      all.add(addNode(i, "d" + i % 3));
+      advanceMillis(20);
+    }
+    advanceMillis(300);
+    all.add(addNode(1, "d1"));
+    advanceMillis(160);
+    for (Node a : all) {
+      assertTrue(a.gossip.peerCount() >= 6, a.domain + " knows " + a.gossip.peerCount() + " peers");
+    }
+  }
+
+  @Test
+  void routerWithoutReachableSeedContactsItSeldomLater() {
+    addNode(2, "d");
+    advanceMillis(4_000);
+    assertTrue(messagesSent <= 42, "messages: " + messagesSent);
+    messagesSent = 0;
+    advanceMillis(20_000);
+    assertTrue(messagesSent <= 21, "messages: " + messagesSent);
+  }
+
   @Test
   void sentPromptsReachSameAndOtherFailureDomains() {
     Node a = addNode(1, "d");
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerGossip.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerGossip.java
@@ -97,6 +97,15 @@
   /** Time in ms between messages to seeds or listed routers that are not known as peers. */
   private static final long CONTACT_INTERVAL_MILLIS = 1_000;
 
+  /**
+   * Time in ms between messages to seeds while a router that has just started knows no peer. After
+   * a restart of all routers, the seeds may listen later than it does.
+   */
+  private static final long EARLY_CONTACT_INTERVAL_MILLIS = 100;
+
+  /** Time in ms after the start in which seeds are contacted more often. */
+  private static final long EARLY_CONTACT_MILLIS = 4_000;
+
   /** Maximum number of peers listed in one message beside those of the receiver's domain. */
   private static final int MAX_ADVERTISED_PEERS = 12;
 
@@ -222,9 +231,10 @@
     if (summariesSent || now - nextStateAt() >= 0) {
       sendStateToDomain(now, summariesSent);
     }
-    if (now - seedsSentAt >= toNanos(CONTACT_INTERVAL_MILLIS)) {
+    long interval = contactInterval(now);
+    if (now - seedsSentAt >= interval) {
       seedsSentAt = now;
-      contactedAt.values().removeIf(at -> now - at >= toNanos(CONTACT_INTERVAL_MILLIS));
+      contactedAt.values().removeIf(at -> now - at >= interval);
       seeds.forEach(seed -> contactIfUnknown(seed, now));
     }
   }
@@ -232,13 +242,18 @@
   /** Returns the time in nanoseconds at which {@link #tick} has to be called next. */
   long nextTickAt() {
     long now = clock.nanos();
-    long next = seedsSentAt + toNanos(CONTACT_INTERVAL_MILLIS);
+    long next = seedsSentAt + contactInterval(now);
     for (long at : new long[] {nextSummaryAt(now), nextStateAt(), peers.nextTimeoutAt(now)}) {
       next = at - next < 0 ? at : next;
     }
     return next;
   }
 
+  private long contactInterval(long now) {
+    boolean early = peers.size() == 0 && now - startedAt < toNanos(EARLY_CONTACT_MILLIS);
+    return toNanos(early ? EARLY_CONTACT_INTERVAL_MILLIS : CONTACT_INTERVAL_MILLIS);
+  }
+
   private long nextStateAt() {
     int peerCount = peers.localPeerCount();
     if (forwardQuarantine || quarantine.changeCount() != sentQuarantineChange) {
@@ -549,7 +564,7 @@
 
   private void contactIfUnknown(InetSocketAddress receiver, long now) {
     Long last = contactedAt.get(receiver);
-    boolean recent = last != null && now - last < toNanos(CONTACT_INTERVAL_MILLIS);
+    boolean recent = last != null && now - last < contactInterval(now);
     if (!receiver.equals(address) && !recent && !peers.knows(receiver)) {
       contactedAt.put(receiver, now);
       sendStateTo(receiver, null, true);
