Log found peers in one line for each failure domain

Peers that become known within half a second are now logged together, by failure domain and reason, with their number. The age, which was always 0, is gone.

--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerTable.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerTable.java
@@ -48,6 +48,7 @@
 
   private final FailureDomain ownDomain;
   private final InetSocketAddress ownAddress;
+  private final FoundPeersLog foundLog = new FoundPeersLog();
   private final Consumer<String> onSourceLost;
   private final Map<InetSocketAddress, LocalPeer> localPeers = new LinkedHashMap<>();
   private final Map<FailureDomain, RemoteDomain> remoteDomains = new LinkedHashMap<>();
@@ -133,7 +134,7 @@
     if (peer == null) {
       peer = new LocalPeer(address, node);
       localPeers.put(address, peer);
-      logChange("peer.found", node.toString(), ownDomain, 0, "message received");
+      foundLog.add(node.toString(), ownDomain, "message received", now);
     } else if (!peer.node.equals(node)) {
       onSourceLost.accept(peer.node.name());
       peer.node = node;
@@ -165,7 +166,7 @@
     }
     RemotePeer added = new RemotePeer();
     members.put(address, added);
-    logChange("peer.found", Addresses.format(address), domain, 0, reason);
+    foundLog.add(Addresses.format(address), domain, reason, now);
     return added;
   }
 
@@ -235,6 +236,7 @@
    * @param now the current time in nanoseconds
    */
   void removeSilent(long now) {
+    foundLog.writeDue(now);
     long oldest = now - PEER_TIMEOUT_MILLIS * Clock.NANOS_PER_MILLI;
     for (LocalPeer peer : List.copyOf(localPeers.values())) {
       if (peer.heardAt - oldest < 0) {
@@ -249,7 +251,7 @@
   private void removeLocal(LocalPeer peer, long now, String reason) {
     localPeers.remove(peer.address);
     onSourceLost.accept(peer.node.name());
-    logChange("peer.lost", peer.node.toString(), ownDomain, now - peer.heardAt, reason);
+    logLost(peer.node.toString(), ownDomain, now - peer.heardAt, reason);
   }
 
   private void removeRemote(FailureDomain domain, long oldest, long now, String reason) {
@@ -261,7 +263,7 @@
       long lastSignAt = e.getValue().lastSignAt();
       if (lastSignAt - oldest < 0) {
         remote.members.remove(e.getKey());
-        logChange("peer.lost", Addresses.format(e.getKey()), domain, now - lastSignAt, reason);
+        logLost(Addresses.format(e.getKey()), domain, now - lastSignAt, reason);
       }
     }
     if (remote.members.isEmpty()) {
@@ -361,10 +363,9 @@
         + remoteDomains.values().stream().mapToInt(d -> d.members.size()).sum();
   }
 
-  private static void logChange(
-      String event, String peer, FailureDomain domain, long ageNanos, String reason) {
+  private static void logLost(String peer, FailureDomain domain, long ageNanos, String reason) {
     LOG.atInfo()
-        .addKeyValue("event", event)
+        .addKeyValue("event", "peer.lost")
         .addKeyValue("peer", peer)
         .addKeyValue("failure_domain", domain.value())
         .addKeyValue("age_ms", ageNanos / Clock.NANOS_PER_MILLI)
