Let the load of a server rise over some seconds after its cold time

The cost that fell after the cold time was larger than what load costs at a plain service, so that the server got nothing until the cost was almost gone and then its full part at once. The load that is added for placement now governs the rise; only prompts have a further cost.

--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ServerNoticesTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ServerNoticesTest.java
@@ -13,6 +13,7 @@
 import org.wigeonwharf.gateway.http.ExchangeFixture.FakeAttempt;
 import org.wigeonwharf.gateway.http.ExchangeFixture.FakeCaller;
 import org.wigeonwharf.gateway.notice.ServerStatement;
+import org.wigeonwharf.gateway.route.ColdStart;
 import org.wigeonwharf.gateway.route.RequestKind;
 import org.wigeonwharf.model.FailureDomain;
 
@@ -76,6 +77,36 @@
     fixture.notices.retain(fixture.directory.all(), fixture.timers.nanos());
   }
 
+  @Test
+  void serverThatAnswersThatItIsColdGetsUrgentRequestsOnlyIfNoOtherIsLeft() {
+    fixture.coldStart = new ColdStart(3, 5);
+    fixture.addServers(2);
+    begin();
+    String cold = last().server.id();
+    answer(last(), TestProtocol.COLD, "3000");
+    assertTrue(serve(20).stream().noneMatch(cold::equals));
+    String warm = last().server.id();
+    fixture.directory.withdraw(warm, fixture.timers.nanos());
+    fixture.timers.advanceMillis(1_000);
+    assertEquals(List.of(cold), serve(1));
+    // At five requests a second, the second one has to wait.
+    int before = fixture.attempts.size();
+    begin();
+    assertEquals(before, fixture.attempts.size());
+    fixture.timers.advanceMillis(300);
+    assertEquals(before + 1, fixture.attempts.size());
+  }
+
+  @Test
+  void coldTimeInAnswerOfMisdirectedRequestIsIgnored() {
+    fixture.coldStart = new ColdStart(3, 5);
+    fixture.addServers(2);
+    begin();
+    last().listener.onHead(421, headers(TestProtocol.COLD, "3000"));
+    long now = fixture.timers.nanos();
+    assertEquals(0, fixture.notices.coldCount(fixture.directory.all(), now));
+  }
+
   @Test
   void leavingServerGetsNoRequestWhateverComesLater() {
     fixture.addServers(2);
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/ColdPlacementTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/ColdPlacementTest.java
@@ -53,6 +53,7 @@
   private final List<BackendServer> servers = new ArrayList<>();
   private final Queue<Running> running = new ArrayDeque<>();
   private ServiceSpec service = new ServiceSpec("plain", 100, null);
+  private int nextPrompt;
   private long now = Clock.NANOS_PER_SECOND;
 
   private record Running(long endsAt, InFlightTracker.Entry entry) {}
@@ -83,6 +84,9 @@
     assertNotNull(c);
     InFlightTracker.Entry entry = chooser.recordSent(demand, c, now);
     chooser.recordResponse(c.candidate().server().id(), true, now);
+    if (demand.hasPrompt()) {
+      entry.markPrefilled();
+    }
     running.add(new Running(now + RUN_MILLIS * Clock.NANOS_PER_MILLI, entry));
     return c.candidate().server().id();
   }
@@ -94,11 +98,17 @@
     }
   }
 
+  private static Demand prompt(int number) {
+    List<PromptPart> parts = List.of(new PromptPart("own" + number, 600));
+    return new Demand("x", ORDINARY, parts, 600, 100, 500, 200, null, AllowedRegions.ALL);
+  }
+
   /** Sends requests at equal intervals; returns how many of them a server gets. */
   private int countSent(String server, int requests, long millis) {
     int count = 0;
     for (int i = 0; i < requests; i++) {
-      count += place(request(ORDINARY), Set.of()).equals(server) ? 1 : 0;
+      Demand d = service.engine() == null ? request(ORDINARY) : prompt(nextPrompt++);
+      count += place(d, Set.of()).equals(server) ? 1 : 0;
       advanceMillis(millis / requests);
     }
     return count;
@@ -160,12 +170,26 @@
     }
     int fair = 200 / 4;
     assertTrue(perSecond[0] <= fair / 2, perSecond[0] + " in the first second");
+    assertTrue(perSecond[1] >= 0.4 * fair, perSecond[1] + " in the second second");
+    assertTrue(perSecond[1] <= 0.9 * fair, perSecond[1] + " in the second second");
     for (int n : perSecond) {
       assertTrue(n <= 1.4 * fair, n + " in one second, " + fair + " would be even");
     }
     assertTrue(perSecond[4] >= 0.8 * fair, perSecond[4] + " in the last second");
   }
 
+  @Test
+  void streamsReturnToTheirPreferredEngineOnlySomeTimeAfterItsColdTime() {
+    addServers(4);
+    service = new ServiceSpec("model", 100, new EngineSpec(SLOTS, 500_000, 1_000));
+    assertEquals(20, countSent("s3", 20, 1_000));
+    turnCold(3, 1_000);
+    assertEquals(0, countSent("s3", 20, 1_000));
+    assertEquals(0, countSent("s3", 20, 1_000));
+    advanceMillis(2_000);
+    assertEquals(20, countSent("s3", 20, 1_000));
+  }
+
   @Test
   void promptsAreNotFetchedFromColdServers() {
     addServers(2);
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ColdStartCost.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ColdStartCost.java
@@ -5,14 +5,16 @@
  *
  * <p>Such a server has no load and would otherwise be the cheapest one of all routers. Requests
  * that can't bear a slow or failing server use it only if no other is left. After the cold time the
- * cost falls at all routers alike, so that the load rises over some seconds.
+ * load that {@link ServerChooser} adds lets its load rise over some seconds; prompts have a further
+ * cost, which falls in that time at all routers alike, since a server without any prefill backlog
+ * attracts them more than its load shows.
  */
 final class ColdStartCost {
   /** Cost in ms of a cold server to a request that tolerates a slow one. */
   private static final double TOLERANT_MILLIS = 300;
 
-  /** Cost in ms of a server just after its cold time to a request that needs a fast one. */
-  private static final double RAMP_MILLIS = 1_500;
+  /** Cost in ms of a server just after its cold time to a request with a prompt. */
+  private static final double RAMP_MILLIS = 300;
 
   /** Cost in ms that makes any warm server preferable to a cold one. */
   private static final double LAST_RESORT_MILLIS = 1e6;
@@ -34,11 +36,11 @@
     if (coldness == 0) {
       return 0;
     }
+    if (coldness < 1) {
+      return demand.hasPrompt() ? RAMP_MILLIS * coldness : 0;
+    }
     boolean tolerant =
         !retry && demand.latencySensitivity() == 0 && demand.priority() > URGENT_PRIORITY;
-    if (tolerant) {
-      return TOLERANT_MILLIS * coldness;
-    }
-    return coldness == 1 ? LAST_RESORT_MILLIS : RAMP_MILLIS * coldness;
+    return tolerant ? TOLERANT_MILLIS : LAST_RESORT_MILLIS;
   }
 }
