--- a/review/lab/Router.java
+++ b/review/lab/Router.java
@@ -86,7 +86,9 @@
   }
 
   private static String render(String template, Map<String, String> fields) {
-    Matcher m = Pattern.compile("\\{\\{([^}]+)}}").matcher(template);
+    // No field holds a list or table, so that sections have no entries.
+    String plain = template.replaceAll("(?s)\\{\\{#(\\w+)}}.*?\\{\\{/\\1}}", "");
+    Matcher m = Pattern.compile("\\{\\{([^}]+)}}").matcher(plain);
     return m.replaceAll(
         x -> {
           String v = fields.get(x.group(1));
