--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
@@ -15,11 +15,14 @@
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 import org.wigeonwharf.gateway.backend.BackendServer;
+import org.wigeonwharf.gateway.backend.EndedServers;
 import org.wigeonwharf.gateway.backend.ServerDirectory;
 import org.wigeonwharf.gateway.eligibility.EligibleServers;
 import org.wigeonwharf.gateway.eligibility.EvacuationFilter;
 import org.wigeonwharf.gateway.eligibility.RegionFilter;
 import org.wigeonwharf.gateway.evacuation.Evacuations;
+import org.wigeonwharf.gateway.limit.DomainShares;
+import org.wigeonwharf.gateway.limit.FixedFleet;
 import org.wigeonwharf.gateway.limit.LimitLog;
 import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.notice.NoticeLog;
@@ -34,6 +37,7 @@
 import org.wigeonwharf.gateway.route.Account;
 import org.wigeonwharf.gateway.route.AllowedRegions;
 import org.wigeonwharf.gateway.route.CallerLimits;
+import org.wigeonwharf.gateway.route.ColdStart;
 import org.wigeonwharf.gateway.route.EngineSpec;
 import org.wigeonwharf.gateway.route.RequestKind;
 import org.wigeonwharf.gateway.route.Route;
@@ -50,6 +54,7 @@
   private static final FailureDomain DOMAIN = new FailureDomain("here");
   private static final long WINDOW_NANOS = 10 * Clock.NANOS_PER_SECOND;
 
+  final EndedServers endedServers = new EndedServers();
   final VirtualTimers timers;
   final InFlightTracker inFlight = new InFlightTracker(1_500 * Clock.NANOS_PER_MILLI);
   final PrefixCacheIndex prefixCaches = new PrefixCacheIndex();
@@ -65,6 +70,7 @@
   Function<BackendServer, LivenessCheck.Result> liveness = s -> LivenessCheck.Result.ALIVE;
   final ExchangeManager exchanges;
   private RouteTable routes;
+  ColdStart coldStart = ColdStart.NONE;
 
   /** Records a request passed to the connector and lets the test respond to it. */
   static final class FakeAttempt implements Attempt {
@@ -158,7 +164,12 @@
     long now = timers.nanos();
     quarantine = new PromptQuarantine(new QuarantineLog(new MetricRegistry()), new Random(7), now);
     limits = new ServerLimits(new LimitLog(new MetricRegistry()), () -> 0, new Random(7), now);
-    notices = new ServerNotices(limits, new NoticeLog(new MetricRegistry()));
+    notices =
+        new ServerNotices(
+            limits,
+            new DomainShares(new FixedFleet(), new Random(7)),
+            service -> coldStart,
+            new NoticeLog(new MetricRegistry()));
     budget.setLimits(0.5, 100);
     exchanges =
         new ExchangeManager(
@@ -171,6 +182,7 @@
             new TestProtocol(),
             this::recordAttempt,
             quarantine,
+            endedServers,
             (server, callback) -> timers.schedule(0, () -> callback.accept(liveness.apply(server))),
             timers,
             new RequestLog(timers, new MetricRegistry()),
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/RegionBoundTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/RegionBoundTest.java
@@ -131,7 +131,7 @@
         return;
       }
       switch (random.nextInt(5)) {
-        case 0 -> a.listener.onUnreachable("refused");
+        case 0 -> a.listener.onUnreachable("refused", true);
         case 1 -> a.listener.onConnectionLost("reset");
         case 2 -> a.respond(503, "full", TestProtocol.NOT_RUN);
         case 3 -> {
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/RegionExchangeTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/RegionExchangeTest.java
@@ -116,7 +116,7 @@
     fixture.onAttempt =
         a -> {
           if (cut[0] && !a.server.id().equals("south")) {
-            fixture.timers.schedule(1, () -> a.listener.onUnreachable("cut off"));
+            fixture.timers.schedule(1, () -> a.listener.onUnreachable("cut off", false));
           }
         };
     final long beganAt = fixture.timers.nanos();
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/GossipFixture.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/GossipFixture.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Random;
+import org.wigeonwharf.gateway.backend.EndedServers;
 import org.wigeonwharf.gateway.evacuation.Evacuations;
 import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.placement.InFlightTracker;
@@ -29,6 +30,7 @@
   private static final int FIRST_PORT = 7_000;
 
   private final PeerGossip gossip;
+  private final KnownFleet fleet;
 
   /**
    * Creates a router's end of the protocol; router 0 is the seed.
@@ -64,18 +66,24 @@
             quarantine,
             limits,
             new Evacuations(),
+            new EndedServers(),
             new FleetSecret("secret-of-this-fleet"),
             clock,
             new Random(incarnation),
             (destination, datagram) -> network.send(destination.getPort() - FIRST_PORT, datagram),
-            () -> 1,
-            revision -> {});
+            new RecordingStoreProgress());
+    fleet = new KnownFleet("vm" + number, new FailureDomain(domain), () -> gossip);
   }
 
   private static InetSocketAddress address(int number) {
     return new InetSocketAddress("127.0.0.1", FIRST_PORT + number);
   }
 
+  /** Returns what the router knows of the fleet. */
+  public KnownFleet fleet() {
+    return fleet;
+  }
+
   /** Sends what is due. */
   public void tick() {
     gossip.tick();
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/GossipFuzzTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/GossipFuzzTest.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.wigeonwharf.gateway.backend.EndedServers;
 import org.wigeonwharf.gateway.evacuation.Evacuations;
 import org.wigeonwharf.gateway.limit.LimitLog;
 import org.wigeonwharf.gateway.limit.ServerLimits;
@@ -101,12 +102,12 @@
             quarantine,
             limits,
             evacuations,
+            new EndedServers(),
             SECRET,
             () -> now,
             random,
             (destination, datagram) -> longestMessage = Math.max(longestMessage, datagram.length),
-            () -> 1,
-            revision -> {});
+            new RecordingStoreProgress());
     for (int i = 0; i < 100; i++) {
       now += 10 * Clock.NANOS_PER_MILLI;
       byte[] news = fill(RouterNews.newBuilder(), random, 0).toByteArray();
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/SharedLimitTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/SharedLimitTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.wigeonwharf.gateway.backend.EndedServers;
 import org.wigeonwharf.gateway.evacuation.Evacuations;
 import org.wigeonwharf.gateway.limit.LimitLog;
 import org.wigeonwharf.gateway.limit.ServerLimits;
@@ -85,12 +86,12 @@
               new PromptQuarantine(new QuarantineLog(new MetricRegistry()), random, now),
               limits,
               new Evacuations(),
+              new EndedServers(),
               new FleetSecret("secret-of-this-fleet"),
               () -> now,
               random,
               this::send,
-              () -> 1,
-              revision -> {});
+              new RecordingStoreProgress());
       nodes.put(address, this);
     }
 
--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNews.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNews.java
@@ -41,6 +41,8 @@
     limits_ = java.util.Collections.emptyList();
     demand_ = java.util.Collections.emptyList();
     evacuations_ = java.util.Collections.emptyList();
+    storeChanges_ = java.util.Collections.emptyList();
+    endedServers_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -613,6 +615,166 @@
     return evacuations_.get(index);
   }
 
+  public static final int READER_FIELD_NUMBER = 30;
+  private org.wigeonwharf.gateway.peer.wire.StoreReaderNews reader_;
+  /**
+   * <pre>
+   * Set if the sender passes on what it reads from the store.
+   * </pre>
+   *
+   * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+   * @return Whether the reader field is set.
+   */
+  @java.lang.Override
+  public boolean hasReader() {
+    return ((bitField0_ & 0x00000004) != 0);
+  }
+  /**
+   * <pre>
+   * Set if the sender passes on what it reads from the store.
+   * </pre>
+   *
+   * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+   * @return The reader.
+   */
+  @java.lang.Override
+  public org.wigeonwharf.gateway.peer.wire.StoreReaderNews getReader() {
+    return reader_ == null ? org.wigeonwharf.gateway.peer.wire.StoreReaderNews.getDefaultInstance() : reader_;
+  }
+  /**
+   * <pre>
+   * Set if the sender passes on what it reads from the store.
+   * </pre>
+   *
+   * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.gateway.peer.wire.StoreReaderNewsOrBuilder getReaderOrBuilder() {
+    return reader_ == null ? org.wigeonwharf.gateway.peer.wire.StoreReaderNews.getDefaultInstance() : reader_;
+  }
+
+  public static final int STORE_CHANGES_FIELD_NUMBER = 31;
+  @SuppressWarnings("serial")
+  private java.util.List<org.wigeonwharf.gateway.peer.wire.StoreChangesNews> storeChanges_;
+  /**
+   * <pre>
+   * Within a failure domain only.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.wigeonwharf.gateway.peer.wire.StoreChangesNews> getStoreChangesList() {
+    return storeChanges_;
+  }
+  /**
+   * <pre>
+   * Within a failure domain only.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.wigeonwharf.gateway.peer.wire.StoreChangesNewsOrBuilder> 
+      getStoreChangesOrBuilderList() {
+    return storeChanges_;
+  }
+  /**
+   * <pre>
+   * Within a failure domain only.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+   */
+  @java.lang.Override
+  public int getStoreChangesCount() {
+    return storeChanges_.size();
+  }
+  /**
+   * <pre>
+   * Within a failure domain only.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.gateway.peer.wire.StoreChangesNews getStoreChanges(int index) {
+    return storeChanges_.get(index);
+  }
+  /**
+   * <pre>
+   * Within a failure domain only.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.gateway.peer.wire.StoreChangesNewsOrBuilder getStoreChangesOrBuilder(
+      int index) {
+    return storeChanges_.get(index);
+  }
+
+  public static final int ENDED_SERVERS_FIELD_NUMBER = 32;
+  @SuppressWarnings("serial")
+  private java.util.List<org.wigeonwharf.gateway.peer.wire.EndedServerNews> endedServers_;
+  /**
+   * <pre>
+   * What the sender knows from all routers.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.wigeonwharf.gateway.peer.wire.EndedServerNews> getEndedServersList() {
+    return endedServers_;
+  }
+  /**
+   * <pre>
+   * What the sender knows from all routers.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.wigeonwharf.gateway.peer.wire.EndedServerNewsOrBuilder> 
+      getEndedServersOrBuilderList() {
+    return endedServers_;
+  }
+  /**
+   * <pre>
+   * What the sender knows from all routers.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+   */
+  @java.lang.Override
+  public int getEndedServersCount() {
+    return endedServers_.size();
+  }
+  /**
+   * <pre>
+   * What the sender knows from all routers.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.gateway.peer.wire.EndedServerNews getEndedServers(int index) {
+    return endedServers_.get(index);
+  }
+  /**
+   * <pre>
+   * What the sender knows from all routers.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.gateway.peer.wire.EndedServerNewsOrBuilder getEndedServersOrBuilder(
+      int index) {
+    return endedServers_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -675,6 +837,15 @@
     for (int i = 0; i < evacuations_.size(); i++) {
       output.writeMessage(20, evacuations_.get(i));
     }
+    if (((bitField0_ & 0x00000004) != 0)) {
+      output.writeMessage(30, getReader());
+    }
+    for (int i = 0; i < storeChanges_.size(); i++) {
+      output.writeMessage(31, storeChanges_.get(i));
+    }
+    for (int i = 0; i < endedServers_.size(); i++) {
+      output.writeMessage(32, endedServers_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -747,6 +918,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(20, evacuations_.get(i));
     }
+    if (((bitField0_ & 0x00000004) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(30, getReader());
+    }
+    for (int i = 0; i < storeChanges_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(31, storeChanges_.get(i));
+    }
+    for (int i = 0; i < endedServers_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(32, endedServers_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -800,6 +983,15 @@
         .equals(other.getDemandList())) return false;
     if (!getEvacuationsList()
         .equals(other.getEvacuationsList())) return false;
+    if (hasReader() != other.hasReader()) return false;
+    if (hasReader()) {
+      if (!getReader()
+          .equals(other.getReader())) return false;
+    }
+    if (!getStoreChangesList()
+        .equals(other.getStoreChangesList())) return false;
+    if (!getEndedServersList()
+        .equals(other.getEndedServersList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -867,6 +1059,18 @@
       hash = (37 * hash) + EVACUATIONS_FIELD_NUMBER;
       hash = (53 * hash) + getEvacuationsList().hashCode();
     }
+    if (hasReader()) {
+      hash = (37 * hash) + READER_FIELD_NUMBER;
+      hash = (53 * hash) + getReader().hashCode();
+    }
+    if (getStoreChangesCount() > 0) {
+      hash = (37 * hash) + STORE_CHANGES_FIELD_NUMBER;
+      hash = (53 * hash) + getStoreChangesList().hashCode();
+    }
+    if (getEndedServersCount() > 0) {
+      hash = (37 * hash) + ENDED_SERVERS_FIELD_NUMBER;
+      hash = (53 * hash) + getEndedServersList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1011,6 +1215,9 @@
         internalGetLimitsFieldBuilder();
         internalGetDemandFieldBuilder();
         internalGetEvacuationsFieldBuilder();
+        internalGetReaderFieldBuilder();
+        internalGetStoreChangesFieldBuilder();
+        internalGetEndedServersFieldBuilder();
       }
     }
     @java.lang.Override
@@ -1083,6 +1290,25 @@
         evacuationsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00008000);
+      reader_ = null;
+      if (readerBuilder_ != null) {
+        readerBuilder_.dispose();
+        readerBuilder_ = null;
+      }
+      if (storeChangesBuilder_ == null) {
+        storeChanges_ = java.util.Collections.emptyList();
+      } else {
+        storeChanges_ = null;
+        storeChangesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00020000);
+      if (endedServersBuilder_ == null) {
+        endedServers_ = java.util.Collections.emptyList();
+      } else {
+        endedServers_ = null;
+        endedServersBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00040000);
       return this;
     }
 
@@ -1179,6 +1405,24 @@
       } else {
         result.evacuations_ = evacuationsBuilder_.build();
       }
+      if (storeChangesBuilder_ == null) {
+        if (((bitField0_ & 0x00020000) != 0)) {
+          storeChanges_ = java.util.Collections.unmodifiableList(storeChanges_);
+          bitField0_ = (bitField0_ & ~0x00020000);
+        }
+        result.storeChanges_ = storeChanges_;
+      } else {
+        result.storeChanges_ = storeChangesBuilder_.build();
+      }
+      if (endedServersBuilder_ == null) {
+        if (((bitField0_ & 0x00040000) != 0)) {
+          endedServers_ = java.util.Collections.unmodifiableList(endedServers_);
+          bitField0_ = (bitField0_ & ~0x00040000);
+        }
+        result.endedServers_ = endedServers_;
+      } else {
+        result.endedServers_ = endedServersBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.wigeonwharf.gateway.peer.wire.RouterNews result) {
@@ -1217,6 +1461,12 @@
             : quarantineBuilder_.build();
         to_bitField0_ |= 0x00000002;
       }
+      if (((from_bitField0_ & 0x00010000) != 0)) {
+        result.reader_ = readerBuilder_ == null
+            ? reader_
+            : readerBuilder_.build();
+        to_bitField0_ |= 0x00000004;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -1443,6 +1693,61 @@
           }
         }
       }
+      if (other.hasReader()) {
+        mergeReader(other.getReader());
+      }
+      if (storeChangesBuilder_ == null) {
+        if (!other.storeChanges_.isEmpty()) {
+          if (storeChanges_.isEmpty()) {
+            storeChanges_ = other.storeChanges_;
+            bitField0_ = (bitField0_ & ~0x00020000);
+          } else {
+            ensureStoreChangesIsMutable();
+            storeChanges_.addAll(other.storeChanges_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.storeChanges_.isEmpty()) {
+          if (storeChangesBuilder_.isEmpty()) {
+            storeChangesBuilder_.dispose();
+            storeChangesBuilder_ = null;
+            storeChanges_ = other.storeChanges_;
+            bitField0_ = (bitField0_ & ~0x00020000);
+            storeChangesBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetStoreChangesFieldBuilder() : null;
+          } else {
+            storeChangesBuilder_.addAllMessages(other.storeChanges_);
+          }
+        }
+      }
+      if (endedServersBuilder_ == null) {
+        if (!other.endedServers_.isEmpty()) {
+          if (endedServers_.isEmpty()) {
+            endedServers_ = other.endedServers_;
+            bitField0_ = (bitField0_ & ~0x00040000);
+          } else {
+            ensureEndedServersIsMutable();
+            endedServers_.addAll(other.endedServers_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.endedServers_.isEmpty()) {
+          if (endedServersBuilder_.isEmpty()) {
+            endedServersBuilder_.dispose();
+            endedServersBuilder_ = null;
+            endedServers_ = other.endedServers_;
+            bitField0_ = (bitField0_ & ~0x00040000);
+            endedServersBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetEndedServersFieldBuilder() : null;
+          } else {
+            endedServersBuilder_.addAllMessages(other.endedServers_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1609,6 +1914,39 @@
               }
               break;
             } // case 162
+            case 242: {
+              input.readMessage(
+                  internalGetReaderFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00010000;
+              break;
+            } // case 242
+            case 250: {
+              org.wigeonwharf.gateway.peer.wire.StoreChangesNews m =
+                  input.readMessage(
+                      org.wigeonwharf.gateway.peer.wire.StoreChangesNews.parser(),
+                      extensionRegistry);
+              if (storeChangesBuilder_ == null) {
+                ensureStoreChangesIsMutable();
+                storeChanges_.add(m);
+              } else {
+                storeChangesBuilder_.addMessage(m);
+              }
+              break;
+            } // case 250
+            case 258: {
+              org.wigeonwharf.gateway.peer.wire.EndedServerNews m =
+                  input.readMessage(
+                      org.wigeonwharf.gateway.peer.wire.EndedServerNews.parser(),
+                      extensionRegistry);
+              if (endedServersBuilder_ == null) {
+                ensureEndedServersIsMutable();
+                endedServers_.add(m);
+              } else {
+                endedServersBuilder_.addMessage(m);
+              }
+              break;
+            } // case 258
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -4208,6 +4546,787 @@
       return evacuationsBuilder_;
     }
 
+    private org.wigeonwharf.gateway.peer.wire.StoreReaderNews reader_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wigeonwharf.gateway.peer.wire.StoreReaderNews, org.wigeonwharf.gateway.peer.wire.StoreReaderNews.Builder, org.wigeonwharf.gateway.peer.wire.StoreReaderNewsOrBuilder> readerBuilder_;
+    /**
+     * <pre>
+     * Set if the sender passes on what it reads from the store.
+     * </pre>
+     *
+     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+     * @return Whether the reader field is set.
+     */
+    public boolean hasReader() {
+      return ((bitField0_ & 0x00010000) != 0);
+    }
+    /**
+     * <pre>
+     * Set if the sender passes on what it reads from the store.
+     * </pre>
+     *
+     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+     * @return The reader.
+     */
+    public org.wigeonwharf.gateway.peer.wire.StoreReaderNews getReader() {
+      if (readerBuilder_ == null) {
+        return reader_ == null ? org.wigeonwharf.gateway.peer.wire.StoreReaderNews.getDefaultInstance() : reader_;
+      } else {
+        return readerBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * Set if the sender passes on what it reads from the store.
+     * </pre>
+     *
+     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+     */
+    public Builder setReader(org.wigeonwharf.gateway.peer.wire.StoreReaderNews value) {
+      if (readerBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        reader_ = value;
+      } else {
+        readerBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00010000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set if the sender passes on what it reads from the store.
+     * </pre>
+     *
+     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+     */
+    public Builder setReader(
+        org.wigeonwharf.gateway.peer.wire.StoreReaderNews.Builder builderForValue) {
+      if (readerBuilder_ == null) {
+        reader_ = builderForValue.build();
+      } else {
+        readerBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00010000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set if the sender passes on what it reads from the store.
+     * </pre>
+     *
+     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+     */
+    public Builder mergeReader(org.wigeonwharf.gateway.peer.wire.StoreReaderNews value) {
+      if (readerBuilder_ == null) {
+        if (((bitField0_ & 0x00010000) != 0) &&
+          reader_ != null &&
+          reader_ != org.wigeonwharf.gateway.peer.wire.StoreReaderNews.getDefaultInstance()) {
+          getReaderBuilder().mergeFrom(value);
+        } else {
+          reader_ = value;
+        }
+      } else {
+        readerBuilder_.mergeFrom(value);
+      }
+      if (reader_ != null) {
+        bitField0_ |= 0x00010000;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Set if the sender passes on what it reads from the store.
+     * </pre>
+     *
+     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+     */
+    public Builder clearReader() {
+      bitField0_ = (bitField0_ & ~0x00010000);
+      reader_ = null;
+      if (readerBuilder_ != null) {
+        readerBuilder_.dispose();
+        readerBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set if the sender passes on what it reads from the store.
+     * </pre>
+     *
+     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.StoreReaderNews.Builder getReaderBuilder() {
+      bitField0_ |= 0x00010000;
+      onChanged();
+      return internalGetReaderFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * Set if the sender passes on what it reads from the store.
+     * </pre>
+     *
+     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.StoreReaderNewsOrBuilder getReaderOrBuilder() {
+      if (readerBuilder_ != null) {
+        return readerBuilder_.getMessageOrBuilder();
+      } else {
+        return reader_ == null ?
+            org.wigeonwharf.gateway.peer.wire.StoreReaderNews.getDefaultInstance() : reader_;
+      }
+    }
+    /**
+     * <pre>
+     * Set if the sender passes on what it reads from the store.
+     * </pre>
+     *
+     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wigeonwharf.gateway.peer.wire.StoreReaderNews, org.wigeonwharf.gateway.peer.wire.StoreReaderNews.Builder, org.wigeonwharf.gateway.peer.wire.StoreReaderNewsOrBuilder> 
+        internalGetReaderFieldBuilder() {
+      if (readerBuilder_ == null) {
+        readerBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.wigeonwharf.gateway.peer.wire.StoreReaderNews, org.wigeonwharf.gateway.peer.wire.StoreReaderNews.Builder, org.wigeonwharf.gateway.peer.wire.StoreReaderNewsOrBuilder>(
+                getReader(),
+                getParentForChildren(),
+                isClean());
+        reader_ = null;
+      }
+      return readerBuilder_;
+    }
+
+    private java.util.List<org.wigeonwharf.gateway.peer.wire.StoreChangesNews> storeChanges_ =
+      java.util.Collections.emptyList();
+    private void ensureStoreChangesIsMutable() {
+      if (!((bitField0_ & 0x00020000) != 0)) {
+        storeChanges_ = new java.util.ArrayList<org.wigeonwharf.gateway.peer.wire.StoreChangesNews>(storeChanges_);
+        bitField0_ |= 0x00020000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wigeonwharf.gateway.peer.wire.StoreChangesNews, org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder, org.wigeonwharf.gateway.peer.wire.StoreChangesNewsOrBuilder> storeChangesBuilder_;
+
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public java.util.List<org.wigeonwharf.gateway.peer.wire.StoreChangesNews> getStoreChangesList() {
+      if (storeChangesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(storeChanges_);
+      } else {
+        return storeChangesBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public int getStoreChangesCount() {
+      if (storeChangesBuilder_ == null) {
+        return storeChanges_.size();
+      } else {
+        return storeChangesBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.StoreChangesNews getStoreChanges(int index) {
+      if (storeChangesBuilder_ == null) {
+        return storeChanges_.get(index);
+      } else {
+        return storeChangesBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public Builder setStoreChanges(
+        int index, org.wigeonwharf.gateway.peer.wire.StoreChangesNews value) {
+      if (storeChangesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureStoreChangesIsMutable();
+        storeChanges_.set(index, value);
+        onChanged();
+      } else {
+        storeChangesBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public Builder setStoreChanges(
+        int index, org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder builderForValue) {
+      if (storeChangesBuilder_ == null) {
+        ensureStoreChangesIsMutable();
+        storeChanges_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        storeChangesBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public Builder addStoreChanges(org.wigeonwharf.gateway.peer.wire.StoreChangesNews value) {
+      if (storeChangesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureStoreChangesIsMutable();
+        storeChanges_.add(value);
+        onChanged();
+      } else {
+        storeChangesBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public Builder addStoreChanges(
+        int index, org.wigeonwharf.gateway.peer.wire.StoreChangesNews value) {
+      if (storeChangesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureStoreChangesIsMutable();
+        storeChanges_.add(index, value);
+        onChanged();
+      } else {
+        storeChangesBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public Builder addStoreChanges(
+        org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder builderForValue) {
+      if (storeChangesBuilder_ == null) {
+        ensureStoreChangesIsMutable();
+        storeChanges_.add(builderForValue.build());
+        onChanged();
+      } else {
+        storeChangesBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public Builder addStoreChanges(
+        int index, org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder builderForValue) {
+      if (storeChangesBuilder_ == null) {
+        ensureStoreChangesIsMutable();
+        storeChanges_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        storeChangesBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public Builder addAllStoreChanges(
+        java.lang.Iterable<? extends org.wigeonwharf.gateway.peer.wire.StoreChangesNews> values) {
+      if (storeChangesBuilder_ == null) {
+        ensureStoreChangesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, storeChanges_);
+        onChanged();
+      } else {
+        storeChangesBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public Builder clearStoreChanges() {
+      if (storeChangesBuilder_ == null) {
+        storeChanges_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00020000);
+        onChanged();
+      } else {
+        storeChangesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public Builder removeStoreChanges(int index) {
+      if (storeChangesBuilder_ == null) {
+        ensureStoreChangesIsMutable();
+        storeChanges_.remove(index);
+        onChanged();
+      } else {
+        storeChangesBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder getStoreChangesBuilder(
+        int index) {
+      return internalGetStoreChangesFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.StoreChangesNewsOrBuilder getStoreChangesOrBuilder(
+        int index) {
+      if (storeChangesBuilder_ == null) {
+        return storeChanges_.get(index);  } else {
+        return storeChangesBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public java.util.List<? extends org.wigeonwharf.gateway.peer.wire.StoreChangesNewsOrBuilder> 
+         getStoreChangesOrBuilderList() {
+      if (storeChangesBuilder_ != null) {
+        return storeChangesBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(storeChanges_);
+      }
+    }
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder addStoreChangesBuilder() {
+      return internalGetStoreChangesFieldBuilder().addBuilder(
+          org.wigeonwharf.gateway.peer.wire.StoreChangesNews.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder addStoreChangesBuilder(
+        int index) {
+      return internalGetStoreChangesFieldBuilder().addBuilder(
+          index, org.wigeonwharf.gateway.peer.wire.StoreChangesNews.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Within a failure domain only.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     */
+    public java.util.List<org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder> 
+         getStoreChangesBuilderList() {
+      return internalGetStoreChangesFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wigeonwharf.gateway.peer.wire.StoreChangesNews, org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder, org.wigeonwharf.gateway.peer.wire.StoreChangesNewsOrBuilder> 
+        internalGetStoreChangesFieldBuilder() {
+      if (storeChangesBuilder_ == null) {
+        storeChangesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.wigeonwharf.gateway.peer.wire.StoreChangesNews, org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder, org.wigeonwharf.gateway.peer.wire.StoreChangesNewsOrBuilder>(
+                storeChanges_,
+                ((bitField0_ & 0x00020000) != 0),
+                getParentForChildren(),
+                isClean());
+        storeChanges_ = null;
+      }
+      return storeChangesBuilder_;
+    }
+
+    private java.util.List<org.wigeonwharf.gateway.peer.wire.EndedServerNews> endedServers_ =
+      java.util.Collections.emptyList();
+    private void ensureEndedServersIsMutable() {
+      if (!((bitField0_ & 0x00040000) != 0)) {
+        endedServers_ = new java.util.ArrayList<org.wigeonwharf.gateway.peer.wire.EndedServerNews>(endedServers_);
+        bitField0_ |= 0x00040000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wigeonwharf.gateway.peer.wire.EndedServerNews, org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder, org.wigeonwharf.gateway.peer.wire.EndedServerNewsOrBuilder> endedServersBuilder_;
+
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public java.util.List<org.wigeonwharf.gateway.peer.wire.EndedServerNews> getEndedServersList() {
+      if (endedServersBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(endedServers_);
+      } else {
+        return endedServersBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public int getEndedServersCount() {
+      if (endedServersBuilder_ == null) {
+        return endedServers_.size();
+      } else {
+        return endedServersBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.EndedServerNews getEndedServers(int index) {
+      if (endedServersBuilder_ == null) {
+        return endedServers_.get(index);
+      } else {
+        return endedServersBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public Builder setEndedServers(
+        int index, org.wigeonwharf.gateway.peer.wire.EndedServerNews value) {
+      if (endedServersBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureEndedServersIsMutable();
+        endedServers_.set(index, value);
+        onChanged();
+      } else {
+        endedServersBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public Builder setEndedServers(
+        int index, org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder builderForValue) {
+      if (endedServersBuilder_ == null) {
+        ensureEndedServersIsMutable();
+        endedServers_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        endedServersBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public Builder addEndedServers(org.wigeonwharf.gateway.peer.wire.EndedServerNews value) {
+      if (endedServersBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureEndedServersIsMutable();
+        endedServers_.add(value);
+        onChanged();
+      } else {
+        endedServersBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public Builder addEndedServers(
+        int index, org.wigeonwharf.gateway.peer.wire.EndedServerNews value) {
+      if (endedServersBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureEndedServersIsMutable();
+        endedServers_.add(index, value);
+        onChanged();
+      } else {
+        endedServersBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public Builder addEndedServers(
+        org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder builderForValue) {
+      if (endedServersBuilder_ == null) {
+        ensureEndedServersIsMutable();
+        endedServers_.add(builderForValue.build());
+        onChanged();
+      } else {
+        endedServersBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public Builder addEndedServers(
+        int index, org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder builderForValue) {
+      if (endedServersBuilder_ == null) {
+        ensureEndedServersIsMutable();
+        endedServers_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        endedServersBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public Builder addAllEndedServers(
+        java.lang.Iterable<? extends org.wigeonwharf.gateway.peer.wire.EndedServerNews> values) {
+      if (endedServersBuilder_ == null) {
+        ensureEndedServersIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, endedServers_);
+        onChanged();
+      } else {
+        endedServersBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public Builder clearEndedServers() {
+      if (endedServersBuilder_ == null) {
+        endedServers_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00040000);
+        onChanged();
+      } else {
+        endedServersBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public Builder removeEndedServers(int index) {
+      if (endedServersBuilder_ == null) {
+        ensureEndedServersIsMutable();
+        endedServers_.remove(index);
+        onChanged();
+      } else {
+        endedServersBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder getEndedServersBuilder(
+        int index) {
+      return internalGetEndedServersFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.EndedServerNewsOrBuilder getEndedServersOrBuilder(
+        int index) {
+      if (endedServersBuilder_ == null) {
+        return endedServers_.get(index);  } else {
+        return endedServersBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public java.util.List<? extends org.wigeonwharf.gateway.peer.wire.EndedServerNewsOrBuilder> 
+         getEndedServersOrBuilderList() {
+      if (endedServersBuilder_ != null) {
+        return endedServersBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(endedServers_);
+      }
+    }
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder addEndedServersBuilder() {
+      return internalGetEndedServersFieldBuilder().addBuilder(
+          org.wigeonwharf.gateway.peer.wire.EndedServerNews.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder addEndedServersBuilder(
+        int index) {
+      return internalGetEndedServersFieldBuilder().addBuilder(
+          index, org.wigeonwharf.gateway.peer.wire.EndedServerNews.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * What the sender knows from all routers.
+     * </pre>
+     *
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     */
+    public java.util.List<org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder> 
+         getEndedServersBuilderList() {
+      return internalGetEndedServersFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wigeonwharf.gateway.peer.wire.EndedServerNews, org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder, org.wigeonwharf.gateway.peer.wire.EndedServerNewsOrBuilder> 
+        internalGetEndedServersFieldBuilder() {
+      if (endedServersBuilder_ == null) {
+        endedServersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.wigeonwharf.gateway.peer.wire.EndedServerNews, org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder, org.wigeonwharf.gateway.peer.wire.EndedServerNewsOrBuilder>(
+                endedServers_,
+                ((bitField0_ & 0x00040000) != 0),
+                getParentForChildren(),
+                isClean());
+        endedServers_ = null;
+      }
+      return endedServersBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:wigeonwharf.gateway.RouterNews)
   }
 
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
@@ -13,6 +13,8 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.wigeonwharf.gateway.backend.BackendServer;
+import org.wigeonwharf.gateway.backend.EndedServer;
+import org.wigeonwharf.gateway.backend.EndedServers;
 import org.wigeonwharf.gateway.backend.ServerDirectory;
 import org.wigeonwharf.gateway.eligibility.EligibleServers;
 import org.wigeonwharf.gateway.eligibility.EvacuationFilter;
@@ -21,6 +23,7 @@
 import org.wigeonwharf.gateway.evacuation.Evacuation;
 import org.wigeonwharf.gateway.evacuation.Evacuations;
 import org.wigeonwharf.gateway.feed.PublishedStore;
+import org.wigeonwharf.gateway.feed.StoreChanges;
 import org.wigeonwharf.gateway.feed.StoreFeed;
 import org.wigeonwharf.gateway.http.CallerListener;
 import org.wigeonwharf.gateway.http.EventLoopTimers;
@@ -31,11 +34,14 @@
 import org.wigeonwharf.gateway.http.NettyLivenessCheck;
 import org.wigeonwharf.gateway.http.RequestLog;
 import org.wigeonwharf.gateway.http.StatusServer;
+import org.wigeonwharf.gateway.limit.DomainShares;
 import org.wigeonwharf.gateway.limit.LimitLog;
 import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.notice.NoticeLog;
 import org.wigeonwharf.gateway.notice.ServerNotices;
 import org.wigeonwharf.gateway.peer.GossipTransport;
+import org.wigeonwharf.gateway.peer.KnownFleet;
+import org.wigeonwharf.gateway.peer.PeerGossip;
 import org.wigeonwharf.gateway.placement.InFlightTracker;
 import org.wigeonwharf.gateway.placement.PrefixCacheIndex;
 import org.wigeonwharf.gateway.placement.ServerChooser;
@@ -44,7 +50,9 @@
 import org.wigeonwharf.gateway.quarantine.QuarantineLog;
 import org.wigeonwharf.gateway.retry.FleetShare;
 import org.wigeonwharf.gateway.retry.RetryBudget;
+import org.wigeonwharf.gateway.route.ColdStart;
 import org.wigeonwharf.gateway.route.RouteTable;
+import org.wigeonwharf.gateway.route.ServiceSpec;
 import org.wigeonwharf.model.Addresses;
 import org.wigeonwharf.model.Clock;
 import org.wigeonwharf.model.Lifecycle;
@@ -68,8 +76,8 @@
   private static final long EXPIRY_CHECK_INTERVAL_MILLIS = 100;
 
   /**
-   * Number of routers in each failure domain that renew their wait for changes of the store often.
-   * They notice dead connections and tell the others what they miss; two, so that one may fail.
+   * Number of routers in each failure domain that follow the store closely and pass on what they
+   * read; two, so that one may fail.
    */
   private static final int FREQUENT_READERS_PER_DOMAIN = 2;
 
@@ -87,6 +95,7 @@
   private final RetryBudget retryBudget;
   private final PromptQuarantine quarantine;
   private final ServerLimits limits;
+  private final KnownFleet fleet;
   private final ServerNotices notices;
   private final RegionFilter regionFilter;
   private final RegionFaults regionFaults;
@@ -128,11 +137,14 @@
     this.loop = loops.next();
     this.clock = clock;
     this.directory = new ServerDirectory(RECONNECT_GRACE_MILLIS * Clock.NANOS_PER_MILLI);
+    this.limits = new ServerLimits(new LimitLog(metrics), this::peerCount, random, clock.nanos());
+    this.fleet = new KnownFleet(self.name(), settings.domain(), this::gossip);
+    this.notices =
+        new ServerNotices(
+            limits, new DomainShares(fleet, random), this::coldStart, new NoticeLog(metrics));
     InFlightTracker inFlight =
         new InFlightTracker(PEER_WORK_MAX_AGE_MILLIS * Clock.NANOS_PER_MILLI);
     PrefixCacheIndex prefixCaches = new PrefixCacheIndex();
-    this.limits = new ServerLimits(new LimitLog(metrics), this::peerCount, random, clock.nanos());
-    this.notices = new ServerNotices(limits, new NoticeLog(metrics));
     this.chooser =
         new ServerChooser(
             settings.domain(), inFlight, prefixCaches, ServerPenalties.DEFAULT, notices);
@@ -146,6 +158,7 @@
             random,
             this::isFrequentReader,
             this::onStoreChange,
+            this::passOn,
             metrics);
     this.retryBudget =
         new RetryBudget(
@@ -153,6 +166,8 @@
             new FleetShare(clock, this::peerCount)::of);
     retryBudget.setLimits(settings.retryRatio(), settings.retrySlack());
     this.quarantine = new PromptQuarantine(new QuarantineLog(metrics), random, clock.nanos());
+    EndedServers endedServers = new EndedServers();
+    endedServers.onPeerReport(this::applyPeerReport);
     this.regionFilter = new RegionFilter(settings.regions());
     this.regionFaults = new RegionFaults(() -> regionFilter.regions().values());
     this.exchanges =
@@ -167,6 +182,7 @@
             protocol,
             new NettyBackendConnector(loop),
             quarantine,
+            endedServers,
             new NettyLivenessCheck(loop),
             timers,
             new RequestLog(clock, metrics),
@@ -185,10 +201,10 @@
             quarantine,
             limits,
             evacuations,
+            endedServers,
             settings.secret(),
             clock,
-            feed::changeRevision,
-            feed::onPeerRevision);
+            feed);
     this.stopSequence = new StopSequence(timers, new GracefulStages(), callers::pendingResponses);
     callers.onClose(stopSequence::onCallerDisconnected);
     this.readiness =
@@ -210,12 +226,26 @@
     return t == null ? 0 : t.version();
   }
 
+  private PeerGossip gossip() {
+    return gossipTransport.gossip();
+  }
+
   private int peerCount() {
-    return gossipTransport.gossip().peerCount();
+    return gossip().peerCount();
+  }
+
+  private ColdStart coldStart(String service) {
+    RouteTable t = feed.routes();
+    ServiceSpec spec = t == null ? null : t.service(service);
+    return spec == null ? ColdStart.NONE : spec.coldStart();
   }
 
   private boolean isFrequentReader() {
-    return gossipTransport.gossip().rank() < FREQUENT_READERS_PER_DOMAIN;
+    return gossip().rank() < FREQUENT_READERS_PER_DOMAIN;
+  }
+
+  private void passOn(StoreChanges changes) {
+    gossipTransport.passOn(changes);
   }
 
   private void onStoreChange() {
@@ -227,11 +257,24 @@
       regionFaults.check(table);
     }
     List<BackendServer> servers = directory.all();
+    fleet.addDomainsOf(servers);
     chooser.retainServers(servers.stream().map(BackendServer::id).toList());
     notices.retain(servers, clock.nanos());
     exchanges.retryHeld();
   }
 
+  private void applyPeerReport(EndedServer ended) {
+    BackendServer server = directory.find(ended.id());
+    if (server == null || server.startedAt() != ended.startedAt()) {
+      return;
+    }
+    if (ended.replaced()) {
+      directory.markMisdirected(ended.id());
+    } else {
+      chooser.recordRefusedElsewhere(ended.id(), clock.nanos());
+    }
+  }
+
   private boolean isReady() {
     return !stopping.get() && feed.isInitialized();
   }
@@ -250,12 +293,14 @@
     evacuations.active().forEach(e -> gauges.put(evacuationGauge(e), e.revision()));
     gauges.put("domains.evacuated", evacuations.active().size());
     gauges.put("store.contact_age_ms", feed.contactAgeMillis());
+    gauges.put("store.following", feed.isFollowing() ? 1 : 0);
     gauges.put("servers.known", directory.all().size());
     gauges.put("servers.region_unknown", countServersOfUnknownRegion());
     gauges.put("peers.known", peerCount());
     gauges.put("servers.limited", limits.limitedCount(clock.nanos()));
     gauges.put("servers.leaving", notices.leavingCount());
     gauges.put("servers.paused", notices.pausedCount(clock.nanos()));
+    gauges.put("servers.cold", notices.coldCount(directory.all(), clock.nanos()));
     gauges.put("quarantine.parts", quarantine.quarantined(clock.nanos()).size());
     return gauges;
   }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerGossip.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerGossip.java
@@ -9,12 +9,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.function.LongConsumer;
-import java.util.function.LongSupplier;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.wigeonwharf.gateway.backend.EndedServers;
 import org.wigeonwharf.gateway.evacuation.Evacuations;
+import org.wigeonwharf.gateway.feed.ReaderState;
+import org.wigeonwharf.gateway.feed.StoreChanges;
+import org.wigeonwharf.gateway.feed.StoreProgress;
 import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.peer.wire.DomainSummary;
 import org.wigeonwharf.gateway.peer.wire.MemberNews;
@@ -98,6 +101,18 @@
   /** Time in ms between messages to seeds or listed routers that are not known as peers. */
   private static final long CONTACT_INTERVAL_MILLIS = 1_000;
 
+  /**
+   * Time in ms without a new router of the same failure domain after which a router knows those
+   * that there are.
+   */
+  private static final long DISCOVERY_MILLIS = 2_500;
+
+  /**
+   * Time in ms after the first contact with another failure domain after which a router counts as
+   * the only one of its own.
+   */
+  private static final long LONE_DISCOVERY_MILLIS = 10_000;
+
   /** Maximum number of peers listed in one message beside those of the receiver's domain. */
   private static final int MAX_ADVERTISED_PEERS = 12;
 
@@ -121,14 +136,15 @@
   private final PromptQuarantine quarantine;
   private final ServerLimits limits;
   private final Evacuations evacuations;
+  private final EndedServers endedServers;
   private final GossipCodec codec;
   private final Clock clock;
   private final Random random;
   private final DatagramSender sender;
-  private final LongSupplier storeRevision;
-  private final LongConsumer onNewerRevision;
+  private final StoreProgress store;
   private final PeerTable peers;
   private final List<ReceivedSummary> summariesToForward = new ArrayList<>();
+  private final List<StoreChanges> changesToPassOn = new ArrayList<>();
   private final Map<InetSocketAddress, Long> contactedAt = new HashMap<>();
   private final Map<String, InetSocketAddress> parsedAddresses = new HashMap<>();
   private final long startedAt;
@@ -136,8 +152,11 @@
   private long sentChangeCount;
   private long sentPrefillTokens;
   private long sentQuarantineChange;
+  private long sentEndedServers;
   private long quarantineChangeSentToDomains;
   private boolean forwardQuarantine;
+  private long settlesAt;
+  private int localPeersBefore;
   private long sentAt;
   private long summariesSentAt;
   private long membersSentAt;
@@ -158,12 +177,12 @@
    * @param quarantine supplies and receives what is known of prompts that crash servers
    * @param limits supplies and receives the limits of servers and the demand for them
    * @param evacuations supplies and receives the evacuated failure domains
+   * @param endedServers supplies and receives the servers that no longer answer
    * @param secret signs and verifies messages
    * @param clock monotonic clock
    * @param random chooses receivers and the peers to list
    * @param sender sends messages
-   * @param storeRevision supplies the revision of the last change read from the store
-   * @param onNewerRevision called with the revision of a peer if it has read later changes
+   * @param store exchanges what the routers have read from the store
    */
   PeerGossip(
       NodeId self,
@@ -175,12 +194,12 @@
       PromptQuarantine quarantine,
       ServerLimits limits,
       Evacuations evacuations,
+      EndedServers endedServers,
       FleetSecret secret,
       Clock clock,
       Random random,
       DatagramSender sender,
-      LongSupplier storeRevision,
-      LongConsumer onNewerRevision) {
+      StoreProgress store) {
     this.self = self;
     this.domain = domain;
     this.address = address;
@@ -190,14 +209,15 @@
     this.quarantine = quarantine;
     this.limits = limits;
     this.evacuations = evacuations;
+    this.endedServers = endedServers;
     this.codec = new GossipCodec(secret);
     this.clock = clock;
     this.random = random;
     this.sender = sender;
-    this.storeRevision = storeRevision;
-    this.onNewerRevision = onNewerRevision;
+    this.store = store;
     this.peers = new PeerTable(domain, address, this::removeSource);
     this.startedAt = clock.nanos();
+    this.settlesAt = startedAt + toNanos(DISCOVERY_MILLIS);
     this.sentAt = startedAt;
     this.summariesSentAt = startedAt;
     this.membersSentAt = startedAt;
@@ -217,6 +237,7 @@
   void tick() {
     long now = clock.nanos();
     peers.removeSilent(now);
+    updateSettled(now);
     boolean summariesSent = now - nextSummaryAt(now) >= 0;
     if (summariesSent) {
       sendSummaries(now);
@@ -246,7 +267,11 @@
 
   private long nextStateAt() {
     int peerCount = peers.localPeerCount();
-    if (forwardQuarantine || quarantine.changeCount() != sentQuarantineChange) {
+    boolean urgent =
+        forwardQuarantine
+            || !changesToPassOn.isEmpty()
+            || endedServers.changeCount() != sentEndedServers;
+    if (urgent || quarantine.changeCount() != sentQuarantineChange) {
       return sentAt + minInterval(LONG_PROMPT_INTERVAL_MILLIS_PER_PEER * peerCount);
     }
     if (inFlight.localPrefillTokens() - sentPrefillTokens >= LONG_PROMPT_TOKENS) {
@@ -328,7 +353,7 @@
             .setPartial(hasJustStarted(now))
             .setUnresponsive(peers.hasUnresponsivePeers(now))
             .addMembers(Addresses.format(address))
-            .setStoreRevision(storeRevision.getAsLong());
+            .setStoreRevision(store.changeRevision());
     listed.forEach(p -> b.addMembers(Addresses.format(p.address())));
     List<String> sources = listed.stream().map(p -> p.node().name()).toList();
     inFlight.workWith(sources, now).entrySet().stream()
@@ -347,6 +372,7 @@
     sentChangeCount = inFlight.localChangeCount();
     sentPrefillTokens = inFlight.localPrefillTokens();
     sentQuarantineChange = quarantine.changeCount();
+    sentEndedServers = endedServers.changeCount();
     forwardQuarantine = false;
     RouterNews.Builder b = newState().addAllWork(encodeLocalWork()).setSummariesSent(summariesSent);
     prefixCaches
@@ -357,6 +383,12 @@
       b.addSummaries(r.summary.toBuilder().setAgeMillis(ageMillis));
     }
     summariesToForward.clear();
+    ReaderState reader = store.readerState();
+    if (reader != null) {
+      b.setReader(GossipCodec.encodeReader(reader));
+    }
+    changesToPassOn.forEach(c -> b.addStoreChanges(GossipCodec.encodeChanges(c)));
+    changesToPassOn.clear();
     if (now - membersSentAt >= toNanos(HEARTBEAT_INTERVAL_MILLIS)) {
       membersSentAt = now;
       b.addAllMembers(advertisedPeers(null));
@@ -393,11 +425,12 @@
         .setIncarnation(self.incarnation())
         .setSequence(++sequence)
         .setSelf(encodeMember(address, domain))
-        .setStoreRevision(storeRevision.getAsLong())
+        .setStoreRevision(store.changeRevision())
         .setQuarantine(GossipCodec.encodeQuarantine(quarantine.state(clock.nanos())))
         .addAllLimits(GossipCodec.encodeLimits(limits.limits(clock.nanos())))
         .addAllDemand(GossipCodec.encodeDemand(limits.demand(clock.nanos())))
         .addAllEvacuations(GossipCodec.encodeEvacuations(evacuations.advertised()))
+        .addAllEndedServers(GossipCodec.encodeEndedServers(endedServers.recent(clock.nanos())))
         .setLeaving(leaving);
   }
 
@@ -469,13 +502,24 @@
     mergeQuarantine(state, sameDomain, now);
     limits.merge(GossipCodec.decodeLimits(state.getLimitsList()), now);
     evacuations.merge(GossipCodec.decodeEvacuations(state.getEvacuationsList()));
+    endedServers.merge(GossipCodec.decodeEndedServers(state.getEndedServersList()), now);
     state.getSummariesList().forEach(s -> applySummary(s, !sameDomain, now));
-    if (state.getStoreRevision() > storeRevision.getAsLong()) {
-      onNewerRevision.accept(state.getStoreRevision());
+    if (sameDomain) {
+      applyStoreChanges(state);
+    }
+    if (state.getStoreRevision() > store.changeRevision()) {
+      store.onPeerRevision(state.getStoreRevision());
     }
     state.getMembersList().forEach(m -> contactIfUseful(m, now));
   }
 
+  private void applyStoreChanges(RouterNews state) {
+    if (state.hasReader()) {
+      store.onPeerReader(GossipCodec.decodeReader(state.getReader()));
+    }
+    state.getStoreChangesList().forEach(c -> store.onPeerChanges(GossipCodec.decodeChanges(c)));
+  }
+
   /** Merges what a peer knows; what comes from another failure domain is forwarded. */
   private void mergeQuarantine(RouterNews state, boolean sameDomain, long now) {
     boolean news = quarantine.merge(GossipCodec.decodeQuarantine(state.getQuarantine()), now);
@@ -517,8 +561,8 @@
         GossipCodec.decodeDemand(summary.getDemandList()),
         madeAt);
     prefixCaches.recordRemoteSends(GossipCodec.decodeSends(summary.getReadsList()));
-    if (summary.getStoreRevision() > storeRevision.getAsLong()) {
-      onNewerRevision.accept(summary.getStoreRevision());
+    if (summary.getStoreRevision() > store.changeRevision()) {
+      store.onPeerRevision(summary.getStoreRevision());
     }
     // Another router of this domain that received a copy has forwarded it already.
     long sameCopy = madeAt + toNanos(MIN_INTERVAL_MILLIS);
@@ -563,6 +607,15 @@
     }
   }
 
+  /**
+   * Sends changes of the store to the routers of the same failure domain with the next message.
+   *
+   * @param changes the changes
+   */
+  void passOn(StoreChanges changes) {
+    changesToPassOn.add(changes);
+  }
+
   /**
    * Replaces the seed addresses.
    *
@@ -586,4 +639,33 @@
   public int peerCount() {
     return peers.size();
   }
+
+  /**
+   * Returns whether this router has been in contact with others for long enough to know its peers,
+   * or has none.
+   */
+  public boolean isSettled() {
+    return clock.nanos() - settlesAt >= 0;
+  }
+
+  private void updateSettled(long now) {
+    int localPeers = peers.localPeerCount();
+    boolean others = seeds.stream().anyMatch(s -> !s.equals(address));
+    if (peers.size() == 0 && others) {
+      settlesAt = now + toNanos(LONE_DISCOVERY_MILLIS);
+    } else if (localPeers > localPeersBefore && now - settlesAt < 0) {
+      settlesAt = now + toNanos(DISCOVERY_MILLIS);
+    }
+    localPeersBefore = localPeers;
+  }
+
+  /** Returns the names of the other routers of the same failure domain that are alive. */
+  public List<String> domainPeers() {
+    return peers.localPeers().stream().map(p -> p.node().name()).toList();
+  }
+
+  /** Returns the other failure domains with routers that are alive. */
+  public Set<FailureDomain> otherDomains() {
+    return peers.remoteDomains();
+  }
 }
