--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/StoreItemNewsOrBuilder.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/StoreItemNewsOrBuilder.java
@@ -54,5 +54,20 @@
   com.google.protobuf.ByteString
       getRemovedServerBytes();
 
+  /**
+   * <code>.wigeonwharf.gateway.EvacuationNews evacuation = 3;</code>
+   * @return Whether the evacuation field is set.
+   */
+  boolean hasEvacuation();
+  /**
+   * <code>.wigeonwharf.gateway.EvacuationNews evacuation = 3;</code>
+   * @return The evacuation.
+   */
+  org.wigeonwharf.gateway.peer.wire.EvacuationNews getEvacuation();
+  /**
+   * <code>.wigeonwharf.gateway.EvacuationNews evacuation = 3;</code>
+   */
+  org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder getEvacuationOrBuilder();
+
   org.wigeonwharf.gateway.peer.wire.StoreItemNews.ItemCase getItemCase();
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipCodec.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipCodec.java
@@ -221,6 +221,22 @@
     return demand;
   }
 
+  static List<EvacuationNews> encodeEvacuations(List<Evacuation> evacuations) {
+    return evacuations.stream().map(GossipCodec::encodeEvacuation).toList();
+  }
+
+  private static EvacuationNews encodeEvacuation(Evacuation e) {
+    return EvacuationNews.newBuilder()
+        .setFailureDomain(e.domain().value())
+        .setActive(e.active())
+        .setRevision(e.revision())
+        .build();
+  }
+
+  private static Evacuation decodeEvacuation(EvacuationNews n) {
+    return new Evacuation(new FailureDomain(n.getFailureDomain()), n.getActive(), n.getRevision());
+  }
+
   static List<EndedServerNews> encodeEndedServers(List<EndedServer> servers) {
     return servers.stream()
         .map(
@@ -234,15 +250,11 @@
         .toList();
   }
 
-  static List<EvacuationNews> encodeEvacuations(List<Evacuation> evacuations) {
-    return evacuations.stream()
-        .map(
-            e ->
-                EvacuationNews.newBuilder()
-                    .setFailureDomain(e.domain().value())
-                    .setActive(e.active())
-                    .setRevision(e.revision())
-                    .build())
+  /** Decodes what a peer states of evacuations, without statements that are malformed. */
+  static List<Evacuation> decodeEvacuations(List<EvacuationNews> news) {
+    return news.stream()
+        .filter(n -> !n.getFailureDomain().isBlank() && n.getRevision() > 0)
+        .map(GossipCodec::decodeEvacuation)
         .toList();
   }
 
@@ -281,6 +293,8 @@
         b.addItems(StoreItemNews.newBuilder().setServer(encodeServer(s.server())));
       } else if (item instanceof PublishedItem.ServerRemoved r) {
         b.addItems(StoreItemNews.newBuilder().setRemovedServer(r.id()));
+      } else if (item instanceof PublishedItem.EvacuationChange e) {
+        b.addItems(StoreItemNews.newBuilder().setEvacuation(encodeEvacuation(e.evacuation())));
       } else {
         throw new IllegalArgumentException("not passed on: " + item);
       }
@@ -294,6 +308,8 @@
       switch (item.getItemCase()) {
         case SERVER -> items.add(new PublishedItem.Server(decodeServer(item.getServer())));
         case REMOVED_SERVER -> items.add(new PublishedItem.ServerRemoved(item.getRemovedServer()));
+        case EVACUATION ->
+            items.add(new PublishedItem.EvacuationChange(decodeEvacuation(item.getEvacuation())));
         default -> {
           // Sent by a later version of the router; it has to be read from the store.
           return new StoreChanges(news.getAfter(), news.getRevision(), false, List.of());
@@ -330,17 +346,6 @@
         n.getRevision());
   }
 
-  /** Decodes what a peer states of evacuations, without statements that are malformed. */
-  static List<Evacuation> decodeEvacuations(List<EvacuationNews> news) {
-    return news.stream()
-        .filter(n -> !n.getFailureDomain().isBlank() && n.getRevision() > 0)
-        .map(
-            n ->
-                new Evacuation(
-                    new FailureDomain(n.getFailureDomain()), n.getActive(), n.getRevision()))
-        .toList();
-  }
-
   private static long toThousandths(double perSecond) {
     return Math.round(perSecond * RATE_SCALE);
   }
--- a/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/GatewaySettingsReader.java
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/GatewaySettingsReader.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.jspecify.annotations.Nullable;
 import org.wigeonwharf.config.Fault;
 import org.wigeonwharf.config.MergedSettings;
 import org.wigeonwharf.config.SectionReader;
@@ -18,6 +19,9 @@
   /** Section that only the settings of a gateway have; it selects the kind of process. */
   static final String STORE_SECTION = "store";
 
+  /** Environment variable with the region of each failure domain. */
+  static final String REGIONS_VARIABLE = "ROUTER_REGIONS";
+
   private static final double MAX_RETRY_RATIO = 10;
   private static final int MAX_RETRY_SLACK = 100_000;
   private static final double MAX_DURATION_SECONDS = 3_600;
@@ -40,9 +44,12 @@
    * Validates the settings of a gateway.
    *
    * @param merged the parsed settings file
+   * @param environmentRegions the region of each failure domain, as {@code DOMAIN=REGION} separated
+   *     by commas, which counts if the settings have none; null if not given
    * @return the settings, or all faults found
    */
-  static Either<List<Fault>, GatewaySettings> check(MergedSettings merged) {
+  static Either<List<Fault>, GatewaySettings> check(
+      MergedSettings merged, @Nullable String environmentRegions) {
     List<Fault> faults = new ArrayList<>();
     SectionReader root = SectionReader.root(merged, faults);
     final String name = root.requireText("name");
@@ -61,7 +68,7 @@
     final double retrySlack = retry.decimal("slack", 0, 0, MAX_RETRY_SLACK);
     final long retryWindowMillis = readSeconds(retry, "window_s", 10, MIN_WINDOW_SECONDS);
     retry.reportUnknownKeys();
-    final Map<FailureDomain, String> regions = readRegions(root.section("regions"));
+    final Map<FailureDomain, String> regions = readRegions(root, environmentRegions);
     final long stopGraceMillis = readSeconds(root, "stop_grace_s", 8, 0);
     final List<InetSocketAddress> seeds = readSeeds(root);
     final var secret = RouterSettings.readSecret(root);
@@ -95,7 +102,12 @@
   }
 
   /** Reads the optional table of regions by failure domain. */
-  private static Map<FailureDomain, String> readRegions(SectionReader section) {
+  private static Map<FailureDomain, String> readRegions(
+      SectionReader root, @Nullable String environmentRegions) {
+    SectionReader section = root.section("regions");
+    if (section.keys().isEmpty() && environmentRegions != null) {
+      return parseRegions(environmentRegions, root);
+    }
     Map<FailureDomain, String> regions = new HashMap<>();
     for (String domain : section.keys()) {
       String region = section.requireText(domain);
@@ -108,6 +120,19 @@
     return regions;
   }
 
+  private static Map<FailureDomain, String> parseRegions(String text, SectionReader root) {
+    Map<FailureDomain, String> regions = new HashMap<>();
+    for (String entry : text.split(",")) {
+      String[] pair = entry.split("=", -1);
+      if (pair.length == 2 && !pair[0].isBlank() && !pair[1].isBlank()) {
+        regions.put(new FailureDomain(pair[0].strip()), pair[1].strip());
+      } else if (!entry.isBlank()) {
+        root.addFault(REGIONS_VARIABLE, "not of the form DOMAIN=REGION: " + entry.strip());
+      }
+    }
+    return regions;
+  }
+
   private static List<InetSocketAddress> readSeeds(SectionReader root) {
     List<InetSocketAddress> seeds = new ArrayList<>();
     for (String text : root.texts("seeds")) {
