Choose among a few drawn servers and size the interactive set by the streams

Routers that know the same outdated facts chose alike: all packed their latency-sensitive streams on the servers with the highest ids until these were over their slots. If none of them has a free slot, all are compared as before.

--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
@@ -21,6 +21,7 @@
 import org.wigeonwharf.gateway.notice.NoticeLog;
 import org.wigeonwharf.gateway.notice.ServerNotices;
 import org.wigeonwharf.gateway.placement.InFlightTracker;
+import org.wigeonwharf.gateway.placement.PlacementMetrics;
 import org.wigeonwharf.gateway.placement.PrefixCacheIndex;
 import org.wigeonwharf.gateway.placement.ServerChooser;
 import org.wigeonwharf.gateway.placement.ServerPenalties;
@@ -157,7 +158,14 @@
             () -> routes,
             directory,
             new EligibleServers(directory, List.of()),
-            new ServerChooser(DOMAIN, inFlight, prefixCaches, ServerPenalties.DEFAULT, notices),
+            new ServerChooser(
+                DOMAIN,
+                inFlight,
+                prefixCaches,
+                ServerPenalties.DEFAULT,
+                notices,
+                new Random(7),
+                new PlacementMetrics(new MetricRegistry())),
             notices,
             budget,
             new TestProtocol(),
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/PromptPlacementTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/PromptPlacementTest.java
@@ -46,7 +46,14 @@
   private final InFlightTracker inFlight = new InFlightTracker(Clock.NANOS_PER_SECOND);
   private final PrefixCacheIndex prefixCaches = new PrefixCacheIndex();
   private final ServerChooser chooser =
-      new ServerChooser(LOCAL, inFlight, prefixCaches, ServerPenalties.DEFAULT, NO_NOTICES);
+      new ServerChooser(
+          LOCAL,
+          inFlight,
+          prefixCaches,
+          ServerPenalties.DEFAULT,
+          NO_NOTICES,
+          new Random(7),
+          new PlacementMetrics(new MetricRegistry()));
   private final List<BackendServer> servers = new ArrayList<>();
   private long now = Clock.NANOS_PER_SECOND;
   private int nextPart;
@@ -192,7 +199,13 @@
     String owner = place(longRequest("topic"));
     ServerChooser restarted =
         new ServerChooser(
-            LOCAL, inFlight, new PrefixCacheIndex(), ServerPenalties.DEFAULT, NO_NOTICES);
+            LOCAL,
+            inFlight,
+            new PrefixCacheIndex(),
+            ServerPenalties.DEFAULT,
+            NO_NOTICES,
+            new Random(7),
+            new PlacementMetrics(new MetricRegistry()));
     Choice c =
         restarted.choose(
             longRequest("topic"), MODEL_SERVICE, servers, Set.of(owner), false, true, now);
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
@@ -31,6 +31,7 @@
 import org.wigeonwharf.gateway.notice.ServerNotices;
 import org.wigeonwharf.gateway.peer.GossipTransport;
 import org.wigeonwharf.gateway.placement.InFlightTracker;
+import org.wigeonwharf.gateway.placement.PlacementMetrics;
 import org.wigeonwharf.gateway.placement.PrefixCacheIndex;
 import org.wigeonwharf.gateway.placement.ServerChooser;
 import org.wigeonwharf.gateway.placement.ServerPenalties;
@@ -126,7 +127,13 @@
     this.notices = new ServerNotices(limits, new NoticeLog(metrics));
     this.chooser =
         new ServerChooser(
-            settings.domain(), inFlight, prefixCaches, ServerPenalties.DEFAULT, notices);
+            settings.domain(),
+            inFlight,
+            prefixCaches,
+            ServerPenalties.DEFAULT,
+            notices,
+            random,
+            new PlacementMetrics(metrics));
     this.timers = new EventLoopTimers(loop, clock);
     this.feed =
         new StoreFeed(
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/MetricsRenderer.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/MetricsRenderer.java
@@ -41,6 +41,16 @@
               }
               appendLine(text, name + "_ms_count", "", t.getCount());
             });
+    metrics
+        .getHistograms()
+        .forEach(
+            (name, h) -> {
+              Snapshot s = h.getSnapshot();
+              for (double q : QUANTILES) {
+                appendLine(text, name, "{quantile=\"" + q + "\"}", s.getValue(q));
+              }
+              appendLine(text, name + "_count", "", h.getCount());
+            });
     return text.toString();
   }
 
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/Candidate.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/Candidate.java
@@ -7,8 +7,8 @@
  *
  * @param server the server
  * @param local true if it runs in the router's own failure domain
- * @param serversAfter number of the service's servers in the same failure domain with a higher id;
- *     the same at all routers
+ * @param packingRank number of servers in the same failure domain that are filled with
+ *     latency-sensitive streams before this one; nearly the same at all routers
  * @param prefixOwner true if rendezvous hashing assigns the prompt's shared prefix to this server;
  *     the same at all routers
  * @param work in-flight work of all known routers at the server
@@ -29,7 +29,7 @@
 public record Candidate(
     BackendServer server,
     boolean local,
-    int serversAfter,
+    int packingRank,
     boolean prefixOwner,
     ServerWork work,
     int reportedLoad,
@@ -58,4 +58,9 @@
   public int load() {
     return Math.max(work.running(), reportedLoad);
   }
+
+  /** Tells whether a further request starts on the server immediately, as far as is known. */
+  boolean hasFreeSlot() {
+    return state == State.SOUND && load() < server.slots();
+  }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/PrefixCacheEstimate.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/PrefixCacheEstimate.java
@@ -13,7 +13,17 @@
   /** Size of a KV cache block in tokens; each part occupies at least one block. */
   private static final int BLOCK_TOKENS = 16;
 
+  /** Receives the changes of a cache's contents. */
+  interface Listener {
+    /** Called when a part is cached that was not. */
+    default void onAdded(String part) {}
+
+    /** Called when a part is no longer cached. */
+    default void onEvicted(String part) {}
+  }
+
   private long capacityTokens;
+  private final Listener listener;
   private final LinkedHashMap<String, Integer> parts = new LinkedHashMap<>(16, 0.75f, true);
   private long usedTokens;
 
@@ -23,7 +33,18 @@
    * @param capacityTokens cache size in tokens, excluding the KV cache of running requests
    */
   public PrefixCacheEstimate(long capacityTokens) {
+    this(capacityTokens, new Listener() {});
+  }
+
+  /**
+   * Creates an empty cache.
+   *
+   * @param capacityTokens cache size in tokens, excluding the KV cache of running requests
+   * @param listener is called for each part that is added or evicted
+   */
+  PrefixCacheEstimate(long capacityTokens, Listener listener) {
     this.capacityTokens = capacityTokens;
+    this.listener = listener;
   }
 
   /**
@@ -64,16 +85,22 @@
       int size = Math.max(BLOCK_TOKENS, p.tokens());
       Integer old = parts.put(p.id(), size);
       usedTokens += size - (old == null ? 0 : old);
+      if (old == null) {
+        listener.onAdded(p.id());
+      }
     }
     Iterator<Map.Entry<String, Integer>> oldest = parts.entrySet().iterator();
     while (usedTokens > capacityTokens && oldest.hasNext()) {
-      usedTokens -= oldest.next().getValue();
+      Map.Entry<String, Integer> evicted = oldest.next();
+      usedTokens -= evicted.getValue();
       oldest.remove();
+      listener.onEvicted(evicted.getKey());
     }
   }
 
   /** Empties the cache, as after a restart of the engine. */
   public void clear() {
+    parts.keySet().forEach(listener::onEvicted);
     parts.clear();
     usedTokens = 0;
   }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/PrefixCacheIndex.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/PrefixCacheIndex.java
@@ -7,8 +7,11 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
 import org.wigeonwharf.model.Clock;
 
 /**
@@ -36,6 +39,7 @@
   private static final long DEFAULT_CAPACITY_TOKENS = 200_000;
 
   private final Map<String, PrefixCacheEstimate> caches = new HashMap<>();
+  private final Map<String, Set<String>> holders = new HashMap<>();
   private final Deque<Send> recentSends = new ArrayDeque<>();
   private final Deque<Send> recentDomainSends = new ArrayDeque<>();
 
@@ -143,6 +147,27 @@
     return cache == null ? 0 : cache.cachedTokens(parts);
   }
 
+  /**
+   * Returns engines that are expected to have the most of a prompt cached: those that hold the last
+   * of its parts that any engine holds.
+   *
+   * @param parts the prompt's parts in order
+   * @param usable tells by its id whether an engine may be used
+   * @param limit the maximum number of engines
+   * @return the engines' ids, those that have held the part longest first
+   */
+  List<String> holders(List<PromptPart> parts, Predicate<String> usable, int limit) {
+    List<String> found = new ArrayList<>();
+    for (int i = parts.size() - 1; i >= 0 && found.isEmpty(); i--) {
+      for (String server : holders.getOrDefault(parts.get(i).id(), Set.of())) {
+        if (found.size() < limit && usable.test(server)) {
+          found.add(server);
+        }
+      }
+    }
+    return found;
+  }
+
   /**
    * Sets the prefix cache size of an engine.
    *
@@ -159,10 +184,42 @@
    * @param known the ids of the engines to keep
    */
   public void retainServers(Collection<String> known) {
-    caches.keySet().retainAll(known);
+    Set<String> kept = Set.copyOf(known);
+    caches.forEach(
+        (server, cache) -> {
+          if (!kept.contains(server)) {
+            cache.clear();
+          }
+        });
+    caches.keySet().retainAll(kept);
   }
 
   private PrefixCacheEstimate cacheOf(String server) {
-    return caches.computeIfAbsent(server, s -> new PrefixCacheEstimate(DEFAULT_CAPACITY_TOKENS));
+    return caches.computeIfAbsent(
+        server, s -> new PrefixCacheEstimate(DEFAULT_CAPACITY_TOKENS, new HolderRecorder(s)));
+  }
+
+  /** Keeps the holders of each part up to date with one engine's cache. */
+  private final class HolderRecorder implements PrefixCacheEstimate.Listener {
+    private final String server;
+
+    HolderRecorder(String server) {
+      this.server = server;
+    }
+
+    @Override
+    public void onAdded(String part) {
+      holders.computeIfAbsent(part, p -> new LinkedHashSet<>(2)).add(server);
+    }
+
+    @Override
+    public void onEvicted(String part) {
+      holders.computeIfPresent(
+          part,
+          (p, servers) -> {
+            servers.remove(server);
+            return servers.isEmpty() ? null : servers;
+          });
+    }
   }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/PromptPlacement.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/PromptPlacement.java
@@ -170,6 +170,6 @@
   private static double streamDelayCost(Demand demand, Candidate c, double backlogMillis) {
     double delayMillis =
         BACKLOG_FACTOR * backlogMillis + LONG_PREFILL_STREAM_MILLIS * c.longPrefillShare();
-    return demand.latencySensitivity() * (delayMillis + PACKING_MILLIS * c.serversAfter());
+    return demand.latencySensitivity() * (delayMillis + PACKING_MILLIS * c.packingRank());
   }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerChooser.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerChooser.java
@@ -6,11 +6,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 import org.wigeonwharf.gateway.backend.BackendServer;
 import org.wigeonwharf.gateway.notice.ServerNotices;
+import org.wigeonwharf.gateway.route.AllowedRegions;
 import org.wigeonwharf.gateway.route.EngineSpec;
 import org.wigeonwharf.gateway.route.ServiceSpec;
+import org.wigeonwharf.model.Clock;
 import org.wigeonwharf.model.FailureDomain;
 
 /**
@@ -38,6 +41,9 @@
    */
   private static final int LONG_PREFILL_TOKENS = 6_000;
 
+  /** Minimum time in ms between two passes over all servers of a sampled pool. */
+  private static final long SURVEY_INTERVAL_MILLIS = 100;
+
   /** Cost that makes any open server preferable to one that wants no request now. */
   private static final double CLOSED_PENALTY_MILLIS = 1e9;
 
@@ -46,6 +52,9 @@
   private final PrefixCacheIndex prefixCaches;
   private final ServerPenalties penalties;
   private final ServerNotices notices;
+  private final RandomGenerator random;
+  private final PlacementMetrics metrics;
+  private final Map<PoolKey, SurveyedPool> pools = new HashMap<>();
   private final Map<String, ServerStats> stats = new HashMap<>();
   private final Map<String, PrefillRate> prefillRates = new HashMap<>();
 
@@ -57,22 +66,29 @@
    * @param prefixCaches the prompts that engines are expected to have cached
    * @param penalties costs of distance and failures
    * @param notices what servers state of themselves
+   * @param random draws the candidates among many servers
+   * @param metrics receives how choices are made
    */
   public ServerChooser(
       FailureDomain domain,
       InFlightTracker inFlight,
       PrefixCacheIndex prefixCaches,
       ServerPenalties penalties,
-      ServerNotices notices) {
+      ServerNotices notices,
+      RandomGenerator random,
+      PlacementMetrics metrics) {
     this.domain = domain;
     this.inFlight = inFlight;
     this.prefixCaches = prefixCaches;
     this.penalties = penalties;
     this.notices = notices;
+    this.random = random;
+    this.metrics = metrics;
   }
 
   /**
-   * Chooses the server with the lowest cost.
+   * Chooses the server with the lowest cost among some candidates. If none of these is sound, has a
+   * free slot and may receive the request now, all servers are compared.
    *
    * @param demand the request
    * @param service the service's description, or null if it is not published
@@ -93,38 +109,140 @@
       long now) {
     EngineSpec engine = service == null ? null : service.engine();
     PlacementPolicy policy = policy(demand, engine);
-    List<Candidate> candidates = candidates(demand, engine, servers, now);
-    Candidate best = null;
-    Candidate preferred = null;
-    double lowestCost = Double.POSITIVE_INFINITY;
+    ServerPool pool = surveyedPool(demand, engine, servers, now).pool;
+    String ownerId = PrefixOwner.find(demand.parts(), pool.servers());
+    if (pool.isSampled()) {
+      Set<BackendServer> drawn = pool.draw(demand, ownerId, domain, prefixCaches, random);
+      Selection some = select(demand, policy, pool, drawn, ownerId, tried, now);
+      Candidate best = some.best;
+      if (best != null && best.hasFreeSlot() && !some.isWorthWaiting(demand, policy)) {
+        return toChoice(demand, engine, policy, some, best, firstChoice, now);
+      }
+      metrics.recordFullScan();
+    }
+    Selection all = select(demand, policy, pool, servers, ownerId, tried, now);
+    Candidate best = all.best;
+    if (best == null || canWait && all.isWorthWaiting(demand, policy)) {
+      recordDemand(all, firstChoice, now);
+      return null;
+    }
+    return toChoice(demand, engine, policy, all, best, firstChoice, now);
+  }
+
+  /** Holds what a comparison of candidates found. */
+  private static final class Selection {
+    private final List<Candidate> candidates;
+    private @Nullable Candidate best;
+    private @Nullable Candidate preferred;
+    private double lowestCost = Double.POSITIVE_INFINITY;
+    private double lowestWaitingCost = Double.POSITIVE_INFINITY;
+
+    Selection(List<Candidate> candidates) {
+      this.candidates = candidates;
+    }
+
+    boolean isWorthWaiting(Demand demand, PlacementPolicy policy) {
+      return best == null || lowestWaitingCost < lowestCost || policy.isBusy(demand, best);
+    }
+  }
+
+  /** Holds a pool with the time of the last pass over its servers. */
+  private static final class SurveyedPool {
+    private final ServerPool pool;
+    private long surveyedAt;
+
+    SurveyedPool(ServerPool pool, long surveyedAt) {
+      this.pool = pool;
+      this.surveyedAt = surveyedAt;
+    }
+  }
+
+  private record PoolKey(String service, AllowedRegions regions) {}
+
+  private Selection select(
+      Demand demand,
+      PlacementPolicy policy,
+      ServerPool pool,
+      Collection<BackendServer> servers,
+      @Nullable String ownerId,
+      Set<String> tried,
+      long now) {
+    metrics.recordCandidates(servers.size());
+    Selection s = new Selection(candidates(demand, pool, servers, ownerId, now));
     double preferredCost = Double.POSITIVE_INFINITY;
-    double lowestWaitingCost = Double.POSITIVE_INFINITY;
-    for (Candidate c : candidates) {
+    for (Candidate c : s.candidates) {
       double cost =
           tried.contains(c.server().id()) ? Double.POSITIVE_INFINITY : policy.cost(demand, c);
       double waitMillis = notices.waitMillis(c.server(), now);
       double preference = notices.isClosed(c.server(), now) ? cost + CLOSED_PENALTY_MILLIS : cost;
       if (preference < preferredCost) {
-        preferred = c;
+        s.preferred = c;
         preferredCost = preference;
       }
       if (waitMillis > 0) {
-        lowestWaitingCost = Math.min(lowestWaitingCost, cost + waitMillis);
-      } else if (cost < lowestCost) {
-        best = c;
-        lowestCost = cost;
+        s.lowestWaitingCost = Math.min(s.lowestWaitingCost, cost + waitMillis);
+      } else if (cost < s.lowestCost) {
+        s.best = c;
+        s.lowestCost = cost;
       }
     }
-    if (preferred != null && firstChoice) {
-      notices.recordDemand(preferred.server(), now);
+    return s;
+  }
+
+  private Choice toChoice(
+      Demand demand,
+      @Nullable EngineSpec engine,
+      PlacementPolicy policy,
+      Selection s,
+      Candidate best,
+      boolean firstChoice,
+      long now) {
+    recordDemand(s, firstChoice, now);
+    metrics.recordChosen(best);
+    BackendServer source = cacheSource(demand, engine, s.candidates, best);
+    return new Choice(best, s.lowestCost, source, policy.prefillTokens(demand, best));
+  }
+
+  private void recordDemand(Selection s, boolean firstChoice, long now) {
+    if (s.preferred != null && firstChoice) {
+      notices.recordDemand(s.preferred.server(), now);
     }
-    boolean worthWaiting =
-        best == null || lowestWaitingCost < lowestCost || policy.isBusy(demand, best);
-    if (best == null || canWait && worthWaiting) {
-      return null;
+  }
+
+  private SurveyedPool surveyedPool(
+      Demand demand, @Nullable EngineSpec engine, List<BackendServer> servers, long now) {
+    PoolKey key = new PoolKey(demand.service(), demand.regions());
+    SurveyedPool p = pools.get(key);
+    if (p == null || !p.pool.isOf(servers)) {
+      p = new SurveyedPool(new ServerPool(servers), now);
+      pools.put(key, p);
+      survey(p.pool, engine, now);
+    } else if (!p.pool.isSampled()
+        || now - p.surveyedAt >= SURVEY_INTERVAL_MILLIS * Clock.NANOS_PER_MILLI) {
+      p.surveyedAt = now;
+      survey(p.pool, engine, now);
+    }
+    return p;
+  }
+
+  /** Updates what is derived from the work at all servers of a pool. */
+  private void survey(ServerPool pool, @Nullable EngineSpec engine, long now) {
+    double sensitivity = 0;
+    double sum = 0;
+    double sumOfSquares = 0;
+    for (BackendServer s : pool.servers()) {
+      ServerWork work = inFlight.workAt(s.id(), now);
+      boolean longPrefill = work.prefillTokens() >= LONG_PREFILL_TOKENS;
+      stats(s.id(), now).sampleWorkload(longPrefill, work.latencySensitivity(), now);
+      if (engine != null) {
+        prefixCaches.setCapacity(s.id(), (long) (PREFIX_CACHE_FRACTION * engine.kvCacheTokens()));
+      }
+      sensitivity += work.latencySensitivity();
+      sum += work.running();
+      sumOfSquares += (double) work.running() * work.running();
     }
-    BackendServer source = cacheSource(demand, engine, candidates, best);
-    return new Choice(best, lowestCost, source, policy.prefillTokens(demand, best));
+    pool.resizeInteractiveSet(sensitivity);
+    metrics.recordLoads(sum, sumOfSquares, pool.servers().size());
   }
 
   private PlacementPolicy policy(Demand demand, @Nullable EngineSpec engine) {
@@ -170,15 +288,13 @@
   }
 
   private List<Candidate> candidates(
-      Demand demand, @Nullable EngineSpec engine, List<BackendServer> servers, long now) {
-    Map<FailureDomain, Integer> remaining = new HashMap<>();
-    servers.forEach(s -> remaining.merge(s.domain(), 1, Integer::sum));
-    String ownerId = PrefixOwner.find(demand.parts(), servers);
+      Demand demand,
+      ServerPool pool,
+      Collection<BackendServer> servers,
+      @Nullable String ownerId,
+      long now) {
     int maxCachedTokens = 0;
     for (BackendServer s : servers) {
-      if (engine != null) {
-        prefixCaches.setCapacity(s.id(), (long) (PREFIX_CACHE_FRACTION * engine.kvCacheTokens()));
-      }
       if (stats(s.id(), now).state(now) == Candidate.State.SOUND) {
         maxCachedTokens =
             Math.max(maxCachedTokens, prefixCaches.cachedTokens(s.id(), demand.parts()));
@@ -186,8 +302,8 @@
     }
     List<Candidate> found = new ArrayList<>(servers.size());
     for (BackendServer s : servers) {
-      int serversAfter = remaining.merge(s.domain(), -1, Integer::sum);
-      found.add(toCandidate(demand, s, serversAfter, s.id().equals(ownerId), maxCachedTokens, now));
+      int rank = pool.packingRank(s);
+      found.add(toCandidate(demand, s, rank, s.id().equals(ownerId), maxCachedTokens, now));
     }
     return found;
   }
@@ -195,18 +311,17 @@
   private Candidate toCandidate(
       Demand demand,
       BackendServer server,
-      int serversAfter,
+      int packingRank,
       boolean prefixOwner,
       int maxCachedTokens,
       long now) {
     ServerStats s = stats(server.id(), now);
     ServerWork work = inFlight.workAt(server.id(), now);
-    s.sampleWorkload(work.prefillTokens() >= LONG_PREFILL_TOKENS, work.latencySensitivity(), now);
     int cachedTokens = prefixCaches.cachedTokens(server.id(), demand.parts());
     return new Candidate(
         server,
         server.domain().equals(domain),
-        serversAfter,
+        packingRank,
         prefixOwner,
         work,
         s.reportedLoad(now),
@@ -297,6 +412,7 @@
    * @param known the ids of the servers to keep
    */
   public void retainServers(Collection<String> known) {
+    pools.clear();
     stats.keySet().retainAll(known);
     prefixCaches.retainServers(known);
   }
