--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerChooser.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerChooser.java
@@ -42,7 +42,7 @@
   private static final int LONG_PREFILL_TOKENS = 6_000;
 
   /** Minimum time in ms between two passes over all servers of a sampled pool. */
-  private static final long SURVEY_INTERVAL_MILLIS = 100;
+  private static final long SURVEY_INTERVAL_MILLIS = 250;
 
   /** Cost that makes any open server preferable to one that wants no request now. */
   private static final double CLOSED_PENALTY_MILLIS = 1e9;
@@ -109,7 +109,7 @@
       long now) {
     EngineSpec engine = service == null ? null : service.engine();
     PlacementPolicy policy = policy(demand, engine);
-    ServerPool pool = surveyedPool(demand, engine, servers, now).pool;
+    ServerPool pool = pool(demand, engine, servers, now);
     String ownerId = PrefixOwner.find(demand.parts(), pool.servers());
     if (pool.isSampled()) {
       Set<BackendServer> drawn = pool.draw(demand, ownerId, domain, prefixCaches, random);
@@ -150,10 +150,10 @@
   private static final class SurveyedPool {
     private final ServerPool pool;
     private long surveyedAt;
+    private long cacheTokens;
 
-    SurveyedPool(ServerPool pool, long surveyedAt) {
+    SurveyedPool(ServerPool pool) {
       this.pool = pool;
-      this.surveyedAt = surveyedAt;
     }
   }
 
@@ -209,24 +209,36 @@
     }
   }
 
-  private SurveyedPool surveyedPool(
+  private ServerPool pool(
       Demand demand, @Nullable EngineSpec engine, List<BackendServer> servers, long now) {
     PoolKey key = new PoolKey(demand.service(), demand.regions());
     SurveyedPool p = pools.get(key);
-    if (p == null || !p.pool.isOf(servers)) {
-      p = new SurveyedPool(new ServerPool(servers), now);
+    boolean created = p == null || !p.pool.isOf(servers);
+    if (p == null || created) {
+      p = new SurveyedPool(new ServerPool(servers));
       pools.put(key, p);
-      survey(p.pool, engine, now);
-    } else if (!p.pool.isSampled()
+    }
+    if (engine != null) {
+      setCacheCapacity(p, (long) (PREFIX_CACHE_FRACTION * engine.kvCacheTokens()));
+    }
+    if (created
+        || !p.pool.isSampled()
         || now - p.surveyedAt >= SURVEY_INTERVAL_MILLIS * Clock.NANOS_PER_MILLI) {
       p.surveyedAt = now;
-      survey(p.pool, engine, now);
+      survey(p.pool, now);
+    }
+    return p.pool;
+  }
+
+  private void setCacheCapacity(SurveyedPool p, long tokens) {
+    if (p.cacheTokens != tokens) {
+      p.cacheTokens = tokens;
+      p.pool.servers().forEach(s -> prefixCaches.setCapacity(s.id(), tokens));
     }
-    return p;
   }
 
   /** Updates what is derived from the work at all servers of a pool. */
-  private void survey(ServerPool pool, @Nullable EngineSpec engine, long now) {
+  private void survey(ServerPool pool, long now) {
     double sensitivity = 0;
     double sum = 0;
     double sumOfSquares = 0;
@@ -234,9 +246,6 @@
       ServerWork work = inFlight.workAt(s.id(), now);
       boolean longPrefill = work.prefillTokens() >= LONG_PREFILL_TOKENS;
       stats(s.id(), now).sampleWorkload(longPrefill, work.latencySensitivity(), now);
-      if (engine != null) {
-        prefixCaches.setCapacity(s.id(), (long) (PREFIX_CACHE_FRACTION * engine.kvCacheTokens()));
-      }
       sensitivity += work.latencySensitivity();
       sum += work.running();
       sumOfSquares += (double) work.running() * work.running();
