--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/FleetSimulation.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/FleetSimulation.java
@@ -80,8 +80,9 @@
   private long fetchedTokens;
   private long heldRequests;
   private int number;
+  private boolean dropsReports;
 
-  /** Creates a fleet; {@code choosers} makes the chooser of each router. */
+  /** Creates a fleet; {@code make} makes the chooser of each router. */
   FleetSimulation(Engines spec, int routerCount, long seed, Function<Router, ServerChooser> make) {
     this.random = new Random(seed);
     this.spec = spec;
@@ -110,6 +111,11 @@
     return a.equals(b) ? SAME_DOMAIN_DELAY_MILLIS : OTHER_DOMAIN_DELAY_MILLIS;
   }
 
+  /** Cuts all routers off from each other. */
+  void dropReports() {
+    dropsReports = true;
+  }
+
   /** Lets requests arrive for some seconds and returns what was measured. */
   Result run(List<Kind> kinds, int seconds) {
     measureFrom = timers.nanos() + WARM_UP_SECONDS * Clock.NANOS_PER_SECOND;
@@ -121,9 +127,9 @@
   }
 
   private void arrive(Kind k) {
-    after(-Math.log(1 - random.nextDouble()) / k.rate * 1_000, () -> arrive(k));
+    after(-StrictMath.log(1 - random.nextDouble()) / k.rate * 1_000, () -> arrive(k));
     int own = number++;
-    double size = Math.exp(random.nextGaussian() * 0.7 - 0.25);
+    double size = StrictMath.exp(random.nextGaussian() * 0.7 - 0.25);
     int ownTokens = Math.max(16, (int) (k.ownTokens * size));
     List<PromptPart> parts =
         List.of(
@@ -252,7 +258,7 @@
         boolean toPeers) {
       long now = timers.nanos();
       for (Router r : routers) {
-        if (toPeers ? isPeer(r) : !r.domain.equals(domain)) {
+        if (!dropsReports && (toPeers ? isPeer(r) : !r.domain.equals(domain))) {
           r.inFlight.replaceReport(source, work, now);
           if (toPeers) {
             r.prefixCaches.recordDomainSends(sends, now);
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/PrefixCacheIndexTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/PrefixCacheIndexTest.java
@@ -6,6 +6,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.wigeonwharf.model.Clock;
 
@@ -86,4 +88,34 @@
     assertEquals(0, index.cachedTokens("s1", prompt("a", "x")));
     assertEquals(600, index.cachedTokens("s1", prompt("b", "y")));
   }
+
+  @Test
+  void holdersAreThoseThatHaveTheLastPartAsCachesChange() {
+    Random random = new Random(5);
+    for (int i = 0; i < 2_000; i++) {
+      String server = "s" + random.nextInt(8);
+      index.setCapacity(server, 1_500);
+      index.recordSent(server, prompt("topic" + random.nextInt(12), "own" + i), SECOND_NANOS);
+      if (i % 100 == 0) {
+        index.retainServers(List.of("s0", "s2", "s3", "s4", "s5"));
+      }
+      List<PromptPart> asked = List.of(new PromptPart("topic" + random.nextInt(12), 500));
+      List<String> expected =
+          IntStream.range(0, 8)
+              .mapToObj(n -> "s" + n)
+              .filter(s -> index.cachedTokens(s, asked) > 0)
+              .toList();
+      assertEquals(
+          expected, index.holders(asked, s -> true, 8).stream().sorted().toList(), "step " + i);
+    }
+  }
+
+  @Test
+  void unusableHoldersLeaveRoomForUsableOnes() {
+    for (int i = 0; i < 9; i++) {
+      index.recordSent("s" + i, prompt("a", "own" + i), SECOND_NANOS);
+    }
+    assertEquals(List.of("s8"), index.holders(prompt("a", "x"), "s8"::equals, 4));
+    assertEquals(4, index.holders(prompt("a", "x"), s -> true, 4).size());
+  }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerPool.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerPool.java
@@ -42,6 +42,12 @@
   /** Fraction of the interactive set's slots that latency-sensitive streams take on average. */
   private static final double INTERACTIVE_UTILIZATION = 0.5;
 
+  /**
+   * Minimum fraction of the servers in the interactive set, also if this router knows of no streams
+   * of its peers.
+   */
+  private static final double MIN_INTERACTIVE_FRACTION = 0.15;
+
   private final List<BackendServer> servers;
   private final Map<String, Integer> positions = new HashMap<>();
   private final Map<FailureDomain, List<BackendServer>> byDomain = new HashMap<>();
@@ -99,8 +105,9 @@
    */
   void resizeInteractiveSet(double sensitivity) {
     if (isSampled()) {
+      double minimum = MIN_INTERACTIVE_FRACTION * servers.size();
       double needed = sensitivity / (INTERACTIVE_UTILIZATION * Math.max(1, slots));
-      interactiveSetSize = Math.max(1, (int) Math.ceil(needed / byDomain.size()));
+      interactiveSetSize = (int) Math.ceil(Math.max(needed, minimum) / byDomain.size());
     }
   }
 
