--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/ServerChooserTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/ServerChooserTest.java
@@ -118,6 +118,19 @@
     assertEquals(0, metrics.counter("placement.full_scans").getCount());
   }
 
+  @Test
+  void heartbeatsOfServersCauseNoPassOverAllOfThem() {
+    for (int i = 0; i < 100; i++) {
+      servers.clear();
+      addServers(100);
+      chooser.retainServers(servers.stream().map(BackendServer::id).toList());
+      Demand d = randomDemand();
+      chooser.recordSent(d, choose(d, Set.of(), true), now);
+      now += Clock.NANOS_PER_SECOND / 100;
+    }
+    assertTrue(metrics.histogram("placement.load_variation_percent").getCount() <= 4);
+  }
+
   @Test
   void requestIsHeldOnlyIfNoServerMayReceiveIt() {
     for (int trial = 0; trial < 400; trial++) {
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerChooser.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerChooser.java
@@ -421,9 +421,10 @@
    * @param known the ids of the servers to keep
    */
   public void retainServers(Collection<String> known) {
-    pools.clear();
-    stats.keySet().retainAll(known);
-    prefixCaches.retainServers(known);
+    Set<String> kept = Set.copyOf(known);
+    pools.values().removeIf(p -> !p.pool.isWithin(kept));
+    stats.keySet().retainAll(kept);
+    prefixCaches.retainServers(kept);
   }
 
   /**
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerPool.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerPool.java
@@ -75,19 +75,25 @@
     }
   }
 
-  /** Tells whether the pool consists of the given servers in their present state. */
+  /** Tells whether the pool consists of the given servers, which the store may publish anew. */
   boolean isOf(List<BackendServer> others) {
     if (others.size() != servers.size()) {
       return false;
     }
     for (int i = 0; i < others.size(); i++) {
-      if (others.get(i) != servers.get(i)) {
+      BackendServer server = servers.get(i);
+      if (others.get(i) != server && !others.get(i).equals(server)) {
         return false;
       }
     }
     return true;
   }
 
+  /** Tells whether all servers of the pool are among the known ones. */
+  boolean isWithin(Set<String> known) {
+    return known.containsAll(positions.keySet());
+  }
+
   /** Returns all servers in the order of their ids. */
   List<BackendServer> servers() {
     return servers;
