--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/ColdPlacementTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/ColdPlacementTest.java
@@ -49,7 +49,14 @@
   private final InFlightTracker inFlight = new InFlightTracker(Clock.NANOS_PER_SECOND);
   private final PrefixCacheIndex prefixCaches = new PrefixCacheIndex();
   private final ServerChooser chooser =
-      new ServerChooser(HERE, inFlight, prefixCaches, ServerPenalties.DEFAULT, notices);
+      new ServerChooser(
+          HERE,
+          inFlight,
+          prefixCaches,
+          ServerPenalties.DEFAULT,
+          notices,
+          new Random(7),
+          new PlacementMetrics(new MetricRegistry()));
   private final List<BackendServer> servers = new ArrayList<>();
   private final Queue<Running> running = new ArrayDeque<>();
   private ServiceSpec service = new ServiceSpec("plain", 100, null);
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/Candidate.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/Candidate.java
@@ -7,8 +7,8 @@
  *
  * @param server the server
  * @param local true if it runs in the router's own failure domain
- * @param serversAfter number of the service's servers in the same failure domain with a higher id;
- *     the same at all routers
+ * @param packingRank number of servers in the same failure domain that are filled with
+ *     latency-sensitive streams before this one; nearly the same at all routers
  * @param prefixOwner true if rendezvous hashing assigns the prompt's shared prefix to this server;
  *     the same at all routers
  * @param work in-flight work of all known routers at the server
@@ -29,7 +29,7 @@
 public record Candidate(
     BackendServer server,
     boolean local,
-    int serversAfter,
+    int packingRank,
     boolean prefixOwner,
     ServerWork work,
     int reportedLoad,
@@ -69,7 +69,7 @@
     return new Candidate(
         server,
         local,
-        serversAfter,
+        packingRank,
         prefixOwner,
         work,
         Math.max(load(), raised),
@@ -82,4 +82,9 @@
         averageSensitivity,
         longPrefillShare);
   }
+
+  /** Tells whether a further request starts on the server immediately, as far as is known. */
+  boolean hasFreeSlot() {
+    return state == State.SOUND && load() < server.slots();
+  }
 }
