--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreFeedTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreFeedTest.java
@@ -483,6 +483,20 @@
         passedOn);
   }
 
+  @Test
+  void evacuationsArePassedOnAndFollowed() {
+    startWith(routes(3));
+    answer(7, evacuation("d", true, 7));
+    assertEquals(List.of(changes(5, 7, evacuation("d", true, 7))), passedOn);
+    frequentReader = false;
+    int before = calls.size();
+    feed.onPeerReader(IN_CONTACT);
+    feed.onPeerChanges(changes(7, 8, evacuation("d", false, 8), evacuation("e", true, 8)));
+    assertEquals(before, calls.size());
+    assertFalse(isEvacuated("d"));
+    assertTrue(isEvacuated("e"));
+  }
+
   @Test
   void followerReadsNothingItselfWhileReadersAreInContact() {
     follow();
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
@@ -603,7 +603,9 @@
                         42,
                         2_500,
                         9)),
-                new PublishedItem.ServerRemoved("s2")));
+                new PublishedItem.ServerRemoved("s2"),
+                new PublishedItem.EvacuationChange(evacuation(true, 8)),
+                new PublishedItem.EvacuationChange(evacuation(false, 9))));
     a.gossip.passOn(changes);
     a.gossip.passOn(new StoreChanges(9, 10, false, List.of()));
     advanceMillis(400);
