Decide under overload who waits and refuse early who cannot be served in time

A request that found no server waited up to 1.5 s by priority and arrival, whether waiting could succeed or not, and was refused with a constant Retry-After. An account with many times its usual rate took the room of all others, and new requests overtook held ones.

The package overload estimates when a server can begin with a waiting request and refuses at once those whose callers leave before; it orders the others by priority with a small share for each lower one, by account in proportion to its usual use of server time, and by due time. Servers' queues keep places for more urgent requests. Retry-After is spread over the time in which room opens and stays within a third of the caller's time.

--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
@@ -20,6 +20,7 @@
 import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.notice.NoticeLog;
 import org.wigeonwharf.gateway.notice.ServerNotices;
+import org.wigeonwharf.gateway.overload.OverloadControl;
 import org.wigeonwharf.gateway.placement.InFlightTracker;
 import org.wigeonwharf.gateway.placement.PrefixCacheIndex;
 import org.wigeonwharf.gateway.placement.ServerChooser;
@@ -56,6 +57,7 @@
   Consumer<FakeAttempt> onAttempt = a -> {};
   Function<BackendServer, LivenessCheck.Result> liveness = s -> LivenessCheck.Result.ALIVE;
   final ExchangeManager exchanges;
+  int routers = 1;
   private RouteTable routes;
 
   /** Records a request passed to the connector and lets the test respond to it. */
@@ -102,7 +104,7 @@
   }
 
   /** Records the response to one request. */
-  static final class FakeCaller implements CallerChannel {
+  static class FakeCaller implements CallerChannel {
     int status;
     HttpHeaders headers = new DefaultHttpHeaders();
     final StringBuilder body = new StringBuilder();
@@ -159,6 +161,7 @@
             new EligibleServers(directory, List.of()),
             new ServerChooser(DOMAIN, inFlight, prefixCaches, ServerPenalties.DEFAULT, notices),
             notices,
+            OverloadControl.create(() -> routers, new Random(7)),
             budget,
             new TestProtocol(),
             this::recordAttempt,
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/LogVocabularyTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/LogVocabularyTest.java
@@ -158,6 +158,7 @@
       runCutAndCallerGone();
       runExhaustedBudget();
       runQuarantined();
+      runShed();
     } finally {
       log.detachAppender(lines);
     }
@@ -197,6 +198,13 @@
     fixture.attempt(0).listener.onConnectionLost("reset");
   }
 
+  private static void runShed() {
+    OverloadSimulation overload = new OverloadSimulation(1, 1, 200, 7);
+    overload.load(300, 0, "a0", 100, 2_000);
+    overload.load(300, 1, "a1", 100, 2_000);
+    overload.timers.advanceMillis(2_000);
+  }
+
   private static void runQuarantined() {
     ExchangeFixture fixture = new ExchangeFixture();
     new EngineSimulation(fixture, "bad", 8);
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/TestProtocol.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/TestProtocol.java
@@ -21,6 +21,7 @@
   static final String LIMIT = "limit";
   static final String LEAVING = "leaving";
   static final String PAUSE = "pause";
+  static final String PRIORITY = "priority";
 
   /** Ids of the prompt's parts, separated by commas. */
   static final String PARTS = "parts";
@@ -46,7 +47,10 @@
 
   @Override
   public void writeForwardingHeaders(HttpHeaders h, ForwardingHeaders f) {
-    h.remove(KEY).set(SERVER, f.server()).set(TIMEOUT, f.remainingMillis());
+    h.remove(KEY)
+        .set(SERVER, f.server())
+        .set(TIMEOUT, f.remainingMillis())
+        .set(PRIORITY, f.priority());
     if (f.account() != null) {
       h.set(ACCOUNT, f.account());
     }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
@@ -29,6 +29,7 @@
 import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.notice.NoticeLog;
 import org.wigeonwharf.gateway.notice.ServerNotices;
+import org.wigeonwharf.gateway.overload.OverloadControl;
 import org.wigeonwharf.gateway.peer.GossipTransport;
 import org.wigeonwharf.gateway.placement.InFlightTracker;
 import org.wigeonwharf.gateway.placement.PrefixCacheIndex;
@@ -144,6 +145,7 @@
             new EligibleServers(directory, List.of()),
             chooser,
             notices,
+            OverloadControl.create(() -> peerCount() + 1, random),
             retryBudget,
             protocol,
             new NettyBackendConnector(loop),
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/AttemptHandler.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/AttemptHandler.java
@@ -287,6 +287,7 @@
     }
     if (isSuccess()) {
       recordProven();
+      exchange.recordServed(choice, sentAt);
     }
     recordEnd(status >= MIN_SERVER_ERROR);
     if (forwarding) {
@@ -310,6 +311,7 @@
       return;
     }
     recordProven();
+    exchange.recordServed(choice, sentAt);
     recordEnd(false);
     if (!forwarding) {
       exchange.beginStream(status, responseHeaders());
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
@@ -8,8 +8,12 @@
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.wigeonwharf.gateway.backend.BackendServer;
+import org.wigeonwharf.gateway.overload.OverloadDecision;
+import org.wigeonwharf.gateway.overload.QueuedRequest;
+import org.wigeonwharf.gateway.placement.Candidate;
 import org.wigeonwharf.gateway.placement.Choice;
 import org.wigeonwharf.gateway.placement.Demand;
+import org.wigeonwharf.gateway.placement.ServiceLoad;
 import org.wigeonwharf.gateway.quarantine.PromptQuarantine;
 import org.wigeonwharf.gateway.route.RequestKind;
 import org.wigeonwharf.gateway.route.Route;
@@ -44,6 +48,8 @@
   private Timers.@Nullable Timer deadlineTimer;
   private Timers.@Nullable Timer holdTimer;
   private long holdEndsAt;
+  private boolean noRoom;
+  private boolean roomExpected;
   private @Nullable FullResponse fallbackResponse;
   private int sends;
   private int possibleRuns;
@@ -97,6 +103,23 @@
     return metadata.id();
   }
 
+  /** Returns the properties that decide the request's placement, or null before its admission. */
+  @Nullable Demand demand() {
+    Admission a = admission;
+    return a == null ? null : a.demand();
+  }
+
+  /** Tells whether the request is held because no server had room when it was last tried. */
+  boolean hasNoRoom() {
+    return noRoom;
+  }
+
+  /** Describes what the request needs of a server; returns null before its admission. */
+  @Nullable QueuedRequest describe() {
+    Admission a = admission;
+    return a == null ? null : new RequestNeeds(manager).describe(a, arrivedAt(), number, sends > 0);
+  }
+
   /** Admits the request and sends it, or holds it until the first configuration is known. */
   void start() {
     if (manager.isClosed()) {
@@ -148,9 +171,21 @@
 
   /**
    * Sends the request to the server with the lowest cost, or holds it if no server may receive it
-   * now. Starts over if the request was held for the first configuration.
+   * now or if it has to wait behind others.
    */
   void dispatch() {
+    place(responseBegun);
+  }
+
+  /**
+   * Dispatches the request when all held requests ahead of it have been tried. Starts over if the
+   * request was held for the first configuration.
+   */
+  void dispatchInTurn() {
+    place(true);
+  }
+
+  private void place(boolean inTurn) {
     Admission a = admission;
     if (ended || currentAttempt != null) {
       return;
@@ -169,23 +204,32 @@
       endQuarantined(hit);
       return;
     }
-    List<BackendServer> servers = acceptingServers(a);
+    boolean canWait = mayWaitForIdleServer(a.demand(), now);
     Choice choice =
         manager
             .chooser()
             .choose(
                 a.demand(),
                 a.table().service(a.service()),
-                servers,
+                acceptingServers(a),
                 triedServerIds,
-                mayWaitForIdleServer(a.demand(), now),
+                canWait,
                 !placed,
                 now);
     placed = true;
+    if (choice != null && !responseBegun && !mayQueue(choice)) {
+      choice = null;
+    }
+    noRoom = choice == null && !canWait && triedServerIds.isEmpty();
     if (choice == null) {
       hold(a, now);
       return;
     }
+    if (!inTurn && manager.held().precede(a.demand())) {
+      hold(a, now);
+      manager.retryHeldSoon();
+      return;
+    }
     if (sends > 0 && !retryAcquired && !manager.budget().tryAcquire(a.service(), now)) {
       manager.log().logBudgetExhausted(requestId(), a.service());
       giveUp("the retry budget is spent; last: " + lastFailureReason);
@@ -217,6 +261,13 @@
     }
   }
 
+  private boolean mayQueue(Choice choice) {
+    QueuedRequest needs = describe();
+    Candidate c = choice.candidate();
+    int slots = c.server().slots();
+    return needs == null || manager.overload().headroom().permits(needs, c.load(), slots);
+  }
+
   private boolean mayWaitForIdleServer(Demand d, long now) {
     ExchangeSettings s = manager.settings();
     double maxMillis =
@@ -227,6 +278,10 @@
   private void send(Admission a, Choice choice, long now) {
     cancelHold();
     retryAcquired = false;
+    QueuedRequest needs = describe();
+    if (needs != null) {
+      manager.overload().usage().recordSent(needs, now);
+    }
     sends++;
     BackendServer server = choice.candidate().server();
     triedServerIds.add(server.id());
@@ -316,6 +371,54 @@
       triedServerIds.clear();
     }
     manager.hold(this);
+    if (noRoom) {
+      manager.held().recordFull(a.demand());
+      review(load(), manager.held().slotMillisAhead(this));
+    }
+  }
+
+  /** Returns the load of the servers that the request may go to. */
+  ServiceLoad load() {
+    Admission a = admission;
+    List<BackendServer> servers = a == null ? List.of() : acceptingServers(a);
+    return manager.chooser().load(servers, timers.nanos());
+  }
+
+  /**
+   * Refuses the held request if no server can answer it while its caller waits.
+   *
+   * @param load the load of the servers that it may go to
+   * @param slotMillisAhead slot time in ms that held requests ahead of it need
+   */
+  void review(ServiceLoad load, double slotMillisAhead) {
+    Admission a = admission;
+    QueuedRequest needs = describe();
+    if (ended || a == null || needs == null || verdict != Verdict.NOT_RUN) {
+      return;
+    }
+    long now = timers.nanos();
+    OverloadDecision d = manager.overload().policy().decide(needs, load, slotMillisAhead, now);
+    if (d instanceof OverloadDecision.Refuse r) {
+      shed(a, r, load, now);
+    } else if (d instanceof OverloadDecision.Wait w) {
+      roomExpected = w.expected();
+    }
+  }
+
+  private void shed(Admission a, OverloadDecision.Refuse r, ServiceLoad load, long now) {
+    long retryAfterMillis = retryAfterMillis(a, r.startMillis(), now);
+    manager
+        .log()
+        .logShed(requestId(), a.demand(), r, load, manager.held().size(), retryAfterMillis);
+    sendError(
+        RequestOutcome.REFUSED, UNAVAILABLE, "no server can answer in time", retryAfterMillis);
+  }
+
+  private long retryAfterMillis(Admission a, double opensInMillis, long now) {
+    return manager
+        .overload()
+        .retryAfter()
+        .millis(opensInMillis, a.remainingMillis(now), a.demand().priority());
   }
 
   private void logHeld(Admission a, long now) {
@@ -341,6 +444,9 @@
 
   private void expireHold() {
     holdTimer = null;
+    if (extendHold()) {
+      return;
+    }
     manager.held().remove(this);
     Admission a = admission;
     if (currentAttempt == null && a != null) {
@@ -349,8 +455,38 @@
     }
   }
 
+  /** Holds the request for longer if a server is expected to have room while its caller waits. */
+  private boolean extendHold() {
+    QueuedRequest needs = describe();
+    if (needs == null || !noRoom || !roomExpected) {
+      return false;
+    }
+    double fraction = manager.settings().maxExpectedHoldFraction();
+    long endsAt = arrivedAt() + (long) (fraction * (needs.leavesAt() - arrivedAt()));
+    long now = timers.nanos();
+    if (endsAt - now <= 0) {
+      return false;
+    }
+    holdEndsAt = endsAt;
+    holdTimer = timers.schedule(endsAt - now, this::expireHold);
+    return true;
+  }
+
   // Outcomes of an attempt.
 
+  /** Records that a server has served an attempt of the request. */
+  void recordServed(Choice choice, long sentAt) {
+    Admission a = admission;
+    if (a != null) {
+      double millis = (timers.nanos() - sentAt) / (double) Clock.NANOS_PER_MILLI;
+      Candidate c = choice.candidate();
+      manager
+          .overload()
+          .slotTimes()
+          .record(a.service(), a.route().name(), millis, c.load() + 1, c.server().slots());
+    }
+  }
+
   /** Retries the request after an attempt that provably did not run it. */
   void onNotExecuted(String reason) {
     currentAttempt = null;
@@ -540,8 +676,11 @@
 
   private void refuse(String reason) {
     Admission a = admission;
-    long pauseMillis = a == null ? 0 : pauseMillis(a, timers.nanos());
-    long retryAfterMillis = Math.max(manager.settings().retryAfterMillis(), pauseMillis);
+    long now = timers.nanos();
+    long retryAfterMillis = manager.settings().retryAfterMillis();
+    if (a != null) {
+      retryAfterMillis = Math.max(retryAfterMillis(a, retryAfterMillis, now), pauseMillis(a, now));
+    }
     sendError(RequestOutcome.REFUSED, UNAVAILABLE, reason, retryAfterMillis);
   }
 
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/ExchangeManager.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/ExchangeManager.java
@@ -9,6 +9,7 @@
 import org.wigeonwharf.gateway.backend.ServerDirectory;
 import org.wigeonwharf.gateway.eligibility.EligibleServers;
 import org.wigeonwharf.gateway.notice.ServerNotices;
+import org.wigeonwharf.gateway.overload.OverloadControl;
 import org.wigeonwharf.gateway.placement.ServerChooser;
 import org.wigeonwharf.gateway.quarantine.PromptQuarantine;
 import org.wigeonwharf.gateway.retry.RetryBudget;
@@ -37,11 +38,13 @@
   private final RequestLog log;
   private final ExchangeSettings settings;
   private final DoubleSupplier splitPoints;
-  private final HeldRequests held = new HeldRequests();
+  private final OverloadControl overload;
+  private final HeldRequests held;
   private long lastNumber;
   private final Set<Exchange> active = new LinkedHashSet<>();
   private boolean closed;
   private boolean retryScheduled;
+  private boolean immediateRetryScheduled;
 
   /**
    * Creates a manager without exchanges.
@@ -51,6 +54,7 @@
    * @param eligible the servers that a request may be sent to
    * @param chooser chooses the server of each request
    * @param notices what servers state of themselves
+   * @param overload decides which requests wait while servers have no room
    * @param budget limits retries
    * @param protocol reads and writes headers
    * @param connector sends requests to backend servers
@@ -68,6 +72,7 @@
       EligibleServers eligible,
       ServerChooser chooser,
       ServerNotices notices,
+      OverloadControl overload,
       RetryBudget budget,
       ExchangeProtocol protocol,
       BackendConnector connector,
@@ -82,6 +87,8 @@
     this.eligible = eligible;
     this.chooser = chooser;
     this.notices = notices;
+    this.overload = overload;
+    this.held = new HeldRequests(timers, overload.usage());
     this.budget = budget;
     this.protocol = protocol;
     this.connector = connector;
@@ -135,7 +142,20 @@
   void onExchangeEnded(Exchange e) {
     active.remove(e);
     if (held.size() > 0) {
-      timers.schedule(0, held::retry);
+      retryHeldSoon();
+    }
+  }
+
+  /** Dispatches held requests again once the current action has ended. */
+  void retryHeldSoon() {
+    if (!immediateRetryScheduled) {
+      immediateRetryScheduled = true;
+      timers.schedule(
+          0,
+          () -> {
+            immediateRetryScheduled = false;
+            held.retry();
+          });
     }
   }
 
@@ -164,6 +184,10 @@
     return notices;
   }
 
+  OverloadControl overload() {
+    return overload;
+  }
+
   RetryBudget budget() {
     return budget;
   }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/ExchangeSettings.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/ExchangeSettings.java
@@ -7,6 +7,8 @@
  * @param maxConfigurationWaitMillis maximum time that a request waits for the first configuration;
  *     callers abandon a router that does not respond within a second
  * @param maxHoldFraction maximum fraction of a request's remaining time for which it is held
+ * @param maxExpectedHoldFraction maximum fraction of the time that a caller waits for which its
+ *     request is held while a server is expected to have room for it
  * @param idleServerWaitFraction fraction of its latency objective for which a request waits for a
  *     less busy server
  * @param stallObjectiveFactor multiple of the latency objective without a response after which an
@@ -23,6 +25,7 @@
     long maxHoldMillis,
     long maxConfigurationWaitMillis,
     double maxHoldFraction,
+    double maxExpectedHoldFraction,
     double idleServerWaitFraction,
     double stallObjectiveFactor,
     double stallIntervalFactor,
@@ -37,5 +40,5 @@
    * that for another server to resume it.
    */
   public static final ExchangeSettings DEFAULT =
-      new ExchangeSettings(1_500, 800, 0.4, 0.4, 3, 5, 700, 10, 500, 256 * 1024);
+      new ExchangeSettings(1_500, 800, 0.4, 0.6, 0.4, 3, 5, 700, 10, 500, 256 * 1024);
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/RequestLog.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/RequestLog.java
@@ -8,10 +8,12 @@
 import org.slf4j.LoggerFactory;
 import org.slf4j.spi.LoggingEventBuilder;
 import org.wigeonwharf.gateway.backend.BackendServer;
+import org.wigeonwharf.gateway.overload.OverloadDecision;
 import org.wigeonwharf.gateway.placement.Candidate;
 import org.wigeonwharf.gateway.placement.Choice;
 import org.wigeonwharf.gateway.placement.Demand;
 import org.wigeonwharf.gateway.placement.ServerPenalties;
+import org.wigeonwharf.gateway.placement.ServiceLoad;
 import org.wigeonwharf.model.Clock;
 
 /**
@@ -143,6 +145,36 @@
     }
   }
 
+  /**
+   * Logs that a request is refused early, with the load that this answers.
+   *
+   * @param held number of requests held by this router
+   * @param retryAfterMillis time in ms after which the caller should come back
+   */
+  void logShed(
+      @Nullable String requestId,
+      Demand demand,
+      OverloadDecision.Refuse decision,
+      ServiceLoad load,
+      int held,
+      long retryAfterMillis) {
+    metrics.recordShed(demand.service(), demand.priority());
+    LoggingEventBuilder l = line("request.shed", requestId);
+    if (l != null) {
+      l.addKeyValue("service", demand.service())
+          .addKeyValue("priority", demand.priority())
+          .addKeyValue("start_ms", Math.round(decision.startMillis()))
+          .addKeyValue("patience_ms", Math.round(decision.patienceMillis()))
+          .addKeyValue("servers", load.servers())
+          .addKeyValue("slots", load.slots())
+          .addKeyValue("taken", load.taken())
+          .addKeyValue("queued", load.queued())
+          .addKeyValue("waiting", held)
+          .addKeyValue("retry_after_ms", retryAfterMillis)
+          .log("no server can answer the request in time");
+    }
+  }
+
   void logRetried(@Nullable String requestId, String server, String reason, boolean mayHaveRun) {
     metrics.recordRetry(server);
     LoggingEventBuilder l = line("request.retried", requestId);
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/RequestMetrics.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/RequestMetrics.java
@@ -42,6 +42,11 @@
     metrics.counter("quarantine.requests").inc();
   }
 
+  void recordShed(String service, int priority) {
+    String labels = "{service=\"" + sanitize(service) + "\",priority=\"" + priority + "\"}";
+    metrics.counter("requests.shed" + labels).inc();
+  }
+
   void recordDroppedLine() {
     metrics.counter("log.dropped").inc();
   }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerChooser.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerChooser.java
@@ -127,6 +127,39 @@
     return new Choice(best, lowestCost, source, policy.prefillTokens(demand, best));
   }
 
+  /**
+   * Sums the load of servers up.
+   *
+   * @param servers the usable servers
+   * @param now the current time in nanoseconds
+   * @return the load of those that answer
+   */
+  public ServiceLoad load(List<BackendServer> servers, long now) {
+    int open = 0;
+    int slots = 0;
+    int taken = 0;
+    int queued = 0;
+    long prefillTokens = 0;
+    double opensInMillis = Double.POSITIVE_INFINITY;
+    for (BackendServer s : servers) {
+      ServerStats st = stats(s.id(), now);
+      double waitMillis = notices.waitMillis(s, now);
+      if (waitMillis > 0) {
+        opensInMillis = Math.min(opensInMillis, waitMillis);
+      } else if (st.state(now) != Candidate.State.SILENT) {
+        ServerWork work = inFlight.workAt(s.id(), now);
+        int load = Math.max(work.running(), st.reportedLoad(now));
+        open++;
+        slots += s.slots();
+        taken += Math.min(load, s.slots());
+        queued += Math.max(0, load - s.slots());
+        prefillTokens += work.prefillTokens();
+      }
+    }
+    boolean opens = open == 0 && opensInMillis < Double.POSITIVE_INFINITY;
+    return new ServiceLoad(open, slots, taken, queued, prefillTokens, opens ? opensInMillis : 0);
+  }
+
   private PlacementPolicy policy(Demand demand, @Nullable EngineSpec engine) {
     if (engine == null || !demand.hasPrompt()) {
       return new PlainPlacement(penalties);
