--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/overload/DeadlinePolicy.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/overload/DeadlinePolicy.java
@@ -16,7 +16,7 @@
   private static final double MIN_UTILIZATION = 0.5;
 
   /** Factor by which an estimate has to exceed the caller's patience, as estimates are rough. */
-  private static final double ESTIMATE_MARGIN = 2;
+  private static final double ESTIMATE_MARGIN = 1.5;
 
   private final WaitEstimator estimator;
 
