Keep KV cache free for more urgent requests

Less urgent requests wait at the router while an engine may not hold them beside the requests that it runs, so that it need not preempt any.

--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
@@ -10,14 +10,17 @@
 import org.wigeonwharf.gateway.backend.BackendServer;
 import org.wigeonwharf.gateway.overload.OverloadDecision;
 import org.wigeonwharf.gateway.overload.QueuedRequest;
+import org.wigeonwharf.gateway.overload.UrgentHeadroom;
 import org.wigeonwharf.gateway.placement.Candidate;
 import org.wigeonwharf.gateway.placement.Choice;
 import org.wigeonwharf.gateway.placement.Demand;
 import org.wigeonwharf.gateway.placement.ServiceLoad;
 import org.wigeonwharf.gateway.quarantine.PromptQuarantine;
+import org.wigeonwharf.gateway.route.EngineSpec;
 import org.wigeonwharf.gateway.route.RequestKind;
 import org.wigeonwharf.gateway.route.Route;
 import org.wigeonwharf.gateway.route.RouteTable;
+import org.wigeonwharf.gateway.route.ServiceSpec;
 import org.wigeonwharf.model.Clock;
 import org.wigeonwharf.model.Verdict;
 
@@ -217,7 +220,7 @@
                 !placed,
                 now);
     placed = true;
-    if (choice != null && !responseBegun && !mayQueue(choice)) {
+    if (choice != null && !responseBegun && !leavesRoom(a, choice)) {
       choice = null;
     }
     noRoom = choice == null && !canWait && triedServerIds.isEmpty();
@@ -261,11 +264,24 @@
     }
   }
 
-  private boolean mayQueue(Choice choice) {
+  /** Tells whether the request leaves enough room for more urgent ones at the server. */
+  private boolean leavesRoom(Admission a, Choice choice) {
     QueuedRequest needs = describe();
+    if (needs == null) {
+      return true;
+    }
+    ServiceSpec spec = a.table().service(a.service());
+    EngineSpec engine = spec == null ? null : spec.engine();
+    Demand d = a.demand();
     Candidate c = choice.candidate();
-    int slots = c.server().slots();
-    return needs == null || manager.overload().headroom().permits(needs, c.load(), slots);
+    UrgentHeadroom.Room room =
+        new UrgentHeadroom.Room(
+            c.load(),
+            c.server().slots(),
+            c.work().kvCacheTokens(),
+            engine == null ? 0 : engine.kvCacheTokens());
+    long tokens = (long) d.promptTokens() + d.outputTokens();
+    return manager.overload().headroom().permits(needs, tokens, room);
   }
 
   private boolean mayWaitForIdleServer(Demand d, long now) {
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/overload/UrgentHeadroom.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/overload/UrgentHeadroom.java
@@ -1,11 +1,12 @@
 package org.wigeonwharf.gateway.overload;
 
 /**
- * Keeps part of each server's queue free for more urgent requests.
+ * Keeps part of each server's queue and KV cache free for more urgent requests.
  *
  * <p>A server serves the most urgent request in its queue first, but a router sends none to a
  * server whose queue is full. Less urgent requests therefore wait at the router, where more urgent
- * ones overtake them, once they would take the last places.
+ * ones overtake them, once they would take the last places. They wait there as well if an engine's
+ * KV cache may not hold them beside the requests that it runs, so that it need not preempt any.
  */
 public final class UrgentHeadroom {
   /** Share of the recent use by more urgent requests from which places are kept for them. */
@@ -26,14 +27,34 @@
   }
 
   /**
-   * Tells whether a request may take a place in a server's queue.
+   * Describes the room at a server.
    *
-   * @param request the request
    * @param load number of requests at the server
-   * @param slots number of requests that the server runs concurrently
+   * @param slots number of requests that it runs concurrently
+   * @param kvCacheTokens number of tokens that the requests at the server may hold in the KV cache
+   * @param kvCacheSize size of the KV cache in tokens; 0 if it has none
+   */
+  public record Room(int load, int slots, long kvCacheTokens, long kvCacheSize) {
+    private boolean hasQueue() {
+      return load < slots * (1 + MAX_QUEUE_PER_SLOT);
+    }
+
+    /** Tells whether the KV cache holds a further request beside those that have a slot. */
+    private boolean hasMemory(long tokens) {
+      double running = Math.min(1, slots / (double) Math.max(1, load));
+      return kvCacheSize == 0 || running * kvCacheTokens + tokens <= kvCacheSize;
+    }
+  }
+
+  /**
+   * Tells whether a request may be sent to a server.
+   *
+   * @param request the request
+   * @param kvCacheTokens number of tokens that it may hold in the KV cache; 0 for none
+   * @param room the room at the server
    */
-  public boolean permits(QueuedRequest request, int load, int slots) {
-    return load < slots * (1 + MAX_QUEUE_PER_SLOT)
+  public boolean permits(QueuedRequest request, long kvCacheTokens, Room room) {
+    return room.hasQueue() && room.hasMemory(kvCacheTokens)
         || usage.shareMoreUrgent(request.service(), request.priority()) < MIN_URGENT_SHARE;
   }
 }
