Try other servers before a request waits for the sake of urgent ones

A less urgent request waited at the router while its cheapest server had no room to spare, although others had.

--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
@@ -10,17 +10,14 @@
 import org.wigeonwharf.gateway.backend.BackendServer;
 import org.wigeonwharf.gateway.overload.OverloadDecision;
 import org.wigeonwharf.gateway.overload.QueuedRequest;
-import org.wigeonwharf.gateway.overload.UrgentHeadroom;
 import org.wigeonwharf.gateway.placement.Candidate;
 import org.wigeonwharf.gateway.placement.Choice;
 import org.wigeonwharf.gateway.placement.Demand;
 import org.wigeonwharf.gateway.placement.ServiceLoad;
 import org.wigeonwharf.gateway.quarantine.PromptQuarantine;
-import org.wigeonwharf.gateway.route.EngineSpec;
 import org.wigeonwharf.gateway.route.RequestKind;
 import org.wigeonwharf.gateway.route.Route;
 import org.wigeonwharf.gateway.route.RouteTable;
-import org.wigeonwharf.gateway.route.ServiceSpec;
 import org.wigeonwharf.model.Clock;
 import org.wigeonwharf.model.Verdict;
 
@@ -208,21 +205,11 @@
       return;
     }
     boolean canWait = mayWaitForIdleServer(a.demand(), now);
+    QueuedRequest needs = responseBegun ? null : describe();
     Choice choice =
-        manager
-            .chooser()
-            .choose(
-                a.demand(),
-                a.table().service(a.service()),
-                acceptingServers(a),
-                triedServerIds,
-                canWait,
-                !placed,
-                now);
+        new ServerSelection(manager, a, needs, acceptingServers(a), canWait, now)
+            .choose(triedServerIds, !placed);
     placed = true;
-    if (choice != null && !responseBegun && !leavesRoom(a, choice)) {
-      choice = null;
-    }
     noRoom = choice == null && !canWait && triedServerIds.isEmpty();
     if (choice == null) {
       hold(a, now);
@@ -264,26 +251,6 @@
     }
   }
 
-  /** Tells whether the request leaves enough room for more urgent ones at the server. */
-  private boolean leavesRoom(Admission a, Choice choice) {
-    QueuedRequest needs = describe();
-    if (needs == null) {
-      return true;
-    }
-    ServiceSpec spec = a.table().service(a.service());
-    EngineSpec engine = spec == null ? null : spec.engine();
-    Demand d = a.demand();
-    Candidate c = choice.candidate();
-    UrgentHeadroom.Room room =
-        new UrgentHeadroom.Room(
-            c.load(),
-            c.server().slots(),
-            c.work().kvCacheTokens(),
-            engine == null ? 0 : engine.kvCacheTokens());
-    long tokens = (long) d.promptTokens() + d.outputTokens();
-    return manager.overload().headroom().permits(needs, tokens, room);
-  }
-
   private boolean mayWaitForIdleServer(Demand d, long now) {
     ExchangeSettings s = manager.settings();
     double maxMillis =
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/overload/UrgentHeadroom.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/overload/UrgentHeadroom.java
@@ -47,14 +47,28 @@
   }
 
   /**
-   * Tells whether a request may be sent to a server.
+   * Tells whether a request leaves places in a server's queue for more urgent ones.
+   *
+   * @param request the request
+   * @param room the room at the server
+   */
+  public boolean keepsPlaces(QueuedRequest request, Room room) {
+    return room.hasQueue() || !hasMoreUrgent(request);
+  }
+
+  /**
+   * Tells whether a request leaves a server's KV cache to the requests that it runs, as far as
+   * there are more urgent ones.
    *
    * @param request the request
    * @param kvCacheTokens number of tokens that it may hold in the KV cache; 0 for none
    * @param room the room at the server
    */
-  public boolean permits(QueuedRequest request, long kvCacheTokens, Room room) {
-    return room.hasQueue() && room.hasMemory(kvCacheTokens)
-        || usage.shareMoreUrgent(request.service(), request.priority()) < MIN_URGENT_SHARE;
+  public boolean keepsMemory(QueuedRequest request, long kvCacheTokens, Room room) {
+    return room.hasMemory(kvCacheTokens) || !hasMoreUrgent(request);
+  }
+
+  private boolean hasMoreUrgent(QueuedRequest r) {
+    return usage.shareMoreUrgent(r.service(), r.priority()) >= MIN_URGENT_SHARE;
   }
 }
