--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/OverloadSimulation.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/OverloadSimulation.java
@@ -16,8 +16,10 @@
 import org.wigeonwharf.gateway.backend.BackendServer;
 import org.wigeonwharf.gateway.http.ExchangeFixture.FakeAttempt;
 import org.wigeonwharf.gateway.http.ExchangeFixture.FakeCaller;
+import org.wigeonwharf.gateway.placement.Demand;
 import org.wigeonwharf.gateway.placement.ServerWork;
 import org.wigeonwharf.gateway.route.Account;
+import org.wigeonwharf.gateway.route.AllowedRegions;
 import org.wigeonwharf.gateway.route.CallerLimits;
 import org.wigeonwharf.gateway.route.RequestKind;
 import org.wigeonwharf.gateway.route.Route;
@@ -48,6 +50,7 @@
   private final Map<String, Server> servers = new LinkedHashMap<>();
   private final Random random;
   private long number;
+  private int overtakings;
 
   /** A caller's request with its return after a refusal. */
   static final class Call {
@@ -119,7 +122,11 @@
       ExchangeFixture router = new ExchangeFixture(timers);
       router.routers = routerCount;
       router.routes(table());
-      router.onAttempt = this::accept;
+      router.onAttempt =
+          a -> {
+            recordOvertaking(router, a);
+            accept(a);
+          };
       routers.add(router);
     }
     for (int i = 1; i <= serverCount; i++) {
@@ -183,6 +190,22 @@
     timers.schedule(millis * Clock.NANOS_PER_MILLI, action);
   }
 
+  /** Counts a send while a request that is not less urgent has found no room at that router. */
+  private void recordOvertaking(ExchangeFixture router, FakeAttempt a) {
+    int priority = a.request.headers().getInt(TestProtocol.PRIORITY);
+    Demand d =
+        new Demand(
+            ExchangeFixture.SERVICE, priority, List.of(), 0, 0, 0, 0, null, AllowedRegions.ALL);
+    if (router.exchanges.held().precede(d)) {
+      overtakings++;
+    }
+  }
+
+  /** Returns the number of requests that were sent before others that are not less urgent. */
+  int overtakings() {
+    return overtakings;
+  }
+
   private void accept(FakeAttempt a) {
     HttpHeaders h = a.request.headers();
     Server s = servers.get(a.server.id());
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/OverloadTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/OverloadTest.java
@@ -63,6 +63,12 @@
     assertAtLeast(0.95, served / room, "served work in proportion to the room");
   }
 
+  /** Requests that wait are tried again first, in the order of the queue, whenever room appears. */
+  @Test
+  void newRequestsDoNotOvertakeThoseThatWait() {
+    assertEquals(0, twiceTheRoom().overtakings());
+  }
+
   @Test
   void refusalsAreEarly() {
     OverloadSimulation s = twiceTheRoom();
