--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
@@ -27,6 +27,7 @@
 import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.notice.NoticeLog;
 import org.wigeonwharf.gateway.notice.ServerNotices;
+import org.wigeonwharf.gateway.overload.OverloadControl;
 import org.wigeonwharf.gateway.placement.InFlightTracker;
 import org.wigeonwharf.gateway.placement.PlacementMetrics;
 import org.wigeonwharf.gateway.placement.PrefixCacheIndex;
@@ -70,6 +71,7 @@
   Consumer<FakeAttempt> onAttempt = a -> {};
   Function<BackendServer, LivenessCheck.Result> liveness = s -> LivenessCheck.Result.ALIVE;
   final ExchangeManager exchanges;
+  int routers = 1;
   private RouteTable routes;
   ColdStart coldStart = ColdStart.NONE;
 
@@ -117,7 +119,7 @@
   }
 
   /** Records the response to one request. */
-  static final class FakeCaller implements CallerChannel {
+  static class FakeCaller implements CallerChannel {
     int status;
     HttpHeaders headers = new DefaultHttpHeaders();
     final StringBuilder body = new StringBuilder();
@@ -186,6 +188,7 @@
                 new Random(7),
                 new PlacementMetrics(new MetricRegistry())),
             notices,
+            OverloadControl.create(() -> routers, new Random(7)),
             budget,
             new TestProtocol(),
             this::recordAttempt,
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
@@ -39,6 +39,7 @@
 import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.notice.NoticeLog;
 import org.wigeonwharf.gateway.notice.ServerNotices;
+import org.wigeonwharf.gateway.overload.OverloadControl;
 import org.wigeonwharf.gateway.peer.GossipTransport;
 import org.wigeonwharf.gateway.peer.KnownFleet;
 import org.wigeonwharf.gateway.peer.PeerGossip;
@@ -185,6 +186,7 @@
                 directory, List.of(new EvacuationFilter(evacuations), regionFilter)),
             chooser,
             notices,
+            OverloadControl.create(() -> peerCount() + 1, random),
             retryBudget,
             protocol,
             new NettyBackendConnector(loop),
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/AttemptHandler.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/AttemptHandler.java
@@ -291,6 +291,7 @@
     }
     if (isSuccess()) {
       recordProven();
+      exchange.recordServed(choice, sentAt);
     }
     recordEnd(status >= MIN_SERVER_ERROR);
     if (forwarding) {
@@ -314,6 +315,7 @@
       return;
     }
     recordProven();
+    exchange.recordServed(choice, sentAt);
     recordEnd(false);
     if (!forwarding) {
       exchange.beginStream(status, responseHeaders());
