--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/evacuation/EvacuationsTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/evacuation/EvacuationsTest.java
@@ -71,7 +71,7 @@
     assertTrue(evacuations.isEvacuated(new FailureDomain("d5")));
   }
 
-  /** A store and routers that read it and tell each other, each late or not at all. */
+  /** A store and routers that read it and exchange statements, each late or not at all. */
   private static final class Fleet {
     private final Random random;
     private final List<Evacuation> history = new ArrayList<>();
@@ -110,9 +110,9 @@
           read.set(i, 0);
         }
         case 4, 5 -> {
-          List<Evacuation> told = List.copyOf(router.advertised());
+          List<Evacuation> sent = List.copyOf(router.advertised());
           int receiver = random.nextInt(routers.size());
-          inTransit.add(() -> routers.get(receiver).merge(told));
+          inTransit.add(() -> routers.get(receiver).merge(sent));
         }
         default -> {
           if (!inTransit.isEmpty()) {
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/evacuation/Evacuations.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/evacuation/Evacuations.java
@@ -13,14 +13,15 @@
 import org.wigeonwharf.model.FailureDomain;
 
 /**
- * Holds the failure domains that operators have evacuated, as read from the store or told by peers.
+ * Holds the failure domains that operators have evacuated, as read from the store or stated by
+ * peers.
  *
  * <p>For each failure domain the newest revision of the store wins, in whatever order changes
  * arrive. A peer's statement counts only if it is newer than what this router has read itself, so
  * that a peer without contact to the store can't bring back what was removed. Not thread-safe.
  */
 public final class Evacuations {
-  /** Maximum number of statements that are told to peers, so that they fit in one message. */
+  /** Maximum number of statements advertised to peers, so that they fit in one message. */
   static final int MAX_ADVERTISED = 32;
 
   /** Maximum number of failure domains that peers may add to those read from the store. */
@@ -139,7 +140,7 @@
         .toList();
   }
 
-  /** Returns what peers are told: the newest evacuations and ends of evacuations. */
+  /** Returns the newest evacuations and ends of evacuations, to be advertised to peers. */
   public List<Evacuation> advertised() {
     if (newest.isEmpty()) {
       return List.of();
