--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
@@ -68,9 +68,9 @@
         new PromptQuarantine(new QuarantineLog(new MetricRegistry()), new Random(7), now);
     private final ServerLimits limits =
         new ServerLimits(new LimitLog(new MetricRegistry()), () -> 0, random, now);
-    private final Evacuations evacuations = new Evacuations();
     private final EndedServers endedServers = new EndedServers();
     private final RecordingStoreProgress store = new RecordingStoreProgress();
+    private final Evacuations evacuations = new Evacuations();
     private final PeerGossip gossip;
     private final String domain;
 
@@ -86,8 +86,8 @@
               prefixCaches,
               quarantine,
               limits,
-              evacuations,
               endedServers,
+              evacuations,
               new FleetSecret(secret),
               () -> now,
               new Random(number),
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
@@ -200,8 +200,8 @@
             prefixCaches,
             quarantine,
             limits,
-            evacuations,
             endedServers,
+            evacuations,
             settings.secret(),
             clock,
             feed);
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipCodec.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipCodec.java
@@ -221,22 +221,6 @@
     return demand;
   }
 
-  static List<EvacuationNews> encodeEvacuations(List<Evacuation> evacuations) {
-    return evacuations.stream().map(GossipCodec::encodeEvacuation).toList();
-  }
-
-  private static EvacuationNews encodeEvacuation(Evacuation e) {
-    return EvacuationNews.newBuilder()
-        .setFailureDomain(e.domain().value())
-        .setActive(e.active())
-        .setRevision(e.revision())
-        .build();
-  }
-
-  private static Evacuation decodeEvacuation(EvacuationNews n) {
-    return new Evacuation(new FailureDomain(n.getFailureDomain()), n.getActive(), n.getRevision());
-  }
-
   static List<EndedServerNews> encodeEndedServers(List<EndedServer> servers) {
     return servers.stream()
         .map(
@@ -250,11 +234,15 @@
         .toList();
   }
 
-  /** Decodes what a peer states of evacuations, without statements that are malformed. */
-  static List<Evacuation> decodeEvacuations(List<EvacuationNews> news) {
-    return news.stream()
-        .filter(n -> !n.getFailureDomain().isBlank() && n.getRevision() > 0)
-        .map(GossipCodec::decodeEvacuation)
+  static List<EvacuationNews> encodeEvacuations(List<Evacuation> evacuations) {
+    return evacuations.stream()
+        .map(
+            e ->
+                EvacuationNews.newBuilder()
+                    .setFailureDomain(e.domain().value())
+                    .setActive(e.active())
+                    .setRevision(e.revision())
+                    .build())
         .toList();
   }
 
@@ -346,6 +334,17 @@
         n.getRevision());
   }
 
+  /** Decodes what a peer states of evacuations, without statements that are malformed. */
+  static List<Evacuation> decodeEvacuations(List<EvacuationNews> news) {
+    return news.stream()
+        .filter(n -> !n.getFailureDomain().isBlank() && n.getRevision() > 0)
+        .map(
+            n ->
+                new Evacuation(
+                    new FailureDomain(n.getFailureDomain()), n.getActive(), n.getRevision()))
+        .toList();
+  }
+
   private static long toThousandths(double perSecond) {
     return Math.round(perSecond * RATE_SCALE);
   }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipTransport.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipTransport.java
@@ -63,8 +63,8 @@
    * @param prefixCaches supplies this router's prompt sends and receives those of its peers
    * @param quarantine supplies and receives what is known of prompts that crash servers
    * @param limits supplies and receives the limits of servers and the demand for them
-   * @param evacuations supplies and receives the evacuated failure domains
    * @param endedServers supplies and receives the servers that no longer answer
+   * @param evacuations supplies and receives the evacuated failure domains
    * @param secret signs and verifies messages
    * @param clock monotonic clock
    * @param store exchanges what the routers have read from the store
@@ -79,8 +79,8 @@
       PrefixCacheIndex prefixCaches,
       PromptQuarantine quarantine,
       ServerLimits limits,
-      Evacuations evacuations,
       EndedServers endedServers,
+      Evacuations evacuations,
       FleetSecret secret,
       Clock clock,
       StoreProgress store) {
@@ -97,8 +97,8 @@
             prefixCaches,
             quarantine,
             limits,
-            evacuations,
             endedServers,
+            evacuations,
             secret,
             clock,
             new Random(self.incarnation()),
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerGossip.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerGossip.java
@@ -135,8 +135,8 @@
   private final PrefixCacheIndex prefixCaches;
   private final PromptQuarantine quarantine;
   private final ServerLimits limits;
-  private final Evacuations evacuations;
   private final EndedServers endedServers;
+  private final Evacuations evacuations;
   private final GossipCodec codec;
   private final Clock clock;
   private final Random random;
@@ -176,8 +176,8 @@
    * @param prefixCaches supplies this router's prompt sends and receives those of its peers
    * @param quarantine supplies and receives what is known of prompts that crash servers
    * @param limits supplies and receives the limits of servers and the demand for them
-   * @param evacuations supplies and receives the evacuated failure domains
    * @param endedServers supplies and receives the servers that no longer answer
+   * @param evacuations supplies and receives the evacuated failure domains
    * @param secret signs and verifies messages
    * @param clock monotonic clock
    * @param random chooses receivers and the peers to list
@@ -193,8 +193,8 @@
       PrefixCacheIndex prefixCaches,
       PromptQuarantine quarantine,
       ServerLimits limits,
-      Evacuations evacuations,
       EndedServers endedServers,
+      Evacuations evacuations,
       FleetSecret secret,
       Clock clock,
       Random random,
@@ -208,8 +208,8 @@
     this.prefixCaches = prefixCaches;
     this.quarantine = quarantine;
     this.limits = limits;
-    this.evacuations = evacuations;
     this.endedServers = endedServers;
+    this.evacuations = evacuations;
     this.codec = new GossipCodec(secret);
     this.clock = clock;
     this.random = random;
@@ -429,8 +429,8 @@
         .setQuarantine(GossipCodec.encodeQuarantine(quarantine.state(clock.nanos())))
         .addAllLimits(GossipCodec.encodeLimits(limits.limits(clock.nanos())))
         .addAllDemand(GossipCodec.encodeDemand(limits.demand(clock.nanos())))
-        .addAllEvacuations(GossipCodec.encodeEvacuations(evacuations.advertised()))
         .addAllEndedServers(GossipCodec.encodeEndedServers(endedServers.recent(clock.nanos())))
+        .addAllEvacuations(GossipCodec.encodeEvacuations(evacuations.advertised()))
         .setLeaving(leaving);
   }
 
@@ -501,8 +501,8 @@
     }
     mergeQuarantine(state, sameDomain, now);
     limits.merge(GossipCodec.decodeLimits(state.getLimitsList()), now);
-    evacuations.merge(GossipCodec.decodeEvacuations(state.getEvacuationsList()));
     endedServers.merge(GossipCodec.decodeEndedServers(state.getEndedServersList()), now);
+    evacuations.merge(GossipCodec.decodeEvacuations(state.getEvacuationsList()));
     state.getSummariesList().forEach(s -> applySummary(s, !sameDomain, now));
     if (sameDomain) {
       applyStoreChanges(state);
