Pass evacuations on within a failure domain

Cause: routers that follow the readers of their failure domain made a call of their own for each change that is not passed on, and evacuations were not.

--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/GatewayProto.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/GatewayProto.java
@@ -163,38 +163,40 @@
       "\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007address\030\003 \001(\t" +
       "\022\026\n\016failure_domain\030\004 \001(\t\022\r\n\005slots\030\005 \001(\r\022" +
       "\020\n\010draining\030\006 \001(\010\022\022\n\nstarted_at\030\007 \001(\003\022\023\n" +
-      "\013cold_millis\030\010 \001(\004\022\020\n\010revision\030\t \001(\003\"m\n\r" +
-      "StoreItemNews\022:\n\006server\030\001 \001(\0132(.wigeonwh" +
-      "arf.gateway.PublishedServerNewsH\000\022\030\n\016rem" +
-      "oved_server\030\002 \001(\tH\000B\006\n\004item\"x\n\020StoreChan" +
-      "gesNews\022\r\n\005after\030\001 \001(\003\022\020\n\010revision\030\002 \001(\003" +
-      "\022\020\n\010complete\030\003 \001(\010\0221\n\005items\030\004 \003(\0132\".wige" +
-      "onwharf.gateway.StoreItemNews\"J\n\016Evacuat" +
-      "ionNews\022\026\n\016failure_domain\030\001 \001(\t\022\016\n\006activ" +
-      "e\030\002 \001(\010\022\020\n\010revision\030\003 \001(\003\"\261\006\n\nRouterNews" +
-      "\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\020\n\010s" +
-      "equence\030\003 \001(\003\022-\n\004self\030\004 \001(\0132\037.wigeonwhar" +
-      "f.gateway.MemberNews\022\017\n\007leaving\030\006 \001(\010\0221\n" +
-      "\004work\030\007 \003(\0132#.wigeonwharf.gateway.Server" +
-      "WorkNews\0220\n\007members\030\010 \003(\0132\037.wigeonwharf." +
-      "gateway.MemberNews\0222\n\005reads\030\t \003(\0132#.wige" +
-      "onwharf.gateway.PromptReadNews\0225\n\tsummar" +
-      "ies\030\n \003(\0132\".wigeonwharf.gateway.DomainSu" +
-      "mmary\022\026\n\016summaries_sent\030\013 \001(\010\022\027\n\017reply_r" +
-      "equested\030\014 \001(\010\022\026\n\016store_revision\030\r \001(\003\0227" +
-      "\n\nquarantine\030\016 \001(\0132#.wigeonwharf.gateway" +
-      ".QuarantineNews\0224\n\006limits\030\017 \003(\0132$.wigeon" +
-      "wharf.gateway.ServerLimitNews\0225\n\006demand\030" +
-      "\020 \003(\0132%.wigeonwharf.gateway.ServerDemand" +
-      "News\0224\n\006reader\030\036 \001(\0132$.wigeonwharf.gatew" +
-      "ay.StoreReaderNews\022<\n\rstore_changes\030\037 \003(" +
-      "\0132%.wigeonwharf.gateway.StoreChangesNews" +
-      "\022;\n\rended_servers\030  \003(\0132$.wigeonwharf.ga" +
-      "teway.EndedServerNews\0228\n\013evacuations\030\024 \003" +
-      "(\0132#.wigeonwharf.gateway.EvacuationNewsJ" +
-      "\004\010\005\020\006\"-\n\nSignedNews\022\014\n\004news\030\001 \001(\014\022\021\n\tsig" +
-      "nature\030\002 \001(\014B3\n!org.wigeonwharf.gateway." +
-      "peer.wireB\014GatewayProtoP\001b\006proto3"
+      "\013cold_millis\030\010 \001(\004\022\020\n\010revision\030\t \001(\003\"\250\001\n" +
+      "\rStoreItemNews\022:\n\006server\030\001 \001(\0132(.wigeonw" +
+      "harf.gateway.PublishedServerNewsH\000\022\030\n\016re" +
+      "moved_server\030\002 \001(\tH\000\0229\n\nevacuation\030\003 \001(\013" +
+      "2#.wigeonwharf.gateway.EvacuationNewsH\000B" +
+      "\006\n\004item\"x\n\020StoreChangesNews\022\r\n\005after\030\001 \001" +
+      "(\003\022\020\n\010revision\030\002 \001(\003\022\020\n\010complete\030\003 \001(\010\0221" +
+      "\n\005items\030\004 \003(\0132\".wigeonwharf.gateway.Stor" +
+      "eItemNews\"J\n\016EvacuationNews\022\026\n\016failure_d" +
+      "omain\030\001 \001(\t\022\016\n\006active\030\002 \001(\010\022\020\n\010revision\030" +
+      "\003 \001(\003\"\261\006\n\nRouterNews\022\014\n\004name\030\001 \001(\t\022\023\n\013in" +
+      "carnation\030\002 \001(\003\022\020\n\010sequence\030\003 \001(\003\022-\n\004sel" +
+      "f\030\004 \001(\0132\037.wigeonwharf.gateway.MemberNews" +
+      "\022\017\n\007leaving\030\006 \001(\010\0221\n\004work\030\007 \003(\0132#.wigeon" +
+      "wharf.gateway.ServerWorkNews\0220\n\007members\030" +
+      "\010 \003(\0132\037.wigeonwharf.gateway.MemberNews\0222" +
+      "\n\005reads\030\t \003(\0132#.wigeonwharf.gateway.Prom" +
+      "ptReadNews\0225\n\tsummaries\030\n \003(\0132\".wigeonwh" +
+      "arf.gateway.DomainSummary\022\026\n\016summaries_s" +
+      "ent\030\013 \001(\010\022\027\n\017reply_requested\030\014 \001(\010\022\026\n\016st" +
+      "ore_revision\030\r \001(\003\0227\n\nquarantine\030\016 \001(\0132#" +
+      ".wigeonwharf.gateway.QuarantineNews\0224\n\006l" +
+      "imits\030\017 \003(\0132$.wigeonwharf.gateway.Server" +
+      "LimitNews\0225\n\006demand\030\020 \003(\0132%.wigeonwharf." +
+      "gateway.ServerDemandNews\0224\n\006reader\030\036 \001(\013" +
+      "2$.wigeonwharf.gateway.StoreReaderNews\022<" +
+      "\n\rstore_changes\030\037 \003(\0132%.wigeonwharf.gate" +
+      "way.StoreChangesNews\022;\n\rended_servers\030  " +
+      "\003(\0132$.wigeonwharf.gateway.EndedServerNew" +
+      "s\0228\n\013evacuations\030\024 \003(\0132#.wigeonwharf.gat" +
+      "eway.EvacuationNewsJ\004\010\005\020\006\"-\n\nSignedNews\022" +
+      "\014\n\004news\030\001 \001(\014\022\021\n\tsignature\030\002 \001(\014B3\n!org." +
+      "wigeonwharf.gateway.peer.wireB\014GatewayPr" +
+      "otoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -283,7 +285,7 @@
     internal_static_wigeonwharf_gateway_StoreItemNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_StoreItemNews_descriptor,
-        new java.lang.String[] { "Server", "RemovedServer", "Item", });
+        new java.lang.String[] { "Server", "RemovedServer", "Evacuation", "Item", });
     internal_static_wigeonwharf_gateway_StoreChangesNews_descriptor =
       getDescriptor().getMessageType(14);
     internal_static_wigeonwharf_gateway_StoreChangesNews_fieldAccessorTable = new
--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNews.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNews.java
@@ -1294,7 +1294,7 @@
         storeChanges_ = null;
         storeChangesBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00020000);
+      bitField0_ = (bitField0_ & ~0x00010000);
       if (endedServersBuilder_ == null) {
         endedServers_ = java.util.Collections.emptyList();
       } else {
@@ -1461,7 +1461,7 @@
             : quarantineBuilder_.build();
         to_bitField0_ |= 0x00000002;
       }
-      if (((from_bitField0_ & 0x00010000) != 0)) {
+      if (((from_bitField0_ & 0x00008000) != 0)) {
         result.reader_ = readerBuilder_ == null
             ? reader_
             : readerBuilder_.build();
@@ -1687,7 +1687,7 @@
             storeChangesBuilder_.dispose();
             storeChangesBuilder_ = null;
             storeChanges_ = other.storeChanges_;
-            bitField0_ = (bitField0_ & ~0x00020000);
+            bitField0_ = (bitField0_ & ~0x00010000);
             storeChangesBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetStoreChangesFieldBuilder() : null;
@@ -1700,7 +1700,7 @@
         if (!other.endedServers_.isEmpty()) {
           if (endedServers_.isEmpty()) {
             endedServers_ = other.endedServers_;
-            bitField0_ = (bitField0_ & ~0x00040000);
+            bitField0_ = (bitField0_ & ~0x00020000);
           } else {
             ensureEndedServersIsMutable();
             endedServers_.addAll(other.endedServers_);
@@ -1713,7 +1713,7 @@
             endedServersBuilder_.dispose();
             endedServersBuilder_ = null;
             endedServers_ = other.endedServers_;
-            bitField0_ = (bitField0_ & ~0x00040000);
+            bitField0_ = (bitField0_ & ~0x00020000);
             endedServersBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetEndedServersFieldBuilder() : null;
@@ -1918,7 +1918,7 @@
               input.readMessage(
                   internalGetReaderFieldBuilder().getBuilder(),
                   extensionRegistry);
-              bitField0_ |= 0x00010000;
+              bitField0_ |= 0x00008000;
               break;
             } // case 242
             case 250: {
@@ -4246,7 +4246,7 @@
      * @return Whether the reader field is set.
      */
     public boolean hasReader() {
-      return ((bitField0_ & 0x00010000) != 0);
+      return ((bitField0_ & 0x00008000) != 0);
     }
     /**
      * <pre>
@@ -4279,7 +4279,7 @@
       } else {
         readerBuilder_.setMessage(value);
       }
-      bitField0_ |= 0x00010000;
+      bitField0_ |= 0x00008000;
       onChanged();
       return this;
     }
@@ -4297,7 +4297,7 @@
       } else {
         readerBuilder_.setMessage(builderForValue.build());
       }
-      bitField0_ |= 0x00010000;
+      bitField0_ |= 0x00008000;
       onChanged();
       return this;
     }
@@ -4310,7 +4310,7 @@
      */
     public Builder mergeReader(org.wigeonwharf.gateway.peer.wire.StoreReaderNews value) {
       if (readerBuilder_ == null) {
-        if (((bitField0_ & 0x00010000) != 0) &&
+        if (((bitField0_ & 0x00008000) != 0) &&
           reader_ != null &&
           reader_ != org.wigeonwharf.gateway.peer.wire.StoreReaderNews.getDefaultInstance()) {
           getReaderBuilder().mergeFrom(value);
@@ -4321,7 +4321,7 @@
         readerBuilder_.mergeFrom(value);
       }
       if (reader_ != null) {
-        bitField0_ |= 0x00010000;
+        bitField0_ |= 0x00008000;
         onChanged();
       }
       return this;
@@ -4334,7 +4334,7 @@
      * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
      */
     public Builder clearReader() {
-      bitField0_ = (bitField0_ & ~0x00010000);
+      bitField0_ = (bitField0_ & ~0x00008000);
       reader_ = null;
       if (readerBuilder_ != null) {
         readerBuilder_.dispose();
@@ -4351,7 +4351,7 @@
      * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
      */
     public org.wigeonwharf.gateway.peer.wire.StoreReaderNews.Builder getReaderBuilder() {
-      bitField0_ |= 0x00010000;
+      bitField0_ |= 0x00008000;
       onChanged();
       return internalGetReaderFieldBuilder().getBuilder();
     }
@@ -4394,7 +4394,7 @@
     private java.util.List<org.wigeonwharf.gateway.peer.wire.StoreChangesNews> storeChanges_ =
       java.util.Collections.emptyList();
     private void ensureStoreChangesIsMutable() {
-      if (!((bitField0_ & 0x00020000) != 0)) {
+      if (!((bitField0_ & 0x00010000) != 0)) {
         storeChanges_ = new java.util.ArrayList<org.wigeonwharf.gateway.peer.wire.StoreChangesNews>(storeChanges_);
         bitField0_ |= 0x00010000;
        }
@@ -4590,7 +4590,7 @@
     public Builder clearStoreChanges() {
       if (storeChangesBuilder_ == null) {
         storeChanges_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00020000);
+        bitField0_ = (bitField0_ & ~0x00010000);
         onChanged();
       } else {
         storeChangesBuilder_.clear();
@@ -4695,7 +4695,7 @@
         storeChangesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             org.wigeonwharf.gateway.peer.wire.StoreChangesNews, org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder, org.wigeonwharf.gateway.peer.wire.StoreChangesNewsOrBuilder>(
                 storeChanges_,
-                ((bitField0_ & 0x00020000) != 0),
+                ((bitField0_ & 0x00010000) != 0),
                 getParentForChildren(),
                 isClean());
         storeChanges_ = null;
@@ -4706,9 +4706,9 @@
     private java.util.List<org.wigeonwharf.gateway.peer.wire.EndedServerNews> endedServers_ =
       java.util.Collections.emptyList();
     private void ensureEndedServersIsMutable() {
-      if (!((bitField0_ & 0x00040000) != 0)) {
+      if (!((bitField0_ & 0x00020000) != 0)) {
         endedServers_ = new java.util.ArrayList<org.wigeonwharf.gateway.peer.wire.EndedServerNews>(endedServers_);
-        bitField0_ |= 0x00040000;
+        bitField0_ |= 0x00020000;
        }
     }
 
@@ -4902,7 +4902,7 @@
     public Builder clearEndedServers() {
       if (endedServersBuilder_ == null) {
         endedServers_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00040000);
+        bitField0_ = (bitField0_ & ~0x00020000);
         onChanged();
       } else {
         endedServersBuilder_.clear();
@@ -5007,7 +5007,7 @@
         endedServersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             org.wigeonwharf.gateway.peer.wire.EndedServerNews, org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder, org.wigeonwharf.gateway.peer.wire.EndedServerNewsOrBuilder>(
                 endedServers_,
-                ((bitField0_ & 0x00040000) != 0),
+                ((bitField0_ & 0x00020000) != 0),
                 getParentForChildren(),
                 isClean());
         endedServers_ = null;
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipCodec.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipCodec.java
@@ -235,15 +235,19 @@
   }
 
   static List<EvacuationNews> encodeEvacuations(List<Evacuation> evacuations) {
-    return evacuations.stream()
-        .map(
-            e ->
-                EvacuationNews.newBuilder()
-                    .setFailureDomain(e.domain().value())
-                    .setActive(e.active())
-                    .setRevision(e.revision())
-                    .build())
-        .toList();
+    return evacuations.stream().map(GossipCodec::encodeEvacuation).toList();
+  }
+
+  private static EvacuationNews encodeEvacuation(Evacuation e) {
+    return EvacuationNews.newBuilder()
+        .setFailureDomain(e.domain().value())
+        .setActive(e.active())
+        .setRevision(e.revision())
+        .build();
+  }
+
+  private static Evacuation decodeEvacuation(EvacuationNews n) {
+    return new Evacuation(new FailureDomain(n.getFailureDomain()), n.getActive(), n.getRevision());
   }
 
   static List<EndedServer> decodeEndedServers(List<EndedServerNews> news) {
@@ -338,10 +342,7 @@
   static List<Evacuation> decodeEvacuations(List<EvacuationNews> news) {
     return news.stream()
         .filter(n -> !n.getFailureDomain().isBlank() && n.getRevision() > 0)
-        .map(
-            n ->
-                new Evacuation(
-                    new FailureDomain(n.getFailureDomain()), n.getActive(), n.getRevision()))
+        .map(GossipCodec::decodeEvacuation)
         .toList();
   }
 
