--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNews.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/RouterNews.java
@@ -40,9 +40,9 @@
     summaries_ = java.util.Collections.emptyList();
     limits_ = java.util.Collections.emptyList();
     demand_ = java.util.Collections.emptyList();
+    evacuations_ = java.util.Collections.emptyList();
     storeChanges_ = java.util.Collections.emptyList();
     endedServers_ = java.util.Collections.emptyList();
-    evacuations_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -554,6 +554,67 @@
     return demand_.get(index);
   }
 
+  public static final int EVACUATIONS_FIELD_NUMBER = 20;
+  @SuppressWarnings("serial")
+  private java.util.List<org.wigeonwharf.gateway.peer.wire.EvacuationNews> evacuations_;
+  /**
+   * <pre>
+   * The newest evacuations and ends of evacuations that the sender knows.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.wigeonwharf.gateway.peer.wire.EvacuationNews> getEvacuationsList() {
+    return evacuations_;
+  }
+  /**
+   * <pre>
+   * The newest evacuations and ends of evacuations that the sender knows.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder> 
+      getEvacuationsOrBuilderList() {
+    return evacuations_;
+  }
+  /**
+   * <pre>
+   * The newest evacuations and ends of evacuations that the sender knows.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+   */
+  @java.lang.Override
+  public int getEvacuationsCount() {
+    return evacuations_.size();
+  }
+  /**
+   * <pre>
+   * The newest evacuations and ends of evacuations that the sender knows.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.gateway.peer.wire.EvacuationNews getEvacuations(int index) {
+    return evacuations_.get(index);
+  }
+  /**
+   * <pre>
+   * The newest evacuations and ends of evacuations that the sender knows.
+   * </pre>
+   *
+   * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder getEvacuationsOrBuilder(
+      int index) {
+    return evacuations_.get(index);
+  }
+
   public static final int READER_FIELD_NUMBER = 30;
   private org.wigeonwharf.gateway.peer.wire.StoreReaderNews reader_;
   /**
@@ -714,67 +775,6 @@
     return endedServers_.get(index);
   }
 
-  public static final int EVACUATIONS_FIELD_NUMBER = 20;
-  @SuppressWarnings("serial")
-  private java.util.List<org.wigeonwharf.gateway.peer.wire.EvacuationNews> evacuations_;
-  /**
-   * <pre>
-   * The newest evacuations and ends of evacuations that the sender knows.
-   * </pre>
-   *
-   * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
-   */
-  @java.lang.Override
-  public java.util.List<org.wigeonwharf.gateway.peer.wire.EvacuationNews> getEvacuationsList() {
-    return evacuations_;
-  }
-  /**
-   * <pre>
-   * The newest evacuations and ends of evacuations that the sender knows.
-   * </pre>
-   *
-   * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
-   */
-  @java.lang.Override
-  public java.util.List<? extends org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder> 
-      getEvacuationsOrBuilderList() {
-    return evacuations_;
-  }
-  /**
-   * <pre>
-   * The newest evacuations and ends of evacuations that the sender knows.
-   * </pre>
-   *
-   * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
-   */
-  @java.lang.Override
-  public int getEvacuationsCount() {
-    return evacuations_.size();
-  }
-  /**
-   * <pre>
-   * The newest evacuations and ends of evacuations that the sender knows.
-   * </pre>
-   *
-   * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
-   */
-  @java.lang.Override
-  public org.wigeonwharf.gateway.peer.wire.EvacuationNews getEvacuations(int index) {
-    return evacuations_.get(index);
-  }
-  /**
-   * <pre>
-   * The newest evacuations and ends of evacuations that the sender knows.
-   * </pre>
-   *
-   * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
-   */
-  @java.lang.Override
-  public org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder getEvacuationsOrBuilder(
-      int index) {
-    return evacuations_.get(index);
-  }
-
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -981,6 +981,8 @@
         .equals(other.getLimitsList())) return false;
     if (!getDemandList()
         .equals(other.getDemandList())) return false;
+    if (!getEvacuationsList()
+        .equals(other.getEvacuationsList())) return false;
     if (hasReader() != other.hasReader()) return false;
     if (hasReader()) {
       if (!getReader()
@@ -990,8 +992,6 @@
         .equals(other.getStoreChangesList())) return false;
     if (!getEndedServersList()
         .equals(other.getEndedServersList())) return false;
-    if (!getEvacuationsList()
-        .equals(other.getEvacuationsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -1055,6 +1055,10 @@
       hash = (37 * hash) + DEMAND_FIELD_NUMBER;
       hash = (53 * hash) + getDemandList().hashCode();
     }
+    if (getEvacuationsCount() > 0) {
+      hash = (37 * hash) + EVACUATIONS_FIELD_NUMBER;
+      hash = (53 * hash) + getEvacuationsList().hashCode();
+    }
     if (hasReader()) {
       hash = (37 * hash) + READER_FIELD_NUMBER;
       hash = (53 * hash) + getReader().hashCode();
@@ -1067,10 +1071,6 @@
       hash = (37 * hash) + ENDED_SERVERS_FIELD_NUMBER;
       hash = (53 * hash) + getEndedServersList().hashCode();
     }
-    if (getEvacuationsCount() > 0) {
-      hash = (37 * hash) + EVACUATIONS_FIELD_NUMBER;
-      hash = (53 * hash) + getEvacuationsList().hashCode();
-    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1214,10 +1214,10 @@
         internalGetQuarantineFieldBuilder();
         internalGetLimitsFieldBuilder();
         internalGetDemandFieldBuilder();
+        internalGetEvacuationsFieldBuilder();
         internalGetReaderFieldBuilder();
         internalGetStoreChangesFieldBuilder();
         internalGetEndedServersFieldBuilder();
-        internalGetEvacuationsFieldBuilder();
       }
     }
     @java.lang.Override
@@ -1283,6 +1283,13 @@
         demandBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00004000);
+      if (evacuationsBuilder_ == null) {
+        evacuations_ = java.util.Collections.emptyList();
+      } else {
+        evacuations_ = null;
+        evacuationsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00008000);
       reader_ = null;
       if (readerBuilder_ != null) {
         readerBuilder_.dispose();
@@ -1294,20 +1301,13 @@
         storeChanges_ = null;
         storeChangesBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00010000);
+      bitField0_ = (bitField0_ & ~0x00020000);
       if (endedServersBuilder_ == null) {
         endedServers_ = java.util.Collections.emptyList();
       } else {
         endedServers_ = null;
         endedServersBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00020000);
-      if (evacuationsBuilder_ == null) {
-        evacuations_ = java.util.Collections.emptyList();
-      } else {
-        evacuations_ = null;
-        evacuationsBuilder_.clear();
-      }
       bitField0_ = (bitField0_ & ~0x00040000);
       return this;
     }
@@ -1396,33 +1396,33 @@
       } else {
         result.demand_ = demandBuilder_.build();
       }
+      if (evacuationsBuilder_ == null) {
+        if (((bitField0_ & 0x00008000) != 0)) {
+          evacuations_ = java.util.Collections.unmodifiableList(evacuations_);
+          bitField0_ = (bitField0_ & ~0x00008000);
+        }
+        result.evacuations_ = evacuations_;
+      } else {
+        result.evacuations_ = evacuationsBuilder_.build();
+      }
       if (storeChangesBuilder_ == null) {
-        if (((bitField0_ & 0x00010000) != 0)) {
+        if (((bitField0_ & 0x00020000) != 0)) {
           storeChanges_ = java.util.Collections.unmodifiableList(storeChanges_);
-          bitField0_ = (bitField0_ & ~0x00010000);
+          bitField0_ = (bitField0_ & ~0x00020000);
         }
         result.storeChanges_ = storeChanges_;
       } else {
         result.storeChanges_ = storeChangesBuilder_.build();
       }
       if (endedServersBuilder_ == null) {
-        if (((bitField0_ & 0x00020000) != 0)) {
+        if (((bitField0_ & 0x00040000) != 0)) {
           endedServers_ = java.util.Collections.unmodifiableList(endedServers_);
-          bitField0_ = (bitField0_ & ~0x00020000);
+          bitField0_ = (bitField0_ & ~0x00040000);
         }
         result.endedServers_ = endedServers_;
       } else {
         result.endedServers_ = endedServersBuilder_.build();
       }
-      if (evacuationsBuilder_ == null) {
-        if (((bitField0_ & 0x00040000) != 0)) {
-          evacuations_ = java.util.Collections.unmodifiableList(evacuations_);
-          bitField0_ = (bitField0_ & ~0x00040000);
-        }
-        result.evacuations_ = evacuations_;
-      } else {
-        result.evacuations_ = evacuationsBuilder_.build();
-      }
     }
 
     private void buildPartial0(org.wigeonwharf.gateway.peer.wire.RouterNews result) {
@@ -1461,7 +1461,7 @@
             : quarantineBuilder_.build();
         to_bitField0_ |= 0x00000002;
       }
-      if (((from_bitField0_ & 0x00008000) != 0)) {
+      if (((from_bitField0_ & 0x00010000) != 0)) {
         result.reader_ = readerBuilder_ == null
             ? reader_
             : readerBuilder_.build();
@@ -1667,6 +1667,32 @@
           }
         }
       }
+      if (evacuationsBuilder_ == null) {
+        if (!other.evacuations_.isEmpty()) {
+          if (evacuations_.isEmpty()) {
+            evacuations_ = other.evacuations_;
+            bitField0_ = (bitField0_ & ~0x00008000);
+          } else {
+            ensureEvacuationsIsMutable();
+            evacuations_.addAll(other.evacuations_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.evacuations_.isEmpty()) {
+          if (evacuationsBuilder_.isEmpty()) {
+            evacuationsBuilder_.dispose();
+            evacuationsBuilder_ = null;
+            evacuations_ = other.evacuations_;
+            bitField0_ = (bitField0_ & ~0x00008000);
+            evacuationsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetEvacuationsFieldBuilder() : null;
+          } else {
+            evacuationsBuilder_.addAllMessages(other.evacuations_);
+          }
+        }
+      }
       if (other.hasReader()) {
         mergeReader(other.getReader());
       }
@@ -1674,7 +1700,7 @@
         if (!other.storeChanges_.isEmpty()) {
           if (storeChanges_.isEmpty()) {
             storeChanges_ = other.storeChanges_;
-            bitField0_ = (bitField0_ & ~0x00010000);
+            bitField0_ = (bitField0_ & ~0x00020000);
           } else {
             ensureStoreChangesIsMutable();
             storeChanges_.addAll(other.storeChanges_);
@@ -1687,7 +1713,7 @@
             storeChangesBuilder_.dispose();
             storeChangesBuilder_ = null;
             storeChanges_ = other.storeChanges_;
-            bitField0_ = (bitField0_ & ~0x00010000);
+            bitField0_ = (bitField0_ & ~0x00020000);
             storeChangesBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetStoreChangesFieldBuilder() : null;
@@ -1700,7 +1726,7 @@
         if (!other.endedServers_.isEmpty()) {
           if (endedServers_.isEmpty()) {
             endedServers_ = other.endedServers_;
-            bitField0_ = (bitField0_ & ~0x00020000);
+            bitField0_ = (bitField0_ & ~0x00040000);
           } else {
             ensureEndedServersIsMutable();
             endedServers_.addAll(other.endedServers_);
@@ -1713,7 +1739,7 @@
             endedServersBuilder_.dispose();
             endedServersBuilder_ = null;
             endedServers_ = other.endedServers_;
-            bitField0_ = (bitField0_ & ~0x00020000);
+            bitField0_ = (bitField0_ & ~0x00040000);
             endedServersBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetEndedServersFieldBuilder() : null;
@@ -1722,32 +1748,6 @@
           }
         }
       }
-      if (evacuationsBuilder_ == null) {
-        if (!other.evacuations_.isEmpty()) {
-          if (evacuations_.isEmpty()) {
-            evacuations_ = other.evacuations_;
-            bitField0_ = (bitField0_ & ~0x00040000);
-          } else {
-            ensureEvacuationsIsMutable();
-            evacuations_.addAll(other.evacuations_);
-          }
-          onChanged();
-        }
-      } else {
-        if (!other.evacuations_.isEmpty()) {
-          if (evacuationsBuilder_.isEmpty()) {
-            evacuationsBuilder_.dispose();
-            evacuationsBuilder_ = null;
-            evacuations_ = other.evacuations_;
-            bitField0_ = (bitField0_ & ~0x00040000);
-            evacuationsBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetEvacuationsFieldBuilder() : null;
-          } else {
-            evacuationsBuilder_.addAllMessages(other.evacuations_);
-          }
-        }
-      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1918,7 +1918,7 @@
               input.readMessage(
                   internalGetReaderFieldBuilder().getBuilder(),
                   extensionRegistry);
-              bitField0_ |= 0x00008000;
+              bitField0_ |= 0x00010000;
               break;
             } // case 242
             case 250: {
@@ -4234,1097 +4234,1097 @@
       return demandBuilder_;
     }
 
-    private org.wigeonwharf.gateway.peer.wire.StoreReaderNews reader_;
-    private com.google.protobuf.SingleFieldBuilder<
-        org.wigeonwharf.gateway.peer.wire.StoreReaderNews, org.wigeonwharf.gateway.peer.wire.StoreReaderNews.Builder, org.wigeonwharf.gateway.peer.wire.StoreReaderNewsOrBuilder> readerBuilder_;
-    /**
-     * <pre>
-     * Set if the sender passes on what it reads from the store.
-     * </pre>
-     *
-     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
-     * @return Whether the reader field is set.
-     */
-    public boolean hasReader() {
-      return ((bitField0_ & 0x00008000) != 0);
+    private java.util.List<org.wigeonwharf.gateway.peer.wire.EvacuationNews> evacuations_ =
+      java.util.Collections.emptyList();
+    private void ensureEvacuationsIsMutable() {
+      if (!((bitField0_ & 0x00008000) != 0)) {
+        evacuations_ = new java.util.ArrayList<org.wigeonwharf.gateway.peer.wire.EvacuationNews>(evacuations_);
+        bitField0_ |= 0x00008000;
+       }
     }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wigeonwharf.gateway.peer.wire.EvacuationNews, org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder, org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder> evacuationsBuilder_;
+
     /**
      * <pre>
-     * Set if the sender passes on what it reads from the store.
+     * The newest evacuations and ends of evacuations that the sender knows.
      * </pre>
      *
-     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
-     * @return The reader.
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
      */
-    public org.wigeonwharf.gateway.peer.wire.StoreReaderNews getReader() {
-      if (readerBuilder_ == null) {
-        return reader_ == null ? org.wigeonwharf.gateway.peer.wire.StoreReaderNews.getDefaultInstance() : reader_;
+    public java.util.List<org.wigeonwharf.gateway.peer.wire.EvacuationNews> getEvacuationsList() {
+      if (evacuationsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(evacuations_);
       } else {
-        return readerBuilder_.getMessage();
+        return evacuationsBuilder_.getMessageList();
       }
     }
     /**
      * <pre>
-     * Set if the sender passes on what it reads from the store.
+     * The newest evacuations and ends of evacuations that the sender knows.
      * </pre>
      *
-     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
      */
-    public Builder setReader(org.wigeonwharf.gateway.peer.wire.StoreReaderNews value) {
-      if (readerBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        reader_ = value;
+    public int getEvacuationsCount() {
+      if (evacuationsBuilder_ == null) {
+        return evacuations_.size();
       } else {
-        readerBuilder_.setMessage(value);
+        return evacuationsBuilder_.getCount();
       }
-      bitField0_ |= 0x00008000;
-      onChanged();
-      return this;
     }
     /**
      * <pre>
-     * Set if the sender passes on what it reads from the store.
+     * The newest evacuations and ends of evacuations that the sender knows.
      * </pre>
      *
-     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
      */
-    public Builder setReader(
-        org.wigeonwharf.gateway.peer.wire.StoreReaderNews.Builder builderForValue) {
-      if (readerBuilder_ == null) {
-        reader_ = builderForValue.build();
+    public org.wigeonwharf.gateway.peer.wire.EvacuationNews getEvacuations(int index) {
+      if (evacuationsBuilder_ == null) {
+        return evacuations_.get(index);
       } else {
-        readerBuilder_.setMessage(builderForValue.build());
+        return evacuationsBuilder_.getMessage(index);
       }
-      bitField0_ |= 0x00008000;
-      onChanged();
-      return this;
     }
     /**
      * <pre>
-     * Set if the sender passes on what it reads from the store.
+     * The newest evacuations and ends of evacuations that the sender knows.
      * </pre>
      *
-     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
      */
-    public Builder mergeReader(org.wigeonwharf.gateway.peer.wire.StoreReaderNews value) {
-      if (readerBuilder_ == null) {
-        if (((bitField0_ & 0x00008000) != 0) &&
-          reader_ != null &&
-          reader_ != org.wigeonwharf.gateway.peer.wire.StoreReaderNews.getDefaultInstance()) {
-          getReaderBuilder().mergeFrom(value);
-        } else {
-          reader_ = value;
+    public Builder setEvacuations(
+        int index, org.wigeonwharf.gateway.peer.wire.EvacuationNews value) {
+      if (evacuationsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
         }
-      } else {
-        readerBuilder_.mergeFrom(value);
-      }
-      if (reader_ != null) {
-        bitField0_ |= 0x00008000;
+        ensureEvacuationsIsMutable();
+        evacuations_.set(index, value);
         onChanged();
+      } else {
+        evacuationsBuilder_.setMessage(index, value);
       }
       return this;
     }
     /**
      * <pre>
-     * Set if the sender passes on what it reads from the store.
+     * The newest evacuations and ends of evacuations that the sender knows.
      * </pre>
      *
-     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
      */
-    public Builder clearReader() {
-      bitField0_ = (bitField0_ & ~0x00008000);
-      reader_ = null;
-      if (readerBuilder_ != null) {
-        readerBuilder_.dispose();
-        readerBuilder_ = null;
+    public Builder setEvacuations(
+        int index, org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder builderForValue) {
+      if (evacuationsBuilder_ == null) {
+        ensureEvacuationsIsMutable();
+        evacuations_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        evacuationsBuilder_.setMessage(index, builderForValue.build());
       }
-      onChanged();
       return this;
     }
     /**
      * <pre>
-     * Set if the sender passes on what it reads from the store.
+     * The newest evacuations and ends of evacuations that the sender knows.
      * </pre>
      *
-     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
      */
-    public org.wigeonwharf.gateway.peer.wire.StoreReaderNews.Builder getReaderBuilder() {
-      bitField0_ |= 0x00008000;
-      onChanged();
-      return internalGetReaderFieldBuilder().getBuilder();
+    public Builder addEvacuations(org.wigeonwharf.gateway.peer.wire.EvacuationNews value) {
+      if (evacuationsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureEvacuationsIsMutable();
+        evacuations_.add(value);
+        onChanged();
+      } else {
+        evacuationsBuilder_.addMessage(value);
+      }
+      return this;
     }
     /**
      * <pre>
-     * Set if the sender passes on what it reads from the store.
+     * The newest evacuations and ends of evacuations that the sender knows.
      * </pre>
      *
-     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
      */
-    public org.wigeonwharf.gateway.peer.wire.StoreReaderNewsOrBuilder getReaderOrBuilder() {
-      if (readerBuilder_ != null) {
-        return readerBuilder_.getMessageOrBuilder();
+    public Builder addEvacuations(
+        int index, org.wigeonwharf.gateway.peer.wire.EvacuationNews value) {
+      if (evacuationsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureEvacuationsIsMutable();
+        evacuations_.add(index, value);
+        onChanged();
       } else {
-        return reader_ == null ?
-            org.wigeonwharf.gateway.peer.wire.StoreReaderNews.getDefaultInstance() : reader_;
+        evacuationsBuilder_.addMessage(index, value);
       }
+      return this;
     }
     /**
      * <pre>
-     * Set if the sender passes on what it reads from the store.
+     * The newest evacuations and ends of evacuations that the sender knows.
      * </pre>
      *
-     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
      */
-    private com.google.protobuf.SingleFieldBuilder<
-        org.wigeonwharf.gateway.peer.wire.StoreReaderNews, org.wigeonwharf.gateway.peer.wire.StoreReaderNews.Builder, org.wigeonwharf.gateway.peer.wire.StoreReaderNewsOrBuilder> 
-        internalGetReaderFieldBuilder() {
-      if (readerBuilder_ == null) {
-        readerBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.wigeonwharf.gateway.peer.wire.StoreReaderNews, org.wigeonwharf.gateway.peer.wire.StoreReaderNews.Builder, org.wigeonwharf.gateway.peer.wire.StoreReaderNewsOrBuilder>(
-                getReader(),
-                getParentForChildren(),
-                isClean());
-        reader_ = null;
+    public Builder addEvacuations(
+        org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder builderForValue) {
+      if (evacuationsBuilder_ == null) {
+        ensureEvacuationsIsMutable();
+        evacuations_.add(builderForValue.build());
+        onChanged();
+      } else {
+        evacuationsBuilder_.addMessage(builderForValue.build());
       }
-      return readerBuilder_;
-    }
-
-    private java.util.List<org.wigeonwharf.gateway.peer.wire.StoreChangesNews> storeChanges_ =
-      java.util.Collections.emptyList();
-    private void ensureStoreChangesIsMutable() {
-      if (!((bitField0_ & 0x00010000) != 0)) {
-        storeChanges_ = new java.util.ArrayList<org.wigeonwharf.gateway.peer.wire.StoreChangesNews>(storeChanges_);
-        bitField0_ |= 0x00010000;
-       }
+      return this;
     }
-
-    private com.google.protobuf.RepeatedFieldBuilder<
-        org.wigeonwharf.gateway.peer.wire.StoreChangesNews, org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder, org.wigeonwharf.gateway.peer.wire.StoreChangesNewsOrBuilder> storeChangesBuilder_;
-
     /**
      * <pre>
-     * Within a failure domain only.
+     * The newest evacuations and ends of evacuations that the sender knows.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
      */
-    public java.util.List<org.wigeonwharf.gateway.peer.wire.StoreChangesNews> getStoreChangesList() {
-      if (storeChangesBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(storeChanges_);
+    public Builder addEvacuations(
+        int index, org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder builderForValue) {
+      if (evacuationsBuilder_ == null) {
+        ensureEvacuationsIsMutable();
+        evacuations_.add(index, builderForValue.build());
+        onChanged();
       } else {
-        return storeChangesBuilder_.getMessageList();
+        evacuationsBuilder_.addMessage(index, builderForValue.build());
       }
+      return this;
     }
     /**
      * <pre>
-     * Within a failure domain only.
+     * The newest evacuations and ends of evacuations that the sender knows.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
      */
-    public int getStoreChangesCount() {
-      if (storeChangesBuilder_ == null) {
-        return storeChanges_.size();
+    public Builder addAllEvacuations(
+        java.lang.Iterable<? extends org.wigeonwharf.gateway.peer.wire.EvacuationNews> values) {
+      if (evacuationsBuilder_ == null) {
+        ensureEvacuationsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, evacuations_);
+        onChanged();
       } else {
-        return storeChangesBuilder_.getCount();
+        evacuationsBuilder_.addAllMessages(values);
       }
+      return this;
     }
     /**
      * <pre>
-     * Within a failure domain only.
+     * The newest evacuations and ends of evacuations that the sender knows.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
      */
-    public org.wigeonwharf.gateway.peer.wire.StoreChangesNews getStoreChanges(int index) {
-      if (storeChangesBuilder_ == null) {
-        return storeChanges_.get(index);
+    public Builder clearEvacuations() {
+      if (evacuationsBuilder_ == null) {
+        evacuations_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00008000);
+        onChanged();
       } else {
-        return storeChangesBuilder_.getMessage(index);
+        evacuationsBuilder_.clear();
       }
+      return this;
     }
     /**
      * <pre>
-     * Within a failure domain only.
+     * The newest evacuations and ends of evacuations that the sender knows.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
      */
-    public Builder setStoreChanges(
-        int index, org.wigeonwharf.gateway.peer.wire.StoreChangesNews value) {
-      if (storeChangesBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureStoreChangesIsMutable();
-        storeChanges_.set(index, value);
+    public Builder removeEvacuations(int index) {
+      if (evacuationsBuilder_ == null) {
+        ensureEvacuationsIsMutable();
+        evacuations_.remove(index);
         onChanged();
       } else {
-        storeChangesBuilder_.setMessage(index, value);
+        evacuationsBuilder_.remove(index);
       }
       return this;
     }
     /**
      * <pre>
-     * Within a failure domain only.
+     * The newest evacuations and ends of evacuations that the sender knows.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
      */
-    public Builder setStoreChanges(
-        int index, org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder builderForValue) {
-      if (storeChangesBuilder_ == null) {
-        ensureStoreChangesIsMutable();
-        storeChanges_.set(index, builderForValue.build());
-        onChanged();
-      } else {
-        storeChangesBuilder_.setMessage(index, builderForValue.build());
-      }
-      return this;
+    public org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder getEvacuationsBuilder(
+        int index) {
+      return internalGetEvacuationsFieldBuilder().getBuilder(index);
     }
     /**
      * <pre>
-     * Within a failure domain only.
+     * The newest evacuations and ends of evacuations that the sender knows.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
      */
-    public Builder addStoreChanges(org.wigeonwharf.gateway.peer.wire.StoreChangesNews value) {
-      if (storeChangesBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureStoreChangesIsMutable();
-        storeChanges_.add(value);
-        onChanged();
-      } else {
-        storeChangesBuilder_.addMessage(value);
+    public org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder getEvacuationsOrBuilder(
+        int index) {
+      if (evacuationsBuilder_ == null) {
+        return evacuations_.get(index);  } else {
+        return evacuationsBuilder_.getMessageOrBuilder(index);
       }
-      return this;
     }
     /**
      * <pre>
-     * Within a failure domain only.
+     * The newest evacuations and ends of evacuations that the sender knows.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
      */
-    public Builder addStoreChanges(
-        int index, org.wigeonwharf.gateway.peer.wire.StoreChangesNews value) {
-      if (storeChangesBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureStoreChangesIsMutable();
-        storeChanges_.add(index, value);
-        onChanged();
+    public java.util.List<? extends org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder> 
+         getEvacuationsOrBuilderList() {
+      if (evacuationsBuilder_ != null) {
+        return evacuationsBuilder_.getMessageOrBuilderList();
       } else {
-        storeChangesBuilder_.addMessage(index, value);
+        return java.util.Collections.unmodifiableList(evacuations_);
       }
-      return this;
     }
     /**
      * <pre>
-     * Within a failure domain only.
+     * The newest evacuations and ends of evacuations that the sender knows.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
      */
-    public Builder addStoreChanges(
-        org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder builderForValue) {
-      if (storeChangesBuilder_ == null) {
-        ensureStoreChangesIsMutable();
-        storeChanges_.add(builderForValue.build());
-        onChanged();
-      } else {
-        storeChangesBuilder_.addMessage(builderForValue.build());
-      }
-      return this;
+    public org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder addEvacuationsBuilder() {
+      return internalGetEvacuationsFieldBuilder().addBuilder(
+          org.wigeonwharf.gateway.peer.wire.EvacuationNews.getDefaultInstance());
     }
     /**
      * <pre>
-     * Within a failure domain only.
+     * The newest evacuations and ends of evacuations that the sender knows.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
      */
-    public Builder addStoreChanges(
-        int index, org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder builderForValue) {
-      if (storeChangesBuilder_ == null) {
-        ensureStoreChangesIsMutable();
-        storeChanges_.add(index, builderForValue.build());
-        onChanged();
-      } else {
-        storeChangesBuilder_.addMessage(index, builderForValue.build());
-      }
-      return this;
+    public org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder addEvacuationsBuilder(
+        int index) {
+      return internalGetEvacuationsFieldBuilder().addBuilder(
+          index, org.wigeonwharf.gateway.peer.wire.EvacuationNews.getDefaultInstance());
     }
     /**
      * <pre>
-     * Within a failure domain only.
+     * The newest evacuations and ends of evacuations that the sender knows.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
      */
-    public Builder addAllStoreChanges(
-        java.lang.Iterable<? extends org.wigeonwharf.gateway.peer.wire.StoreChangesNews> values) {
-      if (storeChangesBuilder_ == null) {
-        ensureStoreChangesIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, storeChanges_);
-        onChanged();
-      } else {
-        storeChangesBuilder_.addAllMessages(values);
+    public java.util.List<org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder> 
+         getEvacuationsBuilderList() {
+      return internalGetEvacuationsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wigeonwharf.gateway.peer.wire.EvacuationNews, org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder, org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder> 
+        internalGetEvacuationsFieldBuilder() {
+      if (evacuationsBuilder_ == null) {
+        evacuationsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.wigeonwharf.gateway.peer.wire.EvacuationNews, org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder, org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder>(
+                evacuations_,
+                ((bitField0_ & 0x00008000) != 0),
+                getParentForChildren(),
+                isClean());
+        evacuations_ = null;
       }
-      return this;
+      return evacuationsBuilder_;
+    }
+
+    private org.wigeonwharf.gateway.peer.wire.StoreReaderNews reader_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wigeonwharf.gateway.peer.wire.StoreReaderNews, org.wigeonwharf.gateway.peer.wire.StoreReaderNews.Builder, org.wigeonwharf.gateway.peer.wire.StoreReaderNewsOrBuilder> readerBuilder_;
+    /**
+     * <pre>
+     * Set if the sender passes on what it reads from the store.
+     * </pre>
+     *
+     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+     * @return Whether the reader field is set.
+     */
+    public boolean hasReader() {
+      return ((bitField0_ & 0x00010000) != 0);
     }
     /**
      * <pre>
-     * Within a failure domain only.
+     * Set if the sender passes on what it reads from the store.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
+     * @return The reader.
      */
-    public Builder clearStoreChanges() {
-      if (storeChangesBuilder_ == null) {
-        storeChanges_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00010000);
-        onChanged();
+    public org.wigeonwharf.gateway.peer.wire.StoreReaderNews getReader() {
+      if (readerBuilder_ == null) {
+        return reader_ == null ? org.wigeonwharf.gateway.peer.wire.StoreReaderNews.getDefaultInstance() : reader_;
       } else {
-        storeChangesBuilder_.clear();
+        return readerBuilder_.getMessage();
       }
-      return this;
     }
     /**
      * <pre>
-     * Within a failure domain only.
+     * Set if the sender passes on what it reads from the store.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
      */
-    public Builder removeStoreChanges(int index) {
-      if (storeChangesBuilder_ == null) {
-        ensureStoreChangesIsMutable();
-        storeChanges_.remove(index);
-        onChanged();
+    public Builder setReader(org.wigeonwharf.gateway.peer.wire.StoreReaderNews value) {
+      if (readerBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        reader_ = value;
       } else {
-        storeChangesBuilder_.remove(index);
+        readerBuilder_.setMessage(value);
       }
+      bitField0_ |= 0x00010000;
+      onChanged();
       return this;
     }
     /**
      * <pre>
-     * Within a failure domain only.
+     * Set if the sender passes on what it reads from the store.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
      */
-    public org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder getStoreChangesBuilder(
-        int index) {
-      return internalGetStoreChangesFieldBuilder().getBuilder(index);
+    public Builder setReader(
+        org.wigeonwharf.gateway.peer.wire.StoreReaderNews.Builder builderForValue) {
+      if (readerBuilder_ == null) {
+        reader_ = builderForValue.build();
+      } else {
+        readerBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00010000;
+      onChanged();
+      return this;
     }
     /**
      * <pre>
-     * Within a failure domain only.
+     * Set if the sender passes on what it reads from the store.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
      */
-    public org.wigeonwharf.gateway.peer.wire.StoreChangesNewsOrBuilder getStoreChangesOrBuilder(
-        int index) {
-      if (storeChangesBuilder_ == null) {
-        return storeChanges_.get(index);  } else {
-        return storeChangesBuilder_.getMessageOrBuilder(index);
+    public Builder mergeReader(org.wigeonwharf.gateway.peer.wire.StoreReaderNews value) {
+      if (readerBuilder_ == null) {
+        if (((bitField0_ & 0x00010000) != 0) &&
+          reader_ != null &&
+          reader_ != org.wigeonwharf.gateway.peer.wire.StoreReaderNews.getDefaultInstance()) {
+          getReaderBuilder().mergeFrom(value);
+        } else {
+          reader_ = value;
+        }
+      } else {
+        readerBuilder_.mergeFrom(value);
+      }
+      if (reader_ != null) {
+        bitField0_ |= 0x00010000;
+        onChanged();
       }
+      return this;
     }
     /**
      * <pre>
-     * Within a failure domain only.
+     * Set if the sender passes on what it reads from the store.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
      */
-    public java.util.List<? extends org.wigeonwharf.gateway.peer.wire.StoreChangesNewsOrBuilder> 
-         getStoreChangesOrBuilderList() {
-      if (storeChangesBuilder_ != null) {
-        return storeChangesBuilder_.getMessageOrBuilderList();
-      } else {
-        return java.util.Collections.unmodifiableList(storeChanges_);
+    public Builder clearReader() {
+      bitField0_ = (bitField0_ & ~0x00010000);
+      reader_ = null;
+      if (readerBuilder_ != null) {
+        readerBuilder_.dispose();
+        readerBuilder_ = null;
       }
+      onChanged();
+      return this;
     }
     /**
      * <pre>
-     * Within a failure domain only.
+     * Set if the sender passes on what it reads from the store.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
      */
-    public org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder addStoreChangesBuilder() {
-      return internalGetStoreChangesFieldBuilder().addBuilder(
-          org.wigeonwharf.gateway.peer.wire.StoreChangesNews.getDefaultInstance());
+    public org.wigeonwharf.gateway.peer.wire.StoreReaderNews.Builder getReaderBuilder() {
+      bitField0_ |= 0x00010000;
+      onChanged();
+      return internalGetReaderFieldBuilder().getBuilder();
     }
     /**
      * <pre>
-     * Within a failure domain only.
+     * Set if the sender passes on what it reads from the store.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
      */
-    public org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder addStoreChangesBuilder(
-        int index) {
-      return internalGetStoreChangesFieldBuilder().addBuilder(
-          index, org.wigeonwharf.gateway.peer.wire.StoreChangesNews.getDefaultInstance());
+    public org.wigeonwharf.gateway.peer.wire.StoreReaderNewsOrBuilder getReaderOrBuilder() {
+      if (readerBuilder_ != null) {
+        return readerBuilder_.getMessageOrBuilder();
+      } else {
+        return reader_ == null ?
+            org.wigeonwharf.gateway.peer.wire.StoreReaderNews.getDefaultInstance() : reader_;
+      }
     }
     /**
      * <pre>
-     * Within a failure domain only.
+     * Set if the sender passes on what it reads from the store.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
+     * <code>.wigeonwharf.gateway.StoreReaderNews reader = 30;</code>
      */
-    public java.util.List<org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder> 
-         getStoreChangesBuilderList() {
-      return internalGetStoreChangesFieldBuilder().getBuilderList();
-    }
-    private com.google.protobuf.RepeatedFieldBuilder<
-        org.wigeonwharf.gateway.peer.wire.StoreChangesNews, org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder, org.wigeonwharf.gateway.peer.wire.StoreChangesNewsOrBuilder> 
-        internalGetStoreChangesFieldBuilder() {
-      if (storeChangesBuilder_ == null) {
-        storeChangesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.wigeonwharf.gateway.peer.wire.StoreChangesNews, org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder, org.wigeonwharf.gateway.peer.wire.StoreChangesNewsOrBuilder>(
-                storeChanges_,
-                ((bitField0_ & 0x00010000) != 0),
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wigeonwharf.gateway.peer.wire.StoreReaderNews, org.wigeonwharf.gateway.peer.wire.StoreReaderNews.Builder, org.wigeonwharf.gateway.peer.wire.StoreReaderNewsOrBuilder> 
+        internalGetReaderFieldBuilder() {
+      if (readerBuilder_ == null) {
+        readerBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.wigeonwharf.gateway.peer.wire.StoreReaderNews, org.wigeonwharf.gateway.peer.wire.StoreReaderNews.Builder, org.wigeonwharf.gateway.peer.wire.StoreReaderNewsOrBuilder>(
+                getReader(),
                 getParentForChildren(),
                 isClean());
-        storeChanges_ = null;
+        reader_ = null;
       }
-      return storeChangesBuilder_;
+      return readerBuilder_;
     }
 
-    private java.util.List<org.wigeonwharf.gateway.peer.wire.EndedServerNews> endedServers_ =
+    private java.util.List<org.wigeonwharf.gateway.peer.wire.StoreChangesNews> storeChanges_ =
       java.util.Collections.emptyList();
-    private void ensureEndedServersIsMutable() {
+    private void ensureStoreChangesIsMutable() {
       if (!((bitField0_ & 0x00020000) != 0)) {
-        endedServers_ = new java.util.ArrayList<org.wigeonwharf.gateway.peer.wire.EndedServerNews>(endedServers_);
+        storeChanges_ = new java.util.ArrayList<org.wigeonwharf.gateway.peer.wire.StoreChangesNews>(storeChanges_);
         bitField0_ |= 0x00020000;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.wigeonwharf.gateway.peer.wire.EndedServerNews, org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder, org.wigeonwharf.gateway.peer.wire.EndedServerNewsOrBuilder> endedServersBuilder_;
+        org.wigeonwharf.gateway.peer.wire.StoreChangesNews, org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder, org.wigeonwharf.gateway.peer.wire.StoreChangesNewsOrBuilder> storeChangesBuilder_;
 
     /**
      * <pre>
-     * What the sender knows from all routers.
+     * Within a failure domain only.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
      */
-    public java.util.List<org.wigeonwharf.gateway.peer.wire.EndedServerNews> getEndedServersList() {
-      if (endedServersBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(endedServers_);
+    public java.util.List<org.wigeonwharf.gateway.peer.wire.StoreChangesNews> getStoreChangesList() {
+      if (storeChangesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(storeChanges_);
       } else {
-        return endedServersBuilder_.getMessageList();
+        return storeChangesBuilder_.getMessageList();
       }
     }
     /**
      * <pre>
-     * What the sender knows from all routers.
+     * Within a failure domain only.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
      */
-    public int getEndedServersCount() {
-      if (endedServersBuilder_ == null) {
-        return endedServers_.size();
+    public int getStoreChangesCount() {
+      if (storeChangesBuilder_ == null) {
+        return storeChanges_.size();
       } else {
-        return endedServersBuilder_.getCount();
+        return storeChangesBuilder_.getCount();
       }
     }
     /**
      * <pre>
-     * What the sender knows from all routers.
+     * Within a failure domain only.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
      */
-    public org.wigeonwharf.gateway.peer.wire.EndedServerNews getEndedServers(int index) {
-      if (endedServersBuilder_ == null) {
-        return endedServers_.get(index);
+    public org.wigeonwharf.gateway.peer.wire.StoreChangesNews getStoreChanges(int index) {
+      if (storeChangesBuilder_ == null) {
+        return storeChanges_.get(index);
       } else {
-        return endedServersBuilder_.getMessage(index);
+        return storeChangesBuilder_.getMessage(index);
       }
     }
     /**
      * <pre>
-     * What the sender knows from all routers.
+     * Within a failure domain only.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
      */
-    public Builder setEndedServers(
-        int index, org.wigeonwharf.gateway.peer.wire.EndedServerNews value) {
-      if (endedServersBuilder_ == null) {
+    public Builder setStoreChanges(
+        int index, org.wigeonwharf.gateway.peer.wire.StoreChangesNews value) {
+      if (storeChangesBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
-        ensureEndedServersIsMutable();
-        endedServers_.set(index, value);
+        ensureStoreChangesIsMutable();
+        storeChanges_.set(index, value);
         onChanged();
       } else {
-        endedServersBuilder_.setMessage(index, value);
+        storeChangesBuilder_.setMessage(index, value);
       }
       return this;
     }
     /**
      * <pre>
-     * What the sender knows from all routers.
+     * Within a failure domain only.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
      */
-    public Builder setEndedServers(
-        int index, org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder builderForValue) {
-      if (endedServersBuilder_ == null) {
-        ensureEndedServersIsMutable();
-        endedServers_.set(index, builderForValue.build());
+    public Builder setStoreChanges(
+        int index, org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder builderForValue) {
+      if (storeChangesBuilder_ == null) {
+        ensureStoreChangesIsMutable();
+        storeChanges_.set(index, builderForValue.build());
         onChanged();
       } else {
-        endedServersBuilder_.setMessage(index, builderForValue.build());
+        storeChangesBuilder_.setMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
      * <pre>
-     * What the sender knows from all routers.
+     * Within a failure domain only.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
      */
-    public Builder addEndedServers(org.wigeonwharf.gateway.peer.wire.EndedServerNews value) {
-      if (endedServersBuilder_ == null) {
+    public Builder addStoreChanges(org.wigeonwharf.gateway.peer.wire.StoreChangesNews value) {
+      if (storeChangesBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
-        ensureEndedServersIsMutable();
-        endedServers_.add(value);
+        ensureStoreChangesIsMutable();
+        storeChanges_.add(value);
         onChanged();
       } else {
-        endedServersBuilder_.addMessage(value);
+        storeChangesBuilder_.addMessage(value);
       }
       return this;
     }
     /**
      * <pre>
-     * What the sender knows from all routers.
+     * Within a failure domain only.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
      */
-    public Builder addEndedServers(
-        int index, org.wigeonwharf.gateway.peer.wire.EndedServerNews value) {
-      if (endedServersBuilder_ == null) {
+    public Builder addStoreChanges(
+        int index, org.wigeonwharf.gateway.peer.wire.StoreChangesNews value) {
+      if (storeChangesBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
-        ensureEndedServersIsMutable();
-        endedServers_.add(index, value);
+        ensureStoreChangesIsMutable();
+        storeChanges_.add(index, value);
         onChanged();
       } else {
-        endedServersBuilder_.addMessage(index, value);
+        storeChangesBuilder_.addMessage(index, value);
       }
       return this;
     }
     /**
      * <pre>
-     * What the sender knows from all routers.
+     * Within a failure domain only.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
      */
-    public Builder addEndedServers(
-        org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder builderForValue) {
-      if (endedServersBuilder_ == null) {
-        ensureEndedServersIsMutable();
-        endedServers_.add(builderForValue.build());
+    public Builder addStoreChanges(
+        org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder builderForValue) {
+      if (storeChangesBuilder_ == null) {
+        ensureStoreChangesIsMutable();
+        storeChanges_.add(builderForValue.build());
         onChanged();
       } else {
-        endedServersBuilder_.addMessage(builderForValue.build());
+        storeChangesBuilder_.addMessage(builderForValue.build());
       }
       return this;
     }
     /**
      * <pre>
-     * What the sender knows from all routers.
+     * Within a failure domain only.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
      */
-    public Builder addEndedServers(
-        int index, org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder builderForValue) {
-      if (endedServersBuilder_ == null) {
-        ensureEndedServersIsMutable();
-        endedServers_.add(index, builderForValue.build());
+    public Builder addStoreChanges(
+        int index, org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder builderForValue) {
+      if (storeChangesBuilder_ == null) {
+        ensureStoreChangesIsMutable();
+        storeChanges_.add(index, builderForValue.build());
         onChanged();
       } else {
-        endedServersBuilder_.addMessage(index, builderForValue.build());
+        storeChangesBuilder_.addMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
      * <pre>
-     * What the sender knows from all routers.
+     * Within a failure domain only.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
      */
-    public Builder addAllEndedServers(
-        java.lang.Iterable<? extends org.wigeonwharf.gateway.peer.wire.EndedServerNews> values) {
-      if (endedServersBuilder_ == null) {
-        ensureEndedServersIsMutable();
+    public Builder addAllStoreChanges(
+        java.lang.Iterable<? extends org.wigeonwharf.gateway.peer.wire.StoreChangesNews> values) {
+      if (storeChangesBuilder_ == null) {
+        ensureStoreChangesIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, endedServers_);
+            values, storeChanges_);
         onChanged();
       } else {
-        endedServersBuilder_.addAllMessages(values);
+        storeChangesBuilder_.addAllMessages(values);
       }
       return this;
     }
     /**
      * <pre>
-     * What the sender knows from all routers.
+     * Within a failure domain only.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
      */
-    public Builder clearEndedServers() {
-      if (endedServersBuilder_ == null) {
-        endedServers_ = java.util.Collections.emptyList();
+    public Builder clearStoreChanges() {
+      if (storeChangesBuilder_ == null) {
+        storeChanges_ = java.util.Collections.emptyList();
         bitField0_ = (bitField0_ & ~0x00020000);
         onChanged();
       } else {
-        endedServersBuilder_.clear();
+        storeChangesBuilder_.clear();
       }
       return this;
     }
     /**
      * <pre>
-     * What the sender knows from all routers.
+     * Within a failure domain only.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
      */
-    public Builder removeEndedServers(int index) {
-      if (endedServersBuilder_ == null) {
-        ensureEndedServersIsMutable();
-        endedServers_.remove(index);
+    public Builder removeStoreChanges(int index) {
+      if (storeChangesBuilder_ == null) {
+        ensureStoreChangesIsMutable();
+        storeChanges_.remove(index);
         onChanged();
       } else {
-        endedServersBuilder_.remove(index);
+        storeChangesBuilder_.remove(index);
       }
       return this;
     }
     /**
      * <pre>
-     * What the sender knows from all routers.
+     * Within a failure domain only.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
      */
-    public org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder getEndedServersBuilder(
+    public org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder getStoreChangesBuilder(
         int index) {
-      return internalGetEndedServersFieldBuilder().getBuilder(index);
+      return internalGetStoreChangesFieldBuilder().getBuilder(index);
     }
     /**
      * <pre>
-     * What the sender knows from all routers.
+     * Within a failure domain only.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
      */
-    public org.wigeonwharf.gateway.peer.wire.EndedServerNewsOrBuilder getEndedServersOrBuilder(
+    public org.wigeonwharf.gateway.peer.wire.StoreChangesNewsOrBuilder getStoreChangesOrBuilder(
         int index) {
-      if (endedServersBuilder_ == null) {
-        return endedServers_.get(index);  } else {
-        return endedServersBuilder_.getMessageOrBuilder(index);
+      if (storeChangesBuilder_ == null) {
+        return storeChanges_.get(index);  } else {
+        return storeChangesBuilder_.getMessageOrBuilder(index);
       }
     }
     /**
      * <pre>
-     * What the sender knows from all routers.
+     * Within a failure domain only.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
      */
-    public java.util.List<? extends org.wigeonwharf.gateway.peer.wire.EndedServerNewsOrBuilder> 
-         getEndedServersOrBuilderList() {
-      if (endedServersBuilder_ != null) {
-        return endedServersBuilder_.getMessageOrBuilderList();
+    public java.util.List<? extends org.wigeonwharf.gateway.peer.wire.StoreChangesNewsOrBuilder> 
+         getStoreChangesOrBuilderList() {
+      if (storeChangesBuilder_ != null) {
+        return storeChangesBuilder_.getMessageOrBuilderList();
       } else {
-        return java.util.Collections.unmodifiableList(endedServers_);
+        return java.util.Collections.unmodifiableList(storeChanges_);
       }
     }
     /**
      * <pre>
-     * What the sender knows from all routers.
+     * Within a failure domain only.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
      */
-    public org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder addEndedServersBuilder() {
-      return internalGetEndedServersFieldBuilder().addBuilder(
-          org.wigeonwharf.gateway.peer.wire.EndedServerNews.getDefaultInstance());
+    public org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder addStoreChangesBuilder() {
+      return internalGetStoreChangesFieldBuilder().addBuilder(
+          org.wigeonwharf.gateway.peer.wire.StoreChangesNews.getDefaultInstance());
     }
     /**
      * <pre>
-     * What the sender knows from all routers.
+     * Within a failure domain only.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
      */
-    public org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder addEndedServersBuilder(
+    public org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder addStoreChangesBuilder(
         int index) {
-      return internalGetEndedServersFieldBuilder().addBuilder(
-          index, org.wigeonwharf.gateway.peer.wire.EndedServerNews.getDefaultInstance());
+      return internalGetStoreChangesFieldBuilder().addBuilder(
+          index, org.wigeonwharf.gateway.peer.wire.StoreChangesNews.getDefaultInstance());
     }
     /**
      * <pre>
-     * What the sender knows from all routers.
+     * Within a failure domain only.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
+     * <code>repeated .wigeonwharf.gateway.StoreChangesNews store_changes = 31;</code>
      */
-    public java.util.List<org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder> 
-         getEndedServersBuilderList() {
-      return internalGetEndedServersFieldBuilder().getBuilderList();
+    public java.util.List<org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder> 
+         getStoreChangesBuilderList() {
+      return internalGetStoreChangesFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.wigeonwharf.gateway.peer.wire.EndedServerNews, org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder, org.wigeonwharf.gateway.peer.wire.EndedServerNewsOrBuilder> 
-        internalGetEndedServersFieldBuilder() {
-      if (endedServersBuilder_ == null) {
-        endedServersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.wigeonwharf.gateway.peer.wire.EndedServerNews, org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder, org.wigeonwharf.gateway.peer.wire.EndedServerNewsOrBuilder>(
-                endedServers_,
+        org.wigeonwharf.gateway.peer.wire.StoreChangesNews, org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder, org.wigeonwharf.gateway.peer.wire.StoreChangesNewsOrBuilder> 
+        internalGetStoreChangesFieldBuilder() {
+      if (storeChangesBuilder_ == null) {
+        storeChangesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.wigeonwharf.gateway.peer.wire.StoreChangesNews, org.wigeonwharf.gateway.peer.wire.StoreChangesNews.Builder, org.wigeonwharf.gateway.peer.wire.StoreChangesNewsOrBuilder>(
+                storeChanges_,
                 ((bitField0_ & 0x00020000) != 0),
                 getParentForChildren(),
                 isClean());
-        endedServers_ = null;
+        storeChanges_ = null;
       }
-      return endedServersBuilder_;
+      return storeChangesBuilder_;
     }
 
-    private java.util.List<org.wigeonwharf.gateway.peer.wire.EvacuationNews> evacuations_ =
+    private java.util.List<org.wigeonwharf.gateway.peer.wire.EndedServerNews> endedServers_ =
       java.util.Collections.emptyList();
-    private void ensureEvacuationsIsMutable() {
+    private void ensureEndedServersIsMutable() {
       if (!((bitField0_ & 0x00040000) != 0)) {
-        evacuations_ = new java.util.ArrayList<org.wigeonwharf.gateway.peer.wire.EvacuationNews>(evacuations_);
+        endedServers_ = new java.util.ArrayList<org.wigeonwharf.gateway.peer.wire.EndedServerNews>(endedServers_);
         bitField0_ |= 0x00040000;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.wigeonwharf.gateway.peer.wire.EvacuationNews, org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder, org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder> evacuationsBuilder_;
+        org.wigeonwharf.gateway.peer.wire.EndedServerNews, org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder, org.wigeonwharf.gateway.peer.wire.EndedServerNewsOrBuilder> endedServersBuilder_;
 
     /**
      * <pre>
-     * The newest evacuations and ends of evacuations that the sender knows.
+     * What the sender knows from all routers.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
      */
-    public java.util.List<org.wigeonwharf.gateway.peer.wire.EvacuationNews> getEvacuationsList() {
-      if (evacuationsBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(evacuations_);
+    public java.util.List<org.wigeonwharf.gateway.peer.wire.EndedServerNews> getEndedServersList() {
+      if (endedServersBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(endedServers_);
       } else {
-        return evacuationsBuilder_.getMessageList();
+        return endedServersBuilder_.getMessageList();
       }
     }
     /**
      * <pre>
-     * The newest evacuations and ends of evacuations that the sender knows.
+     * What the sender knows from all routers.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
      */
-    public int getEvacuationsCount() {
-      if (evacuationsBuilder_ == null) {
-        return evacuations_.size();
+    public int getEndedServersCount() {
+      if (endedServersBuilder_ == null) {
+        return endedServers_.size();
       } else {
-        return evacuationsBuilder_.getCount();
+        return endedServersBuilder_.getCount();
       }
     }
     /**
      * <pre>
-     * The newest evacuations and ends of evacuations that the sender knows.
+     * What the sender knows from all routers.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
      */
-    public org.wigeonwharf.gateway.peer.wire.EvacuationNews getEvacuations(int index) {
-      if (evacuationsBuilder_ == null) {
-        return evacuations_.get(index);
+    public org.wigeonwharf.gateway.peer.wire.EndedServerNews getEndedServers(int index) {
+      if (endedServersBuilder_ == null) {
+        return endedServers_.get(index);
       } else {
-        return evacuationsBuilder_.getMessage(index);
+        return endedServersBuilder_.getMessage(index);
       }
     }
     /**
      * <pre>
-     * The newest evacuations and ends of evacuations that the sender knows.
+     * What the sender knows from all routers.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
      */
-    public Builder setEvacuations(
-        int index, org.wigeonwharf.gateway.peer.wire.EvacuationNews value) {
-      if (evacuationsBuilder_ == null) {
+    public Builder setEndedServers(
+        int index, org.wigeonwharf.gateway.peer.wire.EndedServerNews value) {
+      if (endedServersBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
-        ensureEvacuationsIsMutable();
-        evacuations_.set(index, value);
+        ensureEndedServersIsMutable();
+        endedServers_.set(index, value);
         onChanged();
       } else {
-        evacuationsBuilder_.setMessage(index, value);
+        endedServersBuilder_.setMessage(index, value);
       }
       return this;
     }
     /**
      * <pre>
-     * The newest evacuations and ends of evacuations that the sender knows.
+     * What the sender knows from all routers.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
      */
-    public Builder setEvacuations(
-        int index, org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder builderForValue) {
-      if (evacuationsBuilder_ == null) {
-        ensureEvacuationsIsMutable();
-        evacuations_.set(index, builderForValue.build());
+    public Builder setEndedServers(
+        int index, org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder builderForValue) {
+      if (endedServersBuilder_ == null) {
+        ensureEndedServersIsMutable();
+        endedServers_.set(index, builderForValue.build());
         onChanged();
       } else {
-        evacuationsBuilder_.setMessage(index, builderForValue.build());
+        endedServersBuilder_.setMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
      * <pre>
-     * The newest evacuations and ends of evacuations that the sender knows.
+     * What the sender knows from all routers.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
      */
-    public Builder addEvacuations(org.wigeonwharf.gateway.peer.wire.EvacuationNews value) {
-      if (evacuationsBuilder_ == null) {
+    public Builder addEndedServers(org.wigeonwharf.gateway.peer.wire.EndedServerNews value) {
+      if (endedServersBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
-        ensureEvacuationsIsMutable();
-        evacuations_.add(value);
+        ensureEndedServersIsMutable();
+        endedServers_.add(value);
         onChanged();
       } else {
-        evacuationsBuilder_.addMessage(value);
+        endedServersBuilder_.addMessage(value);
       }
       return this;
     }
     /**
      * <pre>
-     * The newest evacuations and ends of evacuations that the sender knows.
+     * What the sender knows from all routers.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
      */
-    public Builder addEvacuations(
-        int index, org.wigeonwharf.gateway.peer.wire.EvacuationNews value) {
-      if (evacuationsBuilder_ == null) {
+    public Builder addEndedServers(
+        int index, org.wigeonwharf.gateway.peer.wire.EndedServerNews value) {
+      if (endedServersBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
-        ensureEvacuationsIsMutable();
-        evacuations_.add(index, value);
+        ensureEndedServersIsMutable();
+        endedServers_.add(index, value);
         onChanged();
       } else {
-        evacuationsBuilder_.addMessage(index, value);
+        endedServersBuilder_.addMessage(index, value);
       }
       return this;
     }
     /**
      * <pre>
-     * The newest evacuations and ends of evacuations that the sender knows.
+     * What the sender knows from all routers.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
      */
-    public Builder addEvacuations(
-        org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder builderForValue) {
-      if (evacuationsBuilder_ == null) {
-        ensureEvacuationsIsMutable();
-        evacuations_.add(builderForValue.build());
+    public Builder addEndedServers(
+        org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder builderForValue) {
+      if (endedServersBuilder_ == null) {
+        ensureEndedServersIsMutable();
+        endedServers_.add(builderForValue.build());
         onChanged();
       } else {
-        evacuationsBuilder_.addMessage(builderForValue.build());
+        endedServersBuilder_.addMessage(builderForValue.build());
       }
       return this;
     }
     /**
      * <pre>
-     * The newest evacuations and ends of evacuations that the sender knows.
+     * What the sender knows from all routers.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
      */
-    public Builder addEvacuations(
-        int index, org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder builderForValue) {
-      if (evacuationsBuilder_ == null) {
-        ensureEvacuationsIsMutable();
-        evacuations_.add(index, builderForValue.build());
+    public Builder addEndedServers(
+        int index, org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder builderForValue) {
+      if (endedServersBuilder_ == null) {
+        ensureEndedServersIsMutable();
+        endedServers_.add(index, builderForValue.build());
         onChanged();
       } else {
-        evacuationsBuilder_.addMessage(index, builderForValue.build());
+        endedServersBuilder_.addMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
      * <pre>
-     * The newest evacuations and ends of evacuations that the sender knows.
+     * What the sender knows from all routers.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
      */
-    public Builder addAllEvacuations(
-        java.lang.Iterable<? extends org.wigeonwharf.gateway.peer.wire.EvacuationNews> values) {
-      if (evacuationsBuilder_ == null) {
-        ensureEvacuationsIsMutable();
+    public Builder addAllEndedServers(
+        java.lang.Iterable<? extends org.wigeonwharf.gateway.peer.wire.EndedServerNews> values) {
+      if (endedServersBuilder_ == null) {
+        ensureEndedServersIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, evacuations_);
+            values, endedServers_);
         onChanged();
       } else {
-        evacuationsBuilder_.addAllMessages(values);
+        endedServersBuilder_.addAllMessages(values);
       }
       return this;
     }
     /**
      * <pre>
-     * The newest evacuations and ends of evacuations that the sender knows.
+     * What the sender knows from all routers.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
      */
-    public Builder clearEvacuations() {
-      if (evacuationsBuilder_ == null) {
-        evacuations_ = java.util.Collections.emptyList();
+    public Builder clearEndedServers() {
+      if (endedServersBuilder_ == null) {
+        endedServers_ = java.util.Collections.emptyList();
         bitField0_ = (bitField0_ & ~0x00040000);
         onChanged();
       } else {
-        evacuationsBuilder_.clear();
+        endedServersBuilder_.clear();
       }
       return this;
     }
     /**
      * <pre>
-     * The newest evacuations and ends of evacuations that the sender knows.
+     * What the sender knows from all routers.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
      */
-    public Builder removeEvacuations(int index) {
-      if (evacuationsBuilder_ == null) {
-        ensureEvacuationsIsMutable();
-        evacuations_.remove(index);
+    public Builder removeEndedServers(int index) {
+      if (endedServersBuilder_ == null) {
+        ensureEndedServersIsMutable();
+        endedServers_.remove(index);
         onChanged();
       } else {
-        evacuationsBuilder_.remove(index);
+        endedServersBuilder_.remove(index);
       }
       return this;
     }
     /**
      * <pre>
-     * The newest evacuations and ends of evacuations that the sender knows.
+     * What the sender knows from all routers.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
      */
-    public org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder getEvacuationsBuilder(
+    public org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder getEndedServersBuilder(
         int index) {
-      return internalGetEvacuationsFieldBuilder().getBuilder(index);
+      return internalGetEndedServersFieldBuilder().getBuilder(index);
     }
     /**
      * <pre>
-     * The newest evacuations and ends of evacuations that the sender knows.
+     * What the sender knows from all routers.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
      */
-    public org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder getEvacuationsOrBuilder(
+    public org.wigeonwharf.gateway.peer.wire.EndedServerNewsOrBuilder getEndedServersOrBuilder(
         int index) {
-      if (evacuationsBuilder_ == null) {
-        return evacuations_.get(index);  } else {
-        return evacuationsBuilder_.getMessageOrBuilder(index);
+      if (endedServersBuilder_ == null) {
+        return endedServers_.get(index);  } else {
+        return endedServersBuilder_.getMessageOrBuilder(index);
       }
     }
     /**
      * <pre>
-     * The newest evacuations and ends of evacuations that the sender knows.
+     * What the sender knows from all routers.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
      */
-    public java.util.List<? extends org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder> 
-         getEvacuationsOrBuilderList() {
-      if (evacuationsBuilder_ != null) {
-        return evacuationsBuilder_.getMessageOrBuilderList();
+    public java.util.List<? extends org.wigeonwharf.gateway.peer.wire.EndedServerNewsOrBuilder> 
+         getEndedServersOrBuilderList() {
+      if (endedServersBuilder_ != null) {
+        return endedServersBuilder_.getMessageOrBuilderList();
       } else {
-        return java.util.Collections.unmodifiableList(evacuations_);
+        return java.util.Collections.unmodifiableList(endedServers_);
       }
     }
     /**
      * <pre>
-     * The newest evacuations and ends of evacuations that the sender knows.
+     * What the sender knows from all routers.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
      */
-    public org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder addEvacuationsBuilder() {
-      return internalGetEvacuationsFieldBuilder().addBuilder(
-          org.wigeonwharf.gateway.peer.wire.EvacuationNews.getDefaultInstance());
+    public org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder addEndedServersBuilder() {
+      return internalGetEndedServersFieldBuilder().addBuilder(
+          org.wigeonwharf.gateway.peer.wire.EndedServerNews.getDefaultInstance());
     }
     /**
      * <pre>
-     * The newest evacuations and ends of evacuations that the sender knows.
+     * What the sender knows from all routers.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
      */
-    public org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder addEvacuationsBuilder(
+    public org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder addEndedServersBuilder(
         int index) {
-      return internalGetEvacuationsFieldBuilder().addBuilder(
-          index, org.wigeonwharf.gateway.peer.wire.EvacuationNews.getDefaultInstance());
+      return internalGetEndedServersFieldBuilder().addBuilder(
+          index, org.wigeonwharf.gateway.peer.wire.EndedServerNews.getDefaultInstance());
     }
     /**
      * <pre>
-     * The newest evacuations and ends of evacuations that the sender knows.
+     * What the sender knows from all routers.
      * </pre>
      *
-     * <code>repeated .wigeonwharf.gateway.EvacuationNews evacuations = 20;</code>
+     * <code>repeated .wigeonwharf.gateway.EndedServerNews ended_servers = 32;</code>
      */
-    public java.util.List<org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder> 
-         getEvacuationsBuilderList() {
-      return internalGetEvacuationsFieldBuilder().getBuilderList();
+    public java.util.List<org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder> 
+         getEndedServersBuilderList() {
+      return internalGetEndedServersFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.wigeonwharf.gateway.peer.wire.EvacuationNews, org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder, org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder> 
-        internalGetEvacuationsFieldBuilder() {
-      if (evacuationsBuilder_ == null) {
-        evacuationsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.wigeonwharf.gateway.peer.wire.EvacuationNews, org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder, org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder>(
-                evacuations_,
+        org.wigeonwharf.gateway.peer.wire.EndedServerNews, org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder, org.wigeonwharf.gateway.peer.wire.EndedServerNewsOrBuilder> 
+        internalGetEndedServersFieldBuilder() {
+      if (endedServersBuilder_ == null) {
+        endedServersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.wigeonwharf.gateway.peer.wire.EndedServerNews, org.wigeonwharf.gateway.peer.wire.EndedServerNews.Builder, org.wigeonwharf.gateway.peer.wire.EndedServerNewsOrBuilder>(
+                endedServers_,
                 ((bitField0_ & 0x00040000) != 0),
                 getParentForChildren(),
                 isClean());
-        evacuations_ = null;
+        endedServers_ = null;
       }
-      return evacuationsBuilder_;
+      return endedServersBuilder_;
     }
 
     // @@protoc_insertion_point(builder_scope:wigeonwharf.gateway.RouterNews)
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
@@ -43,6 +43,7 @@
 import org.wigeonwharf.gateway.peer.KnownFleet;
 import org.wigeonwharf.gateway.peer.PeerGossip;
 import org.wigeonwharf.gateway.placement.InFlightTracker;
+import org.wigeonwharf.gateway.placement.PlacementMetrics;
 import org.wigeonwharf.gateway.placement.PrefixCacheIndex;
 import org.wigeonwharf.gateway.placement.ServerChooser;
 import org.wigeonwharf.gateway.placement.ServerPenalties;
@@ -147,7 +148,13 @@
     PrefixCacheIndex prefixCaches = new PrefixCacheIndex();
     this.chooser =
         new ServerChooser(
-            settings.domain(), inFlight, prefixCaches, ServerPenalties.DEFAULT, notices);
+            settings.domain(),
+            inFlight,
+            prefixCaches,
+            ServerPenalties.DEFAULT,
+            notices,
+            random,
+            new PlacementMetrics(metrics));
     this.timers = new EventLoopTimers(loop, clock);
     this.feed =
         new StoreFeed(
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipCodec.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipCodec.java
@@ -221,19 +221,6 @@
     return demand;
   }
 
-  static List<EndedServerNews> encodeEndedServers(List<EndedServer> servers) {
-    return servers.stream()
-        .map(
-            e ->
-                EndedServerNews.newBuilder()
-                    .setServer(e.id())
-                    .setStartedAt(e.startedAt())
-                    .setReplaced(e.replaced())
-                    .setAgeMillis(toMillis(e.ageNanos()))
-                    .build())
-        .toList();
-  }
-
   static List<EvacuationNews> encodeEvacuations(List<Evacuation> evacuations) {
     return evacuations.stream().map(GossipCodec::encodeEvacuation).toList();
   }
@@ -250,6 +237,27 @@
     return new Evacuation(new FailureDomain(n.getFailureDomain()), n.getActive(), n.getRevision());
   }
 
+  static List<EndedServerNews> encodeEndedServers(List<EndedServer> servers) {
+    return servers.stream()
+        .map(
+            e ->
+                EndedServerNews.newBuilder()
+                    .setServer(e.id())
+                    .setStartedAt(e.startedAt())
+                    .setReplaced(e.replaced())
+                    .setAgeMillis(toMillis(e.ageNanos()))
+                    .build())
+        .toList();
+  }
+
+  /** Decodes what a peer states of evacuations, without statements that are malformed. */
+  static List<Evacuation> decodeEvacuations(List<EvacuationNews> news) {
+    return news.stream()
+        .filter(n -> !n.getFailureDomain().isBlank() && n.getRevision() > 0)
+        .map(GossipCodec::decodeEvacuation)
+        .toList();
+  }
+
   static List<EndedServer> decodeEndedServers(List<EndedServerNews> news) {
     return news.stream()
         .map(
@@ -338,14 +346,6 @@
         n.getRevision());
   }
 
-  /** Decodes what a peer states of evacuations, without statements that are malformed. */
-  static List<Evacuation> decodeEvacuations(List<EvacuationNews> news) {
-    return news.stream()
-        .filter(n -> !n.getFailureDomain().isBlank() && n.getRevision() > 0)
-        .map(GossipCodec::decodeEvacuation)
-        .toList();
-  }
-
   private static long toThousandths(double perSecond) {
     return Math.round(perSecond * RATE_SCALE);
   }
--- a/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/Main.java
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/Main.java
@@ -20,6 +20,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.wigeonwharf.config.Fault;
+import org.wigeonwharf.config.MergedSettings;
 import org.wigeonwharf.gateway.Gateway;
 import org.wigeonwharf.gateway.GatewaySettings;
 import org.wigeonwharf.model.Lifecycle;
@@ -107,7 +108,7 @@
             .flatMap(
                 merged ->
                     GatewaySettingsReader.isGatewaySettings(merged)
-                        ? GatewaySettingsReader.check(merged).map(Main::createGateway)
+                        ? checkGateway(merged).map(Main::createGateway)
                         : RouterSettings.check(merged).map(Main::createRouter));
     if (process.isLeft()) {
       process.getLeft().forEach(f -> err.println(f));
@@ -118,6 +119,11 @@
     return runUntilStopped(process.get(), err);
   }
 
+  private static Either<List<Fault>, GatewaySettings> checkGateway(MergedSettings merged) {
+    return GatewaySettingsReader.check(
+        merged, System.getenv(GatewaySettingsReader.REGIONS_VARIABLE));
+  }
+
   private static void reload(Path file, Lifecycle process) {
     if (!(process instanceof Gateway gateway)) {
       LOG.atWarn()
@@ -126,7 +132,7 @@
       return;
     }
     Either<List<Fault>, GatewaySettings> settings =
-        RouterSettings.load(file).flatMap(GatewaySettingsReader::check);
+        RouterSettings.load(file).flatMap(Main::checkGateway);
     if (settings.isLeft()) {
       LOG.atError()
           .addKeyValue("event", "settings.refused")
