Let the rate of a server rise after its cold time

The rate that holds while a server is cold goes on after it, divided in the same way, and rises to four times within the time in which the load rises.

--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/notice/ColdServers.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/notice/ColdServers.java
@@ -13,7 +13,8 @@
 import org.wigeonwharf.model.Clock;
 
 /**
- * Keeps the requests to cold servers within the rate that their service names.
+ * Keeps the requests to cold servers within the rate that their service names, and lets the rate
+ * rise for some seconds after the cold time.
  *
  * <p>A server states in its entry and in answers how much longer it stays cold, and may turn cold
  * again. The longest of its statements counts, since they may arrive out of order. An entry counts
@@ -26,6 +27,12 @@
   /** Minimum time in ms in which the load of a server rises after its cold time. */
   private static final long MIN_RAMP_MILLIS = 2_000;
 
+  /**
+   * Factor by which the rate has grown at the end of that time, after which it is unlimited. Held
+   * requests would otherwise all be sent at the end of the cold time.
+   */
+  private static final double MAX_RAMP_FACTOR = 4;
+
   /** Time in ms for which the run of a server is remembered that is not published any more. */
   private static final long MEMORY_MILLIS = 600_000;
 
@@ -125,22 +132,24 @@
     return areAllWarm(now) ? null : cold.get(ServerRun.of(server));
   }
 
-  /** Returns the state of a server that is cold and has to be started gently, or null. */
-  private @Nullable Cold findCold(BackendServer server, long now) {
-    Cold c = find(server, now);
-    return c != null && !c.isOver(now) && coldStarts.apply(server.service()).isLimited() ? c : null;
-  }
-
-  /** Returns the time until a request may be sent, at the latest when the server is warm. */
+  /**
+   * Returns the time until a request may be sent, at the latest when the server is warm or its load
+   * has risen.
+   */
   @Override
   public double waitMillis(BackendServer server, long now) {
-    Cold c = findCold(server, now);
-    if (c == null) {
+    double coldness = coldness(server, now);
+    Cold c = find(server, now);
+    if (c == null || coldness == 0) {
       return 0;
     }
+    ColdStart start = coldStarts.apply(server.service());
     double leftMillis = (c.endsAt - now) / (double) Clock.NANOS_PER_MILLI;
-    double perSecond = coldStarts.apply(server.service()).perSecond();
-    return Math.min(leftMillis, c.share.waitMillis(perSecond, now));
+    if (coldness < 1) {
+      leftMillis += rampMillis(start);
+    }
+    double growth = 1 + (MAX_RAMP_FACTOR - 1) * (1 - coldness);
+    return Math.min(leftMillis, c.share.waitMillis(start.perSecond() * growth, now));
   }
 
   @Override
@@ -152,15 +161,18 @@
 
   @Override
   public void recordSent(BackendServer server, long now) {
-    Cold c = findCold(server, now);
-    if (c != null) {
+    Cold c = find(server, now);
+    if (c != null && coldness(server, now) > 0) {
       c.share.recordSent();
+    }
+    if (isCold(server, now)) {
       log.countColdSent();
     }
   }
 
   boolean isCold(BackendServer server, long now) {
-    return findCold(server, now) != null;
+    Cold c = find(server, now);
+    return c != null && !c.isOver(now) && coldStarts.apply(server.service()).isLimited();
   }
 
   /**
