--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
@@ -14,6 +14,12 @@
 import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.wigeonwharf.gateway.backend.BackendServer;
+import org.wigeonwharf.gateway.backend.EndedServer;
+import org.wigeonwharf.gateway.backend.EndedServers;
+import org.wigeonwharf.gateway.feed.PublishedItem;
+import org.wigeonwharf.gateway.feed.ReaderState;
+import org.wigeonwharf.gateway.feed.StoreChanges;
 import org.wigeonwharf.gateway.limit.LimitLog;
 import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.placement.Demand;
@@ -58,10 +64,10 @@
         new PromptQuarantine(new QuarantineLog(new MetricRegistry()), new Random(7), now);
     private final ServerLimits limits =
         new ServerLimits(new LimitLog(new MetricRegistry()), () -> 0, random, now);
-    private final List<Long> newerRevisions = new ArrayList<>();
+    private final EndedServers endedServers = new EndedServers();
+    private final RecordingStoreProgress store = new RecordingStoreProgress();
     private final PeerGossip gossip;
     private final String domain;
-    private long storeRevision = 1;
 
     Node(int number, String domain, String secret) {
       this.domain = domain;
@@ -75,12 +81,12 @@
               prefixCaches,
               quarantine,
               limits,
+              endedServers,
               new FleetSecret(secret),
               () -> now,
               new Random(number),
               this::send,
-              () -> storeRevision,
-              newerRevisions::add);
+              store);
       nodes.put(address(number), this);
     }
 
@@ -306,10 +312,10 @@
     Node a = addNode(1, "d");
     final Node b = addNode(2, "e");
     advanceMillis(2_000);
-    a.storeRevision = 5;
+    a.store.changeRevision = 5;
     advanceMillis(1_000);
-    assertTrue(b.newerRevisions.contains(5L));
-    assertTrue(a.newerRevisions.isEmpty());
+    assertTrue(b.store.newerRevisions.contains(5L));
+    assertTrue(a.store.newerRevisions.isEmpty());
   }
 
   @Test
@@ -497,4 +503,70 @@
     advanceMillis(2_000);
     assertEquals(0, b.inFlight.workAt("server", now).running());
   }
+
+  @Test
+  void changesOfTheStoreReachTheFailureDomainUnchangedAndNoOther() {
+    Node a = addNode(1, "d");
+    final Node b = addNode(2, "d");
+    final Node c = addNode(3, "e");
+    advanceMillis(4_000);
+    a.store.ownState = new ReaderState(300 * Clock.NANOS_PER_MILLI, -1);
+    StoreChanges changes =
+        new StoreChanges(
+            7,
+            9,
+            true,
+            List.of(
+                new PublishedItem.Server(
+                    new BackendServer(
+                        "s1",
+                        "model",
+                        address(99),
+                        new FailureDomain("e"),
+                        12,
+                        true,
+                        42,
+                        2_500,
+                        9)),
+                new PublishedItem.ServerRemoved("s2")));
+    a.gossip.passOn(changes);
+    a.gossip.passOn(new StoreChanges(9, 10, false, List.of()));
+    advanceMillis(400);
+    assertEquals(List.of(changes, new StoreChanges(9, 10, false, List.of())), b.store.changes);
+    assertTrue(c.store.changes.isEmpty());
+    assertEquals(a.store.ownState, b.store.readers.get(0));
+    assertTrue(c.store.readers.isEmpty());
+  }
+
+  @Test
+  void reconnectionOfReadersIsReported() {
+    Node a = addNode(1, "d");
+    final Node b = addNode(2, "d");
+    advanceMillis(4_000);
+    a.store.ownState = new ReaderState(0, 70 * Clock.NANOS_PER_MILLI);
+    advanceMillis(800);
+    assertEquals(70 * Clock.NANOS_PER_MILLI, b.store.readers.get(0).reconnectAgeNanos());
+  }
+
+  @Test
+  void endedServersAreKnownInAllFailureDomains() {
+    Node a = addNode(1, "d");
+    final Node b = addNode(2, "d");
+    final Node c = addNode(3, "e");
+    final Node d = addNode(4, "e");
+    advanceMillis(4_000);
+    a.endedServers.recordEnd(
+        new BackendServer("s1", "model", address(99), new FailureDomain("e"), 12, false, 42),
+        true,
+        now);
+    advanceMillis(40);
+    assertEquals(1, b.endedServers.recent(now).size());
+    advanceMillis(900);
+    for (Node n : List.of(c, d)) {
+      EndedServer e = n.endedServers.recent(now).get(0);
+      assertEquals("s1", e.id());
+      assertEquals(42, e.startedAt());
+      assertTrue(e.replaced());
+    }
+  }
 }
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/FleetSimulation.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/FleetSimulation.java
@@ -15,11 +15,14 @@
 import java.util.function.Function;
 import org.wigeonwharf.gateway.backend.BackendServer;
 import org.wigeonwharf.gateway.http.VirtualTimers;
+import org.wigeonwharf.gateway.limit.DomainShares;
+import org.wigeonwharf.gateway.limit.FixedFleet;
 import org.wigeonwharf.gateway.limit.LimitLog;
 import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.notice.NoticeLog;
 import org.wigeonwharf.gateway.notice.ServerNotices;
 import org.wigeonwharf.gateway.route.AllowedRegions;
+import org.wigeonwharf.gateway.route.ColdStart;
 import org.wigeonwharf.gateway.route.EngineSpec;
 import org.wigeonwharf.gateway.route.ServiceSpec;
 import org.wigeonwharf.model.Clock;
@@ -219,6 +222,8 @@
       this.notices =
           new ServerNotices(
               new ServerLimits(new LimitLog(metrics), () -> 0, random, timers.nanos()),
+              new DomainShares(new FixedFleet(), random),
+              service -> ColdStart.NONE,
               new NoticeLog(metrics));
       this.chooser = make.apply(this);
     }
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/ServerChooserTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/ServerChooserTest.java
@@ -18,12 +18,15 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.wigeonwharf.gateway.backend.BackendServer;
+import org.wigeonwharf.gateway.limit.DomainShares;
+import org.wigeonwharf.gateway.limit.FixedFleet;
 import org.wigeonwharf.gateway.limit.LimitLog;
 import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.notice.NoticeLog;
 import org.wigeonwharf.gateway.notice.ServerNotices;
 import org.wigeonwharf.gateway.notice.ServerStatement;
 import org.wigeonwharf.gateway.route.AllowedRegions;
+import org.wigeonwharf.gateway.route.ColdStart;
 import org.wigeonwharf.gateway.route.EngineSpec;
 import org.wigeonwharf.gateway.route.ServiceSpec;
 import org.wigeonwharf.model.Clock;
@@ -46,6 +49,8 @@
   private final ServerNotices notices =
       new ServerNotices(
           new ServerLimits(new LimitLog(metrics), () -> 0, new Random(7), 0),
+          new DomainShares(new FixedFleet(), new Random(7)),
+          service -> ColdStart.NONE,
           new NoticeLog(metrics));
   private final ServerChooser chooser = chooser(0);
   private final List<BackendServer> servers = new ArrayList<>();
@@ -121,8 +126,10 @@
   @Test
   void heartbeatsOfServersCauseNoPassOverAllOfThem() {
     for (int i = 0; i < 100; i++) {
+      long revision = i;
       servers.clear();
       addServers(100);
+      servers.replaceAll(s -> s.withCold(0, revision));
       chooser.retainServers(servers.stream().map(BackendServer::id).toList());
       Demand d = randomDemand();
       chooser.recordSent(d, choose(d, Set.of(), true), now);
@@ -147,7 +154,7 @@
         if (reason == 1) {
           tried.add(s.id());
         } else if (reason == 2) {
-          notices.recordAnswer(s, new ServerStatement(true, false, 5.0, null), now);
+          notices.recordAnswer(s, new ServerStatement(true, false, 5.0, null, null), now);
         } else if (reason == 3) {
           usable.add(s.id());
         }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerChooser.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerChooser.java
@@ -87,8 +87,8 @@
   }
 
   /**
-   * Chooses the server with the lowest cost among some candidates. If none of these is sound, has a
-   * free slot and may receive the request now, all servers are compared.
+   * Chooses the server with the lowest cost among some candidates. If none of these is sound and
+   * warm, has a free slot and may receive the request now, all servers are compared.
    *
    * @param demand the request
    * @param service the service's description, or null if it is not published
@@ -115,12 +115,15 @@
       Set<BackendServer> drawn = pool.draw(demand, ownerId, domain, prefixCaches, random);
       Selection some = select(demand, policy, pool, drawn, ownerId, tried, now);
       Candidate best = some.best;
-      if (best != null && best.hasFreeSlot() && !some.isWorthWaiting(demand, policy)) {
+      if (best != null
+          && best.hasFreeSlot()
+          && notices.coldness(best.server(), now) == 0
+          && !some.isWorthWaiting(demand, policy)) {
         return toChoice(demand, engine, policy, some, best, firstChoice, now);
       }
       metrics.recordFullScan();
     }
-    Selection all = select(demand, policy, pool, servers, ownerId, tried, now);
+    Selection all = select(demand, policy, pool, pool.servers(), ownerId, tried, now);
     Candidate best = all.best;
     if (best == null || canWait && all.isWorthWaiting(demand, policy)) {
       recordDemand(all, firstChoice, now);
@@ -173,6 +176,7 @@
     for (Candidate c : s.candidates) {
       double cost =
           tried.contains(c.server().id()) ? Double.POSITIVE_INFINITY : policy.cost(demand, c);
+      cost += ColdStartCost.millis(demand, !tried.isEmpty(), notices.coldness(c.server(), now));
       double waitMillis = notices.waitMillis(c.server(), now);
       double preference = notices.isClosed(c.server(), now) ? cost + CLOSED_PENALTY_MILLIS : cost;
       if (preference < preferredCost) {
@@ -199,7 +203,7 @@
       long now) {
     recordDemand(s, firstChoice, now);
     metrics.recordChosen(best);
-    BackendServer source = cacheSource(demand, engine, s.candidates, best);
+    BackendServer source = cacheSource(demand, engine, s.candidates, best, now);
     return new Choice(best, s.lowestCost, source, policy.prefillTokens(demand, best));
   }
 
@@ -213,7 +217,7 @@
       Demand demand, @Nullable EngineSpec engine, List<BackendServer> servers, long now) {
     PoolKey key = new PoolKey(demand.service(), demand.regions());
     SurveyedPool p = pools.get(key);
-    boolean created = p == null || !p.pool.isOf(servers);
+    boolean created = p == null || !p.pool.adopt(servers);
     if (p == null || created) {
       p = new SurveyedPool(new ServerPool(servers));
       pools.put(key, p);
@@ -266,18 +270,22 @@
    * it cached. If none is known and the prefix is long, it is the prefix owner, which may have it
    * cached without this router knowing.
    */
-  private static @Nullable BackendServer cacheSource(
-      Demand demand, @Nullable EngineSpec engine, List<Candidate> candidates, Candidate best) {
+  private @Nullable BackendServer cacheSource(
+      Demand demand,
+      @Nullable EngineSpec engine,
+      List<Candidate> candidates,
+      Candidate best,
+      long now) {
     int missingTokens = demand.sharedPrefixTokens() - best.cachedTokens();
     if (engine == null || !engine.canFetch() || missingTokens < MIN_FETCH_TOKENS) {
       return null;
     }
-    Candidate holder = largestHolder(candidates);
+    Candidate holder = largestHolder(candidates, now);
     if (holder != null && best.cachedElsewhereTokens() >= MIN_FETCH_TOKENS) {
       return holder.server();
     }
     for (Candidate c : candidates) {
-      boolean mayHold = c.prefixOwner() && c != best && c.state() == Candidate.State.SOUND;
+      boolean mayHold = c.prefixOwner() && c != best && isSource(c, now);
       if (mayHold && missingTokens >= MIN_SPECULATIVE_FETCH_TOKENS) {
         return c.server();
       }
@@ -285,17 +293,22 @@
     return null;
   }
 
-  private static @Nullable Candidate largestHolder(List<Candidate> candidates) {
+  private @Nullable Candidate largestHolder(List<Candidate> candidates, long now) {
     Candidate holder = null;
     for (Candidate c : candidates) {
       boolean more = holder == null || c.cachedTokens() > holder.cachedTokens();
-      if (c.state() == Candidate.State.SOUND && more) {
+      if (more && isSource(c, now)) {
         holder = c;
       }
     }
     return holder;
   }
 
+  /** Returns whether prompts may be fetched from a server, which also loads it. */
+  private boolean isSource(Candidate c, long now) {
+    return c.state() == Candidate.State.SOUND && !notices.isCold(c.server(), now);
+  }
+
   private List<Candidate> candidates(
       Demand demand,
       ServerPool pool,
@@ -304,7 +317,7 @@
       long now) {
     int maxCachedTokens = 0;
     for (BackendServer s : servers) {
-      if (stats(s.id(), now).state(now) == Candidate.State.SOUND) {
+      if (stats(s.id(), now).state(now) == Candidate.State.SOUND && !notices.isCold(s, now)) {
         maxCachedTokens =
             Math.max(maxCachedTokens, prefixCaches.cachedTokens(s.id(), demand.parts()));
       }
@@ -314,7 +327,23 @@
       int rank = pool.packingRank(s);
       found.add(toCandidate(demand, s, rank, s.id().equals(ownerId), maxCachedTokens, now));
     }
-    return found;
+    return notices.areAllWarm(now) ? found : withRisingLoad(found, now);
+  }
+
+  /**
+   * Adds a part of the mean load to servers that are cold or were so a moment ago. All routers
+   * would otherwise prefer them at once.
+   */
+  private List<Candidate> withRisingLoad(List<Candidate> candidates, long now) {
+    double meanLoad =
+        candidates.stream()
+            .filter(c -> notices.coldness(c.server(), now) == 0)
+            .mapToInt(Candidate::load)
+            .average()
+            .orElse(0);
+    return candidates.stream()
+        .map(c -> c.withAddedLoad(notices.coldness(c.server(), now) * meanLoad))
+        .toList();
   }
 
   private Candidate toCandidate(
@@ -415,6 +444,16 @@
     stats(server, now).recordUnreachable(now);
   }
 
+  /**
+   * Records that a server refused the connection of another router.
+   *
+   * @param server the server's id
+   * @param now the current time in nanoseconds
+   */
+  public void recordRefusedElsewhere(String server, long now) {
+    stats(server, now).recordRefusedElsewhere(now);
+  }
+
   /**
    * Removes all servers except the given ones.
    *
--- a/platform.test/src/test/java/org/wigeonwharf/platform/ConfigurationDecoderTest.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/ConfigurationDecoderTest.java
@@ -9,7 +9,10 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.wigeonwharf.gateway.route.AllowedRegions;
+import org.wigeonwharf.gateway.route.ColdStart;
 import org.wigeonwharf.gateway.route.EngineSpec;
 import org.wigeonwharf.gateway.route.RequestKind;
 import org.wigeonwharf.gateway.route.Route;
@@ -36,7 +39,7 @@
        "services":[
         {"name":"s1","max-conns":620,"engine":{"slots":128,"kv-capacity":797615,
          "kv-token-bytes":18000,"link-mbps":180000.0}},
-        {"name":"s2","max-conns":110}],
+        {"name":"s2","max-conns":110,"cold-s":3.0,"cold-per-s":15}],
        "limits":{"max-header-bytes":16000,"max-body-bytes":4000000,"header-timeout-ms":3000,
          "idle-timeout-ms":15000},
        "tenants":[{"name":"t1","api-keys":["k1","k2"],"priority":1},
@@ -67,12 +70,43 @@
     assertEquals(2, r2.maxAttempts());
     assertTrue(t.find("host.example", "/c/").open());
     assertEquals(new EngineSpec(128, 797_615, 1_250), t.service("s1").engine());
+    assertEquals(ColdStart.NONE, t.service("s1").coldStart());
+    assertEquals(new ColdStart(3, 15), t.service("s2").coldStart());
     assertEquals(16_000, t.limits().maxHeaderBytes());
     assertEquals(1, t.account("k2").priority().getAsInt());
     assertFalse(t.account("k3").priority().isPresent());
     assertTrue(t.requiresKeys());
   }
 
+  @Test
+  void allowedRegionsOfRoutesAndAccountsAreDecoded() throws IOException {
+    RouteTable t =
+        decode(
+            VALID
+                .replace("\"sticky\":true", "\"sticky\":true,\"allowed-regions\":[\"a\",\"b\"]")
+                .replace("\"can-resume\":true", "\"can-resume\":true,\"allowed-regions\":[]")
+                .replace("\"name\":\"t1\"", "\"name\":\"t1\",\"allowed-regions\":[\"b\",\"c\"]")
+                .replace("\"name\":\"t2\"", "\"name\":\"t2\",\"allowed-regions\":null"));
+    Route restricted = t.find("host.example", "/a/");
+    assertEquals(AllowedRegions.of(Set.of("a", "b")), restricted.regions());
+    assertEquals(AllowedRegions.ALL, t.find("host.example", "/b/").regions());
+    assertEquals(AllowedRegions.ALL, t.find("host.example", "/c/").regions());
+    assertEquals(AllowedRegions.of(Set.of("b", "c")), t.account("k1").regions());
+    assertEquals(AllowedRegions.ALL, t.account("k3").regions());
+    assertEquals(AllowedRegions.of(Set.of("b")), RouteTable.regions(restricted, t.account("k1")));
+  }
+
+  // Guards against requests that leave their regions because a restriction was not understood.
+  @Test
+  void malformedRegionsRejectTheConfiguration() {
+    for (String regions : List.of("\"a\"", "{}", "[3]", "[\"\"]", "[null]", "false", "[[\"a\"]]")) {
+      for (String entry : List.of("\"name\":\"r1\"", "\"name\":\"t1\"")) {
+        String text = VALID.replace(entry, entry + ",\"allowed-regions\":" + regions);
+        assertThrows(IOException.class, () -> decode(text), regions);
+      }
+    }
+  }
+
   // Guards against a configuration that is refused, or loses a priority, over the form of a figure.
   @Test
   void figureMayBeWrittenWithFraction() throws IOException {
@@ -122,6 +156,8 @@
             new String[] {"\"version\":7", "\"version\":7.5"},
             new String[] {"\"version\":7", "\"version\":1e300"},
             new String[] {"\"weight\":90", "\"weight\":0.5"},
+            new String[] {"\"cold-per-s\":15", "\"cold-per-s\":-1"},
+            new String[] {"\"cold-per-s\":15", "\"cold-per-s\":\"15\""},
             new String[] {"\"service\":\"s1\"", "\"service\":\"nowhere\""},
             new String[] {"\"weight\":90", "\"weight\":\"all\""},
             new String[] {"\"kind\":\"safe\"", "\"kind\":null"},
