--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/GossipFuzzTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/GossipFuzzTest.java
@@ -12,6 +12,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.wigeonwharf.gateway.backend.EndedServers;
+import org.wigeonwharf.gateway.evacuation.Evacuations;
 import org.wigeonwharf.gateway.limit.LimitLog;
 import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.peer.wire.RouterNews;
@@ -89,6 +90,7 @@
         new PromptQuarantine(new QuarantineLog(new MetricRegistry()), random, now);
     ServerLimits limits =
         new ServerLimits(new LimitLog(new MetricRegistry()), () -> 0, random, now);
+    Evacuations evacuations = new Evacuations();
     PeerGossip gossip =
         new PeerGossip(
             new NodeId("vm1", 1),
@@ -100,6 +102,7 @@
             quarantine,
             limits,
             new EndedServers(),
+            evacuations,
             SECRET,
             () -> now,
             random,
@@ -115,6 +118,7 @@
       gossip.tick();
       quarantine.find(List.of("sound"), now);
       limits.waitMillis("s1", now);
+      evacuations.isEvacuated(new FailureDomain("d1"));
     }
     assertTrue(quarantine.find(List.of("sound"), now) == null);
     assertTrue(longestMessage <= GossipTransport.MAX_DATAGRAM_BYTES, longestMessage + " bytes");
--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/GatewayProto.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/GatewayProto.java
@@ -101,6 +101,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_wigeonwharf_gateway_StoreChangesNews_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_wigeonwharf_gateway_EvacuationNews_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_wigeonwharf_gateway_EvacuationNews_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_wigeonwharf_gateway_RouterNews_descriptor;
   static final 
@@ -164,29 +169,32 @@
       "oved_server\030\002 \001(\tH\000B\006\n\004item\"x\n\020StoreChan" +
       "gesNews\022\r\n\005after\030\001 \001(\003\022\020\n\010revision\030\002 \001(\003" +
       "\022\020\n\010complete\030\003 \001(\010\0221\n\005items\030\004 \003(\0132\".wige" +
-      "onwharf.gateway.StoreItemNews\"\367\005\n\nRouter" +
-      "News\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022" +
-      "\020\n\010sequence\030\003 \001(\003\022-\n\004self\030\004 \001(\0132\037.wigeon" +
-      "wharf.gateway.MemberNews\022\017\n\007leaving\030\006 \001(" +
-      "\010\0221\n\004work\030\007 \003(\0132#.wigeonwharf.gateway.Se" +
-      "rverWorkNews\0220\n\007members\030\010 \003(\0132\037.wigeonwh" +
-      "arf.gateway.MemberNews\0222\n\005reads\030\t \003(\0132#." +
-      "wigeonwharf.gateway.PromptReadNews\0225\n\tsu" +
-      "mmaries\030\n \003(\0132\".wigeonwharf.gateway.Doma" +
-      "inSummary\022\026\n\016summaries_sent\030\013 \001(\010\022\027\n\017rep" +
-      "ly_requested\030\014 \001(\010\022\026\n\016store_revision\030\r \001" +
-      "(\003\0227\n\nquarantine\030\016 \001(\0132#.wigeonwharf.gat" +
-      "eway.QuarantineNews\0224\n\006limits\030\017 \003(\0132$.wi" +
-      "geonwharf.gateway.ServerLimitNews\0225\n\006dem" +
-      "and\030\020 \003(\0132%.wigeonwharf.gateway.ServerDe" +
-      "mandNews\0224\n\006reader\030\036 \001(\0132$.wigeonwharf.g" +
-      "ateway.StoreReaderNews\022<\n\rstore_changes\030" +
-      "\037 \003(\0132%.wigeonwharf.gateway.StoreChanges" +
-      "News\022;\n\rended_servers\030  \003(\0132$.wigeonwhar" +
-      "f.gateway.EndedServerNewsJ\004\010\005\020\006\"-\n\nSigne" +
-      "dNews\022\014\n\004news\030\001 \001(\014\022\021\n\tsignature\030\002 \001(\014B3" +
-      "\n!org.wigeonwharf.gateway.peer.wireB\014Gat" +
-      "ewayProtoP\001b\006proto3"
+      "onwharf.gateway.StoreItemNews\"J\n\016Evacuat" +
+      "ionNews\022\026\n\016failure_domain\030\001 \001(\t\022\016\n\006activ" +
+      "e\030\002 \001(\010\022\020\n\010revision\030\003 \001(\003\"\261\006\n\nRouterNews" +
+      "\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\020\n\010s" +
+      "equence\030\003 \001(\003\022-\n\004self\030\004 \001(\0132\037.wigeonwhar" +
+      "f.gateway.MemberNews\022\017\n\007leaving\030\006 \001(\010\0221\n" +
+      "\004work\030\007 \003(\0132#.wigeonwharf.gateway.Server" +
+      "WorkNews\0220\n\007members\030\010 \003(\0132\037.wigeonwharf." +
+      "gateway.MemberNews\0222\n\005reads\030\t \003(\0132#.wige" +
+      "onwharf.gateway.PromptReadNews\0225\n\tsummar" +
+      "ies\030\n \003(\0132\".wigeonwharf.gateway.DomainSu" +
+      "mmary\022\026\n\016summaries_sent\030\013 \001(\010\022\027\n\017reply_r" +
+      "equested\030\014 \001(\010\022\026\n\016store_revision\030\r \001(\003\0227" +
+      "\n\nquarantine\030\016 \001(\0132#.wigeonwharf.gateway" +
+      ".QuarantineNews\0224\n\006limits\030\017 \003(\0132$.wigeon" +
+      "wharf.gateway.ServerLimitNews\0225\n\006demand\030" +
+      "\020 \003(\0132%.wigeonwharf.gateway.ServerDemand" +
+      "News\0224\n\006reader\030\036 \001(\0132$.wigeonwharf.gatew" +
+      "ay.StoreReaderNews\022<\n\rstore_changes\030\037 \003(" +
+      "\0132%.wigeonwharf.gateway.StoreChangesNews" +
+      "\022;\n\rended_servers\030  \003(\0132$.wigeonwharf.ga" +
+      "teway.EndedServerNews\0228\n\013evacuations\030\024 \003" +
+      "(\0132#.wigeonwharf.gateway.EvacuationNewsJ" +
+      "\004\010\005\020\006\"-\n\nSignedNews\022\014\n\004news\030\001 \001(\014\022\021\n\tsig" +
+      "nature\030\002 \001(\014B3\n!org.wigeonwharf.gateway." +
+      "peer.wireB\014GatewayProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -282,14 +290,20 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_StoreChangesNews_descriptor,
         new java.lang.String[] { "After", "Revision", "Complete", "Items", });
-    internal_static_wigeonwharf_gateway_RouterNews_descriptor =
+    internal_static_wigeonwharf_gateway_EvacuationNews_descriptor =
       getDescriptor().getMessageType(15);
+    internal_static_wigeonwharf_gateway_EvacuationNews_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_wigeonwharf_gateway_EvacuationNews_descriptor,
+        new java.lang.String[] { "FailureDomain", "Active", "Revision", });
+    internal_static_wigeonwharf_gateway_RouterNews_descriptor =
+      getDescriptor().getMessageType(16);
     internal_static_wigeonwharf_gateway_RouterNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_RouterNews_descriptor,
-        new java.lang.String[] { "Name", "Incarnation", "Sequence", "Self", "Leaving", "Work", "Members", "Reads", "Summaries", "SummariesSent", "ReplyRequested", "StoreRevision", "Quarantine", "Limits", "Demand", "Reader", "StoreChanges", "EndedServers", });
+        new java.lang.String[] { "Name", "Incarnation", "Sequence", "Self", "Leaving", "Work", "Members", "Reads", "Summaries", "SummariesSent", "ReplyRequested", "StoreRevision", "Quarantine", "Limits", "Demand", "Reader", "StoreChanges", "EndedServers", "Evacuations", });
     internal_static_wigeonwharf_gateway_SignedNews_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(17);
     internal_static_wigeonwharf_gateway_SignedNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonwharf_gateway_SignedNews_descriptor,
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipCodec.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipCodec.java
@@ -9,12 +9,14 @@
 import java.util.Set;
 import org.wigeonwharf.gateway.backend.BackendServer;
 import org.wigeonwharf.gateway.backend.EndedServer;
+import org.wigeonwharf.gateway.evacuation.Evacuation;
 import org.wigeonwharf.gateway.feed.PublishedItem;
 import org.wigeonwharf.gateway.feed.ReaderState;
 import org.wigeonwharf.gateway.feed.StoreChanges;
 import org.wigeonwharf.gateway.limit.NamedLimit;
 import org.wigeonwharf.gateway.limit.ServerDemand;
 import org.wigeonwharf.gateway.peer.wire.EndedServerNews;
+import org.wigeonwharf.gateway.peer.wire.EvacuationNews;
 import org.wigeonwharf.gateway.peer.wire.PromptReadNews;
 import org.wigeonwharf.gateway.peer.wire.ProvenPartNews;
 import org.wigeonwharf.gateway.peer.wire.PublishedServerNews;
@@ -232,6 +234,18 @@
         .toList();
   }
 
+  static List<EvacuationNews> encodeEvacuations(List<Evacuation> evacuations) {
+    return evacuations.stream()
+        .map(
+            e ->
+                EvacuationNews.newBuilder()
+                    .setFailureDomain(e.domain().value())
+                    .setActive(e.active())
+                    .setRevision(e.revision())
+                    .build())
+        .toList();
+  }
+
   static List<EndedServer> decodeEndedServers(List<EndedServerNews> news) {
     return news.stream()
         .map(
@@ -316,6 +330,17 @@
         n.getRevision());
   }
 
+  /** Decodes what a peer states of evacuations, without statements that are malformed. */
+  static List<Evacuation> decodeEvacuations(List<EvacuationNews> news) {
+    return news.stream()
+        .filter(n -> !n.getFailureDomain().isBlank() && n.getRevision() > 0)
+        .map(
+            n ->
+                new Evacuation(
+                    new FailureDomain(n.getFailureDomain()), n.getActive(), n.getRevision()))
+        .toList();
+  }
+
   private static long toThousandths(double perSecond) {
     return Math.round(perSecond * RATE_SCALE);
   }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipTransport.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipTransport.java
@@ -20,6 +20,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.wigeonwharf.gateway.backend.EndedServers;
+import org.wigeonwharf.gateway.evacuation.Evacuations;
 import org.wigeonwharf.gateway.feed.StoreChanges;
 import org.wigeonwharf.gateway.feed.StoreProgress;
 import org.wigeonwharf.gateway.limit.ServerLimits;
@@ -63,6 +64,7 @@
    * @param quarantine supplies and receives what is known of prompts that crash servers
    * @param limits supplies and receives the limits of servers and the demand for them
    * @param endedServers supplies and receives the servers that no longer answer
+   * @param evacuations supplies and receives the evacuated failure domains
    * @param secret signs and verifies messages
    * @param clock monotonic clock
    * @param store exchanges what the routers have read from the store
@@ -78,6 +80,7 @@
       PromptQuarantine quarantine,
       ServerLimits limits,
       EndedServers endedServers,
+      Evacuations evacuations,
       FleetSecret secret,
       Clock clock,
       StoreProgress store) {
@@ -95,6 +98,7 @@
             quarantine,
             limits,
             endedServers,
+            evacuations,
             secret,
             clock,
             new Random(self.incarnation()),
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerGossip.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerGossip.java
@@ -14,6 +14,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.wigeonwharf.gateway.backend.EndedServers;
+import org.wigeonwharf.gateway.evacuation.Evacuations;
 import org.wigeonwharf.gateway.feed.ReaderState;
 import org.wigeonwharf.gateway.feed.StoreChanges;
 import org.wigeonwharf.gateway.feed.StoreProgress;
@@ -135,6 +136,7 @@
   private final PromptQuarantine quarantine;
   private final ServerLimits limits;
   private final EndedServers endedServers;
+  private final Evacuations evacuations;
   private final GossipCodec codec;
   private final Clock clock;
   private final Random random;
@@ -175,6 +177,7 @@
    * @param quarantine supplies and receives what is known of prompts that crash servers
    * @param limits supplies and receives the limits of servers and the demand for them
    * @param endedServers supplies and receives the servers that no longer answer
+   * @param evacuations supplies and receives the evacuated failure domains
    * @param secret signs and verifies messages
    * @param clock monotonic clock
    * @param random chooses receivers and the peers to list
@@ -191,6 +194,7 @@
       PromptQuarantine quarantine,
       ServerLimits limits,
       EndedServers endedServers,
+      Evacuations evacuations,
       FleetSecret secret,
       Clock clock,
       Random random,
@@ -205,6 +209,7 @@
     this.quarantine = quarantine;
     this.limits = limits;
     this.endedServers = endedServers;
+    this.evacuations = evacuations;
     this.codec = new GossipCodec(secret);
     this.clock = clock;
     this.random = random;
@@ -425,6 +430,7 @@
         .addAllLimits(GossipCodec.encodeLimits(limits.limits(clock.nanos())))
         .addAllDemand(GossipCodec.encodeDemand(limits.demand(clock.nanos())))
         .addAllEndedServers(GossipCodec.encodeEndedServers(endedServers.recent(clock.nanos())))
+        .addAllEvacuations(GossipCodec.encodeEvacuations(evacuations.advertised()))
         .setLeaving(leaving);
   }
 
@@ -496,6 +502,7 @@
     mergeQuarantine(state, sameDomain, now);
     limits.merge(GossipCodec.decodeLimits(state.getLimitsList()), now);
     endedServers.merge(GossipCodec.decodeEndedServers(state.getEndedServersList()), now);
+    evacuations.merge(GossipCodec.decodeEvacuations(state.getEvacuationsList()));
     state.getSummariesList().forEach(s -> applySummary(s, !sameDomain, now));
     if (sameDomain) {
       applyStoreChanges(state);
