--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/ServerChooserTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/placement/ServerChooserTest.java
@@ -126,8 +126,10 @@
   @Test
   void heartbeatsOfServersCauseNoPassOverAllOfThem() {
     for (int i = 0; i < 100; i++) {
+      long revision = i;
       servers.clear();
       addServers(100);
+      servers.replaceAll(s -> s.withCold(0, revision));
       chooser.retainServers(servers.stream().map(BackendServer::id).toList());
       Demand d = randomDemand();
       chooser.recordSent(d, choose(d, Set.of(), true), now);
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerPool.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerPool.java
@@ -48,11 +48,11 @@
    */
   private static final double MIN_INTERACTIVE_FRACTION = 0.15;
 
-  private final List<BackendServer> servers;
   private final Map<String, Integer> positions = new HashMap<>();
-  private final Map<FailureDomain, List<BackendServer>> byDomain = new HashMap<>();
+  private final Map<FailureDomain, List<Integer>> byDomain = new HashMap<>();
   private final int[] serversAfter;
   private final int slots;
+  private List<BackendServer> servers;
   private int interactiveSetSize = 1;
 
   /**
@@ -65,30 +65,45 @@
     this.serversAfter = new int[servers.size()];
     this.slots = servers.stream().mapToInt(BackendServer::slots).max().orElse(1);
     for (BackendServer s : servers) {
+      byDomain.computeIfAbsent(s.domain(), d -> new ArrayList<>()).add(positions.size());
       positions.put(s.id(), positions.size());
-      byDomain.computeIfAbsent(s.domain(), d -> new ArrayList<>()).add(s);
     }
-    for (List<BackendServer> domain : byDomain.values()) {
+    for (List<Integer> domain : byDomain.values()) {
       for (int i = 0; i < domain.size(); i++) {
-        serversAfter[position(domain.get(i).id())] = domain.size() - 1 - i;
+        serversAfter[domain.get(i)] = domain.size() - 1 - i;
       }
     }
   }
 
-  /** Tells whether the pool consists of the given servers, which the store may publish anew. */
-  boolean isOf(List<BackendServer> others) {
-    if (others.size() != servers.size()) {
+  /**
+   * Adopts the present state of the pool's servers, as published last.
+   *
+   * @param current servers in the order of their ids
+   * @return false if these are other servers than those of the pool
+   */
+  boolean adopt(List<BackendServer> current) {
+    if (current.size() != servers.size()) {
       return false;
     }
-    for (int i = 0; i < others.size(); i++) {
-      BackendServer server = servers.get(i);
-      if (others.get(i) != server && !others.get(i).equals(server)) {
+    boolean same = true;
+    for (int i = 0; i < current.size(); i++) {
+      BackendServer a = current.get(i);
+      BackendServer b = servers.get(i);
+      same &= a == b;
+      if (a != b && !hasSamePlace(a, b)) {
         return false;
       }
     }
+    if (!same) {
+      servers = List.copyOf(current);
+    }
     return true;
   }
 
+  private static boolean hasSamePlace(BackendServer a, BackendServer b) {
+    return a.id().equals(b.id()) && a.domain().equals(b.domain()) && a.slots() == b.slots();
+  }
+
   /** Tells whether all servers of the pool are among the known ones. */
   boolean isWithin(Set<String> known) {
     return known.containsAll(positions.keySet());
@@ -154,16 +169,16 @@
         .holders(demand.parts(), positions::containsKey, MAX_HOLDERS)
         .forEach(id -> drawn.add(server(id)));
     boolean sensitive = demand.latencySensitivity() > 0;
-    List<BackendServer> local = byDomain.getOrDefault(domain, List.of());
+    List<Integer> local = byDomain.getOrDefault(domain, List.of());
     for (int i = 0; i < LOCAL_DRAWS && !local.isEmpty(); i++) {
       drawn.add(drawFrom(local, sensitive, random));
     }
     for (int i = 0; i < DRAWS; i++) {
       BackendServer any = servers.get(random.nextInt(servers.size()));
-      drawn.add(drawFrom(byDomain.getOrDefault(any.domain(), servers), sensitive, random));
+      drawn.add(drawFrom(byDomain.getOrDefault(any.domain(), local), sensitive, random));
     }
     if (sensitive && local.size() > interactiveSetSize) {
-      drawn.add(local.get(local.size() - interactiveSetSize - 1));
+      drawn.add(servers.get(local.get(local.size() - interactiveSetSize - 1)));
     }
     return drawn;
   }
@@ -176,12 +191,12 @@
     return servers.get(position(id));
   }
 
-  private BackendServer drawFrom(
-      List<BackendServer> domain, boolean sensitive, RandomGenerator random) {
+  private BackendServer drawFrom(List<Integer> domain, boolean sensitive, RandomGenerator random) {
     int others = Math.max(0, domain.size() - interactiveSetSize);
-    if (sensitive) {
-      return domain.get(others + random.nextInt(domain.size() - others));
-    }
-    return domain.get(random.nextInt(others > 0 ? others : domain.size()));
+    int drawn =
+        sensitive
+            ? others + random.nextInt(domain.size() - others)
+            : random.nextInt(others > 0 ? others : domain.size());
+    return servers.get(domain.get(drawn));
   }
 }
