--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreSilenceTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreSilenceTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.wigeonwharf.gateway.backend.ServerDirectory;
+import org.wigeonwharf.gateway.evacuation.Evacuations;
 import org.wigeonwharf.gateway.http.VirtualTimers;
 import org.wigeonwharf.gateway.route.CallerLimits;
 import org.wigeonwharf.gateway.route.RouteTable;
@@ -101,12 +102,24 @@
   private void tell(int number) {
     for (StoreFeed other : feeds) {
       if (other != feeds.get(number)) {
+        ReaderState state = feeds.get(number).readerState();
+        if (state != null) {
+          other.onPeerReader(state);
+        }
         other.onPeerRevision(feeds.get(number).changeRevision());
       }
     }
     timers.schedule(MESSAGE_INTERVAL_MILLIS * Clock.NANOS_PER_MILLI, () -> tell(number));
   }
 
+  private void passOn(int number, StoreChanges changes) {
+    for (StoreFeed other : feeds) {
+      if (other != feeds.get(number)) {
+        other.onPeerChanges(changes);
+      }
+    }
+  }
+
   private void startFleet(int routers, long seed) {
     Random random = new Random(seed);
     for (int i = 0; i < routers; i++) {
@@ -115,10 +128,12 @@
           new StoreFeed(
               new Store(),
               new ServerDirectory(0),
+              new Evacuations(),
               timers,
               new Random(seed + i),
               () -> number < FREQUENT_READERS,
               () -> {},
+              changes -> passOn(number, changes),
               new MetricRegistry());
       feeds.add(feed);
       timers.schedule(random.nextInt(300) * Clock.NANOS_PER_MILLI, feed::start);
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
@@ -13,9 +13,16 @@
 import java.util.Random;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
 import org.wigeonwharf.gateway.backend.BackendServer;
+import org.wigeonwharf.gateway.backend.EndedServers;
 import org.wigeonwharf.gateway.backend.ServerDirectory;
 import org.wigeonwharf.gateway.eligibility.EligibleServers;
+import org.wigeonwharf.gateway.eligibility.EvacuationFilter;
+import org.wigeonwharf.gateway.eligibility.RegionFilter;
+import org.wigeonwharf.gateway.evacuation.Evacuations;
+import org.wigeonwharf.gateway.limit.DomainShares;
+import org.wigeonwharf.gateway.limit.FixedFleet;
 import org.wigeonwharf.gateway.limit.LimitLog;
 import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.notice.NoticeLog;
@@ -29,7 +36,10 @@
 import org.wigeonwharf.gateway.quarantine.QuarantineLog;
 import org.wigeonwharf.gateway.retry.RetryBudget;
 import org.wigeonwharf.gateway.route.Account;
+import org.wigeonwharf.gateway.route.AllowedRegions;
 import org.wigeonwharf.gateway.route.CallerLimits;
+import org.wigeonwharf.gateway.route.ColdStart;
+import org.wigeonwharf.gateway.route.EngineSpec;
 import org.wigeonwharf.gateway.route.RequestKind;
 import org.wigeonwharf.gateway.route.Route;
 import org.wigeonwharf.gateway.route.RouteTable;
@@ -45,12 +55,15 @@
   private static final FailureDomain DOMAIN = new FailureDomain("here");
   private static final long WINDOW_NANOS = 10 * Clock.NANOS_PER_SECOND;
 
+  final EndedServers endedServers = new EndedServers();
   final VirtualTimers timers;
   final InFlightTracker inFlight = new InFlightTracker(1_500 * Clock.NANOS_PER_MILLI);
   final PrefixCacheIndex prefixCaches = new PrefixCacheIndex();
   final ServerDirectory directory = new ServerDirectory(0);
   final RetryBudget budget = new RetryBudget(WINDOW_NANOS, slack -> slack);
   final List<FakeAttempt> attempts = new ArrayList<>();
+  final Evacuations evacuations = new Evacuations();
+  final RegionFilter regions = new RegionFilter(Map.of());
   final PromptQuarantine quarantine;
   final ServerLimits limits;
   final ServerNotices notices;
@@ -59,6 +72,7 @@
   final ExchangeManager exchanges;
   int routers = 1;
   private RouteTable routes;
+  ColdStart coldStart = ColdStart.NONE;
 
   /** Records a request passed to the connector and lets the test respond to it. */
   static final class FakeAttempt implements Attempt {
@@ -152,13 +166,18 @@
     long now = timers.nanos();
     quarantine = new PromptQuarantine(new QuarantineLog(new MetricRegistry()), new Random(7), now);
     limits = new ServerLimits(new LimitLog(new MetricRegistry()), () -> 0, new Random(7), now);
-    notices = new ServerNotices(limits, new NoticeLog(new MetricRegistry()));
+    notices =
+        new ServerNotices(
+            limits,
+            new DomainShares(new FixedFleet(), new Random(7)),
+            service -> coldStart,
+            new NoticeLog(new MetricRegistry()));
     budget.setLimits(0.5, 100);
     exchanges =
         new ExchangeManager(
             () -> routes,
             directory,
-            new EligibleServers(directory, List.of()),
+            new EligibleServers(directory, List.of(new EvacuationFilter(evacuations), regions)),
             new ServerChooser(DOMAIN, inFlight, prefixCaches, ServerPenalties.DEFAULT, notices),
             notices,
             OverloadControl.create(() -> routers, new Random(7)),
@@ -166,6 +185,7 @@
             new TestProtocol(),
             this::recordAttempt,
             quarantine,
+            endedServers,
             (server, callback) -> timers.schedule(0, () -> callback.accept(liveness.apply(server))),
             timers,
             new RequestLog(timers, new MetricRegistry()),
@@ -182,6 +202,14 @@
   }
 
   static RouteTable table(long version) {
+    return table(version, kind -> AllowedRegions.ALL, AllowedRegions.ALL, null);
+  }
+
+  static RouteTable table(
+      long version,
+      Function<RequestKind, AllowedRegions> routeRegions,
+      AllowedRegions accountRegions,
+      @Nullable EngineSpec engine) {
     List<Route> routes = new ArrayList<>();
     for (RequestKind kind : RequestKind.values()) {
       routes.add(
@@ -196,14 +224,15 @@
               1,
               List.of(new ServiceShare(SERVICE, 1)),
               2,
-              false));
+              false,
+              routeRegions.apply(kind)));
     }
     return new RouteTable(
         version,
         routes,
-        List.of(new ServiceSpec(SERVICE, 100, null)),
+        List.of(new ServiceSpec(SERVICE, 100, engine)),
         CallerLimits.DEFAULT,
-        Map.of("key-1", new Account("account-1", OptionalInt.empty())));
+        Map.of("key-1", new Account("account-1", OptionalInt.empty(), accountRegions)));
   }
 
   void routes(RouteTable table) {
@@ -222,6 +251,11 @@
         id, SERVICE, new InetSocketAddress("127.0.0.1", 9), DOMAIN, 6, draining, 1);
   }
 
+  static BackendServer server(String id, String domain, int port) {
+    InetSocketAddress address = new InetSocketAddress("127.0.0.1", port);
+    return new BackendServer(id, SERVICE, address, new FailureDomain(domain), 6, false, 1);
+  }
+
   Exchange begin(RequestKind kind, FakeCaller caller, String... headers) {
     HttpHeaders h = new DefaultHttpHeaders();
     h.set(TestProtocol.ID, "1").set(TestProtocol.KEY, "key-1");
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/OverloadSimulation.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/OverloadSimulation.java
@@ -88,7 +88,7 @@
 
     void accept(Job j) {
       if (lost) {
-        after(1, () -> j.attempt.listener.onUnreachable("refused"));
+        after(1, () -> j.attempt.listener.onUnreachable("refused", true));
         return;
       }
       waiting.add(j);
@@ -152,11 +152,12 @@
               p,
               List.of(new ServiceShare(ExchangeFixture.SERVICE, 1)),
               2,
-              false));
+              false,
+              AllowedRegions.ALL));
     }
     Map<String, Account> accounts = new HashMap<>();
     for (int i = 0; i < ACCOUNTS; i++) {
-      accounts.put("a" + i, new Account("a" + i, OptionalInt.empty()));
+      accounts.put("a" + i, new Account("a" + i, OptionalInt.empty(), AllowedRegions.ALL));
     }
     return new RouteTable(
         1,
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/TestProtocol.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/TestProtocol.java
@@ -20,12 +20,16 @@
   static final String PROMPT = "prompt";
   static final String LIMIT = "limit";
   static final String LEAVING = "leaving";
+  static final String COLD = "cold";
   static final String PAUSE = "pause";
   static final String PRIORITY = "priority";
 
   /** Ids of the prompt's parts, separated by commas. */
   static final String PARTS = "parts";
 
+  /** Port of the engine that a prompt is fetched from. */
+  static final String CACHE_SOURCE = "cache-source";
+
   private static final int TOKENS_PER_PART = 100;
 
   @Override
@@ -54,6 +58,9 @@
     if (f.account() != null) {
       h.set(ACCOUNT, f.account());
     }
+    if (f.cacheSourceAddress() != null) {
+      h.setInt(CACHE_SOURCE, f.cacheSourceAddress().getPort());
+    }
     if (f.lastEventId() != null) {
       h.set(LAST_EVENT_ID, f.lastEventId());
     }
@@ -63,6 +70,7 @@
   public ResponseMetadata readResponse(int status, HttpHeaders h) {
     LoadReport load = h.contains("load") ? new LoadReport(h.getInt("load"), 0, 1, 1) : null;
     Double limit = h.contains(LIMIT) ? Double.valueOf(h.get(LIMIT)) : null;
+    Long cold = h.contains(COLD) ? Long.valueOf(h.get(COLD)) : null;
     Double pause = h.contains(PAUSE) ? Double.valueOf(h.get(PAUSE)) : null;
     return new ResponseMetadata(
         h.contains(NOT_RUN),
@@ -70,6 +78,6 @@
         h.contains(SIGNED),
         h.get(ID),
         load,
-        new ServerStatement(h.contains(SIGNED), h.contains(LEAVING), pause, limit));
+        new ServerStatement(h.contains(SIGNED), h.contains(LEAVING), pause, limit, cold));
   }
 }
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/GossipFuzzTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/GossipFuzzTest.java
@@ -11,6 +11,8 @@
 import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.wigeonwharf.gateway.backend.EndedServers;
+import org.wigeonwharf.gateway.evacuation.Evacuations;
 import org.wigeonwharf.gateway.limit.LimitLog;
 import org.wigeonwharf.gateway.limit.ServerLimits;
 import org.wigeonwharf.gateway.peer.wire.RouterNews;
@@ -88,6 +90,7 @@
         new PromptQuarantine(new QuarantineLog(new MetricRegistry()), random, now);
     ServerLimits limits =
         new ServerLimits(new LimitLog(new MetricRegistry()), () -> 0, random, now);
+    Evacuations evacuations = new Evacuations();
     PeerGossip gossip =
         new PeerGossip(
             new NodeId("vm1", 1),
@@ -98,12 +101,13 @@
             new PrefixCacheIndex(),
             quarantine,
             limits,
+            new EndedServers(),
+            evacuations,
             SECRET,
             () -> now,
             random,
             (destination, datagram) -> longestMessage = Math.max(longestMessage, datagram.length),
-            () -> 1,
-            revision -> {});
+            new RecordingStoreProgress());
     for (int i = 0; i < 100; i++) {
       now += 10 * Clock.NANOS_PER_MILLI;
       byte[] news = fill(RouterNews.newBuilder(), random, 0).toByteArray();
@@ -114,6 +118,7 @@
       gossip.tick();
       quarantine.find(List.of("sound"), now);
       limits.waitMillis("s1", now);
+      evacuations.isEvacuated(new FailureDomain("d1"));
     }
     assertTrue(quarantine.find(List.of("sound"), now) == null);
     assertTrue(longestMessage <= GossipTransport.MAX_DATAGRAM_BYTES, longestMessage + " bytes");
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
@@ -1,6 +1,7 @@
 package org.wigeonwharf.gateway.peer;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
@@ -14,8 +15,17 @@
 import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.wigeonwharf.gateway.backend.BackendServer;
+import org.wigeonwharf.gateway.backend.EndedServer;
+import org.wigeonwharf.gateway.backend.EndedServers;
+import org.wigeonwharf.gateway.evacuation.Evacuation;
+import org.wigeonwharf.gateway.evacuation.Evacuations;
+import org.wigeonwharf.gateway.feed.PublishedItem;
+import org.wigeonwharf.gateway.feed.ReaderState;
+import org.wigeonwharf.gateway.feed.StoreChanges;
 import org.wigeonwharf.gateway.limit.LimitLog;
 import org.wigeonwharf.gateway.limit.ServerLimits;
+import org.wigeonwharf.gateway.peer.wire.EvacuationNews;
 import org.wigeonwharf.gateway.placement.Demand;
 import org.wigeonwharf.gateway.placement.InFlightTracker;
 import org.wigeonwharf.gateway.placement.PrefixCacheIndex;
@@ -58,10 +68,11 @@
         new PromptQuarantine(new QuarantineLog(new MetricRegistry()), new Random(7), now);
     private final ServerLimits limits =
         new ServerLimits(new LimitLog(new MetricRegistry()), () -> 0, random, now);
-    private final List<Long> newerRevisions = new ArrayList<>();
+    private final EndedServers endedServers = new EndedServers();
+    private final RecordingStoreProgress store = new RecordingStoreProgress();
+    private final Evacuations evacuations = new Evacuations();
     private final PeerGossip gossip;
     private final String domain;
-    private long storeRevision = 1;
 
     Node(int number, String domain, String secret) {
       this.domain = domain;
@@ -75,12 +86,13 @@
               prefixCaches,
               quarantine,
               limits,
+              endedServers,
+              evacuations,
               new FleetSecret(secret),
               () -> now,
               new Random(number),
               this::send,
-              () -> storeRevision,
-              newerRevisions::add);
+              store);
       nodes.put(address(number), this);
     }
 
@@ -132,6 +144,75 @@
     all.forEach(n -> assertEquals(7, n.gossip.peerCount()));
   }
 
+  private static Evacuation evacuation(boolean active, long revision) {
+    return new Evacuation(new FailureDomain("x"), active, revision);
+  }
+
+  private static boolean isEvacuated(Node n) {
+    return n.evacuations.isEvacuated(new FailureDomain("x"));
+  }
+
+  // Only one router can read the store.
+  @Test
+  void evacuationReachesAllRoutersWithinSecondsDespiteLosses() {
+    List<Node> all = new ArrayList<>();
+    for (int i = 1; i <= 12; i++) {
+      all.add(addNode(i, "d" + i % 3));
+    }
+    advanceMillis(4_000);
+    lossRate = 0.1;
+    all.get(0).evacuations.apply(evacuation(true, 7));
+    advanceMillis(3_000);
+    all.forEach(n -> assertTrue(isEvacuated(n)));
+    all.get(5).evacuations.apply(evacuation(false, 9));
+    advanceMillis(3_000);
+    all.forEach(n -> assertFalse(isEvacuated(n)));
+  }
+
+  @Test
+  void routerThatStartsLearnsOfEvacuationFromItsFirstPeer() {
+    Node seed = addNode(1, "d");
+    seed.evacuations.apply(evacuation(true, 7));
+    advanceMillis(3_000);
+    Node started = addNode(2, "e");
+    advanceMillis(100);
+    assertTrue(isEvacuated(started));
+  }
+
+  @Test
+  void removalThatWasReadOutweighsPeersThatStillKnowTheEvacuation() {
+    Node cutFromStore = addNode(1, "d");
+    cutFromStore.evacuations.apply(evacuation(true, 7));
+    Node started = addNode(2, "d");
+    started.evacuations.replaceAll(List.of(), 9);
+    advanceMillis(3_000);
+    assertFalse(isEvacuated(started));
+    started.evacuations.apply(evacuation(true, 12));
+    advanceMillis(1_000);
+    assertTrue(isEvacuated(cutFromStore));
+  }
+
+  @Test
+  void malformedEvacuationsAreIgnoredAndTheirNumberIsBounded() {
+    final Node a = addNode(1, "d");
+    final Node b = addNode(2, "d");
+    advanceMillis(3_000);
+    List<EvacuationNews> malformed =
+        List.of(
+            EvacuationNews.newBuilder().setActive(true).setRevision(5).build(),
+            EvacuationNews.newBuilder().setFailureDomain(" ").setActive(true).build(),
+            EvacuationNews.newBuilder().setFailureDomain("x").setActive(true).build(),
+            EvacuationNews.newBuilder().setFailureDomain("x").setRevision(-1).build());
+    assertEquals(List.of(), GossipCodec.decodeEvacuations(malformed));
+    for (int i = 1; i <= 1_000; i++) {
+      a.evacuations.apply(new Evacuation(new FailureDomain("x" + i), true, i));
+    }
+    advanceMillis(1_000);
+    assertEquals(32, b.evacuations.active().size());
+    assertTrue(b.evacuations.isEvacuated(new FailureDomain("x1000")));
+    assertTrue(longestMessage < GossipTransport.MAX_DATAGRAM_BYTES);
+  }
+
   @Test
   void sentPromptsReachSameAndOtherFailureDomains() {
     Node a = addNode(1, "d");
@@ -306,10 +387,10 @@
     Node a = addNode(1, "d");
     final Node b = addNode(2, "e");
     advanceMillis(2_000);
-    a.storeRevision = 5;
+    a.store.changeRevision = 5;
     advanceMillis(1_000);
-    assertTrue(b.newerRevisions.contains(5L));
-    assertTrue(a.newerRevisions.isEmpty());
+    assertTrue(b.store.newerRevisions.contains(5L));
+    assertTrue(a.store.newerRevisions.isEmpty());
   }
 
   @Test
@@ -497,4 +578,70 @@
     advanceMillis(2_000);
     assertEquals(0, b.inFlight.workAt("server", now).running());
   }
+
+  @Test
+  void changesOfTheStoreReachTheFailureDomainUnchangedAndNoOther() {
+    Node a = addNode(1, "d");
+    final Node b = addNode(2, "d");
+    final Node c = addNode(3, "e");
+    advanceMillis(4_000);
+    a.store.ownState = new ReaderState(300 * Clock.NANOS_PER_MILLI, -1);
+    StoreChanges changes =
+        new StoreChanges(
+            7,
+            9,
+            true,
+            List.of(
+                new PublishedItem.Server(
+                    new BackendServer(
+                        "s1",
+                        "model",
+                        address(99),
+                        new FailureDomain("e"),
+                        12,
+                        true,
+                        42,
+                        2_500,
+                        9)),
+                new PublishedItem.ServerRemoved("s2")));
+    a.gossip.passOn(changes);
+    a.gossip.passOn(new StoreChanges(9, 10, false, List.of()));
+    advanceMillis(400);
+    assertEquals(List.of(changes, new StoreChanges(9, 10, false, List.of())), b.store.changes);
+    assertTrue(c.store.changes.isEmpty());
+    assertEquals(a.store.ownState, b.store.readers.get(0));
+    assertTrue(c.store.readers.isEmpty());
+  }
+
+  @Test
+  void reconnectionOfReadersIsReported() {
+    Node a = addNode(1, "d");
+    final Node b = addNode(2, "d");
+    advanceMillis(4_000);
+    a.store.ownState = new ReaderState(0, 70 * Clock.NANOS_PER_MILLI);
+    advanceMillis(800);
+    assertEquals(70 * Clock.NANOS_PER_MILLI, b.store.readers.get(0).reconnectAgeNanos());
+  }
+
+  @Test
+  void endedServersAreKnownInAllFailureDomains() {
+    Node a = addNode(1, "d");
+    final Node b = addNode(2, "d");
+    final Node c = addNode(3, "e");
+    final Node d = addNode(4, "e");
+    advanceMillis(4_000);
+    a.endedServers.recordEnd(
+        new BackendServer("s1", "model", address(99), new FailureDomain("e"), 12, false, 42),
+        true,
+        now);
+    advanceMillis(40);
+    assertEquals(1, b.endedServers.recent(now).size());
+    advanceMillis(900);
+    for (Node n : List.of(c, d)) {
+      EndedServer e = n.endedServers.recent(now).get(0);
+      assertEquals("s1", e.id());
+      assertEquals(42, e.startedAt());
+      assertTrue(e.replaced());
+    }
+  }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
@@ -194,6 +194,11 @@
       start();
       return;
     }
+    a = applyNewRegions(a);
+    if (a.demand().regions().isEmpty()) {
+      giveUp("the route and the account have no allowed region in common");
+      return;
+    }
     long now = timers.nanos();
     if (a.remainingMillis(now) < manager.settings().minRemainingMillis()) {
       giveUp("no time left");
@@ -228,6 +233,14 @@
     send(a, choice, now);
   }
 
+  /** Applies regions of a configuration that was activated after the request was admitted. */
+  private Admission applyNewRegions(Admission a) {
+    RouteTable current = manager.routes();
+    Admission next = current == null ? a : a.restrictedBy(current, request, metadata);
+    admission = next;
+    return next;
+  }
+
   /** Ends the request if a part of its prompt has been quarantined and is not proven harmless. */
   void endIfQuarantined() {
     Admission a = admission;
@@ -314,10 +327,10 @@
    */
   private boolean abandonStalledAttempt() {
     AttemptHandler handler = currentAttempt;
-    Admission a = admission;
-    if (handler == null || a == null || callerBlocked) {
+    if (handler == null || admission == null || callerBlocked) {
       return false;
     }
+    Admission a = applyNewRegions(admission);
     boolean untriedServer = acceptingServers(a).size() > triedServerIds.size();
     if (!untriedServer || !manager.budget().tryAcquire(a.service(), timers.nanos())) {
       return false;
@@ -433,8 +446,8 @@
     manager.held().remove(this);
     Admission a = admission;
     if (currentAttempt == null && a != null) {
-      boolean unknown = manager.eligible().find(a.demand()).isEmpty();
-      giveUp(unknown ? "no server of the service is known" : "no server accepts the request");
+      String reason = manager.eligible().reasonForNone(a.demand());
+      giveUp(reason == null ? "no server accepts the request" : reason);
     }
   }
 
