--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/ServerSelection.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/ServerSelection.java
@@ -58,7 +58,8 @@
 
   /**
    * Chooses the server with the lowest cost that has room, or else the one with the lowest cost if
-   * the servers are not overloaded.
+   * the servers are not overloaded. A request waits for memory only while it can wait, since
+   * promised memory is not all used.
    *
    * @param tried ids that the request was already sent to
    * @param firstChoice true if this is the request's first choice, which counts as demand
@@ -78,7 +79,8 @@
         return next;
       }
     }
-    return headroom().keepsMemory(needs, tokens(), room(first)) && !isScarce() ? first : null;
+    boolean waitsForMemory = canWait && !headroom().keepsMemory(needs, tokens(), room(first));
+    return waitsForMemory || isScarce() ? null : first;
   }
 
   private @Nullable Choice lowestCost(Set<String> excluded, boolean firstChoice) {
