--- a/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/StoreItemNews.java
+++ b/org.wigeonwharf.gateway/src/gen/java/org/wigeonwharf/gateway/peer/wire/StoreItemNews.java
@@ -51,6 +51,7 @@
           com.google.protobuf.AbstractMessage.InternalOneOfEnum {
     SERVER(1),
     REMOVED_SERVER(2),
+    EVACUATION(3),
     ITEM_NOT_SET(0);
     private final int value;
     private ItemCase(int value) {
@@ -70,6 +71,7 @@
       switch (value) {
         case 1: return SERVER;
         case 2: return REMOVED_SERVER;
+        case 3: return EVACUATION;
         case 0: return ITEM_NOT_SET;
         default: return null;
       }
@@ -180,6 +182,37 @@
     }
   }
 
+  public static final int EVACUATION_FIELD_NUMBER = 3;
+  /**
+   * <code>.wigeonwharf.gateway.EvacuationNews evacuation = 3;</code>
+   * @return Whether the evacuation field is set.
+   */
+  @java.lang.Override
+  public boolean hasEvacuation() {
+    return itemCase_ == 3;
+  }
+  /**
+   * <code>.wigeonwharf.gateway.EvacuationNews evacuation = 3;</code>
+   * @return The evacuation.
+   */
+  @java.lang.Override
+  public org.wigeonwharf.gateway.peer.wire.EvacuationNews getEvacuation() {
+    if (itemCase_ == 3) {
+       return (org.wigeonwharf.gateway.peer.wire.EvacuationNews) item_;
+    }
+    return org.wigeonwharf.gateway.peer.wire.EvacuationNews.getDefaultInstance();
+  }
+  /**
+   * <code>.wigeonwharf.gateway.EvacuationNews evacuation = 3;</code>
+   */
+  @java.lang.Override
+  public org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder getEvacuationOrBuilder() {
+    if (itemCase_ == 3) {
+       return (org.wigeonwharf.gateway.peer.wire.EvacuationNews) item_;
+    }
+    return org.wigeonwharf.gateway.peer.wire.EvacuationNews.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -200,6 +233,9 @@
     if (itemCase_ == 2) {
       com.google.protobuf.GeneratedMessage.writeString(output, 2, item_);
     }
+    if (itemCase_ == 3) {
+      output.writeMessage(3, (org.wigeonwharf.gateway.peer.wire.EvacuationNews) item_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -216,6 +252,10 @@
     if (itemCase_ == 2) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(2, item_);
     }
+    if (itemCase_ == 3) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(3, (org.wigeonwharf.gateway.peer.wire.EvacuationNews) item_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -241,6 +281,10 @@
         if (!getRemovedServer()
             .equals(other.getRemovedServer())) return false;
         break;
+      case 3:
+        if (!getEvacuation()
+            .equals(other.getEvacuation())) return false;
+        break;
       case 0:
       default:
     }
@@ -264,6 +308,10 @@
         hash = (37 * hash) + REMOVED_SERVER_FIELD_NUMBER;
         hash = (53 * hash) + getRemovedServer().hashCode();
         break;
+      case 3:
+        hash = (37 * hash) + EVACUATION_FIELD_NUMBER;
+        hash = (53 * hash) + getEvacuation().hashCode();
+        break;
       case 0:
       default:
     }
@@ -401,6 +449,9 @@
       if (serverBuilder_ != null) {
         serverBuilder_.clear();
       }
+      if (evacuationBuilder_ != null) {
+        evacuationBuilder_.clear();
+      }
       itemCase_ = 0;
       item_ = null;
       return this;
@@ -446,6 +497,10 @@
           serverBuilder_ != null) {
         result.item_ = serverBuilder_.build();
       }
+      if (itemCase_ == 3 &&
+          evacuationBuilder_ != null) {
+        result.item_ = evacuationBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -471,6 +526,10 @@
           onChanged();
           break;
         }
+        case EVACUATION: {
+          mergeEvacuation(other.getEvacuation());
+          break;
+        }
         case ITEM_NOT_SET: {
           break;
         }
@@ -514,6 +573,13 @@
               item_ = s;
               break;
             } // case 18
+            case 26: {
+              input.readMessage(
+                  internalGetEvacuationFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              itemCase_ = 3;
+              break;
+            } // case 26
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -805,6 +871,148 @@
       return this;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wigeonwharf.gateway.peer.wire.EvacuationNews, org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder, org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder> evacuationBuilder_;
+    /**
+     * <code>.wigeonwharf.gateway.EvacuationNews evacuation = 3;</code>
+     * @return Whether the evacuation field is set.
+     */
+    @java.lang.Override
+    public boolean hasEvacuation() {
+      return itemCase_ == 3;
+    }
+    /**
+     * <code>.wigeonwharf.gateway.EvacuationNews evacuation = 3;</code>
+     * @return The evacuation.
+     */
+    @java.lang.Override
+    public org.wigeonwharf.gateway.peer.wire.EvacuationNews getEvacuation() {
+      if (evacuationBuilder_ == null) {
+        if (itemCase_ == 3) {
+          return (org.wigeonwharf.gateway.peer.wire.EvacuationNews) item_;
+        }
+        return org.wigeonwharf.gateway.peer.wire.EvacuationNews.getDefaultInstance();
+      } else {
+        if (itemCase_ == 3) {
+          return evacuationBuilder_.getMessage();
+        }
+        return org.wigeonwharf.gateway.peer.wire.EvacuationNews.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.wigeonwharf.gateway.EvacuationNews evacuation = 3;</code>
+     */
+    public Builder setEvacuation(org.wigeonwharf.gateway.peer.wire.EvacuationNews value) {
+      if (evacuationBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        item_ = value;
+        onChanged();
+      } else {
+        evacuationBuilder_.setMessage(value);
+      }
+      itemCase_ = 3;
+      return this;
+    }
+    /**
+     * <code>.wigeonwharf.gateway.EvacuationNews evacuation = 3;</code>
+     */
+    public Builder setEvacuation(
+        org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder builderForValue) {
+      if (evacuationBuilder_ == null) {
+        item_ = builderForValue.build();
+        onChanged();
+      } else {
+        evacuationBuilder_.setMessage(builderForValue.build());
+      }
+      itemCase_ = 3;
+      return this;
+    }
+    /**
+     * <code>.wigeonwharf.gateway.EvacuationNews evacuation = 3;</code>
+     */
+    public Builder mergeEvacuation(org.wigeonwharf.gateway.peer.wire.EvacuationNews value) {
+      if (evacuationBuilder_ == null) {
+        if (itemCase_ == 3 &&
+            item_ != org.wigeonwharf.gateway.peer.wire.EvacuationNews.getDefaultInstance()) {
+          item_ = org.wigeonwharf.gateway.peer.wire.EvacuationNews.newBuilder((org.wigeonwharf.gateway.peer.wire.EvacuationNews) item_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          item_ = value;
+        }
+        onChanged();
+      } else {
+        if (itemCase_ == 3) {
+          evacuationBuilder_.mergeFrom(value);
+        } else {
+          evacuationBuilder_.setMessage(value);
+        }
+      }
+      itemCase_ = 3;
+      return this;
+    }
+    /**
+     * <code>.wigeonwharf.gateway.EvacuationNews evacuation = 3;</code>
+     */
+    public Builder clearEvacuation() {
+      if (evacuationBuilder_ == null) {
+        if (itemCase_ == 3) {
+          itemCase_ = 0;
+          item_ = null;
+          onChanged();
+        }
+      } else {
+        if (itemCase_ == 3) {
+          itemCase_ = 0;
+          item_ = null;
+        }
+        evacuationBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.wigeonwharf.gateway.EvacuationNews evacuation = 3;</code>
+     */
+    public org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder getEvacuationBuilder() {
+      return internalGetEvacuationFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.wigeonwharf.gateway.EvacuationNews evacuation = 3;</code>
+     */
+    @java.lang.Override
+    public org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder getEvacuationOrBuilder() {
+      if ((itemCase_ == 3) && (evacuationBuilder_ != null)) {
+        return evacuationBuilder_.getMessageOrBuilder();
+      } else {
+        if (itemCase_ == 3) {
+          return (org.wigeonwharf.gateway.peer.wire.EvacuationNews) item_;
+        }
+        return org.wigeonwharf.gateway.peer.wire.EvacuationNews.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.wigeonwharf.gateway.EvacuationNews evacuation = 3;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wigeonwharf.gateway.peer.wire.EvacuationNews, org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder, org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder> 
+        internalGetEvacuationFieldBuilder() {
+      if (evacuationBuilder_ == null) {
+        if (!(itemCase_ == 3)) {
+          item_ = org.wigeonwharf.gateway.peer.wire.EvacuationNews.getDefaultInstance();
+        }
+        evacuationBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.wigeonwharf.gateway.peer.wire.EvacuationNews, org.wigeonwharf.gateway.peer.wire.EvacuationNews.Builder, org.wigeonwharf.gateway.peer.wire.EvacuationNewsOrBuilder>(
+                (org.wigeonwharf.gateway.peer.wire.EvacuationNews) item_,
+                getParentForChildren(),
+                isClean());
+        item_ = null;
+      }
+      itemCase_ = 3;
+      onChanged();
+      return evacuationBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:wigeonwharf.gateway.StoreItemNews)
   }
 
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/StoreChanges.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/StoreChanges.java
@@ -20,8 +20,8 @@
   }
 
   /**
-   * Describes a batch of changes. Only changes of servers are passed on; all others are read by
-   * each router itself.
+   * Describes a batch of changes. Changes of servers and evacuations are passed on; all others are
+   * read by each router itself.
    *
    * @param after the revision after which the batch begins
    * @param batch the changes
@@ -35,6 +35,8 @@
   }
 
   private static boolean canPassOn(PublishedItem item) {
-    return item instanceof PublishedItem.Server || item instanceof PublishedItem.ServerRemoved;
+    return item instanceof PublishedItem.Server
+        || item instanceof PublishedItem.ServerRemoved
+        || item instanceof PublishedItem.EvacuationChange;
   }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/Candidate.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/Candidate.java
@@ -59,11 +59,6 @@
     return Math.max(work.running(), reportedLoad);
   }
 
-  /** Tells whether a further request starts on the server immediately, as far as is known. */
-  boolean hasFreeSlot() {
-    return state == State.SOUND && load() < server.slots();
-  }
-
   /**
    * Returns the same candidate with a higher load, as far as it leaves a free slot.
    *
@@ -87,4 +82,9 @@
         averageSensitivity,
         longPrefillShare);
   }
+
+  /** Tells whether a further request starts on the server immediately, as far as is known. */
+  boolean hasFreeSlot() {
+    return state == State.SOUND && load() < server.slots();
+  }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerChooser.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerChooser.java
@@ -87,8 +87,8 @@
   }
 
   /**
-   * Chooses the server with the lowest cost among some candidates. If none of these is sound and
-   * warm, has a free slot and may receive the request now, all servers are compared.
+   * Chooses the server with the lowest cost among some candidates. If none of these is sound, has a
+   * free slot and may receive the request now, all servers are compared.
    *
    * @param demand the request
    * @param service the service's description, or null if it is not published
@@ -115,15 +115,12 @@
       Set<BackendServer> drawn = pool.draw(demand, ownerId, domain, prefixCaches, random);
       Selection some = select(demand, policy, pool, drawn, ownerId, tried, now);
       Candidate best = some.best;
-      if (best != null
-          && best.hasFreeSlot()
-          && notices.coldness(best.server(), now) == 0
-          && !some.isWorthWaiting(demand, policy)) {
+      if (best != null && isFree(best, now) && !some.isWorthWaiting(demand, policy)) {
         return toChoice(demand, engine, policy, some, best, firstChoice, now);
       }
       metrics.recordFullScan();
     }
-    Selection all = select(demand, policy, pool, pool.servers(), ownerId, tried, now);
+    Selection all = select(demand, policy, pool, servers, ownerId, tried, now);
     Candidate best = all.best;
     if (best == null || canWait && all.isWorthWaiting(demand, policy)) {
       recordDemand(all, firstChoice, now);
@@ -132,6 +129,11 @@
     return toChoice(demand, engine, policy, all, best, firstChoice, now);
   }
 
+  /** Tells whether a drawn server is good enough without comparing it with all others. */
+  private boolean isFree(Candidate c, long now) {
+    return c.hasFreeSlot() && notices.coldness(c.server(), now) == 0;
+  }
+
   /** Holds what a comparison of candidates found. */
   private static final class Selection {
     private final List<Candidate> candidates;
