--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerChooser.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/placement/ServerChooser.java
@@ -87,8 +87,8 @@
   }
 
   /**
-   * Chooses the server with the lowest cost among some candidates. If none of these is sound and
-   * warm, has a free slot and may receive the request now, all servers are compared.
+   * Chooses the server with the lowest cost among some candidates. If none of these is sound, has a
+   * free slot and may receive the request now, all servers are compared.
    *
    * @param demand the request
    * @param service the service's description, or null if it is not published
@@ -120,7 +120,7 @@
       }
       metrics.recordFullScan();
     }
-    Selection all = select(demand, policy, pool, pool.servers(), ownerId, tried, now);
+    Selection all = select(demand, policy, pool, servers, ownerId, tried, now);
     Candidate best = all.best;
     if (best == null || canWait && all.isWorthWaiting(demand, policy)) {
       recordDemand(all, firstChoice, now);
