Let the soak play evacuations and cold servers

Servers start cold and stand in two failure domains, which are evacuated at any moment. In the end one is evacuated and no request may run there after two seconds.

--- a/platform.test/src/test/java/org/wigeonwharf/platform/GatewaySoakTest.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/GatewaySoakTest.java
@@ -30,7 +30,8 @@
 
 /**
  * Soaks router processes from outside: callers keep their connections until a router closes them,
- * while series of signals, restarts, server crashes and configuration changes overlap.
+ * while series of signals, restarts, server crashes, evacuations and configuration changes overlap.
+ * Servers that start are cold for a while.
  *
  * <p>{@code -Dsoak.seeds=N} plays N seeds, {@code -Dsoak.first=S} from seed S on.
  */
@@ -41,6 +42,10 @@
   private static final long SOAK_MILLIS = 12_000;
   private static final long RECOVERY_MILLIS = 4_000;
   private static final long EXIT_SECONDS = 20;
+
+  /** Time in ms after the store's answer by which an evacuation has to be followed. */
+  private static final long EVACUATION_MILLIS = 2_000;
+
   private static final String LOCALHOST = "127.0.0.1";
 
   @TempDir private Path folder;
@@ -202,7 +207,7 @@
     Random random = new Random(seed);
     while (System.nanoTime() < endAt) {
       Router router = routers.get(random.nextInt(ROUTERS));
-      switch (random.nextInt(9)) {
+      switch (random.nextInt(10)) {
         case 0 -> router.terminate();
         case 1 -> router.kill();
         case 2 -> router.hangUp(0.1 + random.nextInt(5) / 10.0);
@@ -211,6 +216,7 @@
         case 5 -> backends.replaceOne();
         case 6 -> backends.replaceOneByAnswers();
         case 7 -> backends.pauseOne(300 + random.nextInt(2_000));
+        case 8 -> evacuate("z" + random.nextInt(2), 300 + random.nextInt(2_000));
         default -> {
           store.failWith(503);
           Thread.sleep(500 + random.nextInt(1_000));
@@ -222,6 +228,13 @@
     return null;
   }
 
+  /** Evacuates one failure domain for a while; both may be at once. */
+  private void evacuate(String failureDomain, int millis) throws InterruptedException {
+    store.put("op/evacuate/" + failureDomain, "{}");
+    Thread.sleep(millis);
+    store.delete("op/evacuate/" + failureDomain);
+  }
+
   static LongStream seeds() {
     long first = Long.getLong("soak.first", 1);
     return LongStream.range(first, first + Integer.getInteger("soak.seeds", 2));
@@ -274,6 +287,10 @@
     Thread.sleep(RECOVERY_MILLIS);
     troubled = false;
     Thread.sleep(RECOVERY_MILLIS);
+    store.put("op/evacuate/z0", "{}");
+    Thread.sleep(EVACUATION_MILLIS);
+    backends.watchEvacuated("z0");
+    Thread.sleep(RECOVERY_MILLIS / 2);
     running = false;
     for (Future<?> c : callers) {
       c.get(30, TimeUnit.SECONDS);
@@ -305,6 +322,7 @@
         served += r != null && r.status() == 200 ? 1 : 0;
       }
     }
+    assertEquals(0, backends.evacuatedRuns(), "requests ran in an evacuated failure domain");
     assertTrue(backends.crashes() > 0, "no server crashed");
     assertTrue(outcomes.size() > 500, outcomes.size() + " requests");
     assertTrue(recovered > 100, recovered + " requests after the troubles");
--- a/platform.test/src/test/java/org/wigeonwharf/platform/SoakBackends.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/SoakBackends.java
@@ -13,9 +13,14 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.jspecify.annotations.Nullable;
 
 /** Backend servers of a soak, which count the runs of each request and can be replaced. */
 final class SoakBackends implements AutoCloseable {
+  /** Time in ms for which a server that starts stays cold. */
+  private static final int COLD_MILLIS = 800;
+
   static final int EVENTS = 5;
   private static final long EVENT_INTERVAL_MILLIS = 15;
   private static final String SERVICE = "s1";
@@ -27,11 +32,14 @@
   private final Map<String, Integer> runs = new ConcurrentHashMap<>();
   private final List<Backend> live = new ArrayList<>();
   private int lastId;
+  private final AtomicInteger evacuatedRuns = new AtomicInteger();
+  private volatile @Nullable String evacuated;
   private int crashes;
 
   /** One running server. */
   private final class Backend {
     private final String id = "i-" + ++lastId;
+    private final String failureDomain = "z" + lastId % 2;
     private final ExecutorService executor = Executors.newCachedThreadPool();
     private final HttpServer server;
     private volatile boolean leaving;
@@ -61,6 +69,9 @@
           return;
         }
         runs.merge(requestId, 1, Integer::sum);
+        if (failureDomain.equals(evacuated)) {
+          evacuatedRuns.incrementAndGet();
+        }
         x.getResponseHeaders().set(WireNames.REQUEST_ID, requestId);
         x.getResponseHeaders().set(WireNames.SIGNATURE, "signed");
         x.getResponseHeaders().set(WireNames.LOAD, "1,0,6,100");
@@ -133,7 +144,7 @@
   private synchronized void add() throws IOException {
     Backend b = new Backend();
     live.add(b);
-    store.putServer(b.id, SERVICE, b.server.getAddress(), "ready");
+    store.putServer(b.id, SERVICE, b.server.getAddress(), "ready", b.failureDomain, COLD_MILLIS);
   }
 
   /** Ends a server without notice; its entry expires and another one starts. */
@@ -165,7 +176,7 @@
     synchronized (this) {
       old = live.remove(0);
     }
-    store.putServer(old.id, SERVICE, old.server.getAddress(), "draining");
+    store.putServer(old.id, SERVICE, old.server.getAddress(), "draining", old.failureDomain, 0);
     Thread.sleep(1_500);
     store.delete("servers/" + old.id);
     old.end();
@@ -190,6 +201,16 @@
     live.get(0).pausedUntil = System.nanoTime() + millis * 1_000_000;
   }
 
+  /** Counts from now on the requests that run on servers of a failure domain. */
+  void watchEvacuated(String failureDomain) {
+    evacuated = failureDomain;
+  }
+
+  /** Returns the number of requests that ran on servers of the watched failure domain. */
+  int evacuatedRuns() {
+    return evacuatedRuns.get();
+  }
+
   int runsOf(String requestId) {
     return runs.getOrDefault(requestId, 0);
   }
--- a/platform.test/src/test/java/org/wigeonwharf/platform/StoreStandIn.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/StoreStandIn.java
@@ -83,13 +83,23 @@
   }
 
   void putServer(String id, String service, InetSocketAddress address, String state) {
+    putServer(id, service, address, state, "z1", 0);
+  }
+
+  void putServer(
+      String id,
+      String service,
+      InetSocketAddress address,
+      String state,
+      String failureDomain,
+      int coldMillis) {
     put(
         "servers/" + id,
         """
-        {"service":"%s","address":"%s","zone":"z1","version":"v1","slots":6,"state":"%s",
-         "cold-left-ms":0,"sequence":1,"born":1700000000000}
+        {"service":"%s","address":"%s","zone":"%s","version":"v1","slots":6,"state":"%s",
+         "cold-left-ms":%d,"sequence":1,"born":1700000000000}
         """
-            .formatted(service, Addresses.format(address), state));
+            .formatted(service, Addresses.format(address), failureDomain, state, coldMillis));
   }
 
   private void answer(HttpExchange x, Endpoint endpoint) throws IOException {
