--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/StoreFeed.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/StoreFeed.java
@@ -311,7 +311,7 @@
   }
 
   private void watch() {
-    if (isFollowing()) {
+    if (!stopped && isFollowing()) {
       scheduleCall(FOLLOW_CHECK_INTERVAL.toNanos(), this::watch);
       return;
     }
