--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerGossip.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerGossip.java
@@ -113,15 +113,6 @@
    */
   private static final long LONE_DISCOVERY_MILLIS = 10_000;
 
-  /**
-   * Time in ms between messages to seeds while a router that has just started knows no peer. After
-   * a restart of all routers, the seeds may listen later than it does.
-   */
-  private static final long EARLY_CONTACT_INTERVAL_MILLIS = 100;
-
-  /** Time in ms after the start in which seeds are contacted more often. */
-  private static final long EARLY_CONTACT_MILLIS = 4_000;
-
   /** Maximum number of peers listed in one message beside those of the receiver's domain. */
   private static final int MAX_ADVERTISED_PEERS = 12;
 
@@ -257,10 +248,9 @@
     if (summariesSent || now - nextStateAt() >= 0) {
       sendStateToDomain(now, summariesSent);
     }
-    long interval = contactInterval(now);
-    if (now - seedsSentAt >= interval) {
+    if (now - seedsSentAt >= toNanos(CONTACT_INTERVAL_MILLIS)) {
       seedsSentAt = now;
-      contactedAt.values().removeIf(at -> now - at >= interval);
+      contactedAt.values().removeIf(at -> now - at >= toNanos(CONTACT_INTERVAL_MILLIS));
       seeds.forEach(seed -> contactIfUnknown(seed, now));
     }
   }
@@ -268,18 +258,13 @@
   /** Returns the time in nanoseconds at which {@link #tick} has to be called next. */
   long nextTickAt() {
     long now = clock.nanos();
-    long next = seedsSentAt + contactInterval(now);
+    long next = seedsSentAt + toNanos(CONTACT_INTERVAL_MILLIS);
     for (long at : new long[] {nextSummaryAt(now), nextStateAt(), peers.nextTimeoutAt(now)}) {
       next = at - next < 0 ? at : next;
     }
     return next;
   }
 
-  private long contactInterval(long now) {
-    boolean early = peers.size() == 0 && now - startedAt < toNanos(EARLY_CONTACT_MILLIS);
-    return toNanos(early ? EARLY_CONTACT_INTERVAL_MILLIS : CONTACT_INTERVAL_MILLIS);
-  }
-
   private long nextStateAt() {
     int peerCount = peers.localPeerCount();
     boolean urgent =
@@ -615,7 +600,7 @@
 
   private void contactIfUnknown(InetSocketAddress receiver, long now) {
     Long last = contactedAt.get(receiver);
-    boolean recent = last != null && now - last < contactInterval(now);
+    boolean recent = last != null && now - last < toNanos(CONTACT_INTERVAL_MILLIS);
     if (!receiver.equals(address) && !recent && !peers.knows(receiver)) {
       contactedAt.put(receiver, now);
       sendStateTo(receiver, null, true);
