Bound what one connection may do in a pass of the event loop

Callers saw: one model server sent blank lines without end in place of events, and routers that had passed a stream on to it answered nobody for seconds.

Cause: each blank line was an event with a write and a flush of its own, a connection was read up to 16 times in a row before timers and other connections had their turn, and lines without an event counted as progress.

Now an event is a block with data or an id; other lines are passed on with the events around them, and 256 KiB without an event fail the attempt. Body bytes of one read are forwarded by one write. One read of at most 16 KiB is made for each connection and pass of the loop. Pipelined requests that are denied are served by a loop, where 20,000 of them overflowed the stack.

--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/CallerConnectionTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/CallerConnectionTest.java
@@ -106,6 +106,17 @@
     assertTrue(channel.isOpen());
   }
 
+  // Guards against a stack overflow when many pipelined requests are denied one after the other.
+  @Test
+  void manyPipelinedRequestsThatAreDeniedAreAllAnswered() {
+    String unknown = "GET /unknown/ HTTP/1.1\r\nHost: host\r\n\r\n";
+    send(REQUEST + unknown.repeat(20_000));
+    fixture.attempt(0).respond(200, "first", TestProtocol.SIGNED);
+    String text = received();
+    assertEquals(20_000, text.split("HTTP/1.1 404 ", -1).length - 1);
+    assertTrue(channel.isOpen());
+  }
+
   @Test
   void ambiguouslyFramedRequestsAreNotForwarded() {
     List<String> requests =
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeTest.java
@@ -219,6 +219,53 @@
     assertFalse(caller.completed);
   }
 
+  // Guards against one write for each blank line or tiny event of a server.
+  @Test
+  void eventsThatArriveTogetherAreForwardedTogether() {
+    List<Integer> writes = new ArrayList<>();
+    FakeCaller counting =
+        new FakeCaller() {
+          @Override
+          public void sendBody(byte[] bytes) {
+            writes.add(bytes.length);
+            super.sendBody(bytes);
+          }
+        };
+    fixture.addServers(1).begin(RequestKind.STREAM, counting);
+    fixture.attempt(0).respondHead(200, SIGNED);
+    fixture.attempt(0).respondData("id: 1\ndata: a\n\n" + "data:\n\n".repeat(10) + "\n\n\n");
+    assertEquals(List.of(88), writes);
+  }
+
+  // Guards against a server that sends comments or blank lines without end and is not given up.
+  @Test
+  void commentsAndBlankLinesAreNoProgress() {
+    for (String noise : List.of(": ping\n\n", "\n\n", ": a\n")) {
+      ExchangeFixture f = new ExchangeFixture().addServers(2);
+      FakeCaller c = new FakeCaller();
+      f.begin(RequestKind.RESUMABLE_STREAM, c);
+      f.attempt(0).respondHead(200, SIGNED);
+      f.attempt(0).respondData("id: 1\ndata: a\n\n");
+      for (int i = 0; i < 15 && f.attempts.size() == 1; i++) {
+        f.attempt(0).respondData(noise);
+        f.timers.advanceMillis(100);
+      }
+      assertEquals(2, f.attempts.size(), "still waits for the first server");
+      assertEquals("1", f.attempt(1).request.headers().get(TestProtocol.LAST_EVENT_ID));
+    }
+  }
+
+  @Test
+  void blankLinesWithoutEndFailTheAttempt() {
+    fixture.addServers(2).begin(RequestKind.STREAM, caller);
+    fixture.attempt(0).respondHead(200, SIGNED);
+    for (int i = 0; i < 100 && caller.status == 0; i++) {
+      fixture.attempt(0).respondData("\n".repeat(16_384));
+    }
+    assertEquals(502, caller.status);
+    assertTrue(fixture.attempt(0).cancelled);
+  }
+
   @Test
   void resumableStreamResumesAfterItsLastWholeEvent() {
     fixture.addServers(2).begin(RequestKind.RESUMABLE_STREAM, caller);
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/CallerConnection.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/CallerConnection.java
@@ -232,26 +232,23 @@
   }
 
   private void serveNext() {
-    if (serving || closed) {
-      return;
-    }
-    CallerRequest r = pipelined.poll();
-    if (r == null) {
-      ctx().channel().config().setAutoRead(true);
-      if (!reading) {
-        awaitRequest();
+    while (!serving && !closed) {
+      CallerRequest r = pipelined.poll();
+      if (r == null) {
+        ctx().channel().config().setAutoRead(true);
+        if (!reading) {
+          awaitRequest();
+        }
+        return;
+      }
+      cancelReadTimer();
+      serving = true;
+      startingExchange = true;
+      Exchange e = exchanges.begin(r, this);
+      startingExchange = false;
+      if (serving) {
+        exchange = e;
       }
-      return;
-    }
-    cancelReadTimer();
-    serving = true;
-    startingExchange = true;
-    Exchange e = exchanges.begin(r, this);
-    startingExchange = false;
-    if (serving) {
-      exchange = e;
-    } else {
-      serveNext();
     }
   }
 
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/CallerListener.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/CallerListener.java
@@ -71,6 +71,7 @@
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.RCVBUF_ALLOCATOR, BoundedReads.allocator())
             .childHandler(
                 new ChannelInitializer<SocketChannel>() {
                   @Override
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
@@ -552,12 +552,26 @@
     }
   }
 
-  /** Forwards bytes of a response to the caller. */
-  void forward(byte[] bytes, @Nullable String eventId) {
-    if (eventId != null) {
-      lastEventId = eventId;
+  /** Forwards a part of a plain response to the caller. */
+  void forward(byte[] bytes) {
+    recordProgress(1);
+    caller.sendBody(bytes);
+  }
+
+  /** Forwards a part of a stream to the caller. */
+  void forwardEvents(EventBatch batch) {
+    if (batch.lastEventId() != null) {
+      lastEventId = batch.lastEventId();
+    }
+    // A server that sends only comments makes no progress.
+    if (batch.events() > 0) {
+      recordProgress(batch.events());
     }
-    events++;
+    caller.sendBody(batch.bytes());
+  }
+
+  private void recordProgress(int parts) {
+    events += parts;
     long now = timers.nanos();
     if (stallDetector != null) {
       stallDetector.recordProgress();
@@ -566,7 +580,6 @@
       longestGapNanos = Math.max(longestGapNanos, now - lastForwardedAt);
     }
     lastForwardedAt = now;
-    caller.sendBody(bytes);
   }
 
   /** Ends the caller's response, because the forwarded one is complete. */
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/NettyBackendConnector.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/NettyBackendConnector.java
@@ -1,7 +1,6 @@
 package org.wigeonwharf.gateway.http;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFactory;
@@ -23,6 +22,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.io.ByteArrayOutputStream;
 import org.wigeonwharf.gateway.backend.BackendServer;
 
 /**
@@ -66,6 +66,7 @@
             .group(loop)
             .channelFactory(channels)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.RCVBUF_ALLOCATOR, BoundedReads.allocator())
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
             .handler(
                 new ChannelInitializer<SocketChannel>() {
@@ -98,6 +99,7 @@
   private static final class Connection extends ChannelInboundHandlerAdapter implements Attempt {
     private final OutboundRequest request;
     private final AttemptListener listener;
+    private final ByteArrayOutputStream received = new ByteArrayOutputStream();
     private Channel channel;
     private boolean ended;
     private boolean informational;
@@ -148,6 +150,7 @@
     }
 
     private void fail(String reason) {
+      passOnReceived();
       if (!ended) {
         ended = true;
         reset();
@@ -202,16 +205,33 @@
     }
 
     private void readContent(HttpContent content) {
-      if (content.content().isReadable()) {
-        listener.onData(ByteBufUtil.getBytes(content.content()));
+      byte[] bytes = new byte[content.content().readableBytes()];
+      content.content().readBytes(bytes);
+      received.writeBytes(bytes);
+      if (content instanceof LastHttpContent) {
+        passOnReceived();
+        if (!ended) {
+          ended = true;
+          channel.close();
+          listener.onComplete();
+        }
       }
-      if (content instanceof LastHttpContent && !ended) {
-        ended = true;
-        channel.close();
-        listener.onComplete();
+    }
+
+    /** Passes on the body bytes of one read together, however many pieces they came in. */
+    private void passOnReceived() {
+      if (!ended && received.size() > 0) {
+        byte[] bytes = received.toByteArray();
+        received.reset();
+        listener.onData(bytes);
       }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+      passOnReceived();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
       fail(headReceived ? "connection closed within the answer" : "connection closed unanswered");
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/StatusServer.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/StatusServer.java
@@ -70,6 +70,7 @@
             .group(loop, loop)
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.RCVBUF_ALLOCATOR, BoundedReads.allocator())
             .childHandler(
                 new ChannelInitializer<SocketChannel>() {
                   @Override
