Ignore frames behind a rejected one

A connection to a router's peer address that sent invalid frames was closed, but the frames of the same read behind the first one were each handled and logged as another rejection: up to 16,384 log lines for one read of 64 KiB.

PeerHandshakeTest.framesBehindRejectedOneAreIgnored failed before (10,000 closes in place of 1).

--- a/org.wigeonwharf.peer.test/src/test/java/org/wigeonwharf/peer/internal/PeerHandshakeTest.java
+++ b/org.wigeonwharf.peer.test/src/test/java/org/wigeonwharf/peer/internal/PeerHandshakeTest.java
@@ -5,10 +5,14 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.protobuf.ByteString;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.wigeonwharf.model.NodeId;
 import org.wigeonwharf.peer.Topic;
@@ -69,6 +73,26 @@
     assertRejected(b);
   }
 
+  // Guards against frames behind a rejected one that are each handled and logged.
+  @Test
+  void framesBehindRejectedOneAreIgnored() {
+    PeerEndpoint b = new PeerEndpoint("b", PeerEndpoint.SECRET, false);
+    AtomicInteger closes = new AtomicInteger();
+    // A socket's close also takes effect only after the bytes of the current read are decoded.
+    b.channel
+        .pipeline()
+        .addFirst(
+            new ChannelOutboundHandlerAdapter() {
+              @Override
+              public void close(ChannelHandlerContext ctx, ChannelPromise promise) {
+                closes.incrementAndGet();
+              }
+            });
+    b.receive(new byte[10_000 * 4]);
+    assertEquals(1, closes.get());
+    assertEquals(List.of(), b.up);
+  }
+
   @Test
   void reflectedHandshakeIsRejected() {
     PeerEndpoint b = new PeerEndpoint("b", PeerEndpoint.SECRET, false);
--- a/org.wigeonwharf.peer/src/main/java/org/wigeonwharf/peer/internal/PeerChannelHandler.java
+++ b/org.wigeonwharf.peer/src/main/java/org/wigeonwharf/peer/internal/PeerChannelHandler.java
@@ -48,6 +48,7 @@
   private @Nullable Hello remoteHello;
   private @Nullable Peer peer;
   private @Nullable Future<?> handshakeTimeout;
+  private boolean rejected;
 
   PeerChannelHandler(PeerConnections connections, Peer self, FleetSecret secret, boolean dialed) {
     this.connections = connections;
@@ -80,6 +81,10 @@
 
   @Override
   protected void channelRead0(ChannelHandlerContext ctx, Frame frame) {
+    if (rejected) {
+      // One read may hold thousands of frames behind the rejected one.
+      return;
+    }
     switch (frame.getKindCase()) {
       case HELLO -> receiveHello(ctx, frame.getHello());
       case PROOF -> receiveProof(ctx, frame.getProof());
@@ -158,6 +163,7 @@
   }
 
   private void reject(ChannelHandlerContext ctx, String reason) {
+    rejected = true;
     LOG.atWarn()
         .addKeyValue("event", "peer.rejected")
         .addKeyValue("remote", String.valueOf(ctx.channel().remoteAddress()))
