Move BoundedReads to a bundle for what all HTTP clients share

PlatformBoundaryTest failed since: the platform folder may depend on interfaces and data of the gateway only, and its client used the gateway's BoundedReads. The class moves to org.wigeonwharf.http, on which both depend; PlatformBoundaryTest passes.

--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/CallerListener.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/CallerListener.java
@@ -18,6 +18,7 @@
 import org.jspecify.annotations.Nullable;
 import org.wigeonwharf.gateway.route.CallerLimits;
 import org.wigeonwharf.gateway.route.RouteTable;
+import org.wigeonwharf.http.BoundedReads;
 
 /** Accepts callers' connections. */
 public final class CallerListener {
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/NettyBackendConnector.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/NettyBackendConnector.java
@@ -24,6 +24,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.ByteArrayOutputStream;
 import org.wigeonwharf.gateway.backend.BackendServer;
+import org.wigeonwharf.http.BoundedReads;
 
 /**
  * Sends requests to backend servers, each on a new connection.
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/StatusServer.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/StatusServer.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
+import org.wigeonwharf.http.BoundedReads;
 
 /** Serves status pages of the process as plain text over HTTP. */
 public final class StatusServer {
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/BoundedReads.java
+++ b/org.wigeonwharf.http/src/main/java/org/wigeonwharf/http/BoundedReads.java
@@ -1,4 +1,4 @@
-package org.wigeonwharf.gateway.http;
+package org.wigeonwharf.http;
 
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.RecvByteBufAllocator;
@@ -11,7 +11,7 @@
  */
 public final class BoundedReads {
   /** Maximum number of bytes that are read from a connection in one pass of the event loop. */
-  static final int MAX_BYTES = 16 * 1024;
+  public static final int MAX_BYTES = 16 * 1024;
 
   private static final int MIN_BYTES = 64;
   private static final int INITIAL_BYTES = 2 * 1024;
