Read numbers in header fields whatever their number of digits

Cause: each header had a pattern of its own, and an answer whose limit had more than nine digits after the point counted as one that names none, without a line in the log.

Now NumberReader reads all numbers in header fields and decides what each allows; what it refuses is logged and counted. A limit that can't be read is told from none, so that a known one holds on. The same patterns took deadlines of callers with a fraction for none, lengths of prompts for 0 and unreadable load reports for idle servers; the store's revisions are read as whole numbers however they are written.

--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/limit/ServerLimitsTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/limit/ServerLimitsTest.java
@@ -44,6 +44,24 @@
     assertTrue(limits.limits(now).isEmpty());
   }
 
+  // Guards against a limit that is lifted by an answer whose limit can't be read.
+  @Test
+  void limitHoldsOnWhileItCannotBeRead() {
+    advanceMillis(5_000);
+    limits.recordAnswer("s", Double.NaN, now);
+    assertFalse(limits.isLimited("s", now));
+    limits.recordAnswer("s", 5.0, now);
+    for (int i = 0; i < 40; i++) {
+      advanceMillis(2_000);
+      limits.recordAnswer("s", Double.NaN, now);
+      assertTrue(limits.isLimited("s", now), "lifted after " + i);
+    }
+    int sends = sendsIn(10_000);
+    assertTrue(sends >= 40 && sends <= 60, sends + " sends, about 50");
+    limits.recordAnswer("s", null, now);
+    assertFalse(limits.isLimited("s", now));
+  }
+
   @Test
   void singleRouterSendsAtTheNamedRate() {
     advanceMillis(5_000);
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/limit/ServerLimits.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/limit/ServerLimits.java
@@ -115,10 +115,18 @@
    * Records what an answer says of its server's limit.
    *
    * @param server the server's id
-   * @param perSecond the limit in requests per second, or null if the answer names none
+   * @param perSecond the limit in requests per second, or null if the answer names none; NaN if it
+   *     names one that could not be read, so that the one before holds on
    * @param now the current time in nanoseconds
    */
   public void recordAnswer(String server, @Nullable Double perSecond, long now) {
+    if (perSecond != null && perSecond.isNaN()) {
+      Named known = limitOf(server, now);
+      if (known != null) {
+        put(server, known.perSecond, now, now, "answer");
+      }
+      return;
+    }
     if (perSecond != null || named.containsKey(server)) {
       put(server, perSecond == null ? NamedLimit.NONE : perSecond, now, now, "answer");
     }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/notice/ServerStatement.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/notice/ServerStatement.java
@@ -11,7 +11,7 @@
  * @param pauseSeconds the time for which a server that turned a request away wants no further one,
  *     or null if it names none; NaN if the value could not be read
  * @param rateLimit requests per second that the server accepts from all routers together, or null
- *     if it names no limit
+ *     if it names no limit; NaN if the value could not be read
  * @param coldMillis time in ms for which the server stays cold, or null if it names none
  */
 public record ServerStatement(
--- a/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/GatewayModule.java
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/GatewayModule.java
@@ -16,6 +16,7 @@
 import org.wigeonwharf.model.Clock;
 import org.wigeonwharf.model.NodeId;
 import org.wigeonwharf.platform.HttpPublishedStore;
+import org.wigeonwharf.platform.NumberReader;
 import org.wigeonwharf.platform.PlatformClient;
 import org.wigeonwharf.platform.PlatformProtocol;
 import org.wigeonwharf.router.internal.ProcessGauges;
@@ -59,14 +60,21 @@
 
   @Provides
   @Singleton
-  static PublishedStore store(GatewaySettings settings, EventLoopGroup loops) {
-    return new HttpPublishedStore(new PlatformClient(loops, settings.storeAddress()));
+  static NumberReader numbers(MetricRegistry metrics) {
+    return new NumberReader(metrics);
   }
 
   @Provides
   @Singleton
-  static ExchangeProtocol protocol() {
-    return new PlatformProtocol();
+  static PublishedStore store(
+      GatewaySettings settings, EventLoopGroup loops, NumberReader numbers) {
+    return new HttpPublishedStore(new PlatformClient(loops, settings.storeAddress()), numbers);
+  }
+
+  @Provides
+  @Singleton
+  static ExchangeProtocol protocol(NumberReader numbers) {
+    return new PlatformProtocol(numbers);
   }
 
   @Provides
