Tell the end of an answer from the loss of its connection

Cause: the write finds the reset, the library closes the channel without an exception, and its decoder takes that for the end of the answer.

Now the decoder sees the end of input only if the server caused it and no write or read has failed before. A failed write no longer closes the channel, so that an answer with a length or in chunks that has arrived whole is delivered.

--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/NettyBackendConnectorTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/NettyBackendConnectorTest.java
@@ -37,6 +37,7 @@
 @Timeout(30)
 class NettyBackendConnectorTest {
   private static final long WAIT_SECONDS = 10;
+  private static final int LONG_BODY_BYTES = 16_000_000;
   private static final String OK = "HTTP/1.1 200 OK\r\n";
   private static final String CHUNKED = OK + "Transfer-Encoding: chunked\r\n\r\n";
 
@@ -87,6 +88,10 @@
   }
 
   private Attempt send(AttemptListener listener) {
+    return send(listener, new byte[0]);
+  }
+
+  private Attempt send(AttemptListener listener, byte[] body) {
     BackendServer server =
         new BackendServer(
             "s",
@@ -96,9 +101,9 @@
             6,
             false,
             1);
-    OutboundRequest request =
-        new OutboundRequest(
-            HttpMethod.GET, "/", new DefaultHttpHeaders().set("host", "h"), new byte[0]);
+    HttpHeaders headers = new DefaultHttpHeaders().set("host", "h");
+    headers.set("content-length", body.length);
+    OutboundRequest request = new OutboundRequest(HttpMethod.POST, "/", headers, body);
     return new NettyBackendConnector(loops.next()).send(server, request, listener);
   }
 
@@ -293,6 +298,45 @@
     assertEquals("lost", nextEvent());
   }
 
+  /** Answers a long request that is never read to its end, and then ends the connection. */
+  private void answerEarly(String answer, boolean reset) throws Exception {
+    serverSocket.setReceiveBufferSize(16 * 1024);
+    send(new Recorder(), new byte[LONG_BODY_BYTES]);
+    try (Socket server = serverSocket.accept()) {
+      assertTrue(server.getInputStream().read() > 0);
+      server.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+      server.getOutputStream().flush();
+      assertEquals("head", nextEvent());
+      if (reset) {
+        server.setSoLinger(true, 0);
+      } else {
+        server.shutdownOutput();
+        assertEquals("complete", nextEvent());
+      }
+    }
+  }
+
+  // Guards against a part of an answer that looks whole because a write finds the reset.
+  @Test
+  void earlyAnswerWithoutLengthIsLostWhenResetWithinTheRequest() throws Exception {
+    answerEarly(OK + "\r\nanswer", true);
+    assertEquals("lost", nextEvent());
+  }
+
+  @Test
+  void earlyAnswerWithoutLengthEndsInOrderWithinTheRequest() throws Exception {
+    answerEarly(OK + "\r\nanswer", false);
+  }
+
+  // Guards against a whole answer that is lost because the request can't be sent to its end.
+  @Test
+  void earlyAnswerWithLengthIsWholeWhenResetWithinTheRequest() throws Exception {
+    answerEarly(OK + "Content-Length: 6\r\n\r\nanswer", true);
+    assertEquals("complete", nextEvent());
+    answerEarly(CHUNKED + "6\r\nanswer\r\n0\r\n\r\n", true);
+    assertEquals("complete", nextEvent());
+  }
+
   @Test
   void answerWithLengthOrChunksIsLostWithItsConnection() throws Exception {
     answerAndClose(OK + "Content-Length: 20\r\n\r\nanswer", false);
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/NettyBackendConnector.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/NettyBackendConnector.java
@@ -10,11 +10,11 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -24,7 +24,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.ByteArrayOutputStream;
 import org.wigeonwharf.gateway.backend.BackendServer;
-import org.wigeonwharf.http.BoundedReads;
+import org.wigeonwharf.http.HttpAnswers;
 
 /**
  * Sends requests to backend servers, each on a new connection.
@@ -63,17 +63,16 @@
   public Attempt send(BackendServer server, OutboundRequest request, AttemptListener listener) {
     Connection connection = new Connection(request, listener);
     ChannelFuture connect =
-        new Bootstrap()
+        HttpAnswers.configure(new Bootstrap())
             .group(loop)
             .channelFactory(channels)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.RCVBUF_ALLOCATOR, BoundedReads.allocator())
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
             .handler(
                 new ChannelInitializer<SocketChannel>() {
                   @Override
                   protected void initChannel(SocketChannel ch) {
-                    ch.pipeline().addLast(new HttpClientCodec(), connection);
+                    HttpAnswers.addHandlers(ch.pipeline());
+                    ch.pipeline().addLast(connection);
                   }
                 })
             .connect(server.address());
@@ -233,8 +232,19 @@
       passOnReceived();
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+      if (event instanceof ChannelInputShutdownEvent) {
+        failAtEnd();
+      }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
+      failAtEnd();
+    }
+
+    private void failAtEnd() {
       fail(headReceived ? "connection closed within the answer" : "connection closed unanswered");
     }
 
