Quarantine prompt parts that crash servers late in an answer

Cause: an answer that had gone on for 150 ms counted as proof that its parts do no harm, and its loss after that was not reported.

Now every loss is reported with its stage, and a part is judged by the begin of its answers, as before, and by answers as a whole, where only the end of an answer is a proof. As long sound answers are lost too when servers end, seven of at most eight successive ends have to have the part.

ServerEndDetectorTest and PromptQuarantineTest name the stage of a loss where they named whether the server was answering; the reported parts now stand there with both keys. EngineSimulation sends events also ahead of a crash, as servers do.

--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/CrashingPromptFleetTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/CrashingPromptFleetTest.java
@@ -26,7 +26,7 @@
   private static final int MAX_SENDS_AFTER_CONTAINMENT = 3;
 
   private final VirtualTimers timers = new VirtualTimers();
-  private final EngineSimulation engines = new EngineSimulation(timers, CRASHING_PART, SERVERS);
+  private EngineSimulation engines;
   private final List<Router> routers = new ArrayList<>();
   private Random random = new Random(0);
   private long incarnation;
@@ -110,7 +110,32 @@
   })
   void partIsContainedOnAllRoutersAndOthersAreServed(
       int count, double crashingPerSecond, long seed) {
+    assertContained(count, crashingPerSecond, seed, EngineSimulation.Durations.SHORT);
+  }
+
+  // Guards against a part that is never quarantined because its answers last for a while.
+  @ParameterizedTest
+  @CsvSource({
+    "6,4,1,600,250",
+    "6,0.5,2,600,250",
+    "8,2,3,600,550",
+    "30,1,4,600,400",
+    "6,4,5,1500,1000",
+    "8,2,6,1500,1200",
+    "30,4,7,1500,1000",
+    "6,1,8,1500,700",
+    "8,4,9,1500,1300"
+  })
+  void partThatCrashesServersLateInAnAnswerIsContainedToo(
+      int count, double crashingPerSecond, long seed, long streamMillis, long crashMillis) {
+    assertContained(
+        count, crashingPerSecond, seed, new EngineSimulation.Durations(streamMillis, crashMillis));
+  }
+
+  private void assertContained(
+      int count, double crashingPerSecond, long seed, EngineSimulation.Durations durations) {
     random = new Random(seed);
+    engines = new EngineSimulation(timers, CRASHING_PART, SERVERS, durations);
     for (int i = 0; i < count; i++) {
       routers.add(new Router(i));
     }
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/EngineSimulation.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/EngineSimulation.java
@@ -17,16 +17,24 @@
  */
 final class EngineSimulation {
   private static final long PREFILL_MILLIS = 80;
-  private static final long STREAM_MILLIS = 600;
   private static final long EVENT_MILLIS = 50;
 
-  /** Time from the head of an answer that crashes the server to the crash. */
-  private static final long CRASH_DELAY_MILLIS = 60;
-
   private static final long RESTART_MILLIS = 2_500;
   private static final long EXPIRY_MILLIS = 2_000;
 
+  /**
+   * Holds the durations of answers.
+   *
+   * @param streamMillis duration of a whole answer, in ms
+   * @param crashMillis time from the first event of an answer that crashes its server to the crash,
+   *     in ms
+   */
+  record Durations(long streamMillis, long crashMillis) {
+    static final Durations SHORT = new Durations(600, 60);
+  }
+
   private final VirtualTimers timers;
+  private final Durations durations;
   private final List<ExchangeFixture> routers = new ArrayList<>();
   private final String crashingPart;
   private final Map<String, List<FakeAttempt>> running = new HashMap<>();
@@ -44,7 +52,12 @@
   }
 
   EngineSimulation(VirtualTimers timers, String crashingPart, int servers) {
+    this(timers, crashingPart, servers, Durations.SHORT);
+  }
+
+  EngineSimulation(VirtualTimers timers, String crashingPart, int servers, Durations durations) {
     this.timers = timers;
+    this.durations = durations;
     this.crashingPart = crashingPart;
     for (int i = 0; i < servers; i++) {
       addServer();
@@ -117,8 +130,7 @@
   private void beginAnswer(FakeAttempt attempt, boolean crashing) {
     attempt.respondHead(200, TestProtocol.SIGNED);
     if (crashing) {
-      after(CRASH_DELAY_MILLIS, () -> ifRunning(attempt, () -> crashByPart(attempt.server)));
-      return;
+      after(durations.crashMillis, () -> ifRunning(attempt, () -> crashByPart(attempt.server)));
     }
     after(0, () -> sendEvents(attempt, 1));
   }
@@ -128,7 +140,7 @@
         attempt,
         () -> {
           attempt.respondData("id: " + number + "\ndata: x\n\n");
-          if (number * EVENT_MILLIS >= STREAM_MILLIS) {
+          if (number * EVENT_MILLIS >= durations.streamMillis) {
             running.get(attempt.server.id()).remove(attempt);
             attempt.listener.onComplete();
           } else {
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ServerEndDetectorTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ServerEndDetectorTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.wigeonwharf.gateway.backend.BackendServer;
 import org.wigeonwharf.gateway.backend.ServerDirectory;
+import org.wigeonwharf.gateway.quarantine.LossStage;
 import org.wigeonwharf.gateway.quarantine.PromptQuarantine;
 import org.wigeonwharf.gateway.quarantine.QuarantineLog;
 import org.wigeonwharf.gateway.quarantine.QuarantineState;
@@ -52,13 +53,16 @@
   @Test
   void serverThatRefusesConnectionsHasEnded() {
     directory.put(server(false, 1));
-    detector.recordLost(server(false, 1), PARTS, true);
-    detector.recordLost(server(false, 1), List.of("c"), false);
+    detector.recordLost(server(false, 1), PARTS, LossStage.BEGINNING);
+    detector.recordLost(server(false, 1), List.of("c"), LossStage.WAITING);
     assertEquals(1, checks.size(), "one check for all lost connections");
     checks.get(0).accept(LivenessCheck.Result.ENDED);
-    assertEquals(List.of(new ServerEnd("s", 1, Set.of("a", "b"), Set.of("c"))), reported());
-    detector.recordLost(server(false, 1), List.of("d"), true);
-    assertEquals(Set.of("a", "b", "d"), reported().get(0).answering());
+    // With the line feed, a part counts for its answers as a whole.
+    Set<String> keys = Set.of("a", "b", "a\n", "b\n");
+    assertEquals(List.of(new ServerEnd("s", 1, keys, Set.of("c"), Set.of())), reported());
+    detector.recordLost(server(false, 1), List.of("d"), LossStage.BEGINNING);
+    detector.recordLost(server(false, 1), List.of("e"), LossStage.RUNNING);
+    assertEquals(Set.of("a", "b", "a\n", "b\n", "d", "d\n", "e\n"), reported().get(0).answering());
   }
 
   @Test
@@ -67,7 +71,7 @@
     for (LivenessCheck.Result r :
         List.of(LivenessCheck.Result.ALIVE, LivenessCheck.Result.UNKNOWN)) {
       checks.clear();
-      detector.recordLost(server(false, 1), PARTS, true);
+      detector.recordLost(server(false, 1), PARTS, LossStage.BEGINNING);
       checks.get(0).accept(r);
       assertEquals(List.of(), reported());
     }
@@ -75,18 +79,18 @@
 
   @Test
   void announcedEndsAreNotChecked() {
-    detector.recordLost(server(false, 1), PARTS, true);
+    detector.recordLost(server(false, 1), PARTS, LossStage.BEGINNING);
     directory.put(server(true, 1));
-    detector.recordLost(server(false, 1), PARTS, true);
+    detector.recordLost(server(false, 1), PARTS, LossStage.BEGINNING);
     directory.put(server(false, 2));
-    detector.recordLost(server(false, 1), PARTS, true);
+    detector.recordLost(server(false, 1), PARTS, LossStage.BEGINNING);
     assertTrue(checks.isEmpty());
   }
 
   @Test
   void requestsWithoutPromptAreNotChecked() {
     directory.put(server(false, 1));
-    detector.recordLost(server(false, 1), List.of(), false);
+    detector.recordLost(server(false, 1), List.of(), LossStage.WAITING);
     assertTrue(checks.isEmpty());
   }
 }
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
@@ -255,7 +255,7 @@
 
   private void crash(Node observer, String server) {
     observer.quarantine.recordServerEnd(
-        new ServerEnd(server, 1, Set.of("bad"), Set.of()), now, now);
+        new ServerEnd(server, 1, Set.of("bad"), Set.of(), Set.of()), now, now);
   }
 
   private static boolean isQuarantined(Node node, long now) {
@@ -304,7 +304,9 @@
       String server = "server-with-a-rather-long-id-" + i;
       String part = "x".repeat(500) + i;
       a.quarantine.recordServerEnd(
-          new ServerEnd(server, 1, Set.of(part, part + "a"), Set.of(part + "b")), now, now);
+          new ServerEnd(server, 1, Set.of(part, part + "a"), Set.of(part + "b"), Set.of()),
+          now,
+          now);
       a.quarantine.recordProven(List.of(part), now);
       a.limits.recordAnswer(server, 5.0, now);
       a.limits.recordDemand(server, now);
@@ -313,7 +315,7 @@
     for (int i = 0; i < 400; i++) {
       String part = "y".repeat(500) + i;
       a.quarantine.recordServerEnd(
-          new ServerEnd("large", 1, Set.of(part), Set.of(part + "a")), now, now);
+          new ServerEnd("large", 1, Set.of(part), Set.of(part + "a"), Set.of()), now, now);
     }
     advanceMillis(1_000);
     assertTrue(longestMessage > 1_000, longestMessage + " bytes");
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/quarantine/PromptQuarantineTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/quarantine/PromptQuarantineTest.java
@@ -39,7 +39,7 @@
 
   private void crash(PromptQuarantine observer, String... answering) {
     observer.recordServerEnd(
-        new ServerEnd("s" + ++servers, 1, Set.of(answering), Set.of()), now, now);
+        new ServerEnd("s" + ++servers, 1, Set.of(answering), Set.of(), Set.of()), now, now);
     advanceMillis(1_000);
   }
 
@@ -90,6 +90,52 @@
     assertFalse(isQuarantined("shared"));
   }
 
+  private void crashWhileRunning(String... running) {
+    quarantine.recordServerEnd(
+        new ServerEnd("s" + ++servers, 1, Set.of(), Set.of(), Set.of(running)), now, now);
+    advanceMillis(1_000);
+  }
+
+  // Guards against a part that is never quarantined because its answers last for a while.
+  @Test
+  void partThatEndsServersLateInItsAnswersIsQuarantined() {
+    for (int i = 0; i < 6; i++) {
+      quarantine.recordBegun(List.of("bad"), now);
+      crashWhileRunning("bad", "session" + i % 3);
+    }
+    assertFalse(isQuarantined("bad"));
+    crashWhileRunning("bad");
+    assertTrue(isQuarantined("bad"));
+    quarantine.recordBegun(List.of("bad"), now);
+    assertTrue(isQuarantined("bad"), "the begin of an answer proves nothing of its end");
+    quarantine.recordProven(List.of("bad"), now);
+    assertFalse(isQuarantined("bad"));
+  }
+
+  @Test
+  void longAnswersThatAreLostNowAndThenAreNoEvidence() {
+    for (int i = 0; i < 60; i++) {
+      crashWhileRunning(i % 4 < 3 ? "long" : "other", "common");
+      if (i % 5 == 4) {
+        quarantine.recordProven(List.of("common"), now);
+      }
+    }
+    assertFalse(isQuarantined("long"));
+    assertFalse(isQuarantined("common"));
+  }
+
+  @Test
+  void oneMoreCrashLateInAnAnswerRenewsTheQuarantine() {
+    for (int i = 0; i < 7; i++) {
+      crashWhileRunning("bad");
+    }
+    assertTrue(isQuarantined("bad"));
+    advanceMillis(6 * MINUTE_MILLIS);
+    assertFalse(isQuarantined("bad"));
+    crashWhileRunning("bad");
+    assertTrue(isQuarantined("bad"));
+  }
+
   @Test
   void partThatTurnsHarmfulIsQuarantinedToo() {
     quarantine.recordProven(List.of("bad"), now);
@@ -103,7 +149,8 @@
   @Test
   void serversThatEndTogetherCountOnce() {
     for (int i = 0; i < 8; i++) {
-      quarantine.recordServerEnd(new ServerEnd("s" + i, 1, Set.of("shared"), Set.of()), now, now);
+      quarantine.recordServerEnd(
+          new ServerEnd("s" + i, 1, Set.of("shared"), Set.of(), Set.of()), now, now);
       advanceMillis(5);
     }
     advanceMillis(1_000);
@@ -113,11 +160,13 @@
   @Test
   void requestsThatOnlyWaitedAreWeakerEvidence() {
     for (int i = 0; i < 7; i++) {
-      quarantine.recordServerEnd(new ServerEnd("s" + i, 1, Set.of(), Set.of("part")), now, now);
+      quarantine.recordServerEnd(
+          new ServerEnd("s" + i, 1, Set.of(), Set.of("part"), Set.of()), now, now);
       advanceMillis(1_000);
     }
     assertFalse(isQuarantined("part"));
-    quarantine.recordServerEnd(new ServerEnd("s7", 1, Set.of(), Set.of("part")), now, now);
+    quarantine.recordServerEnd(
+        new ServerEnd("s7", 1, Set.of(), Set.of("part"), Set.of()), now, now);
     advanceMillis(1_000);
     assertTrue(!isQuarantined("other") && isQuarantined("part"));
   }
@@ -224,6 +273,7 @@
                 "s" + end,
                 1,
                 Set.copyOf(List.of("common", session, last ? "bad" : "common")),
+                Set.of(),
                 Set.of()),
             now,
             now);
@@ -252,7 +302,9 @@
     for (int i = 0; i < 5_000; i++) {
       String id = "x".repeat(500) + i;
       quarantine.recordServerEnd(
-          new ServerEnd("s" + i, 1, Set.of(id, id + "a", id + "b"), Set.of(id + "c")), now, now);
+          new ServerEnd("s" + i, 1, Set.of(id, id + "a", id + "b"), Set.of(id + "c"), Set.of()),
+          now,
+          now);
       quarantine.recordProven(List.of(id), now);
     }
     QuarantineState state = quarantine.state(now);
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/AttemptHandler.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/AttemptHandler.java
@@ -10,6 +10,7 @@
 import org.wigeonwharf.gateway.placement.Demand;
 import org.wigeonwharf.gateway.placement.InFlightTracker;
 import org.wigeonwharf.gateway.placement.ServerChooser;
+import org.wigeonwharf.gateway.quarantine.LossStage;
 import org.wigeonwharf.model.Clock;
 
 /**
@@ -27,11 +28,8 @@
 
   private static final int MIN_SERVER_ERROR = 500;
 
-  /**
-   * Time in ms from its first event after which an answer counts as harmless to its server. A
-   * prompt that crashes its server does so while the answer begins.
-   */
-  private static final long PROOF_MILLIS = 150;
+  /** Time in ms from its first event after which an answer has gone on after its begin. */
+  private static final long BEGIN_MILLIS = 150;
 
   private final Exchange exchange;
   private final ExchangeManager manager;
@@ -50,7 +48,7 @@
   private boolean headReceived;
   private int events;
   private long firstEventAt;
-  private boolean proven;
+  private boolean begun;
   private boolean endsWithConnection;
   private boolean ended;
 
@@ -237,8 +235,8 @@
     }
     if (events == 0) {
       firstEventAt = now();
-    } else if (now() - firstEventAt >= PROOF_MILLIS * Clock.NANOS_PER_MILLI) {
-      recordProven();
+    } else if (now() - firstEventAt >= BEGIN_MILLIS * Clock.NANOS_PER_MILLI) {
+      recordBegun();
     }
     events += batch.events();
     if (!forwarding) {
@@ -250,13 +248,21 @@
     exchange.forwardEvents(batch);
   }
 
-  private void recordProven() {
-    if (!proven) {
-      proven = true;
-      manager.quarantine().recordProven(demand.sharedPartIds(), now());
+  private void recordBegun() {
+    if (!begun) {
+      begun = true;
+      manager.quarantine().recordBegun(demand.sharedPartIds(), now());
     }
   }
 
+  /**
+   * Records that the request did its server no harm, which only a whole answer proves: a prompt may
+   * crash its server at any time while the answer is written.
+   */
+  private void recordProven() {
+    manager.quarantine().recordProven(demand.sharedPartIds(), now());
+  }
+
   private void recordLost(String reason) {
     manager
         .log()
@@ -268,9 +274,14 @@
             headReceived,
             events,
             now() - sentAt);
-    if (!proven) {
-      manager.serverEnds().recordLost(server, demand.sharedPartIds(), headReceived);
+    manager.serverEnds().recordLost(server, demand.sharedPartIds(), lossStage());
+  }
+
+  private LossStage lossStage() {
+    if (!headReceived) {
+      return LossStage.WAITING;
     }
+    return begun ? LossStage.RUNNING : LossStage.BEGINNING;
   }
 
   private void recordPrefillRate() {
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/ServerEndDetector.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/ServerEndDetector.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.wigeonwharf.gateway.backend.BackendServer;
 import org.wigeonwharf.gateway.backend.ServerDirectory;
+import org.wigeonwharf.gateway.quarantine.LossStage;
 import org.wigeonwharf.gateway.quarantine.PromptQuarantine;
 import org.wigeonwharf.gateway.quarantine.ServerEnd;
 
@@ -34,11 +35,20 @@
     private final long lostAt;
     private final Set<String> answering = new HashSet<>();
     private final Set<String> waiting = new HashSet<>();
+    private final Set<String> running = new HashSet<>();
     private boolean ended;
 
     private Losses(long now) {
       this.lostAt = now;
     }
+
+    private Set<String> parts(LossStage stage) {
+      return switch (stage) {
+        case WAITING -> waiting;
+        case BEGINNING -> answering;
+        case RUNNING -> running;
+      };
+    }
   }
 
   ServerEndDetector(
@@ -54,9 +64,9 @@
    *
    * @param server the server
    * @param sharedParts the shared parts of the request's prompt
-   * @param answering true if the server had begun to answer
+   * @param stage how far its answer had come
    */
-  void recordLost(BackendServer server, List<String> sharedParts, boolean answering) {
+  void recordLost(BackendServer server, List<String> sharedParts, LossStage stage) {
     BackendServer published = directory.find(server.id());
     if (published == null
         || published.draining()
@@ -72,7 +82,7 @@
       Losses checked = losses;
       check.check(server, result -> finishCheck(server, checked, result));
     }
-    (answering ? losses.answering : losses.waiting).addAll(sharedParts);
+    losses.parts(stage).addAll(sharedParts);
     if (losses.ended) {
       report(server, losses);
     }
@@ -97,7 +107,8 @@
 
   private void report(BackendServer server, Losses losses) {
     quarantine.recordServerEnd(
-        new ServerEnd(server.id(), server.startedAt(), losses.answering, losses.waiting),
+        new ServerEnd(
+            server.id(), server.startedAt(), losses.answering, losses.waiting, losses.running),
         losses.lostAt,
         timers.nanos());
   }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipCodec.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/GossipCodec.java
@@ -157,7 +157,8 @@
               e.getServer(),
               e.getStartedAt(),
               Set.copyOf(e.getAnsweringList()),
-              Set.copyOf(e.getWaitingList()));
+              Set.copyOf(e.getWaitingList()),
+              Set.of());
       ends.add(new QuarantineState.AgedEnd(end, toNanos(e.getAgeMillis())));
     }
     Map<String, Long> proven = new HashMap<>();
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/quarantine/CrashEvidence.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/quarantine/CrashEvidence.java
@@ -38,11 +38,11 @@
 
   private static final int MAX_ENDS = 64;
 
-  /** Maximum number of parts of an end: those of the requests that one server begins to answer. */
-  private static final int MAX_ANSWERING_PARTS = 192;
+  /** Maximum number of parts of an end: those of the requests that one server answers. */
+  private static final int MAX_ANSWERING_PARTS = 384;
 
   private static final int MAX_WAITING_PARTS = 64;
-  private static final int MAX_PROOFS = 4_096;
+  private static final int MAX_PROOFS = 8_192;
 
   private final Map<String, Entry> ends = new LinkedHashMap<>();
   private final Map<String, Long> provenAt = new LinkedHashMap<>();
@@ -67,7 +67,7 @@
     }
 
     ServerEnd toServerEnd() {
-      return new ServerEnd(server, startedAt, answering, waiting);
+      return new ServerEnd(server, startedAt, answering, waiting, Set.of());
     }
 
     private boolean add(ServerEnd end) {
@@ -215,28 +215,38 @@
     List<Entry> inOrder = new ArrayList<>(ends.values().stream().filter(counted).toList());
     inOrder.sort(Comparator.comparingLong(e -> e.endedAt));
     Map<String, Score> scores = new HashMap<>();
+    int group = 0;
+    long groupAt = inOrder.isEmpty() ? 0 : inOrder.get(0).endedAt;
     for (Entry e : inOrder) {
+      if (!isSimultaneous(e.endedAt, groupAt)) {
+        group++;
+        groupAt = e.endedAt;
+      }
       for (String part : e.parts()) {
         Long proven = provenAt.get(part);
         if (proven == null || e.endedAt - proven > 0) {
-          scores.computeIfAbsent(part, k -> new Score()).add(e, part);
+          scores.computeIfAbsent(part, k -> new Score()).add(e, part, group);
         }
       }
     }
     return scores;
   }
 
+  private static boolean isSimultaneous(long endedAt, long before) {
+    return endedAt - before < SIMULTANEOUS_MILLIS * Clock.NANOS_PER_MILLI;
+  }
+
   /** Accumulates the score of one part. */
   static final class Score {
     private final List<String> servers = new ArrayList<>();
+    private final List<Integer> groups = new ArrayList<>();
     private int total;
     private int lastPoints;
     private long lastAt;
 
-    private void add(Entry e, String part) {
+    private void add(Entry e, String part, int group) {
       int points = e.answering.contains(part) ? ANSWERING_SCORE : WAITING_SCORE;
-      boolean simultaneous =
-          !servers.isEmpty() && e.endedAt - lastAt < SIMULTANEOUS_MILLIS * Clock.NANOS_PER_MILLI;
+      boolean simultaneous = !servers.isEmpty() && isSimultaneous(e.endedAt, lastAt);
       if (simultaneous) {
         total += Math.max(0, points - lastPoints);
         lastPoints = Math.max(points, lastPoints);
@@ -246,6 +256,24 @@
         lastAt = e.endedAt;
       }
       servers.add(e.server);
+      if (groups.isEmpty() || groups.get(groups.size() - 1) != group) {
+        groups.add(group);
+      }
+    }
+
+    /**
+     * Tells whether the part was lost with almost all servers that ended in some span.
+     *
+     * @param count minimum number of ends with the part
+     * @param span maximum number of successive ends, simultaneous ones counted once, that hold them
+     */
+    boolean hasDenseEnds(int count, int span) {
+      for (int i = count - 1; i < groups.size(); i++) {
+        if (groups.get(i) - groups.get(i - count + 1) < span) {
+          return true;
+        }
+      }
+      return false;
     }
 
     int total() {
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/quarantine/PromptQuarantine.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/quarantine/PromptQuarantine.java
@@ -17,10 +17,11 @@
  * Decides which prompt parts are kept from the backend servers because they crash them.
  *
  * <p>A part is quarantined if several servers ended in succession with it and it was not answered
- * in between. Requests that share a server, a caller or other parts with the cause are lost with it
- * too, so the part with the strongest evidence is quarantined first, and the ends that it explains
- * no longer count against others. A quarantine ends by itself; a part that crashes another server
- * soon after is quarantined again at once, for longer. Not thread-safe.
+ * in between, judged by the begin of its answers and by answers as a whole ({@link EvidenceKey}).
+ * Requests that share a server, a caller or other parts with the cause are lost with it too, so the
+ * part with the strongest evidence is quarantined first, and the ends that it explains no longer
+ * count against others. A quarantine ends by itself; a part that crashes another server soon after
+ * is quarantined again at once, for longer. Not thread-safe.
  */
 public final class PromptQuarantine {
   /** Score at which a part is quarantined: four servers that were writing an answer to it. */
@@ -35,6 +36,19 @@
   /** Score at which parts are quarantined that the evidence does not distinguish. */
   private static final int MIN_SCORE_OF_TIED = 5 * CrashEvidence.ANSWERING_SCORE;
 
+  /**
+   * Number of servers that ended while they wrote an answer, at any time of it, at which a part is
+   * quarantined. Sound answers that last long are lost with several servers in succession, so
+   * almost all servers that ended have to be among them.
+   */
+  private static final int MIN_ENDS_OF_WHOLE = 7;
+
+  /** The same for a part that was answered not long ago. */
+  private static final int MIN_ENDS_OF_WHOLE_IF_PROVEN = 14;
+
+  /** Maximum number of ends without the part among those. */
+  private static final int MAX_GAPS_OF_WHOLE = 1;
+
   /** Score at which a part is quarantined again. */
   private static final int MIN_SCORE_ON_PROBATION = CrashEvidence.ANSWERING_SCORE;
 
@@ -59,7 +73,7 @@
   private static final long OBJECTION_MILLIS = 5_000;
 
   private static final int MAX_QUARANTINED = 256;
-  private static final int MAX_PROVEN = 4_096;
+  private static final int MAX_PROVEN = 8_192;
 
   /** Maximum age in ms of ends and proofs that are sent to other routers. */
   private static final long MAX_SHARED_AGE_MILLIS = 10_000;
@@ -70,9 +84,6 @@
   private static final int MAX_SHARED_PROOFS = 40;
   private static final int MAX_SHARED_QUARANTINED = 40;
 
-  private static final int MAX_ID_LENGTH = 32;
-  private static final int KEPT_ID_LENGTH = 20;
-
   private final QuarantineLog log;
   private final RandomGenerator random;
   private final CrashEvidence evidence = new CrashEvidence();
@@ -150,13 +161,6 @@
     onQuarantine = action;
   }
 
-  /** Bounds the length of an id, which callers choose freely. */
-  private static String key(String part) {
-    return part.length() <= MAX_ID_LENGTH
-        ? part
-        : part.substring(0, KEPT_ID_LENGTH) + '#' + Integer.toHexString(part.hashCode());
-  }
-
   /**
    * Finds a quarantined part of a prompt.
    *
@@ -171,9 +175,12 @@
 
   private @Nullable Hit findEnforced(List<String> sharedParts, long now) {
     for (String part : sharedParts) {
-      Quarantine q = quarantines.get(key(part));
-      if (q != null && q.isEnforced(now)) {
-        return new Hit(key(part), (q.enforcedUntil - now) / Clock.NANOS_PER_MILLI);
+      for (String key : List.of(EvidenceKey.ofBegin(part), EvidenceKey.ofWhole(part))) {
+        Quarantine q = quarantines.get(key);
+        if (q != null && q.isEnforced(now)) {
+          long remainingMillis = (q.enforcedUntil - now) / Clock.NANOS_PER_MILLI;
+          return new Hit(EvidenceKey.partOf(key), remainingMillis);
+        }
       }
     }
     return null;
@@ -187,19 +194,24 @@
    * @param now the current time in nanoseconds
    */
   public void recordServerEnd(ServerEnd end, long endedAt, long now) {
-    ServerEnd bounded =
-        new ServerEnd(end.server(), end.startedAt(), keys(end.answering()), keys(end.waiting()));
-    log.logServerEnd(bounded);
-    if (addEnd(bounded, endedAt, now)) {
+    log.logServerEnd(end);
+    if (addEnd(toKeys(end), endedAt, now)) {
       changed();
       evaluate(now);
     }
   }
 
-  private static Set<String> keys(Set<String> parts) {
-    Set<String> keys = new LinkedHashSet<>();
-    parts.forEach(p -> keys.add(key(p)));
-    return keys;
+  /** Replaces the parts of an end by the keys against which it counts. */
+  private static ServerEnd toKeys(ServerEnd end) {
+    Set<String> answering = new LinkedHashSet<>();
+    for (String part : end.answering()) {
+      answering.add(EvidenceKey.ofBegin(part));
+      answering.add(EvidenceKey.ofWhole(part));
+    }
+    end.running().forEach(part -> answering.add(EvidenceKey.ofWhole(part)));
+    Set<String> waiting = new LinkedHashSet<>();
+    end.waiting().forEach(part -> waiting.add(EvidenceKey.ofBegin(part)));
+    return new ServerEnd(end.server(), end.startedAt(), answering, waiting, Set.of());
   }
 
   private boolean addEnd(ServerEnd end, long endedAt, long now) {
@@ -225,21 +237,33 @@
   }
 
   /**
-   * Records that a server has answered a prompt without harm.
+   * Records that a server has gone on to answer a prompt after the begin.
+   *
+   * @param sharedParts the ids of its shared parts
+   * @param now the current time in nanoseconds
+   */
+  public void recordBegun(List<String> sharedParts, long now) {
+    sharedParts.forEach(part -> recordProof(EvidenceKey.ofBegin(part), now));
+  }
+
+  /**
+   * Records that a server has answered a prompt to the end without harm.
    *
    * @param sharedParts the ids of its shared parts
    * @param now the current time in nanoseconds
    */
   public void recordProven(List<String> sharedParts, long now) {
-    for (String part : sharedParts) {
-      String key = key(part);
-      locallyProvenAt.put(key, now);
-      if (locallyProvenAt.size() > MAX_PROVEN) {
-        locallyProvenAt.remove(locallyProvenAt.keySet().iterator().next());
-      }
-      if (suspects.contains(key) || quarantines.containsKey(key)) {
-        prove(key, now, now);
-      }
+    recordBegun(sharedParts, now);
+    sharedParts.forEach(part -> recordProof(EvidenceKey.ofWhole(part), now));
+  }
+
+  private void recordProof(String key, long now) {
+    locallyProvenAt.put(key, now);
+    if (locallyProvenAt.size() > MAX_PROVEN) {
+      locallyProvenAt.remove(locallyProvenAt.keySet().iterator().next());
+    }
+    if (suspects.contains(key) || quarantines.containsKey(key)) {
+      prove(key, now, now);
     }
   }
 
@@ -272,11 +296,16 @@
     return q != null && q.isEnforced(now);
   }
 
-  private int minScore(String part) {
+  private boolean isEnough(String part, CrashEvidence.Score score) {
     if (quarantines.containsKey(part)) {
-      return MIN_SCORE_ON_PROBATION;
+      return score.total() >= MIN_SCORE_ON_PROBATION;
+    }
+    boolean provenBefore = evidence.provenAt(part) != null;
+    if (EvidenceKey.isWhole(part)) {
+      int ends = provenBefore ? MIN_ENDS_OF_WHOLE_IF_PROVEN : MIN_ENDS_OF_WHOLE;
+      return score.hasDenseEnds(ends, ends + MAX_GAPS_OF_WHOLE);
     }
-    return evidence.provenAt(part) == null ? MIN_SCORE : MIN_SCORE_IF_PROVEN;
+    return score.total() >= (provenBefore ? MIN_SCORE_IF_PROVEN : MIN_SCORE);
   }
 
   private void evaluate(long now) {
@@ -321,7 +350,7 @@
         .scores()
         .forEach(
             (part, score) -> {
-              if (score.total() >= minScore(part)) {
+              if (isEnough(part, score)) {
                 eligible.add(new Suspect(part, score, evidence.provenAt(part) != null));
               }
             });
@@ -500,7 +529,8 @@
   public List<String> quarantined(long now) {
     return quarantines.entrySet().stream()
         .filter(e -> e.getValue().isEnforced(now))
-        .map(Map.Entry::getKey)
+        .map(e -> EvidenceKey.partOf(e.getKey()))
+        .distinct()
         .toList();
   }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/quarantine/QuarantineLog.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/quarantine/QuarantineLog.java
@@ -20,6 +20,10 @@
     this.metrics = metrics;
   }
 
+  private static String stageOf(String key) {
+    return EvidenceKey.isWhole(key) ? "whole" : "begin";
+  }
+
   void logServerEnd(ServerEnd end) {
     metrics.counter("quarantine.server_ends").inc();
     LOG.atWarn()
@@ -28,15 +32,17 @@
         .addKeyValue("started_at", end.startedAt())
         .addKeyValue("answering", end.answering())
         .addKeyValue("waiting", end.waiting())
+        .addKeyValue("running", end.running())
         .log("backend server ended with requests of this router");
   }
 
   void logQuarantined(
-      String part, int score, List<String> servers, boolean proven, int strikes, long millis) {
+      String key, int score, List<String> servers, boolean proven, int strikes, long millis) {
     metrics.counter("quarantine.begun").inc();
     LOG.atWarn()
         .addKeyValue("event", "part.quarantined")
-        .addKeyValue("part", part)
+        .addKeyValue("part", EvidenceKey.partOf(key))
+        .addKeyValue("stage", stageOf(key))
         .addKeyValue("score", score)
         .addKeyValue("servers", servers)
         .addKeyValue("answered_before", proven)
@@ -45,21 +51,23 @@
         .log("prompt part quarantined because servers ended with it");
   }
 
-  void logAdopted(String part, int strikes, long millis) {
+  void logAdopted(String key, int strikes, long millis) {
     metrics.counter("quarantine.adopted").inc();
     LOG.atWarn()
         .addKeyValue("event", "part.quarantine_adopted")
-        .addKeyValue("part", part)
+        .addKeyValue("part", EvidenceKey.partOf(key))
+        .addKeyValue("stage", stageOf(key))
         .addKeyValue("strikes", strikes)
         .addKeyValue("for_ms", millis)
         .log("prompt part quarantined by another router");
   }
 
-  void logReleased(String part, String reason) {
+  void logReleased(String key, String reason) {
     metrics.counter("quarantine.released").inc();
     LOG.atInfo()
         .addKeyValue("event", "part.released")
-        .addKeyValue("part", part)
+        .addKeyValue("part", EvidenceKey.partOf(key))
+        .addKeyValue("stage", stageOf(key))
         .addKeyValue("reason", reason)
         .log("prompt part no longer quarantined");
   }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/quarantine/QuarantineState.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/quarantine/QuarantineState.java
@@ -6,7 +6,9 @@
 /**
  * Holds what routers tell each other about crashes and quarantined prompt parts.
  *
- * <p>States are merged by union, so that they may arrive in any order and more than once.
+ * <p>States are merged by union, so that they may arrive in any order and more than once. Parts are
+ * given by their {@link EvidenceKey}, and all requests that a server answered when it ended stand
+ * under {@code answering}.
  *
  * @param ends the recent ends of backend servers
  * @param proven age, in nanoseconds, of the last proof for each suspected part that it is harmless
