Let only what HTTP allows pass as an answer

Cause: the decoders of the libraries accept more than HTTP allows, and the router took for an answer what they did.

Now AnswerValidator checks the bytes ahead of the decoder, for backend servers and for the store: status line, fields, one framing, chunks, with limits on each. A head passes only when all of it is there. Anything else ends the attempt. The program's own interface refuses statuses and versions that HTTP doesn't have.

--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/NettyBackendConnector.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/NettyBackendConnector.java
@@ -18,13 +18,13 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.ByteArrayOutputStream;
 import org.wigeonwharf.gateway.backend.BackendServer;
 import org.wigeonwharf.http.HttpAnswers;
+import org.wigeonwharf.http.MalformedAnswerException;
 
 /**
  * Sends requests to backend servers, each on a new connection.
@@ -39,8 +39,7 @@
    */
   static final int CONNECT_TIMEOUT_MILLIS = 250;
 
-  /** Maximum number of interim responses (status 1xx) ahead of an answer. */
-  private static final int MAX_INTERIM_RESPONSES = 16;
+  private static final String NOT_HTTP = "not HTTP: ";
 
   private final EventLoop loop;
   private final ChannelFactory<? extends Channel> channels;
@@ -71,7 +70,7 @@
                 new ChannelInitializer<SocketChannel>() {
                   @Override
                   protected void initChannel(SocketChannel ch) {
-                    HttpAnswers.addHandlers(ch.pipeline());
+                    HttpAnswers.addHandlers(ch.pipeline(), request.method());
                     ch.pipeline().addLast(connection);
                   }
                 })
@@ -102,8 +101,6 @@
     private final ByteArrayOutputStream received = new ByteArrayOutputStream();
     private Channel channel;
     private boolean ended;
-    private boolean informational;
-    private int interimResponses;
     private boolean headReceived;
 
     @SuppressWarnings("NullAway.Init") // The channel is set before the first event.
@@ -187,19 +184,14 @@
 
     private void read(HttpObject part) {
       if (part.decoderResult().isFailure()) {
-        fail("not HTTP: " + part.decoderResult().cause().getMessage());
+        fail(NOT_HTTP + part.decoderResult().cause().getMessage());
         return;
       }
       if (part instanceof HttpResponse response) {
-        informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-        if (informational && ++interimResponses > MAX_INTERIM_RESPONSES) {
-          fail("interim responses without an answer");
-        } else if (!informational) {
-          headReceived = true;
-          listener.onHead(response.status().code(), response.headers());
-        }
+        headReceived = true;
+        listener.onHead(response.status().code(), response.headers());
       }
-      if (part instanceof HttpContent content && !informational && !ended) {
+      if (part instanceof HttpContent content && !ended) {
         readContent(content);
       }
     }
@@ -250,7 +242,8 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-      fail("connection broke: " + cause.getMessage());
+      String kind = cause instanceof MalformedAnswerException ? NOT_HTTP : "connection broke: ";
+      fail(kind + cause.getMessage());
     }
   }
 }
--- a/org.wigeonwharf.http.test/src/test/java/org/wigeonwharf/http/HttpAnswersTest.java
+++ b/org.wigeonwharf.http.test/src/test/java/org/wigeonwharf/http/HttpAnswersTest.java
@@ -82,7 +82,7 @@
                 }
               }
             });
-    HttpAnswers.addHandlers(channel.pipeline());
+    HttpAnswers.addHandlers(channel.pipeline(), HttpMethod.GET);
     channel.pipeline().addLast(new Recorder());
     request();
   }
--- a/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/BackendAttempt.java
+++ b/org.wigeonwharf.relay/src/main/java/org/wigeonwharf/relay/internal/BackendAttempt.java
@@ -7,10 +7,13 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.http.HttpVersion;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.thread.Scheduler;
 import org.jspecify.annotations.Nullable;
 import org.wigeonwharf.config.BackendServer;
+import org.wigeonwharf.http.HttpAnswers;
+import org.wigeonwharf.http.MalformedAnswerException;
 import org.wigeonwharf.model.Clock;
 import org.wigeonwharf.model.Verdict;
 import org.wigeonwharf.schedule.Lease;
@@ -118,6 +121,13 @@
   }
 
   private void onResponseContent(Response response, Content.Source content) {
+    HttpVersion version = response.getVersion();
+    boolean known = version == HttpVersion.HTTP_1_1 || version == HttpVersion.HTTP_1_0;
+    if (!known || !HttpAnswers.isFinalStatus(response.getStatus())) {
+      // The library passes on any number in place of a status or a version.
+      abort(new MalformedAnswerException("status " + response.getStatus() + " of " + version));
+      return;
+    }
     listener.onResponse(this, response, content);
   }
 
