Count an answer as finished once it is written

Cause: a connection counted a request as finished when its last byte was handed to the library. The stop closed such a connection as idle, which drops what waits to be written, and did not wait for it.

Now responses count until they are written: a stop closes the connection after the last byte, and the idle time begins with it. A caller that reads nothing for the idle timeout is closed all the same.

--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/CallerConnectionTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/CallerConnectionTest.java
@@ -8,10 +8,14 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import org.junit.jupiter.api.Test;
@@ -95,6 +99,59 @@
     assertTrue(!channel.isOpen());
   }
 
+  /** Keeps what is written back, as for a caller that reads slowly. */
+  private List<ChannelPromise> holdWrites() {
+    List<ChannelPromise> writes = new ArrayList<>();
+    channel
+        .pipeline()
+        .addFirst(
+            new ChannelOutboundHandlerAdapter() {
+              @Override
+              public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+                ReferenceCountUtil.release(message);
+                writes.add(promise);
+              }
+            });
+    return writes;
+  }
+
+  // Guards against a planned stop that cuts an answer which its caller still reads.
+  @Test
+  void connectionIsClosedOnlyOnceItsResponseIsWritten() {
+    CallerConnection connection = channel.pipeline().get(CallerConnection.class);
+    final List<ChannelPromise> writes = holdWrites();
+    send(REQUEST);
+    fixture.attempt(0).respond(200, "first", TestProtocol.SIGNED);
+    assertTrue(connection.hasPendingResponse(), "the caller has read nothing yet");
+    stopping = true;
+    connection.closeIfIdle();
+    assertTrue(channel.isOpen(), "cut the response");
+    writes.forEach(ChannelPromise::setSuccess);
+    assertFalse(channel.isOpen());
+  }
+
+  @Test
+  void idleTimeBeginsOnceTheResponseIsWritten() {
+    final List<ChannelPromise> writes = holdWrites();
+    send(REQUEST);
+    fixture.attempt(0).respond(200, "first", TestProtocol.SIGNED);
+    fixture.timers.advanceMillis(14_000);
+    writes.forEach(ChannelPromise::setSuccess);
+    fixture.timers.advanceMillis(14_000);
+    assertTrue(channel.isOpen(), "idle for less than the limit");
+    fixture.timers.advanceMillis(2_000);
+    assertFalse(channel.isOpen());
+  }
+
+  @Test
+  void callerThatReadsNothingIsClosedAtLast() {
+    holdWrites();
+    send(REQUEST);
+    fixture.attempt(0).respond(200, "first", TestProtocol.SIGNED);
+    fixture.timers.advanceMillis(50_000);
+    assertFalse(channel.isOpen());
+  }
+
   @Test
   void pipelinedRequestsAreAnsweredInOrder() {
     send(REQUEST + REQUEST);
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/CallerConnection.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/CallerConnection.java
@@ -1,9 +1,11 @@
 package org.wigeonwharf.gateway.http;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -61,6 +63,9 @@
   private boolean ignoreInput;
   private boolean closed;
   private boolean reading;
+  private int unwrittenResponses;
+  private boolean closeWhenWritten;
+  private long unreadBytes = Long.MAX_VALUE;
 
   /**
    * Creates the handler of a connection.
@@ -101,13 +106,23 @@
   private void closeUnlessLimitWasRaised() {
     long idleMillis = (timers.nanos() - idleSince) / Clock.NANOS_PER_MILLI;
     long remainingMillis = currentLimits.get().idleTimeoutMillis() - idleMillis;
-    if (remainingMillis > 0) {
+    if (remainingMillis <= 0 && unwrittenResponses > 0 && hasReadOn()) {
+      awaitRequest();
+    } else if (remainingMillis > 0) {
       startReadTimer(remainingMillis, this::closeUnlessLimitWasRaised);
     } else {
       close();
     }
   }
 
+  /** Tells whether the caller has read some of its responses since this was last asked. */
+  private boolean hasReadOn() {
+    ChannelOutboundBuffer buffer = ctx().channel().unsafe().outboundBuffer();
+    long before = unreadBytes;
+    unreadBytes = buffer == null ? 0 : buffer.totalPendingWriteBytes() - buffer.currentProgress();
+    return unreadBytes < before;
+  }
+
   /**
    * Starts the header timeout when the first bytes of a request arrive. Called before the bytes are
    * decoded.
@@ -320,13 +335,32 @@
     if (last) {
       headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
-    var written = ctx().writeAndFlush(fullResponse(status, headers, bytes));
+    finishResponse(ctx().writeAndFlush(fullResponse(status, headers, bytes)), last);
+  }
+
+  /** Ends a request whose response has been handed over to be written. */
+  private void finishResponse(ChannelFuture written, boolean last) {
+    unwrittenResponses++;
+    written.addListener(f -> recordWritten());
     if (last) {
       written.addListener(ChannelFutureListener.CLOSE);
     }
     finishRequest(last);
   }
 
+  private void recordWritten() {
+    unwrittenResponses--;
+    unreadBytes = Long.MAX_VALUE;
+    if (unwrittenResponses > 0 || serving || closed) {
+      return;
+    }
+    if (closeWhenWritten && !reading) {
+      close();
+    } else if (!reading) {
+      awaitRequest();
+    }
+  }
+
   @Override
   public void beginResponse(int status, HttpHeaders headers) {
     headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
@@ -348,11 +382,7 @@
   @Override
   public void endResponse() {
     boolean last = mustClose();
-    var written = ctx().writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-    if (last) {
-      written.addListener(ChannelFutureListener.CLOSE);
-    }
-    finishRequest(last);
+    finishResponse(ctx().writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), last);
   }
 
   @Override
@@ -363,12 +393,20 @@
 
   /** Tells whether a response is pending or not yet fully written to the caller. */
   boolean hasPendingResponse() {
-    return serving || closed;
+    return serving || closed || unwrittenResponses > 0;
   }
 
-  /** Closes the connection if no request is in progress or partially read. */
+  /**
+   * Closes the connection if no request is in progress or partially read, once the caller has been
+   * sent all of its responses.
+   */
   void closeIfIdle() {
-    if (!serving && !reading) {
+    if (serving || reading) {
+      return;
+    }
+    if (unwrittenResponses > 0) {
+      closeWhenWritten = true;
+    } else {
       close();
     }
   }
