--- a/platform.test/src/test/java/org/wigeonwharf/platform/GatewaySoakTest.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/GatewaySoakTest.java
@@ -31,7 +31,7 @@
 /**
  * Soaks router processes from outside: callers keep their connections until a router closes them,
  * while series of signals, restarts, server crashes, evacuations and configuration changes overlap.
- * Servers that start are cold for a while.
+ * Servers that start are cold for a while, and some answer with bytes that are no answer.
  *
  * <p>{@code -Dsoak.seeds=N} plays N seeds, {@code -Dsoak.first=S} from seed S on.
  */
@@ -207,7 +207,7 @@
     Random random = new Random(seed);
     while (System.nanoTime() < endAt) {
       Router router = routers.get(random.nextInt(ROUTERS));
-      switch (random.nextInt(10)) {
+      switch (random.nextInt(11)) {
         case 0 -> router.terminate();
         case 1 -> router.kill();
         case 2 -> router.hangUp(0.1 + random.nextInt(5) / 10.0);
@@ -216,7 +216,8 @@
         case 5 -> backends.replaceOne();
         case 6 -> backends.replaceOneByAnswers();
         case 7 -> backends.pauseOne(300 + random.nextInt(2_000));
-        case 8 -> evacuate("z" + random.nextInt(2), 300 + random.nextInt(2_000));
+        case 8 -> backends.garble(random.nextLong(), 300 + random.nextInt(1_000));
+        case 9 -> evacuate("z" + random.nextInt(2), 300 + random.nextInt(2_000));
         default -> {
           store.failWith(503);
           Thread.sleep(500 + random.nextInt(1_000));
--- a/platform.test/src/test/java/org/wigeonwharf/platform/SoakBackends.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/SoakBackends.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -196,6 +197,22 @@
     old.end();
   }
 
+  /** Runs one more server for a while, whose answers are none. */
+  void garble(long seed, long millis) throws IOException, InterruptedException {
+    String id;
+    synchronized (this) {
+      id = "i-" + ++lastId;
+    }
+    try (GarblingServer server =
+        new GarblingServer(new Random(seed), request -> runs.merge(request, 1, Integer::sum))) {
+      store.putServer(id, SERVICE, server.address(), "ready", "z0", 0);
+      Thread.sleep(millis);
+      store.putServer(id, SERVICE, server.address(), "draining", "z0", 0);
+      Thread.sleep(millis);
+      store.delete("servers/" + id);
+    }
+  }
+
   /** Lets one server turn requests away for a time that it names. */
   synchronized void pauseOne(long millis) {
     live.get(0).pausedUntil = System.nanoTime() + millis * 1_000_000;
