--- a/review/lab3/ForgottenLimit.java
+++ b/review/lab3/ForgottenLimit.java
@@ -52,7 +52,7 @@
           }
           e.answer(200, "", "done", true);
         };
-    for (int i = 0; i < 3; i++) {
+    for (int i = 0; i < 5; i++) {
       lab.new Backend("i-" + i, SERVICE, zones.get(0), 48, 10 + i, handler).start();
     }
     configure(lab, 1);
@@ -64,7 +64,7 @@
             Lab.sleep(12_000);
             lab.log("server %s loses its path to the store", limited.id);
             limited.cutFromStore = true;
-            Lab.sleep(10_000);
+            Lab.sleep(5_000);
             lab.log("server %s reaches the store again", limited.id);
             limited.cutFromStore = false;
             limited.forgetPublished();
@@ -74,7 +74,7 @@
     lab.threads.execute(
         () -> {
           for (int version = 2; ; version++) {
-            Lab.sleep(1_500);
+            Lab.sleep(1_000);
             configure(lab, version);
           }
         });
@@ -82,8 +82,8 @@
     AtomicInteger sent = new AtomicInteger();
     Load.at(
         lab,
-        60,
-        30,
+        100,
+        26,
         n -> {
           Lab.Router router = lab.routers.get(n % 3);
           String id = lab.nextRequestId();
--- a/review/lab3/FrozenAtRelease.java
+++ b/review/lab3/FrozenAtRelease.java
@@ -1,6 +1,8 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -133,7 +135,7 @@
       Lab.Answer a = lab.send(r, id, "benchask", lines, left, SILENCE_MILLIS);
       int events = a.body.split("data: ", -1).length - 1;
       lab.log("attempt %s at %s after event %d: %s, %d events", id, r, last, a, events);
-      counts.count(last > 0, sentAt, events > 0, router);
+      counts.count(firstId, last > 0, sentAt, events > 0, router);
       last += events;
       if (a.isSuccess() && last >= EVENTS) {
         counts.whole.incrementAndGet();
@@ -148,19 +150,17 @@
 
   /** Counts attempts at the routers that were not frozen. */
   private static final class Counts {
-    private final AtomicInteger takenUp = new AtomicInteger();
-    private final AtomicInteger goneOn = new AtomicInteger();
+    private final Map<String, Boolean> takenUp = new ConcurrentHashMap<>();
     private final AtomicInteger begun = new AtomicInteger();
     private final AtomicInteger asked = new AtomicInteger();
     private final AtomicInteger whole = new AtomicInteger();
 
-    void count(boolean resumed, double sentAt, boolean events, int router) {
+    void count(String stream, boolean resumed, double sentAt, boolean events, int router) {
       if (router == 0) {
         return;
       }
       if (resumed) {
-        takenUp.incrementAndGet();
-        goneOn.addAndGet(events ? 1 : 0);
+        takenUp.merge(stream, events, Boolean::logicalOr);
       } else if (sentAt >= FREEZE_SECONDS) {
         asked.incrementAndGet();
         begun.addAndGet(events ? 1 : 0);
@@ -169,17 +169,18 @@
 
     int judge(Lab lab) {
       double newShare = asked.get() == 0 ? 0 : (double) begun.get() / asked.get();
-      double share = takenUp.get() == 0 ? 1 : (double) goneOn.get() / takenUp.get();
+      int goneOn = (int) takenUp.values().stream().filter(on -> on).count();
+      double share = takenUp.isEmpty() ? 1 : (double) goneOn / takenUp.size();
       lab.say(
-          "LOST: %d attempts to take a stream up, %d went on; %d new streams, %d began; %d whole",
-          takenUp.get(), goneOn.get(), asked.get(), begun.get(), whole.get());
+          "LOST: %d streams taken up, %d of them went on; %d new streams, %d began; %d whole",
+          takenUp.size(), goneOn, asked.get(), begun.get(), whole.get());
       if (newShare < 0.5) {
         return 2;
       }
-      if (Lab.troubled() && takenUp.get() < MIN_TAKEN_UP) {
+      if (Lab.troubled() && takenUp.size() < MIN_TAKEN_UP) {
         return 2;
       }
-      return takenUp.get() >= MIN_TAKEN_UP && share < newShare / 2 ? 1 : 0;
+      return takenUp.size() >= MIN_TAKEN_UP && share < newShare / 2 ? 1 : 0;
     }
   }
 }
--- a/review/lab3/Lab.java
+++ b/review/lab3/Lab.java
@@ -68,6 +68,7 @@
   Lab(String recordFile) throws IOException {
     record = new PrintWriter(Files.newBufferedWriter(Path.of(recordFile)));
     directory = Files.createTempDirectory("review3");
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> routers.forEach(Router::destroy)));
     store = new Store();
     store.start(address("127." + net + ".0.1"));
   }
--- a/review/lab3/UpgradeInPlace.java
+++ b/review/lab3/UpgradeInPlace.java
@@ -1,4 +1,6 @@
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -8,12 +10,13 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * While the store is down, two servers of a service start again one after the other, under the ids
- * that they had and with a newer software version. Checks ORDER: at most two streams hold events of
+ * Two of ten servers lose their path to the store and start again behind the cut, one after the
+ * other, under the ids that they had and with a newer software version. Checks ORDER: at most two streams hold events of
  * two software versions.
  */
 final class UpgradeInPlace {
   private static final String SERVICE = "kytkenta";
+  private static final int SERVERS = 10;
   private static final int EVENTS = 50;
   private static final long GAP_MILLIS = 100;
   private static final int ALLOWED = 2;
@@ -47,8 +50,8 @@
           }
           e.endStream();
         };
-    for (int i = 0; i < 3; i++) {
-      lab.new Backend("i-" + i, SERVICE, i < 2 ? zones.get(0) : "lappi-1", 64, 10 + i, handler).start();
+    for (int i = 0; i < SERVERS; i++) {
+      lab.new Backend("i-" + i, SERVICE, zones.get(0), 64, 10 + i, handler).start();
     }
     lab.configure(
         1,
@@ -70,8 +73,8 @@
     Map<String, Set<String>> joined = new ConcurrentHashMap<>();
     Load.at(
         lab,
-        9,
-        18,
+        24,
+        14,
         n -> {
           Lab.Router router = lab.routers.get(n % 3);
           String id = lab.nextRequestId();
@@ -113,19 +116,33 @@
 
   private static void upgrade(Lab lab) {
     Lab.sleep(7_000);
-    lab.store.setDown(true);
-    Lab.sleep(300);
-    restart(lab, lab.backends.get(0));
-    Lab.sleep(1_500);
-    restart(lab, lab.backends.get(1));
-    Lab.sleep(700);
-    lab.store.setDown(false);
-    lab.backends.forEach(Lab.Backend::publish);
+    List<Lab.Backend> busiest = new ArrayList<>(lab.backends);
+    busiest.sort(Comparator.comparingInt(b -> -b.running.get()));
+    Lab.Backend first = busiest.get(2);
+    Lab.Backend second = busiest.get(0);
+    for (Lab.Backend b : List.of(first, second)) {
+      b.publish();
+      b.cutFromStore = true;
+    }
+    for (Lab.Backend b : lab.backends) {
+      lab.log("%s runs %d streams", b.id, b.running.get());
+    }
+    lab.log("servers %s and %s lose their path to the store", first.id, second.id);
+    restart(lab, first);
+    Lab.sleep(2_000);
+    restart(lab, second);
+    Lab.sleep(1_400);
+    lab.log("servers %s and %s reach the store again", first.id, second.id);
+    for (Lab.Backend b : List.of(first, second)) {
+      b.cutFromStore = false;
+      b.forgetPublished();
+      b.publish();
+    }
   }
 
   private static void restart(Lab lab, Lab.Backend server) {
     server.crash();
-    Lab.sleep(1_000);
+    Lab.sleep(800);
     server.version = "v2";
     try {
       server.start();
