Review case 12: ORDER after a restart of all routers, from an entry

Takes the place of the servers that start again with a newer version, which showed the same rule with fewer streams.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec sh "$(dirname "$0")/../run-case-3.sh" 12 UpgradeInPlace
+exec sh "$(dirname "$0")/../run-case-3.sh" 12 RestartAfterRelease
