--- a/review/lab3/CrashBursts.java
+++ b/review/lab3/CrashBursts.java
@@ -12,7 +12,7 @@
  * of them reach servers later than {@code contact-ms} after the fifth crash.
  */
 final class CrashBursts {
-  private static final String SERVICE = "kytkenta";
+  private static final String SERVICE = "drapery-assistant";
   private static final int SERVERS = 9;
   private static final int BURST = 3;
   private static final double FIRST_BURST_SECONDS = 5;
@@ -35,7 +35,7 @@
   }
 
   private static int run(Lab lab) throws IOException {
-    List<String> zones = List.of("uusimaa-1", "satakunta-1", "lappi-1");
+    List<String> zones = List.of("hobart-a", "launceston-a", "burnie-a");
     List<Double> crashes = Collections.synchronizedList(new ArrayList<>());
     Map<String, Double> sentAt = new ConcurrentHashMap<>();
     List<Double> arrivals = Collections.synchronizedList(new ArrayList<>());
@@ -66,7 +66,7 @@
         List.of(Lab.modelService(SERVICE, 64)),
         List.of(
             Lab.route(
-                "partcheck",
+                "swatch-label",
                 "streaming",
                 SERVICE,
                 1,
@@ -99,7 +99,7 @@
               lab.send(
                   router,
                   id,
-                  "partcheck",
+                  "swatch-label",
                   prompt("5e" + n % 9 + "00001", "d0c" + n % 13 + "0001", "aa" + id),
                   3_000,
                   4_000);
@@ -128,7 +128,7 @@
     sentAt.put(id, lab.seconds());
     String system = "5e" + (burst * BURST + i) % 9 + "00001";
     Lab.Answer a =
-        lab.send(router, id, "partcheck", prompt(system, POISON, "bb" + id), 3_000, 4_000);
+        lab.send(router, id, "swatch-label", prompt(system, POISON, "bb" + id), 3_000, 4_000);
     lab.log("request %s with the part, burst %d, at %s: %s", id, burst + 1, router, a);
   }
 
--- a/review/lab3/ForeignEntry.java
+++ b/review/lab3/ForeignEntry.java
@@ -7,8 +7,8 @@
  * the booking service. Checks ROUTE: no booking is run by a model server.
  */
 final class ForeignEntry {
-  private static final String MODELS = "kytkenta";
-  private static final String BOOKINGS = "kirjaamo";
+  private static final String MODELS = "drapery-assistant";
+  private static final String BOOKINGS = "venue-bookings";
 
   /** Times in seconds at which the other writer writes. */
   private static final double[] WRITES = {8, 12, 16};
@@ -25,12 +25,12 @@
   }
 
   private static int run(Lab lab) throws IOException {
-    List<String> zones = List.of("uusimaa-1", "satakunta-1", "lappi-1");
+    List<String> zones = List.of("hobart-a", "launceston-a", "burnie-a");
     AtomicInteger foreign = new AtomicInteger();
     AtomicInteger bookings = new AtomicInteger();
     Lab.Handler handler =
         (server, r, e) -> {
-          boolean booking = r.target().startsWith("/slotbook/");
+          boolean booking = r.target().startsWith("/slot-booking/");
           if (booking && server.service.equals(MODELS)) {
             foreign.incrementAndGet();
             lab.log("BROKEN booking %s is run by model server %s", r.id(), server.id);
@@ -48,8 +48,8 @@
         1,
         List.of(Lab.modelService(MODELS, 64), Lab.plainService(BOOKINGS)),
         List.of(
-            Lab.route("slotbook", "unsafe", BOOKINGS, 1, 1_200, ",\"slo-ms\":250"),
-            Lab.route("partcheck", "unsafe", MODELS, 1, 3_000, ",\"slo-ms\":600")));
+            Lab.route("slot-booking", "unsafe", BOOKINGS, 1, 1_200, ",\"slo-ms\":250"),
+            Lab.route("swatch-label", "unsafe", MODELS, 1, 3_000, ",\"slo-ms\":600")));
     lab.startRouters(zones);
     double begin = lab.seconds();
     Lab.Backend replaced = lab.backends.get(0);
@@ -65,7 +65,7 @@
           Lab.Router router = lab.routers.get(n % 3);
           String id = lab.nextRequestId();
           bookings.incrementAndGet();
-          Lab.Answer a = lab.send(router, id, "slotbook", "", 2_500, 3_000);
+          Lab.Answer a = lab.send(router, id, "slot-booking", "", 2_500, 3_000);
           served.addAndGet(a.isSuccess() ? 1 : 0);
           lab.log("booking %s at %s: %s %s", id, router, a, a.body);
         });
--- a/review/lab3/ForgottenLimit.java
+++ b/review/lab3/ForgottenLimit.java
@@ -13,7 +13,7 @@
  * answer with it.
  */
 final class ForgottenLimit {
-  private static final String SERVICE = "kirjaamo";
+  private static final String SERVICE = "venue-bookings";
   private static final double LIMIT = 1;
   private static final double CONTACT_SECONDS = 4;
   private static final double WINDOW_SECONDS = 4;
@@ -33,7 +33,7 @@
   }
 
   private static int run(Lab lab) throws IOException {
-    List<String> zones = List.of("uusimaa-1", "satakunta-1", "lappi-1");
+    List<String> zones = List.of("hobart-a", "launceston-a", "burnie-a");
     List<Arrival> arrivals = Collections.synchronizedList(new ArrayList<>());
     Map<String, String> routerOf = new ConcurrentHashMap<>();
     Map<String, Double> passedOn = new ConcurrentHashMap<>();
@@ -89,7 +89,7 @@
           String id = lab.nextRequestId();
           routerOf.put(id, router.name);
           sent.incrementAndGet();
-          Lab.Answer a = lab.send(router, id, "orderlook", "", 2_500, 3_000);
+          Lab.Answer a = lab.send(router, id, "booking-lookup", "", 2_500, 3_000);
           served.addAndGet(a.isSuccess() ? 1 : 0);
           if (a.headers.containsKey("server-limit")) {
             passedOn.putIfAbsent(router.name, lab.seconds());
@@ -103,7 +103,7 @@
     lab.configure(
         version,
         List.of(Lab.plainService(SERVICE)),
-        List.of(Lab.route("orderlook", "unsafe", SERVICE, 1, 2_500, ",\"slo-ms\":900")));
+        List.of(Lab.route("booking-lookup", "unsafe", SERVICE, 1, 2_500, ",\"slo-ms\":900")));
   }
 
   private static int judge(
--- a/review/lab3/FrozenAtRelease.java
+++ b/review/lab3/FrozenAtRelease.java
@@ -12,7 +12,7 @@
  * the share of new streams that begin.
  */
 final class FrozenAtRelease {
-  private static final String SERVICE = "kytkenta";
+  private static final String SERVICE = "drapery-assistant";
   private static final int EVENTS = 70;
   private static final long GAP_MILLIS = 100;
   private static final long DEADLINE_MILLIS = 12_000;
@@ -38,7 +38,7 @@
   }
 
   private static int run(Lab lab) throws IOException {
-    List<String> zones = List.of("uusimaa-1", "satakunta-1", "lappi-1");
+    List<String> zones = List.of("hobart-a", "launceston-a", "burnie-a");
     Lab.Handler handler =
         (server, r, e) -> {
           String last = r.header("last-event-id");
@@ -61,7 +61,7 @@
         List.of(Lab.modelService(SERVICE, 64)),
         List.of(
             Lab.route(
-                "benchask",
+                "crew-query",
                 "streaming",
                 SERVICE,
                 2,
@@ -100,7 +100,7 @@
   private static void release(Lab lab, Lab.Handler handler, double begin) {
     try {
       waitUntil(lab, begin + RELEASE_SECONDS);
-      Lab.Backend b = lab.new Backend("i-3", SERVICE, "uusimaa-1", 64, 13, handler);
+      Lab.Backend b = lab.new Backend("i-3", SERVICE, "hobart-a", 64, 13, handler);
       b.version = "v2";
       b.start();
     } catch (IOException e) {
@@ -132,7 +132,7 @@
         lines += "Last-Event-Id: " + last + "\r\nResumes: " + firstId + "\r\n";
       }
       double sentAt = lab.seconds() - begin;
-      Lab.Answer a = lab.send(r, id, "benchask", lines, left, SILENCE_MILLIS);
+      Lab.Answer a = lab.send(r, id, "crew-query", lines, left, SILENCE_MILLIS);
       int events = a.body.split("data: ", -1).length - 1;
       lab.log("attempt %s at %s after event %d: %s, %d events", id, r, last, a, events);
       counts.count(firstId, last > 0, sentAt, events > 0, router);
--- a/review/lab3/Lab.java
+++ b/review/lab3/Lab.java
@@ -238,7 +238,7 @@
       values.put("ip", ip);
       values.put("platform.address", text(store.address));
       values.put("bounds.retry-budget-ratio", "0.2");
-      values.put("bounds.budget-slack", "52");
+      values.put("bounds.budget-slack", "56");
       values.put("bounds.budget-window-s", "10");
       Matcher m =
           Pattern.compile("\\{\\{([^}]+)\\}\\}")
--- a/review/lab3/RestartAfterRelease.java
+++ b/review/lab3/RestartAfterRelease.java
@@ -13,7 +13,7 @@
  * versions, in one answer or over their callers' attempts.
  */
 final class RestartAfterRelease {
-  private static final String SERVICE = "kytkenta";
+  private static final String SERVICE = "drapery-assistant";
   private static final int EVENTS = 80;
   private static final long GAP_MILLIS = 100;
   private static final long DEADLINE_MILLIS = 12_000;
@@ -40,7 +40,7 @@
   }
 
   private static int run(Lab lab) throws IOException {
-    List<String> zones = List.of("uusimaa-1", "satakunta-1", "lappi-1");
+    List<String> zones = List.of("hobart-a", "launceston-a", "burnie-a");
     Lab.Handler handler =
         (server, r, e) -> {
           String last = r.header("last-event-id");
@@ -65,7 +65,7 @@
         List.of(Lab.modelService(SERVICE, 64)),
         List.of(
             Lab.route(
-                "benchask",
+                "crew-query",
                 "streaming",
                 SERVICE,
                 2,
@@ -158,7 +158,7 @@
       if (last > 0) {
         lines += "Last-Event-Id: " + last + "\r\nResumes: " + firstId + "\r\n";
       }
-      Lab.Answer a = lab.send(r, id, "benchask", lines, left, SILENCE_MILLIS);
+      Lab.Answer a = lab.send(r, id, "crew-query", lines, left, SILENCE_MILLIS);
       int events = a.body.split("data: ", -1).length - 1;
       for (String line : a.body.split("\n")) {
         if (line.startsWith("data: ")) {
--- a/review/lab3/UpgradeInPlace.java
+++ b/review/lab3/UpgradeInPlace.java
@@ -15,7 +15,7 @@
  * two software versions.
  */
 final class UpgradeInPlace {
-  private static final String SERVICE = "kytkenta";
+  private static final String SERVICE = "drapery-assistant";
   private static final int SERVERS = 10;
   private static final int EVENTS = 50;
   private static final long GAP_MILLIS = 100;
@@ -33,7 +33,7 @@
   }
 
   private static int run(Lab lab) throws IOException {
-    List<String> zones = List.of("uusimaa-1", "uusimaa-1", "uusimaa-1");
+    List<String> zones = List.of("hobart-a", "hobart-a", "hobart-a");
     Lab.Handler handler =
         (server, r, e) -> {
           String last = r.header("last-event-id");
@@ -58,7 +58,7 @@
         List.of(Lab.modelService(SERVICE, 64)),
         List.of(
             Lab.route(
-                "benchask",
+                "crew-query",
                 "streaming",
                 SERVICE,
                 3,
@@ -83,7 +83,7 @@
               lab.send(
                   router,
                   id,
-                  "benchask",
+                  "crew-query",
                   String.format(
                       Locale.ROOT,
                       "X-Wigeonwharf-Model: m\r\nX-Wigeonwharf-Token-Count: 600,300\r\n"
