Ask the store who left before trusting start times after a restart

Cause: ResumptionResolver took the start times of the servers that are published now for a proof that no others had run. Servers that left while no router ran are in no list.

Evidence: all joined streams were logged with source "history", at routers that had read all published servers.

Change: StoreHistory reads the changes of servers that the store still keeps, when a stream is first resumed that only start times would place. Servers that left count with the version of their last entry; a removed entry of unknown contents, changes that can't be read or don't reach back far enough mean a refusal. The log tells why a stream is refused.

Why it works: no server is removed without a change, so that published and removed servers are all that can have begun the stream.

ResumptionResolverTest tells the two reasons of a refusal apart. ExchangeTest and LogVocabularyTest wait 2 ms, as the first resumption after a start needs the store's answer.

--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/SimulatedStore.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/SimulatedStore.java
@@ -193,6 +193,20 @@
       return answer;
     }
 
+    @Override
+    public CompletableFuture<Batch> readServerChanges(long revision, Duration timeout) {
+      CompletableFuture<Batch> refused = refuse();
+      if (refused != null) {
+        return refused;
+      }
+      CompletableFuture<Batch> answer = new CompletableFuture<>();
+      timers.schedule(
+          latencyNanos, () -> answer(new Waiter(revision, position.era(), answer, this)));
+      timers.schedule(
+          timeout.toNanos(), () -> answer.completeExceptionally(new IOException("no answer")));
+      return answer;
+    }
+
     private void endWait(Waiter w) {
       if (waiters.remove(w)) {
         answer(w);
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreFeedTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreFeedTest.java
@@ -80,6 +80,11 @@
       return call(revision, wait);
     }
 
+    @Override
+    public CompletableFuture<Batch> readServerChanges(long revision, Duration timeout) {
+      return call(revision, Duration.ZERO);
+    }
+
     private CompletableFuture<Batch> call(long after, Duration wait) {
       if (throwing) {
         throw new IllegalStateException("channel not registered to an event loop");
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
@@ -63,6 +63,7 @@
   static final String SERVICE = "service";
   static final long TIMEOUT_MILLIS = 2_000;
   private static final FailureDomain DOMAIN = new FailureDomain("here");
+  private static final long STORE_HISTORY_NANOS = 20 * Clock.NANOS_PER_SECOND;
   private static final long WINDOW_NANOS = 10 * Clock.NANOS_PER_SECOND;
   private static final long UNIX_MILLIS_AT_START = 1_700_000_000_000L;
 
@@ -79,6 +80,10 @@
   final ServerLimits limits;
   final ServerNotices notices;
   final VersionHistory versionHistory;
+
+  /** Servers that left before the start, as far as the store remembers; null if it can't tell. */
+  @Nullable List<BackendServer> removedBeforeStart = List.of();
+
   final StreamOrigins streamOrigins;
   Consumer<FakeAttempt> onAttempt = a -> {};
   Function<BackendServer, LivenessCheck.Result> liveness = s -> LivenessCheck.Result.ALIVE;
@@ -216,6 +221,7 @@
                     streamOrigins,
                     versionHistory,
                     () -> true,
+                    this::readRemovals,
                     timers,
                     () -> Instant.ofEpochMilli(unixMillis())),
                 timers),
@@ -230,6 +236,18 @@
     routes = table(1);
   }
 
+  private void readRemovals() {
+    List<BackendServer> removed = removedBeforeStart;
+    if (removed != null) {
+      timers.schedule(
+          Clock.NANOS_PER_MILLI,
+          () -> {
+            versionHistory.recordRemoved(removed, STORE_HISTORY_NANOS);
+            exchanges.retryHeld();
+          });
+    }
+  }
+
   private Attempt recordAttempt(BackendServer server, OutboundRequest request, AttemptListener l) {
     FakeAttempt attempt = new FakeAttempt(server, request, l);
     attempts.add(attempt);
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeTest.java
@@ -297,6 +297,7 @@
   void streamResumedByItsCallerThatBeginsAnewIsNotPassedOn() {
     fixture.addServers(2);
     fixture.begin(RequestKind.RESUMABLE_STREAM, caller, TestProtocol.LAST_EVENT_ID, "2");
+    fixture.timers.advanceMillis(2);
     fixture.attempt(0).respondHead(200, SIGNED);
     fixture.attempt(0).respondData("id: 2\ndata: b\n\n");
     assertEquals("", caller.body.toString());
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/LogVocabularyTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/LogVocabularyTest.java
@@ -206,6 +206,7 @@
         new ExchangeFixture.FakeCaller(),
         TestProtocol.LAST_EVENT_ID,
         "1");
+    fixture.timers.advanceMillis(2);
   }
 
   private static void runShed() {
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/SoftwareVersionTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/SoftwareVersionTest.java
@@ -265,10 +265,24 @@
     beginAndBreakOff(addServers(new ExchangeFixture(timers), "v1", 1), id);
     ExchangeFixture restarted = addServers(new ExchangeFixture(timers), "v1", 2);
     FakeCaller caller = resume(restarted, id);
+    timers.advanceMillis(2);
     last(restarted).respond(200, "id: 2\n\n", TestProtocol.SIGNED);
     assertTrue(caller.completed);
   }
 
+  // Guards against a store that can't tell who left, and is taken for one where nobody did.
+  @Test
+  void streamBegunBeforeRestartIsRefusedIfTheStoreDoesNotTellWhichServersHaveLeft() {
+    String id = nextId();
+    beginAndBreakOff(addServers(new ExchangeFixture(timers), "v1", 1), id);
+    ExchangeFixture restarted = addServers(new ExchangeFixture(timers), "v1", 2);
+    restarted.removedBeforeStart = null;
+    FakeCaller caller = resume(restarted, id);
+    timers.advanceMillis(1_000);
+    assertTrue(restarted.attempts.isEmpty());
+    assertEquals(503, caller.status);
+  }
+
   // Guards against a caller that waits longer than the route's timeout and is taken for a late one.
   @Test
   void streamOfCallerThatWaitsLongIsNotContinuedAtServersThatStartedLater() {
@@ -291,6 +305,7 @@
     ExchangeFixture first = addServers(new ExchangeFixture(timers), "v1", 1);
     beginAndBreakOff(first, id);
     ExchangeFixture restarted = addServers(new ExchangeFixture(timers), "v2", 2);
+    restarted.removedBeforeStart = first.directory.all();
     FakeCaller caller = resume(restarted, id);
     timers.advanceMillis(1_000);
     assertTrue(restarted.attempts.isEmpty());
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/stream/ResumptionResolverTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/stream/ResumptionResolverTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
+import org.wigeonwharf.gateway.backend.BackendServer;
 import org.wigeonwharf.gateway.backend.ServerDirectory;
 import org.wigeonwharf.gateway.http.VirtualTimers;
 import org.wigeonwharf.gateway.stream.Resolution.Source;
@@ -21,9 +22,15 @@
   private final VersionHistory history = new VersionHistory(timers);
   private final StreamOrigins origins = new StreamOrigins(history::hasSeveralVersions);
   private boolean contact = true;
+  private int removalsNeeded;
   private final ResumptionResolver resolver =
       new ResumptionResolver(
-          origins, history, () -> contact, timers, () -> Instant.ofEpochMilli(unixMillis()));
+          origins,
+          history,
+          () -> contact,
+          () -> removalsNeeded++,
+          timers,
+          () -> Instant.ofEpochMilli(unixMillis()));
 
   ResumptionResolverTest() {
     directory.addListener(history);
@@ -37,6 +44,10 @@
     directory.put(VersionHistoryTest.server(id, version, unixMillis()));
   }
 
+  private void learnRemovals(BackendServer... removed) {
+    history.recordRemoved(List.of(removed), (STREAM_MILLIS + 1) * Clock.NANOS_PER_MILLI);
+  }
+
   private void assertResolved(Source source, @Nullable String version) {
     assertResolved(null, source, version);
   }
@@ -53,7 +64,7 @@
     addServer("b", "v2");
     origins.record("r1", "service", "v1", timers.nanos());
     assertResolved("r1", Source.MEMORY, "v1");
-    assertResolved("r2", Source.UNKNOWN, null);
+    assertResolved("r2", Source.SEVERAL_VERSIONS, null);
   }
 
   @Test
@@ -75,10 +86,10 @@
     timers.advanceMillis(STREAM_MILLIS + 1);
     assertResolved(Source.HISTORY, "v1");
     addServer("b", "v2");
-    assertResolved(Source.UNKNOWN, null);
+    assertResolved(Source.SEVERAL_VERSIONS, null);
     directory.withdraw("a", timers.nanos());
     timers.advanceMillis(VersionHistory.SERVES_AFTER_REMOVAL_MILLIS + STREAM_MILLIS);
-    assertResolved(Source.UNKNOWN, null);
+    assertResolved(Source.SEVERAL_VERSIONS, null);
     timers.advanceMillis(1);
     assertResolved(Source.HISTORY, "v2");
   }
@@ -88,26 +99,47 @@
     addServer("a", "v1");
     timers.advanceMillis(STREAM_MILLIS);
     history.startWatching();
-    assertResolved(Source.UNKNOWN, null);
+    assertResolved(Source.INCOMPLETE_HISTORY, null);
     timers.advanceMillis(ResumptionResolver.MAX_CLOCK_DIFFERENCE_MILLIS);
     history.startWatching();
-    assertResolved(Source.UNKNOWN, null);
+    learnRemovals();
+    assertResolved(Source.INCOMPLETE_HISTORY, null);
     timers.advanceMillis(1);
     assertResolved(Source.HISTORY, "v1");
   }
 
+  // Guards against start times that are believed though servers of another version have left.
+  @Test
+  void serversThatLeftBeforeTheStartAreAskedForAndCount() {
+    directory.put(VersionHistoryTest.server("a", "v1", 1));
+    history.startWatching();
+    assertResolved(Source.INCOMPLETE_HISTORY, null);
+    assertEquals(1, removalsNeeded);
+    history.recordRemoved(List.of(), (STREAM_MILLIS - 1) * Clock.NANOS_PER_MILLI);
+    assertResolved(Source.INCOMPLETE_HISTORY, null);
+    learnRemovals();
+    assertResolved(Source.HISTORY, "v1");
+    learnRemovals(VersionHistoryTest.server("b", "v1", 1));
+    assertResolved(Source.HISTORY, "v1");
+    learnRemovals(VersionHistoryTest.server("c", "v2", 1));
+    assertResolved(Source.SEVERAL_VERSIONS, null);
+    assertEquals(2, removalsNeeded);
+  }
+
   @Test
   void serverWithoutStartTimeProvesNothing() {
     directory.put(VersionHistoryTest.server("a", "v1", 0));
     history.startWatching();
-    assertResolved(Source.UNKNOWN, null);
+    learnRemovals();
+    assertResolved(Source.INCOMPLETE_HISTORY, null);
   }
 
   @Test
   void nothingIsConcludedBeforeAllServersAreRead() {
     directory.put(VersionHistoryTest.server("a", "v1", 1));
-    assertResolved(Source.UNKNOWN, null);
+    assertResolved(Source.INCOMPLETE_HISTORY, null);
     history.startWatching();
+    learnRemovals();
     assertResolved(Source.HISTORY, "v1");
   }
 
@@ -115,8 +147,9 @@
   void routerThatLearnsOfNoNewServersConcludesNothing() {
     directory.put(VersionHistoryTest.server("a", "v1", 1));
     history.startWatching();
+    learnRemovals();
     contact = false;
-    assertResolved(Source.UNKNOWN, null);
+    assertResolved(Source.INCOMPLETE_HISTORY, null);
     origins.record("r1", "service", "v1", timers.nanos());
     assertResolved("r1", Source.MEMORY, "v1");
   }
@@ -138,8 +171,9 @@
   void unpublishedVersionIsVersionOfItsOwn() {
     directory.put(VersionHistoryTest.server("a", "", 1));
     history.startWatching();
+    learnRemovals();
     assertResolved(Source.HISTORY, "");
     directory.put(VersionHistoryTest.server("b", "v1", 1));
-    assertResolved(Source.UNKNOWN, null);
+    assertResolved(Source.SEVERAL_VERSIONS, null);
   }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -27,6 +28,7 @@
 import org.wigeonwharf.gateway.feed.PublishedStore;
 import org.wigeonwharf.gateway.feed.StoreChanges;
 import org.wigeonwharf.gateway.feed.StoreFeed;
+import org.wigeonwharf.gateway.feed.StoreHistory;
 import org.wigeonwharf.gateway.http.CallerListener;
 import org.wigeonwharf.gateway.http.EventLoopTimers;
 import org.wigeonwharf.gateway.http.ExchangeManager;
@@ -114,6 +116,7 @@
   private final ServerNotices notices;
   private final RegionFilter regionFilter;
   private final VersionHistory versionHistory;
+  private final StoreHistory storeHistory;
   private final StreamOrigins streamOrigins;
   private final RegionFaults regionFaults;
   private final ExchangeManager exchanges;
@@ -195,13 +198,26 @@
     endedServers.onPeerReport(this::applyPeerReport);
     this.versionHistory = new VersionHistory(clock);
     directory.addListener(versionHistory);
+    this.storeHistory =
+        new StoreHistory(
+            store,
+            feed::position,
+            Duration.ofMillis(settings.storeHistoryMillis()),
+            timers,
+            this::recordRemovedServers,
+            metrics);
     this.streamOrigins = new StreamOrigins(versionHistory::hasSeveralVersions);
     final ResumableStreams streams =
         new ResumableStreams(
             streamOrigins,
             new StreamDurations(),
             new ResumptionResolver(
-                streamOrigins, versionHistory, this::learnsOfServers, clock, wallClock),
+                streamOrigins,
+                versionHistory,
+                this::learnsOfServers,
+                storeHistory::request,
+                clock,
+                wallClock),
             clock);
     this.regionFilter = new RegionFilter(settings.regions());
     this.regionFaults = new RegionFaults(() -> regionFilter.regions().values());
@@ -287,6 +303,11 @@
         || !gossip().otherDomains().isEmpty();
   }
 
+  private void recordRemovedServers(List<BackendServer> removed, long ageNanos) {
+    versionHistory.recordRemoved(removed, ageNanos);
+    exchanges.retryHeld();
+  }
+
   private boolean isFrequentReader() {
     return gossip().rank() < FREQUENT_READERS_PER_DOMAIN;
   }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/GatewaySettings.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/GatewaySettings.java
@@ -16,6 +16,7 @@
  * @param peerAddress the address for datagrams of other routers
  * @param metricsAddress the listen address for metrics and the state dump
  * @param storeAddress the address of the platform's store
+ * @param storeHistoryMillis time in ms for which the store keeps its changes
  * @param seeds addresses of some other routers, for discovery
  * @param secret the fleet's shared secret, which signs messages between routers
  * @param retryRatio number of retries per request that the fleet may make
@@ -32,6 +33,7 @@
     InetSocketAddress peerAddress,
     InetSocketAddress metricsAddress,
     InetSocketAddress storeAddress,
+    long storeHistoryMillis,
     List<InetSocketAddress> seeds,
     FleetSecret secret,
     double retryRatio,
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/PublishedStore.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/PublishedStore.java
@@ -24,4 +24,14 @@
    *     HistoryLostException} if all items must be read again
    */
   CompletableFuture<Batch> awaitChanges(long revision, Duration wait, Duration timeout);
+
+  /**
+   * Reads the changes of servers that the store remembers.
+   *
+   * @param revision the revision after which the changes begin
+   * @param timeout maximum wait for the answer
+   * @return the changes up to now, empty if there were none; fails with an IOException, which is a
+   *     {@link HistoryLostException} if the store has discarded some of them
+   */
+  CompletableFuture<Batch> readServerChanges(long revision, Duration timeout);
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/StoreFeed.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/StoreFeed.java
@@ -3,7 +3,6 @@
 import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -90,6 +89,7 @@
   private final FollowedReaders readers =
       new FollowedReaders(FREQUENT_WATCH_WAIT.plus(WATCH_TIMEOUT).plus(WATCH_MIN_INTERVAL));
   private final MetricRegistry metrics;
+  private final StoreCallMetrics callMetrics;
   private StorePosition lastAnswered = StorePosition.NONE;
   private boolean following;
   private boolean reachable = true;
@@ -140,6 +140,7 @@
     this.onChange = onChange;
     this.passOn = passOn;
     this.metrics = metrics;
+    this.callMetrics = new StoreCallMetrics(metrics);
     this.lastContactAt = timers.nanos();
     this.peerConfiguration = new PeerConfiguration(timers.nanos());
   }
@@ -216,6 +217,13 @@
     return (timers.nanos() - lastContactAt) / Clock.NANOS_PER_MILLI;
   }
 
+  /**
+   * Returns the position up to which the store was read; that without one before the first read.
+   */
+  public StorePosition position() {
+    return state.position();
+  }
+
   @Override
   public StorePosition changePosition() {
     return state.changePosition();
@@ -416,7 +424,7 @@
 
   private void onChanges(StorePosition after, @Nullable Batch batch, @Nullable Throwable error) {
     if (batch == null) {
-      if (cause(error) instanceof HistoryLostException lost) {
+      if (StoreCallMetrics.cause(error) instanceof HistoryLostException lost) {
         LOG.atInfo()
             .addKeyValue("event", "store.history_lost")
             .addKeyValue("revision", after.revision())
@@ -492,7 +500,7 @@
     }
     LOG.atInfo()
         .addKeyValue("event", "store.wait_cut")
-        .addKeyValue("reason", String.valueOf(cause(error)))
+        .addKeyValue("reason", String.valueOf(StoreCallMetrics.cause(error)))
         .addKeyValue("waited_ms", waited.toMillis())
         .log("a wait for changes was cut");
     if (waited.compareTo(MIN_LASTING_WAIT) >= 0) {
@@ -545,7 +553,7 @@
       reachable = false;
       LOG.atWarn()
           .addKeyValue("event", "store.lost")
-          .addKeyValue("reason", String.valueOf(cause(error)))
+          .addKeyValue("reason", String.valueOf(StoreCallMetrics.cause(error)))
           .addKeyValue("revision", state.position().revision())
           .log("the store is unreachable");
     }
@@ -594,7 +602,7 @@
             timers.schedule(
                 0,
                 () -> {
-                  countCall(batch, error);
+                  callMetrics.count(batch != null, error);
                   recordAnswered(batch);
                   if (number == callNumber) {
                     callPending = false;
@@ -626,16 +634,6 @@
     }
   }
 
-  private void countCall(@Nullable Batch batch, @Nullable Throwable error) {
-    String outcome = "failed";
-    if (batch != null) {
-      outcome = "answered";
-    } else if (cause(error) instanceof HistoryLostException) {
-      outcome = "history_lost";
-    }
-    metrics.counter("store.calls{outcome=\"" + outcome + "\"}").inc();
-  }
-
   private void recordAnswered(@Nullable Batch batch) {
     if (batch == null) {
       return;
@@ -653,10 +651,4 @@
     }
     lastAnswered = next;
   }
-
-  private static @Nullable Throwable cause(@Nullable Throwable error) {
-    return error instanceof CompletionException && error.getCause() != null
-        ? error.getCause()
-        : error;
-  }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/RequestMetrics.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/RequestMetrics.java
@@ -47,7 +47,7 @@
     if (resolution.isKnown()) {
       count("streams.resumed", "source", resolution.source().label());
     } else {
-      metrics.counter("streams.unresolved").inc();
+      count("streams.unresolved", "reason", resolution.source().label());
     }
   }
 
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/stream/Resolution.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/stream/Resolution.java
@@ -5,12 +5,12 @@
 /**
  * States what is known of the software version that a stream has to continue at.
  *
- * @param source how that is known
+ * @param source how that is known, or why it is not
  * @param softwareVersion the software version, or null if the stream may not be continued at any or
  *     may be continued at all of them, depending on the source
  */
 public record Resolution(Source source, @Nullable String softwareVersion) {
-  /** How the software version of a stream is known. */
+  /** How the software version of a stream is known, or why it is not. */
   public enum Source {
     /** A router has forwarded the stream. */
     MEMORY("memory"),
@@ -18,8 +18,10 @@
     HISTORY("history"),
     /** Servers of other services wrote all events, so that any version may continue the stream. */
     OTHER_SERVICE("other-service"),
-    /** Several software versions may have written the events. */
-    UNKNOWN("unknown");
+    /** Several software versions have served since the stream can have begun, or none. */
+    SEVERAL_VERSIONS("several-versions"),
+    /** Servers of another software version may have left without this router's knowledge. */
+    INCOMPLETE_HISTORY("incomplete-history");
 
     private final String label;
 
@@ -27,6 +29,10 @@
       this.label = label;
     }
 
+    private boolean isKnown() {
+      return this != SEVERAL_VERSIONS && this != INCOMPLETE_HISTORY;
+    }
+
     /** Returns the name for logs and metrics. */
     public String label() {
       return label;
@@ -35,6 +41,6 @@
 
   /** Tells whether the stream may be continued at some server. */
   public boolean isKnown() {
-    return source != Source.UNKNOWN;
+    return source.isKnown();
   }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/stream/ResumptionResolver.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/stream/ResumptionResolver.java
@@ -19,6 +19,7 @@
   private final StreamOrigins origins;
   private final VersionHistory history;
   private final BooleanSupplier hasContact;
+  private final Runnable removalsNeeded;
   private final Clock clock;
   private final InstantSource wallClock;
 
@@ -29,6 +30,8 @@
    * @param history the software versions that have served
    * @param hasContact tells whether this router is in contact with the store or a peer, so that it
    *     learns of new versions
+   * @param removalsNeeded called if a stream may only be continued once the servers are known that
+   *     left before this router started
    * @param clock monotonic clock
    * @param wallClock wall clock, to be compared with the servers' start times
    */
@@ -36,11 +39,13 @@
       StreamOrigins origins,
       VersionHistory history,
       BooleanSupplier hasContact,
+      Runnable removalsNeeded,
       Clock clock,
       InstantSource wallClock) {
     this.origins = origins;
     this.history = history;
     this.hasContact = hasContact;
+    this.removalsNeeded = removalsNeeded;
     this.clock = clock;
     this.wallClock = wallClock;
   }
@@ -69,22 +74,31 @@
   private Resolution resolveByHistory(StreamResumption resumption, long now) {
     long earliestBegin = now - resumption.maxAgeNanos();
     Set<String> versions = history.servedSince(resumption.service(), earliestBegin);
+    if (versions.size() != 1) {
+      return new Resolution(Resolution.Source.SEVERAL_VERSIONS, null);
+    }
     boolean complete =
         history.remembers(earliestBegin)
-            && (history.covers(earliestBegin) || isCoveredByStartTimes(resumption));
-    if (versions.size() == 1 && complete && hasContact.getAsBoolean()) {
+            && (history.covers(earliestBegin) || isCoveredByStartTimes(resumption, earliestBegin));
+    if (complete && hasContact.getAsBoolean()) {
       return new Resolution(Resolution.Source.HISTORY, versions.iterator().next());
     }
-    return new Resolution(Resolution.Source.UNKNOWN, null);
+    return new Resolution(Resolution.Source.INCOMPLETE_HISTORY, null);
   }
 
   /**
-   * Tells whether all servers run since before the stream can have begun. Servers that ended before
-   * this router knew them may have run beside these.
+   * Tells whether all servers run since before the stream can have begun and none has left since
+   * then.
    */
-  private boolean isCoveredByStartTimes(StreamResumption resumption) {
+  private boolean isCoveredByStartTimes(StreamResumption resumption, long earliestBegin) {
     long ageMillis = resumption.maxAgeNanos() / Clock.NANOS_PER_MILLI + MAX_CLOCK_DIFFERENCE_MILLIS;
-    return history.isWatching()
-        && history.allStartedBefore(resumption.service(), wallClock.millis() - ageMillis);
+    boolean oldEnough =
+        history.isWatching()
+            && history.allStartedBefore(resumption.service(), wallClock.millis() - ageMillis);
+    if (oldEnough && !history.knowsRemovalsSince(earliestBegin)) {
+      removalsNeeded.run();
+    }
+    // A removal that was learned of just now counts as one of another version in servedSince.
+    return oldEnough && history.knowsRemovalsSince(earliestBegin);
   }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/stream/VersionHistory.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/stream/VersionHistory.java
@@ -35,6 +35,8 @@
   private final Map<String, Map<String, Presence>> services = new HashMap<>();
   private boolean watching;
   private long watchedSince;
+  private boolean removalsKnown;
+  private long removalsKnownSince;
   private boolean reportedByPeer;
   private long reportedAt;
 
@@ -100,6 +102,30 @@
     p.extend(clock.nanos() + SERVES_AFTER_REMOVAL_MILLIS * Clock.NANOS_PER_MILLI);
   }
 
+  /**
+   * Records the servers whose entries were removed before this router watched. They count as if
+   * they had been removed now.
+   *
+   * @param removed the last entry of each of them
+   * @param ageNanos time in nanoseconds before now within which all removals are known
+   */
+  public void recordRemoved(Collection<BackendServer> removed, long ageNanos) {
+    long now = clock.nanos();
+    for (BackendServer s : removed) {
+      presence(s.service(), s.softwareVersion())
+          .extend(now + SERVES_AFTER_REMOVAL_MILLIS * Clock.NANOS_PER_MILLI);
+    }
+    long since = now - ageNanos;
+    removalsKnownSince =
+        removalsKnown && removalsKnownSince - since < 0 ? removalsKnownSince : since;
+    removalsKnown = true;
+  }
+
+  /** Tells whether all servers are known that were removed since a time in nanoseconds. */
+  boolean knowsRemovalsSince(long time) {
+    return watching && removalsKnown && removalsKnownSince - time <= 0;
+  }
+
   private Presence presence(String service, String softwareVersion) {
     return services
         .computeIfAbsent(service, s -> new HashMap<>())
--- a/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/GatewaySettingsReader.java
+++ b/org.wigeonwharf.router/src/main/java/org/wigeonwharf/router/GatewaySettingsReader.java
@@ -26,6 +26,7 @@
   private static final int MAX_RETRY_SLACK = 100_000;
   private static final double MAX_DURATION_SECONDS = 3_600;
   private static final double MIN_WINDOW_SECONDS = 0.001;
+  private static final double DEFAULT_HISTORY_SECONDS = 20;
   private static final double MILLIS_PER_SECOND = 1_000;
 
   private GatewaySettingsReader() {}
@@ -62,6 +63,7 @@
     listen.reportUnknownKeys();
     SectionReader store = root.section(STORE_SECTION);
     final InetSocketAddress storeAddress = store.address("address", 1);
+    final long storeHistoryMillis = readSeconds(store, "history_s", DEFAULT_HISTORY_SECONDS, 0);
     store.reportUnknownKeys();
     SectionReader retry = root.section("retry");
     final double retryRatio = retry.decimal("ratio", 0, 0, MAX_RETRY_RATIO);
@@ -85,6 +87,7 @@
             peers,
             metrics,
             storeAddress,
+            storeHistoryMillis,
             seeds,
             secret,
             retryRatio,
--- a/platform.test/src/test/java/org/wigeonwharf/platform/HttpPublishedStoreTest.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/HttpPublishedStoreTest.java
@@ -73,6 +73,22 @@
     assertTrue(changes.position().revision() > all.position().revision());
   }
 
+  @Test
+  void earlierChangesOfServersAreReadAsTheyWereWritten() throws Exception {
+    standIn.put("op/config", ConfigurationDecoderTest.VALID);
+    StorePosition first = readAll().position();
+    standIn.putServer("i-1", "s1", SERVER, "ready");
+    standIn.put("op/config", ConfigurationDecoderTest.VALID);
+    standIn.delete("servers/i-1");
+    Batch changes = store.readServerChanges(first.revision(), TIMEOUT).get();
+    assertEquals(2, changes.items().size());
+    assertEquals("v1", ((PublishedItem.Server) changes.items().get(0)).server().softwareVersion());
+    assertEquals(new PublishedItem.ServerRemoved("i-1"), changes.items().get(1));
+    assertEquals(first.revision() + 3, changes.position().revision());
+    standIn.dropHistory();
+    refusal(() -> store.readServerChanges(first.revision(), TIMEOUT).get());
+  }
+
   @Test
   void invalidItemsAreUnusableAndOtherKeysAreIgnored() throws Exception {
     standIn.putBytes("servers/i-1", new byte[] {0, 1, 2});
--- a/platform.test/src/test/java/org/wigeonwharf/platform/StoreStandIn.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/StoreStandIn.java
@@ -218,7 +218,11 @@
     }
     ObjectNode body = json.createObjectNode();
     ArrayNode events = body.putArray("events");
-    history.stream().filter(e -> e.path("revision").asLong() > after).forEach(events::add);
+    String prefix = query.getOrDefault("prefix", "");
+    history.stream()
+        .filter(e -> e.path("revision").asLong() > after)
+        .filter(e -> e.path("key").asText().startsWith(prefix))
+        .forEach(events::add);
     return body.put("current-rev", revision);
   }
 
