Tell peers of all streams, not only while versions differ

Cause: routers told each other their streams only once a service had several versions. A router that stopped between the begin of its streams and its first message after that had told nobody.

Evidence: all 54 refused attempts were logged with source "several-versions"; lost messages would have spared some.

Change: each stream is told in two messages when it begins. The state for earlier streams is gone. A starting router learns of those of the last 30 s; streams that are older than 2 s are not forwarded between domains.

Tests: PeerGossipTest #streamsOfRouterThatStopsBeforeAnotherVersionShowsUpAreKnown fails on the code before ("expected: <v1> but was: <null>"). It replaces #streamsOfServicesWithOneVersionAreToldOnceAnotherShowsUp, which demanded the fault, as do StreamOriginsTest#streamsOfServicesWithOneVersionAreNotAdvertised and #earlierStreamsAreAdvertisedOnceTheServiceHasAnotherVersion. What they guarded, bytes between failure domains, has bounds in #streamsCostFewBytesBetweenFailureDomains (3,967 bytes for 100 streams) and #earlierStreamsOfPeersAreKeptButNotForwarded.

--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
@@ -206,7 +206,7 @@
             timers,
             this::recordRemovedServers,
             metrics);
-    this.streamOrigins = new StreamOrigins(versionHistory::hasSeveralVersions);
+    this.streamOrigins = new StreamOrigins();
     final ResumableStreams streams =
         new ResumableStreams(
             streamOrigins,
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/stream/AdvertisedOrigins.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/stream/AdvertisedOrigins.java
@@ -5,10 +5,7 @@
 import java.util.Deque;
 import java.util.List;
 
-/**
- * Holds the streams that the next messages to peers advertise: first those that have begun since
- * the last one, the newest first, then those that are named again, and those that began earlier.
- */
+/** Holds the streams that the next messages to peers advertise, the newest first. */
 final class AdvertisedOrigins {
   /** Maximum number of streams in one message. */
   private static final int MAX_ORIGINS = 400;
@@ -19,23 +16,14 @@
   /** Number of messages that carry each stream, so that a lost one is made up for. */
   private static final int MESSAGES = 2;
 
-  private final Deque<Waiting> recent = new ArrayDeque<>();
-  private final Deque<Waiting> late = new ArrayDeque<>();
+  private final Deque<Waiting> waiting = new ArrayDeque<>();
 
   private record Waiting(StreamOrigin origin, long addedAt, int messages) {}
 
   void add(StreamOrigin origin, long now) {
-    recent.addFirst(new Waiting(origin, now, MESSAGES));
-    if (recent.size() > MAX_WAITING) {
-      recent.removeLast();
-    }
-  }
-
-  /** Adds a stream that began some time ago. */
-  void addLate(StreamOrigin origin, long now) {
-    late.addLast(new Waiting(origin, now, MESSAGES));
-    if (late.size() > MAX_WAITING) {
-      late.removeFirst();
+    waiting.addFirst(new Waiting(origin, now, MESSAGES));
+    if (waiting.size() > MAX_WAITING) {
+      waiting.removeLast();
     }
   }
 
@@ -47,28 +35,22 @@
    */
   List<StreamOrigin> next(int maxChars, long now) {
     List<StreamOrigin> taken = new ArrayList<>();
-    int chars = take(recent, maxChars, taken, now);
-    take(late, maxChars - chars, taken, now);
-    return taken;
-  }
-
-  private static int take(Deque<Waiting> queue, int maxChars, List<StreamOrigin> to, long now) {
-    int chars = 0;
     List<Waiting> again = new ArrayList<>();
-    while (!queue.isEmpty() && to.size() < MAX_ORIGINS) {
-      StreamOrigin o = queue.getFirst().origin();
+    int chars = 0;
+    while (!waiting.isEmpty() && taken.size() < MAX_ORIGINS) {
+      StreamOrigin o = waiting.getFirst().origin();
       if (chars + o.requestId().length() > maxChars) {
         break;
       }
-      Waiting w = queue.removeFirst();
+      Waiting w = waiting.removeFirst();
       chars += o.requestId().length();
       long age = o.ageNanos() + now - w.addedAt();
-      to.add(new StreamOrigin(o.requestId(), o.service(), o.softwareVersion(), age));
+      taken.add(new StreamOrigin(o.requestId(), o.service(), o.softwareVersion(), age));
       if (w.messages() > 1) {
         again.add(new Waiting(o, w.addedAt(), w.messages() - 1));
       }
     }
-    queue.addAll(again);
-    return chars;
+    waiting.addAll(again);
+    return taken;
   }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/stream/StreamOrigins.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/stream/StreamOrigins.java
@@ -3,13 +3,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 import org.wigeonwharf.model.Clock;
 
@@ -17,8 +14,10 @@
  * Remembers which software version began each stream, from the streams that this router and its
  * peers have forwarded.
  *
- * <p>A stream that was continued at another service has an origin for each service. The number of
- * streams and the time for which they are kept are bounded. Not thread-safe.
+ * <p>All streams are advertised to peers as they begin, also while their service has one software
+ * version: a router may stop before it learns of another. A stream that was continued at another
+ * service has an origin for each service. The number of streams and the time for which they are
+ * kept are bounded. Not thread-safe.
  */
 public final class StreamOrigins {
   /** Maximum number of streams that are kept. */
@@ -33,19 +32,16 @@
   /** Maximum length of the name of a service and of a software version. */
   private static final int MAX_NAME_LENGTH = 200;
 
-  /** Maximum number of services; all are forgotten when it is reached. */
-  private static final int MAX_SERVICES = 2_000;
+  /** Age in ms of the streams that a router which has just started still learns of. */
+  private static final long REPLIED_AGE_MILLIS = 30_000;
 
-  /** Time in ms since its begin for which a stream is advertised once versions differ. */
-  private static final long ADVERTISED_AGE_MILLIS = 30_000;
-
-  /** Age in ms of a peer's stream that is forwarded behind those that have just begun. */
-  private static final long LATE_AGE_MILLIS = 2_000;
+  /**
+   * Age in ms from which a peer's stream is not forwarded to other failure domains, since they have
+   * learned of it before.
+   */
+  private static final long MAX_FORWARDED_AGE_MILLIS = 2_000;
 
-  private final Predicate<String> hasSeveralVersions;
   private final Map<String, Stream> streams = new LinkedHashMap<>();
-  private final Set<String> services = new HashSet<>();
-  private final Set<String> advertisedServices = new HashSet<>();
   private final AdvertisedOrigins toDomain = new AdvertisedOrigins();
   private final AdvertisedOrigins toOtherDomains = new AdvertisedOrigins();
 
@@ -56,16 +52,6 @@
     private long recordedAt;
   }
 
-  /**
-   * Creates a memory without streams.
-   *
-   * @param hasSeveralVersions tells whether the servers of a service have, or recently had, several
-   *     software versions, so that peers need to know its streams
-   */
-  public StreamOrigins(Predicate<String> hasSeveralVersions) {
-    this.hasSeveralVersions = hasSeveralVersions;
-  }
-
   /**
    * Records that a stream of this router's callers was begun or resumed. Ids that are too long are
    * not recorded.
@@ -76,9 +62,7 @@
    * @param now the current time in nanoseconds
    */
   public void record(String requestId, String service, String softwareVersion, long now) {
-    // Asked first, so that the stream is not among those that are advertised as earlier ones.
-    boolean advertised = isAdvertised(service, now);
-    if (put(requestId, service, softwareVersion, true, now, now) && advertised) {
+    if (put(requestId, service, softwareVersion, true, now, now)) {
       StreamOrigin origin = new StreamOrigin(requestId, service, softwareVersion, 0);
       toDomain.add(origin, now);
       toOtherDomains.add(origin, now);
@@ -101,12 +85,9 @@
           now - recordedAt <= MAX_AGE_MILLIS * Clock.NANOS_PER_MILLI
               && put(o.requestId(), o.service(), o.softwareVersion(), false, recordedAt, now);
       // A peer names each stream in two messages, which is no news the second time.
-      if (merged && !known && sameDomain) {
-        if (o.ageNanos() < LATE_AGE_MILLIS * Clock.NANOS_PER_MILLI) {
-          toOtherDomains.add(o, now);
-        } else {
-          toOtherDomains.addLate(o, now);
-        }
+      boolean isNews = merged && !known && sameDomain;
+      if (isNews && o.ageNanos() < MAX_FORWARDED_AGE_MILLIS * Clock.NANOS_PER_MILLI) {
+        toOtherDomains.add(o, now);
       }
     }
   }
@@ -116,10 +97,6 @@
     if (!isKept(id, service, version)) {
       return false;
     }
-    if (services.size() >= MAX_SERVICES) {
-      services.clear();
-    }
-    services.add(service);
     Stream known = streams.remove(id);
     Stream s = known == null ? new Stream() : known;
     s.recordedAt = known == null ? recordedAt : later(known.recordedAt, recordedAt);
@@ -197,14 +174,12 @@
 
   /**
    * Returns the next streams to be advertised to the routers of the same failure domain: those that
-   * this router's callers have begun or resumed, while their service has several software versions.
-   * Each is returned for two messages.
+   * this router's callers have begun or resumed. Each is returned for two messages.
    *
    * @param maxChars maximum length of all ids together
    * @param now the current time in nanoseconds
    */
   public List<StreamOrigin> nextForDomain(int maxChars, long now) {
-    advertiseEarlierStreams(now);
     return toDomain.next(maxChars, now);
   }
 
@@ -216,56 +191,25 @@
    * @param now the current time in nanoseconds
    */
   public List<StreamOrigin> nextForOtherDomains(int maxChars, long now) {
-    advertiseEarlierStreams(now);
     return toOtherDomains.next(maxChars, now);
   }
 
-  /** Advertises the streams that began before their service had several software versions. */
-  private void advertiseEarlierStreams(long now) {
-    services.forEach(s -> isAdvertised(s, now));
-    advertisedServices.removeIf(s -> !hasSeveralVersions.test(s));
-  }
-
-  private boolean isAdvertised(String service, long now) {
-    if (!hasSeveralVersions.test(service)) {
-      return false;
-    }
-    if (advertisedServices.add(service)) {
-      for (StreamOrigin o : kept(true, ADVERTISED_AGE_MILLIS, now)) {
-        if (o.service().equals(service)) {
-          toDomain.addLate(o, now);
-          toOtherDomains.addLate(o, now);
-        }
-      }
-    }
-    return true;
-  }
-
   /**
-   * Returns the streams of services with several software versions, for a router that has just
-   * started.
+   * Returns the streams that were begun or resumed lately, for a router that has just started.
    *
    * @param ownOnly true to leave out those that only peers have forwarded
    * @param limit maximum number of streams; the latest are returned
    * @param now the current time in nanoseconds
    */
   public List<StreamOrigin> latest(boolean ownOnly, int limit, long now) {
-    List<StreamOrigin> found =
-        kept(ownOnly, MAX_AGE_MILLIS, now).stream()
-            .filter(o -> hasSeveralVersions.test(o.service()))
-            .toList();
-    return found.subList(Math.max(0, found.size() - limit), found.size());
-  }
-
-  private List<StreamOrigin> kept(boolean ownOnly, long maxAgeMillis, long now) {
     List<StreamOrigin> found = new ArrayList<>();
     streams.forEach(
         (id, s) -> {
           long age = now - s.recordedAt;
-          if ((s.own || !ownOnly) && age <= maxAgeMillis * Clock.NANOS_PER_MILLI) {
+          if ((s.own || !ownOnly) && age <= REPLIED_AGE_MILLIS * Clock.NANOS_PER_MILLI) {
             s.versions.forEach((sv, version) -> found.add(new StreamOrigin(id, sv, version, age)));
           }
         });
-    return found;
+    return found.subList(Math.max(0, found.size() - limit), found.size());
   }
 }
