Let the store confirm that all servers are known before using history

Cause: "only one version has served" was concluded from what the router had read, whatever it had missed. Silence of the store, or any peer, also one behind the same cut, counted as contact.

Change: a router asks the store for its position after the request has arrived (PositionCheck) and concludes only if it has read up to there; else it reads on, or refuses the request as not run. The history begins anew after a full read, which may hide servers that came and left.

Why it works: the stream began before the request arrived, so that every version that can have begun it was published before the call.

ResumptionResolverTest #routerThatLearnsOfNoNewServersConcludesNothing becomes #nothingIsConcludedUntilAllServersOfTheMomentAreKnown: contact is no longer enough.

--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/SimulatedStore.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/SimulatedStore.java
@@ -193,6 +193,25 @@
       return answer;
     }
 
+    @Override
+    public CompletableFuture<StorePosition> readPosition(Duration timeout) {
+      calls++;
+      CompletableFuture<StorePosition> answer = new CompletableFuture<>();
+      timers.schedule(
+          latencyNanos,
+          () -> {
+            if (away || cutOff) {
+              answer.completeExceptionally(new IOException("reset"));
+              return;
+            }
+            StorePosition current = position;
+            timers.schedule(latencyNanos, () -> answer.complete(current));
+          });
+      timers.schedule(
+          timeout.toNanos(), () -> answer.completeExceptionally(new IOException("no answer")));
+      return answer;
+    }
+
     @Override
     public CompletableFuture<Batch> readServerChanges(long revision, Duration timeout) {
       CompletableFuture<Batch> refused = refuse();
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreFeedTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreFeedTest.java
@@ -80,6 +80,11 @@
       return call(revision, wait);
     }
 
+    @Override
+    public CompletableFuture<StorePosition> readPosition(Duration timeout) {
+      throw new AssertionError("not needed");
+    }
+
     @Override
     public CompletableFuture<Batch> readServerChanges(long revision, Duration timeout) {
       return call(revision, Duration.ZERO);
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreHistoryTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreHistoryTest.java
@@ -158,4 +158,17 @@
     search();
     assertTrue(store.calls() > calls);
   }
+
+  // Guards against a search whose result lacks what was missed while it was made.
+  @Test
+  void searchThatBeganBeforeChangesWereMissedTellsNothing() {
+    put("a", "v1");
+    read = store.position();
+    history.request();
+    history.reset();
+    timers.advanceMillis(500);
+    assertNull(found);
+    search();
+    assertEquals(List.of(), found);
+  }
 }
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreSilenceTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreSilenceTest.java
@@ -66,6 +66,11 @@
       return answer;
     }
 
+    @Override
+    public CompletableFuture<StorePosition> readPosition(Duration timeout) {
+      throw new AssertionError("not needed");
+    }
+
     @Override
     public CompletableFuture<Batch> readServerChanges(long revision, Duration timeout) {
       throw new AssertionError("not needed");
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/ExchangeFixture.java
@@ -52,6 +52,7 @@
 import org.wigeonwharf.gateway.store.StorePosition;
 import org.wigeonwharf.gateway.stream.ResumableStreams;
 import org.wigeonwharf.gateway.stream.ResumptionResolver;
+import org.wigeonwharf.gateway.stream.ServerListCheck;
 import org.wigeonwharf.gateway.stream.StreamDurations;
 import org.wigeonwharf.gateway.stream.StreamOrigins;
 import org.wigeonwharf.gateway.stream.VersionHistory;
@@ -81,6 +82,33 @@
   final ServerNotices notices;
   final VersionHistory versionHistory;
 
+  /** Tells at once that all servers are known, unless a test replaces it. */
+  ServerListCheck serverListCheck =
+      new ServerListCheck() {
+        @Override
+        public boolean isCompleteUntil(long time) {
+          return true;
+        }
+
+        @Override
+        public void request(long time) {
+          throw new AssertionError("not needed");
+        }
+      };
+
+  private final ServerListCheck serverList =
+      new ServerListCheck() {
+        @Override
+        public boolean isCompleteUntil(long time) {
+          return serverListCheck.isCompleteUntil(time);
+        }
+
+        @Override
+        public void request(long time) {
+          serverListCheck.request(time);
+        }
+      };
+
   /** Servers that left before the start, as far as the store remembers; null if it can't tell. */
   @Nullable List<BackendServer> removedBeforeStart = List.of();
 
@@ -220,7 +248,7 @@
                 new ResumptionResolver(
                     streamOrigins,
                     versionHistory,
-                    () -> true,
+                    serverList,
                     this::readRemovals,
                     timers,
                     () -> Instant.ofEpochMilli(unixMillis())),
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/stream/ResumptionResolverTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/stream/ResumptionResolverTest.java
@@ -16,18 +16,32 @@
 class ResumptionResolverTest {
   private static final long UNIX_MILLIS = 1_700_000_000_000L;
   private static final long STREAM_MILLIS = 20_000;
+  private static final long ARRIVED_AT = 42;
 
   private final VirtualTimers timers = new VirtualTimers();
   private final ServerDirectory directory = new ServerDirectory(0);
   private final VersionHistory history = new VersionHistory(timers);
   private final StreamOrigins origins = new StreamOrigins();
-  private boolean contact = true;
+  private boolean listComplete = true;
+  private int checksRequested;
   private int removalsNeeded;
   private final ResumptionResolver resolver =
       new ResumptionResolver(
           origins,
           history,
-          () -> contact,
+          new ServerListCheck() {
+            @Override
+            public boolean isCompleteUntil(long time) {
+              assertEquals(ARRIVED_AT, time);
+              return listComplete;
+            }
+
+            @Override
+            public void request(long time) {
+              assertEquals(ARRIVED_AT, time);
+              checksRequested++;
+            }
+          },
           () -> removalsNeeded++,
           timers,
           () -> Instant.ofEpochMilli(unixMillis()));
@@ -53,7 +67,8 @@
   }
 
   private void assertResolved(@Nullable String id, Source source, @Nullable String version) {
-    StreamResumption t = new StreamResumption("service", id, STREAM_MILLIS * Clock.NANOS_PER_MILLI);
+    StreamResumption t =
+        new StreamResumption("service", id, STREAM_MILLIS * Clock.NANOS_PER_MILLI, ARRIVED_AT);
     assertEquals(new Resolution(source, version), resolver.resolve(t));
   }
 
@@ -143,15 +158,21 @@
     assertResolved(Source.HISTORY, "v1");
   }
 
+  // Guards against a version that others have read and this router, out of step, has not.
   @Test
-  void routerThatLearnsOfNoNewServersConcludesNothing() {
+  void nothingIsConcludedUntilAllServersOfTheMomentAreKnown() {
     directory.put(VersionHistoryTest.server("a", "v1", 1));
     history.startWatching();
     learnRemovals();
-    contact = false;
-    assertResolved(Source.INCOMPLETE_HISTORY, null);
+    listComplete = false;
+    assertResolved(Source.UNCONFIRMED, null);
+    assertEquals(1, checksRequested);
     origins.record("r1", "service", "v1", timers.nanos());
     assertResolved("r1", Source.MEMORY, "v1");
+    assertEquals(1, checksRequested);
+    listComplete = true;
+    assertResolved(Source.HISTORY, "v1");
+    assertEquals(1, checksRequested);
   }
 
   // Guards against a version that is forgotten before the streams that it can have begun.
@@ -162,7 +183,8 @@
     timers.advanceMillis(2 * VersionHistory.MAX_AGE_MILLIS);
     for (long ageMillis :
         List.of(VersionHistory.MAX_AGE_MILLIS, VersionHistory.MAX_AGE_MILLIS + 1)) {
-      StreamResumption t = new StreamResumption("service", null, ageMillis * Clock.NANOS_PER_MILLI);
+      StreamResumption t =
+          new StreamResumption("service", null, ageMillis * Clock.NANOS_PER_MILLI, ARRIVED_AT);
       assertEquals(ageMillis == VersionHistory.MAX_AGE_MILLIS, resolver.resolve(t).isKnown());
     }
   }
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/stream/VersionHistoryTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/stream/VersionHistoryTest.java
@@ -154,4 +154,18 @@
     assertFalse(h.covers(timers.nanos() - 5 * second));
     assertTrue(h.covers(timers.nanos() - second));
   }
+
+  // Guards against a gap after an outage that counts as covered.
+  @Test
+  void historyBeginsAnewWhenChangesMayHaveBeenMissed() {
+    timers.advanceMillis(60_000);
+    long second = Clock.NANOS_PER_SECOND;
+    history.recordRemoved(List.of(), 20 * second);
+    assertTrue(history.covers(timers.nanos() - second));
+    assertTrue(history.knowsRemovalsSince(timers.nanos() - second));
+    history.recordMissedChanges();
+    assertFalse(history.covers(timers.nanos() - 1));
+    assertFalse(history.knowsRemovalsSince(timers.nanos() - 1));
+    assertTrue(history.covers(timers.nanos()));
+  }
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/Gateway.java
@@ -25,6 +25,7 @@
 import org.wigeonwharf.gateway.eligibility.SoftwareVersionFilter;
 import org.wigeonwharf.gateway.evacuation.Evacuation;
 import org.wigeonwharf.gateway.evacuation.Evacuations;
+import org.wigeonwharf.gateway.feed.PositionCheck;
 import org.wigeonwharf.gateway.feed.PublishedStore;
 import org.wigeonwharf.gateway.feed.StoreChanges;
 import org.wigeonwharf.gateway.feed.StoreFeed;
@@ -92,12 +93,6 @@
    */
   private static final int FREQUENT_READERS_PER_DOMAIN = 2;
 
-  /**
-   * Maximum time in ms since the store answered, this router or one that it follows, with which it
-   * still learns of new servers without other failure domains.
-   */
-  private static final long STORE_CONTACT_MAX_AGE_MILLIS = 5_000;
-
   private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
 
   private volatile GatewaySettings settings;
@@ -117,6 +112,7 @@
   private final RegionFilter regionFilter;
   private final VersionHistory versionHistory;
   private final StoreHistory storeHistory;
+  private final PositionCheck positionCheck;
   private final StreamOrigins streamOrigins;
   private final RegionFaults regionFaults;
   private final ExchangeManager exchanges;
@@ -206,6 +202,9 @@
             timers,
             this::recordRemovedServers,
             metrics);
+    directory.onChangesMissed(this::forgetPast);
+    this.positionCheck =
+        new PositionCheck(store, feed::position, feed::readUpTo, timers, this::retryHeld, metrics);
     this.streamOrigins = new StreamOrigins();
     final ResumableStreams streams =
         new ResumableStreams(
@@ -214,7 +213,7 @@
             new ResumptionResolver(
                 streamOrigins,
                 versionHistory,
-                this::learnsOfServers,
+                positionCheck,
                 storeHistory::request,
                 clock,
                 wallClock),
@@ -297,14 +296,17 @@
     return spec == null ? ColdStart.NONE : spec.coldStart();
   }
 
-  /** Tells whether new servers become known to this router, by the store or by its peers. */
-  private boolean learnsOfServers() {
-    return feed.contactAgeMillis() <= STORE_CONTACT_MAX_AGE_MILLIS
-        || !gossip().otherDomains().isEmpty();
-  }
-
   private void recordRemovedServers(List<BackendServer> removed, long ageNanos) {
     versionHistory.recordRemoved(removed, ageNanos);
+    retryHeld();
+  }
+
+  private void forgetPast() {
+    versionHistory.recordMissedChanges();
+    storeHistory.reset();
+  }
+
+  private void retryHeld() {
     exchanges.retryHeld();
   }
 
@@ -317,6 +319,7 @@
   }
 
   private void onStoreChange() {
+    positionCheck.recordRead();
     if (feed.isInitialized()) {
       versionHistory.startWatching();
     }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/backend/ServerDirectory.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/backend/ServerDirectory.java
@@ -37,6 +37,7 @@
 
   private final long reconnectGraceNanos;
   private final List<Listener> listeners = new ArrayList<>();
+  private final List<Runnable> changesMissedActions = new ArrayList<>();
   private final Map<String, Entry> entries = new HashMap<>();
   private final Map<String, List<BackendServer>> usable = new HashMap<>();
   private final Map<String, Departed> departed = new LinkedHashMap<>();
@@ -109,6 +110,16 @@
     listeners.add(listener);
   }
 
+  /**
+   * Adds an action that runs before all servers are replaced by a complete list. Some may have been
+   * published and removed again since the last change that is known.
+   *
+   * @param action the action
+   */
+  public void onChangesMissed(Runnable action) {
+    changesMissedActions.add(action);
+  }
+
   /**
    * Records that the store is reachable again.
    *
@@ -187,6 +198,7 @@
    * @param now the current time in nanoseconds
    */
   public void replaceAll(Collection<BackendServer> servers, long now) {
+    changesMissedActions.forEach(Runnable::run);
     Set<String> listed = new HashSet<>();
     for (BackendServer s : servers) {
       listed.add(s.id());
@@ -214,6 +226,7 @@
    * @param now the current time in nanoseconds
    */
   public void restore(Collection<BackendServer> servers, long now) {
+    changesMissedActions.forEach(Runnable::run);
     Set<String> listed = new HashSet<>();
     for (BackendServer s : servers) {
       if (restore(s, now)) {
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/PublishedStore.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/PublishedStore.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import org.wigeonwharf.gateway.store.StorePosition;
 
 /** Provides read access to the configuration and the servers that the platform publishes. */
 public interface PublishedStore {
@@ -34,4 +35,12 @@
    *     {@link HistoryLostException} if the store has discarded some of them
    */
   CompletableFuture<Batch> readServerChanges(long revision, Duration timeout);
+
+  /**
+   * Reads the store's position, which is at least that of each change acknowledged before the call.
+   *
+   * @param timeout maximum wait for the answer
+   * @return the position; fails with an IOException
+   */
+  CompletableFuture<StorePosition> readPosition(Duration timeout);
 }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/StoreFeed.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/StoreFeed.java
@@ -246,6 +246,16 @@
     }
   }
 
+  /**
+   * Reads on if the store's position is not reached shortly by the pending wait for changes.
+   *
+   * @param position a position that the store has named
+   */
+  public void readUpTo(StorePosition position) {
+    peerPosition = StorePosition.max(peerPosition, position);
+    timers.schedule(MAX_FOLLOW_DELAY.toNanos(), this::catchUp);
+  }
+
   private long followDelayNanos() {
     return (long) (random.nextDouble() * MAX_FOLLOW_DELAY.toNanos());
   }
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/StoreHistory.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/StoreHistory.java
@@ -44,6 +44,7 @@
   private final Timers timers;
   private final Listener listener;
   private final StoreCallMetrics callMetrics;
+  private int generation;
   private boolean searching;
   private boolean finished;
   private boolean failed;
@@ -63,14 +64,16 @@
   /** Holds the bounds of a search and what it has read. */
   private final class Search {
     private final StorePosition from;
+    private final int generation;
     private long discarded = -1;
     private long available;
     private List<PublishedItem> changes = List.of();
     private long step = 1;
     private int calls;
 
-    Search(StorePosition from) {
+    Search(StorePosition from, int generation) {
       this.from = from;
+      this.generation = generation;
       this.available = from.revision();
     }
 
@@ -134,11 +137,13 @@
       return;
     }
     searching = true;
-    step(new Search(from));
+    step(new Search(from, generation));
   }
 
   /** Allows another search, as changes may have been missed since the last one. */
   public void reset() {
+    generation++;
+    searching = false;
     finished = false;
     failed = false;
   }
@@ -166,6 +171,9 @@
   private void onAnswer(
       Search search, long revision, @Nullable Batch batch, @Nullable Throwable error) {
     callMetrics.count(batch != null, error);
+    if (search.generation != generation) {
+      return;
+    }
     Throwable cause = StoreCallMetrics.cause(error);
     if (cause instanceof HistoryLostException lost && lost.era() == search.from.era()) {
       search.recordDiscarded(revision);
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/http/Exchange.java
@@ -293,7 +293,10 @@
             .maxAgeMillis(a.route().name(), a.route().timeoutMillis(), metadata.timeoutMillis());
     long heldNanos = timers.nanos() - arrivedAt();
     return new StreamResumption(
-        a.service(), metadata.resumedRequestId(), maxAgeMillis * Clock.NANOS_PER_MILLI + heldNanos);
+        a.service(),
+        metadata.resumedRequestId(),
+        maxAgeMillis * Clock.NANOS_PER_MILLI + heldNanos,
+        arrivedAt());
   }
 
   private void awaitOrigin(Admission a, long now) {
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/stream/Resolution.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/stream/Resolution.java
@@ -21,7 +21,11 @@
     /** Several software versions have served since the stream can have begun, or none. */
     SEVERAL_VERSIONS("several-versions"),
     /** Servers of another software version may have left without this router's knowledge. */
-    INCOMPLETE_HISTORY("incomplete-history");
+    INCOMPLETE_HISTORY("incomplete-history"),
+    /**
+     * Servers of another software version may have been published that this router doesn't know.
+     */
+    UNCONFIRMED("unconfirmed");
 
     private final String label;
 
@@ -30,7 +34,7 @@
     }
 
     private boolean isKnown() {
-      return this != SEVERAL_VERSIONS && this != INCOMPLETE_HISTORY;
+      return this == MEMORY || this == HISTORY || this == OTHER_SERVICE;
     }
 
     /** Returns the name for logs and metrics. */
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/stream/ResumptionResolver.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/stream/ResumptionResolver.java
@@ -2,15 +2,14 @@
 
 import java.time.InstantSource;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
 import org.wigeonwharf.model.Clock;
 
 /**
  * Finds out which software version a stream has to continue at when its caller resumes it.
  *
  * <p>The streams that routers have forwarded are known by the id of the request. The version of any
- * other stream is known only if no other version has served since it can have begun. Not
- * thread-safe.
+ * other stream is known only if no other version has served since it can have begun, and the store
+ * confirms that this router knows all. Not thread-safe.
  */
 public final class ResumptionResolver {
   /** Maximum difference in ms between the wall clocks of servers and routers. */
@@ -18,7 +17,7 @@
 
   private final StreamOrigins origins;
   private final VersionHistory history;
-  private final BooleanSupplier hasContact;
+  private final ServerListCheck serverList;
   private final Runnable removalsNeeded;
   private final Clock clock;
   private final InstantSource wallClock;
@@ -28,8 +27,7 @@
    *
    * @param origins the streams that routers have forwarded
    * @param history the software versions that have served
-   * @param hasContact tells whether this router is in contact with the store or a peer, so that it
-   *     learns of new versions
+   * @param serverList tells whether this router knows all versions that can have begun a stream
    * @param removalsNeeded called if a stream may only be continued once the servers are known that
    *     left before this router started
    * @param clock monotonic clock
@@ -38,13 +36,13 @@
   public ResumptionResolver(
       StreamOrigins origins,
       VersionHistory history,
-      BooleanSupplier hasContact,
+      ServerListCheck serverList,
       Runnable removalsNeeded,
       Clock clock,
       InstantSource wallClock) {
     this.origins = origins;
     this.history = history;
-    this.hasContact = hasContact;
+    this.serverList = serverList;
     this.removalsNeeded = removalsNeeded;
     this.clock = clock;
     this.wallClock = wallClock;
@@ -77,13 +75,19 @@
     if (versions.size() != 1) {
       return new Resolution(Resolution.Source.SEVERAL_VERSIONS, null);
     }
+    boolean confirmed = serverList.isCompleteUntil(resumption.arrivedAt());
+    if (!confirmed) {
+      serverList.request(resumption.arrivedAt());
+    }
     boolean complete =
         history.remembers(earliestBegin)
             && (history.covers(earliestBegin) || isCoveredByStartTimes(resumption, earliestBegin));
-    if (complete && hasContact.getAsBoolean()) {
-      return new Resolution(Resolution.Source.HISTORY, versions.iterator().next());
+    if (!complete) {
+      return new Resolution(Resolution.Source.INCOMPLETE_HISTORY, null);
     }
-    return new Resolution(Resolution.Source.INCOMPLETE_HISTORY, null);
+    return confirmed
+        ? new Resolution(Resolution.Source.HISTORY, versions.iterator().next())
+        : new Resolution(Resolution.Source.UNCONFIRMED, null);
   }
 
   /**
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/stream/VersionHistory.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/stream/VersionHistory.java
@@ -102,6 +102,14 @@
     p.extend(clock.nanos() + SERVES_AFTER_REMOVAL_MILLIS * Clock.NANOS_PER_MILLI);
   }
 
+  /** Records that servers may have been published and removed again without being known. */
+  public void recordMissedChanges() {
+    if (watching) {
+      watchedSince = clock.nanos();
+      removalsKnown = false;
+    }
+  }
+
   /**
    * Records the servers whose entries were removed before this router watched. They count as if
    * they had been removed now.
--- a/platform.test/src/test/java/org/wigeonwharf/platform/HttpPublishedStoreTest.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/HttpPublishedStoreTest.java
@@ -89,6 +89,14 @@
     refusal(() -> store.readServerChanges(first.revision(), TIMEOUT).get());
   }
 
+  @Test
+  void positionIsThatOfTheLastChange() throws Exception {
+    standIn.put("op/config", ConfigurationDecoderTest.VALID);
+    assertEquals(readAll().position(), store.readPosition(TIMEOUT).get());
+    standIn.delete("op/config");
+    assertEquals(readAll().position(), store.readPosition(TIMEOUT).get());
+  }
+
   @Test
   void invalidItemsAreUnusableAndOtherKeysAreIgnored() throws Exception {
     standIn.putBytes("servers/i-1", new byte[] {0, 1, 2});
--- a/platform.test/src/test/java/org/wigeonwharf/platform/KeptConnection.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/KeptConnection.java
@@ -86,6 +86,18 @@
     return bytes.toString(StandardCharsets.UTF_8);
   }
 
+  /**
+   * Reads lines until one is as given.
+   *
+   * @throws IOException if the connection ends before that
+   */
+  void readUntil(String line) throws IOException {
+    InputStream in = socket.getInputStream();
+    while (!readLine(in).equals(line)) {
+      // Lines of the head and the sizes of chunks come before it.
+    }
+  }
+
   private static int chunkSize(InputStream in) throws IOException {
     return Integer.parseInt(readLine(in), 16);
   }
--- a/platform.test/src/test/java/org/wigeonwharf/platform/StoreStandIn.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/StoreStandIn.java
@@ -132,13 +132,30 @@
       String state,
       String failureDomain,
       int coldMillis) {
+    putServer(id, service, address, state, failureDomain, coldMillis, "v1");
+  }
+
+  void putServer(
+      String id,
+      String service,
+      InetSocketAddress address,
+      String state,
+      String failureDomain,
+      int coldMillis,
+      String softwareVersion) {
     put(
         "servers/" + id,
         """
-        {"service":"%s","address":"%s","zone":"%s","version":"v1","slots":6,"state":"%s",
+        {"service":"%s","address":"%s","zone":"%s","version":"%s","slots":6,"state":"%s",
          "cold-left-ms":%d,"sequence":1,"born":1700000000000}
         """
-            .formatted(service, Addresses.format(address), failureDomain, state, coldMillis));
+            .formatted(
+                service,
+                Addresses.format(address),
+                failureDomain,
+                softwareVersion,
+                state,
+                coldMillis));
   }
 
   private void answer(HttpExchange x, Endpoint endpoint) throws IOException {
