Soak test: garbling server resets its answers also when it is closed

Seen: GatewaySoakTest got a 200 whose body was the part that GarblingServer writes before its reset.

Cause: closing the server interrupts the delay before the reset, and the connection then ends in order. An answer without a length is whole by that; the router was right to pass it on.

Change: the reset follows the delay in any case.

Test: GarblingServerTest failed before ("Expected java.io.IOException to be thrown, but nothing was thrown").

--- a/platform.test/src/test/java/org/wigeonwharf/platform/GarblingServer.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/GarblingServer.java
@@ -53,8 +53,12 @@
         String resumed = r.header(WireNames.LAST_EVENT_ID);
         int next = resumed == null ? 1 : Integer.parseInt(resumed) + 1;
         c.write("id: " + next + "\ndata: " + r.id() + "\n\nid: ");
-        Thread.sleep(RESET_DELAY_MILLIS);
-        c.reset();
+        try {
+          Thread.sleep(RESET_DELAY_MILLIS);
+        } finally {
+          // An orderly end would make the answer whole, also if this server is closed meanwhile.
+          c.reset();
+        }
       }
       default -> {
         c.write(AnswerText.streamHead(r.id()).replace("Transfer-Encoding: chunked\r\n", ""));
--- a/platform.test/src/test/java/org/wigeonwharf/platform/KeptConnection.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/KeptConnection.java
@@ -98,6 +98,17 @@
     }
   }
 
+  /**
+   * Waits until the router, or a server, ends the connection in order.
+   *
+   * @throws IOException if the connection is reset or stays open without a byte for 10 s
+   */
+  void awaitEnd() throws IOException {
+    while (socket.getInputStream().read() >= 0) {
+      // The rest of the answer does not matter.
+    }
+  }
+
   private static int chunkSize(InputStream in) throws IOException {
     return Integer.parseInt(readLine(in), 16);
   }
