Keep the limit of a server whose entry is missing for a while

Cause: limits were discarded with the entry, unlike the other notices of servers, which belong to the run.

Change: a limit holds until it is a minute old, and ends when the server starts anew under its id, also while its entry is missing.

--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/limit/ServerLimits.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/limit/ServerLimits.java
@@ -265,13 +265,25 @@
   }
 
   /**
-   * Removes all servers except the given ones.
+   * Removes all servers except the given ones and those that have named a limit lately. The entry
+   * of a server may be missing for a while, and its limit holds when it is back.
    *
    * @param known the ids of the servers to keep
+   * @param now the current time in nanoseconds
+   */
+  public void retainServers(Collection<String> known, long now) {
+    named.entrySet().removeIf(e -> !known.contains(e.getKey()) && !e.getValue().isLimited(now));
+    shares.keySet().removeIf(s -> !known.contains(s) && !named.containsKey(s));
+  }
+
+  /**
+   * Removes a server, since another run of it has named no limit.
+   *
+   * @param server the server's id
    */
-  public void retainServers(Collection<String> known) {
-    named.keySet().retainAll(known);
-    shares.keySet().retainAll(known);
+  public void forget(String server) {
+    named.remove(server);
+    shares.remove(server);
   }
 
   // Exchange with other routers.
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/notice/LimitNotice.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/notice/LimitNotice.java
@@ -41,16 +41,16 @@
 
   @Override
   public void retain(Collection<BackendServer> known, long now) {
-    Set<String> retained = new HashSet<>();
+    Set<String> ids = new HashSet<>();
     for (BackendServer s : known) {
-      Long previous = startTimes.get(s.id());
+      ids.add(s.id());
+      Long previous = startTimes.put(s.id(), s.startedAt());
       // A restart under the same id ends what the run before has named.
-      if (previous == null || previous == s.startedAt()) {
-        retained.add(s.id());
+      if (previous != null && previous != s.startedAt()) {
+        limits.forget(s.id());
       }
     }
-    limits.retainServers(retained);
-    startTimes.clear();
-    known.forEach(s -> startTimes.put(s.id(), s.startedAt()));
+    limits.retainServers(ids, now);
+    startTimes.keySet().removeIf(id -> !ids.contains(id) && !limits.isLimited(id, now));
   }
 }
