Soak test: two software versions, and callers that resume streams

Servers of two software versions serve side by side, are replaced and crash; each event names the version that wrote it. A third of the streams are broken off by their callers and resumed at any router, while routers restart and the store is restored. The check: no stream holds events of two versions, in one answer or over its caller's attempts, and more than 50 resumed streams go on.

--- a/platform.test/src/test/java/org/wigeonwharf/platform/GarblingServer.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/GarblingServer.java
@@ -14,6 +14,7 @@
   private static final long RESET_DELAY_MILLIS = 30;
 
   private final Random random;
+  private final String softwareVersion;
   private final Consumer<String> onRun;
   private final ScriptedServer server;
 
@@ -21,10 +22,12 @@
    * Starts a server.
    *
    * @param random draws the kinds of garbled answers
+   * @param softwareVersion the software version that its events name
    * @param onRun receives the id of each request
    */
-  GarblingServer(Random random, Consumer<String> onRun) throws IOException {
+  GarblingServer(Random random, String softwareVersion, Consumer<String> onRun) throws IOException {
     this.random = random;
+    this.softwareVersion = softwareVersion;
     this.onRun = onRun;
     this.server = new ScriptedServer(this::answer);
   }
@@ -52,7 +55,9 @@
         c.write(AnswerText.streamHead(r.id()).replace("Transfer-Encoding: chunked\r\n", ""));
         String resumed = r.header(WireNames.LAST_EVENT_ID);
         int next = resumed == null ? 1 : Integer.parseInt(resumed) + 1;
-        c.write("id: " + next + "\ndata: " + r.id() + "\n\nid: ");
+        String begun = r.header(WireNames.RESUMED_REQUEST_ID);
+        String data = SoakBackends.eventData(begun == null ? r.id() : begun, softwareVersion);
+        c.write("id: " + next + "\ndata: " + data + "\n\nid: ");
         try {
           Thread.sleep(RESET_DELAY_MILLIS);
         } finally {
--- a/platform.test/src/test/java/org/wigeonwharf/platform/GarblingServerTest.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/GarblingServerTest.java
@@ -21,10 +21,10 @@
   @Test
   void answerThatIsToBeResetIsNotEndedInOrderWhenTheServerCloses() throws Exception {
     for (int i = 0; i < 20; i++) {
-      GarblingServer server = new GarblingServer(new ResetAnswers(), id -> {});
+      GarblingServer server = new GarblingServer(new ResetAnswers(), "v1", id -> {});
       try (KeptConnection c = new KeptConnection(server.address())) {
         c.send(RequestText.of("/r/x", "q" + i, 1_000));
-        c.readUntil("data: q" + i);
+        c.readUntil("data: q" + i + " v1");
         server.close();
         assertThrows(IOException.class, c::awaitEnd);
       }
--- a/platform.test/src/test/java/org/wigeonwharf/platform/GatewaySoakTest.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/GatewaySoakTest.java
@@ -26,8 +26,9 @@
 /**
  * Soaks router processes from outside: callers keep their connections until a router closes them,
  * while series of signals, restarts, server crashes, evacuations, configuration changes and
- * restores of the store overlap. Servers that start are cold for a while, and some answer with
- * bytes that are no answer.
+ * restores of the store overlap. Servers that start are cold for a while, some answer with bytes
+ * that are no answer, and two software versions serve side by side. Some callers break streams off
+ * and resume them at any router.
  *
  * <p>{@code -Dsoak.seeds=N} plays N seeds, {@code -Dsoak.first=S} from seed S on.
  */
@@ -44,6 +45,7 @@
   @TempDir private Path folder;
   private final ExecutorService threads = Executors.newCachedThreadPool();
   private final Queue<Outcome> outcomes = new ConcurrentLinkedQueue<>();
+  private final Queue<ResumedStream> resumedStreams = new ConcurrentLinkedQueue<>();
   private final List<RestartableRouter> routers = new ArrayList<>();
   private final AtomicInteger version = new AtomicInteger();
   private final Set<String> evacuated = new HashSet<>();
@@ -63,6 +65,15 @@
   private record Outcome(
       String id, String path, KeptConnection.Response response, boolean recovered) {}
 
+  /**
+   * Holds how a resumed stream ended.
+   *
+   * @param stream the id of the request that began it
+   * @param data what its first event held
+   * @param response the whole response to the request that resumed it
+   */
+  private record ResumedStream(String stream, String data, KeptConnection.Response response) {}
+
   private void publishConfiguration() {
     int v = version.incrementAndGet();
     store.put("op/config", ConfigurationText.ofAllKinds(v, 5_000 + v));
@@ -75,6 +86,10 @@
     while (running) {
       String id = "q" + Long.toHexString(seed) + "-" + ++sent;
       String path = List.of("/r/x", "/u/x", "/s/x").get(random.nextInt(3));
+      if (path.startsWith("/s/") && random.nextInt(3) == 0) {
+        breakOffAndResume(id, path, random);
+        continue;
+      }
       boolean recovered = !troubled;
       boolean crashing = !recovered && random.nextInt(40) == 0;
       KeptConnection.Response response = null;
@@ -98,6 +113,34 @@
     }
   }
 
+  /** Begins a stream, breaks it off after its first event and resumes it at any router. */
+  private void breakOffAndResume(String id, String path, Random random) {
+    InetSocketAddress first = routers.get(random.nextInt(ROUTERS)).callers();
+    InetSocketAddress second = routers.get(random.nextInt(ROUTERS)).callers();
+    try {
+      String data;
+      try (KeptConnection c = new KeptConnection(first)) {
+        c.send(RequestText.of(path, id, 4_000));
+        data = c.readUntil("data: ");
+      }
+      Thread.sleep(random.nextInt(100));
+      try (KeptConnection c = new KeptConnection(second)) {
+        c.send(
+            RequestText.of(
+                path,
+                id + "-resumed",
+                2_000,
+                WireNames.LAST_EVENT_ID + ": 1",
+                WireNames.RESUMED_REQUEST_ID + ": " + id));
+        resumedStreams.add(new ResumedStream(id, data, c.read()));
+      }
+    } catch (IOException e) {
+      // A router that ends, or one that refuses the first request, leaves nothing to resume.
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private static String request(String id, String path, boolean crashing, Random random) {
     String parts = "common:10," + (crashing ? SoakBackends.CRASHING_PART + ":10," : "") + id + ":5";
     int timeoutMillis = 2_000 + random.nextInt(2_000);
@@ -251,11 +294,11 @@
         assertEquals(0, runs, o + " was refused and ran");
       }
       if (r != null && r.status() == 200) {
-        String expected =
-            o.path.startsWith("/s/")
-                ? SoakBackends.streamAnswer(o.id)
-                : SoakBackends.plainAnswer(o.id, "body");
-        assertEquals(expected, r.body(), o.id);
+        if (o.path.startsWith("/s/")) {
+          assertTrue(isOfOneVersion(o.id, r.body()), o.id + ": " + r.body());
+        } else {
+          assertEquals(SoakBackends.plainAnswer(o.id, "body"), r.body(), o.id);
+        }
         assertEquals("signed", r.headers().get("x-wigeonwharf-server-seal"), o.id);
       }
       if (o.recovered) {
@@ -263,10 +306,28 @@
         served += r != null && r.status() == 200 ? 1 : 0;
       }
     }
+    checkResumedStreams();
     assertEquals(0, backends.evacuatedRuns(), "requests ran in an evacuated failure domain");
     assertTrue(backends.crashes() > 0, "no server crashed");
     assertTrue(outcomes.size() > 500, outcomes.size() + " requests");
     assertTrue(recovered > 100, recovered + " requests after the troubles");
     assertTrue(served >= 0.95 * recovered, served + " of " + recovered + " served at the end");
   }
+
+  private static boolean isOfOneVersion(String stream, String events) {
+    return SoakBackends.SOFTWARE_VERSIONS.stream()
+        .anyMatch(v -> events.equals(SoakBackends.streamAnswer(stream, 1, v)));
+  }
+
+  private void checkResumedStreams() {
+    int whole = 0;
+    for (ResumedStream s : resumedStreams) {
+      if (s.response.status() == 200) {
+        whole++;
+        String version = s.data.substring(s.data.indexOf(' ') + 1);
+        assertEquals(SoakBackends.streamAnswer(s.stream, 2, version), s.response.body(), s.stream);
+      }
+    }
+    assertTrue(whole > 50, whole + " of " + resumedStreams.size() + " resumed streams went on");
+  }
 }
--- a/platform.test/src/test/java/org/wigeonwharf/platform/KeptConnection.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/KeptConnection.java
@@ -87,15 +87,19 @@
   }
 
   /**
-   * Reads lines until one is as given.
+   * Reads lines until one begins as given.
    *
+   * @return the rest of that line
    * @throws IOException if the connection ends before that
    */
-  void readUntil(String line) throws IOException {
+  String readUntil(String begin) throws IOException {
     InputStream in = socket.getInputStream();
-    while (!readLine(in).equals(line)) {
+    String line = readLine(in);
+    while (!line.startsWith(begin)) {
       // Lines of the head and the sizes of chunks come before it.
+      line = readLine(in);
     }
+    return line.substring(begin.length());
   }
 
   /**
--- a/platform.test/src/test/java/org/wigeonwharf/platform/SoakBackends.java
+++ b/platform.test/src/test/java/org/wigeonwharf/platform/SoakBackends.java
@@ -25,6 +25,10 @@
   static final int EVENTS = 5;
   private static final long EVENT_INTERVAL_MILLIS = 15;
   private static final String SERVICE = "s1";
+  private static final String GARBLED_VERSION = "v1";
+
+  /** The software versions that serve side by side. */
+  static final List<String> SOFTWARE_VERSIONS = List.of("v0", "v1");
 
   /** A prompt part with which a server ends as soon as it begins to answer. */
   static final String CRASHING_PART = "bad";
@@ -42,6 +46,7 @@
   private final class Backend {
     private final String id = "i-" + ++lastId;
     private final String failureDomain = "z" + lastId % 2;
+    private final String softwareVersion = "v" + lastId / 2 % 2;
     private final ExecutorService executor = Executors.newCachedThreadPool();
     private final HttpServer server;
     private volatile boolean leaving;
@@ -107,9 +112,11 @@
         crash(this);
         return;
       }
+      String begun = x.getRequestHeaders().getFirst(WireNames.RESUMED_REQUEST_ID);
+      String stream = begun == null ? requestId : begun;
       for (int i = resumed == null ? 1 : Integer.parseInt(resumed) + 1; i <= EVENTS; i++) {
         Thread.sleep(EVENT_INTERVAL_MILLIS);
-        out.write(event(requestId, i).getBytes(StandardCharsets.UTF_8));
+        out.write(event(stream, i, softwareVersion).getBytes(StandardCharsets.UTF_8));
         out.flush();
       }
     }
@@ -131,14 +138,26 @@
     return "done " + requestId + " with " + body;
   }
 
-  private static String event(String requestId, int number) {
-    return "id: " + number + "\ndata: " + requestId + "\n\n";
+  private static String event(String stream, int number, String softwareVersion) {
+    return "id: " + number + "\ndata: " + eventData(stream, softwareVersion) + "\n\n";
+  }
+
+  /** Returns what servers of a software version write in each event of a stream. */
+  static String eventData(String stream, String softwareVersion) {
+    return stream + " " + softwareVersion;
   }
 
-  static String streamAnswer(String requestId) {
+  /**
+   * Returns the events that servers of one software version write.
+   *
+   * @param stream the id of the request that began the stream
+   * @param first the number of the first event
+   * @param softwareVersion the software version
+   */
+  static String streamAnswer(String stream, int first, String softwareVersion) {
     StringBuilder text = new StringBuilder();
-    for (int i = 1; i <= EVENTS; i++) {
-      text.append(event(requestId, i));
+    for (int i = first; i <= EVENTS; i++) {
+      text.append(event(stream, i, softwareVersion));
     }
     return text.toString();
   }
@@ -150,7 +169,14 @@
   }
 
   private void publish(Backend b, String state, int coldMillis) {
-    store.putServer(b.id, SERVICE, b.server.getAddress(), state, b.failureDomain, coldMillis);
+    store.putServer(
+        b.id,
+        SERVICE,
+        b.server.getAddress(),
+        state,
+        b.failureDomain,
+        coldMillis,
+        b.softwareVersion);
   }
 
   private synchronized void withdraw(String id) {
@@ -220,10 +246,11 @@
       id = "i-" + ++lastId;
     }
     try (GarblingServer server =
-        new GarblingServer(new Random(seed), request -> runs.merge(request, 1, Integer::sum))) {
-      store.putServer(id, SERVICE, server.address(), "ready", "z0", 0);
+        new GarblingServer(
+            new Random(seed), GARBLED_VERSION, request -> runs.merge(request, 1, Integer::sum))) {
+      store.putServer(id, SERVICE, server.address(), "ready", "z0", 0, GARBLED_VERSION);
       Thread.sleep(millis);
-      store.putServer(id, SERVICE, server.address(), "draining", "z0", 0);
+      store.putServer(id, SERVICE, server.address(), "draining", "z0", 0, GARBLED_VERSION);
       Thread.sleep(millis);
       withdraw(id);
     }
