Decide on removals before asking for them; drop answered position checks

No change of behaviour: the search for removed servers never ends within the call that asks for it, and the resolver no longer relies on that. A position check that was answered while its next call was delayed is not made.

--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/PositionCheck.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/PositionCheck.java
@@ -117,7 +117,8 @@
         wait,
         () -> {
           scheduled = false;
-          if (wanted && !isCompleteUntil(wantedUntil)) {
+          wanted = wanted && !isCompleteUntil(wantedUntil);
+          if (wanted) {
             call();
           }
         });
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/stream/ResumptionResolver.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/stream/ResumptionResolver.java
@@ -99,10 +99,10 @@
     boolean oldEnough =
         history.isWatching()
             && history.allStartedBefore(resumption.service(), wallClock.millis() - ageMillis);
-    if (oldEnough && !history.knowsRemovalsSince(earliestBegin)) {
+    boolean removalsKnown = history.knowsRemovalsSince(earliestBegin);
+    if (oldEnough && !removalsKnown) {
       removalsNeeded.run();
     }
-    // A removal that was learned of just now counts as one of another version in servedSince.
-    return oldEnough && history.knowsRemovalsSince(earliestBegin);
+    return oldEnough && removalsKnown;
   }
 }
