Apply what peers pass on while a complete read is due

Test: StoreFeedTest#changesThatPeersPassOnAreAppliedWhileCompleteReadIsDue failed before ("expected: <1> but was: <2>"). StoreRestorePropertyTest still passes.

--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreFeedTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreFeedTest.java
@@ -605,6 +605,19 @@
     assertTrue(passedOn.isEmpty());
   }
 
+  // Guards against a router that is turned away by the store and deaf to what its peers read.
+  @Test
+  void changesThatPeersPassOnAreAppliedWhileCompleteReadIsDue() {
+    startWith(routes(3), server("a"), server("b"));
+    fail(new IOException("refused"));
+    feed.onPeerChanges(changes(5, 6, new PublishedItem.ServerRemoved("a")));
+    assertEquals(1, usableServers());
+    timers.advanceMillis(200);
+    fail(new IOException("refused"));
+    feed.onPeerChanges(changes(6, 7, new PublishedItem.ServerRemoved("b")));
+    assertEquals(0, usableServers());
+  }
+
   @Test
   void followerWaitsForChangesItselfOnceTheReadersAreSilent() {
     follow();
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/StoreFeed.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/StoreFeed.java
@@ -263,7 +263,8 @@
 
   private void catchUp() {
     catchUpScheduled = false;
-    if (stopped || !reachable || isReadAllDue() || !peerPosition.isAfter(state.position())) {
+    boolean readAllDue = readingAll || readAllScheduled;
+    if (stopped || !reachable || readAllDue || !peerPosition.isAfter(state.position())) {
       return;
     }
     LOG.atInfo()
@@ -319,7 +320,7 @@
 
   @Override
   public void onPeerChanges(StoreChanges changes) {
-    if (stopped || !state.isRead() || !changes.continues(state.position()) || isReadAllDue()) {
+    if (stopped || !state.isRead() || !changes.continues(state.position()) || readingAll) {
       return;
     }
     if (changes.complete()) {
@@ -339,10 +340,6 @@
     scheduleCall(delayNanos, this::readAll);
   }
 
-  private boolean isReadAllDue() {
-    return readingAll || readAllScheduled;
-  }
-
   private void readAll() {
     readAllScheduled = false;
     if (!stopped) {
