--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreFeedTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreFeedTest.java
@@ -618,6 +618,22 @@
     assertEquals(0, usableServers());
   }
 
+  // Guards against a router that stays out of contact long after the store answers again.
+  @Test
+  void changesThatPeersNameAreReadAtOnceAlsoWhileRetryIsDue() {
+    frequentReader = false;
+    startWith(routes(3), server("a"));
+    feed.onPeerReader(IN_CONTACT);
+    fail(new IOException("refused"));
+    timers.advanceMillis(200);
+    fail(new IOException("refused"));
+    int before = calls.size();
+    feed.onPeerReader(IN_CONTACT);
+    feed.onPeerChanges(new StoreChanges(at(5), at(6), false, List.of()));
+    timers.advanceMillis(60);
+    assertEquals(before + 1, calls.size());
+  }
+
   @Test
   void followerWaitsForChangesItselfOnceTheReadersAreSilent() {
     follow();
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/StoreFeed.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/feed/StoreFeed.java
@@ -101,7 +101,7 @@
   private long callNumber;
   private boolean callPending;
   private boolean readingAll;
-  private boolean readAllScheduled;
+  private boolean historyLost;
   private long calledAt;
   private Duration currentWait = WATCH_WAIT;
   private boolean stopped;
@@ -263,7 +263,8 @@
 
   private void catchUp() {
     catchUpScheduled = false;
-    boolean readAllDue = readingAll || readAllScheduled;
+    // A wait for changes would be refused, and replace the complete read that is due.
+    boolean readAllDue = readingAll || historyLost;
     if (stopped || !reachable || readAllDue || !peerPosition.isAfter(state.position())) {
       return;
     }
@@ -276,7 +277,7 @@
         .addKeyValue("age_ms", contactAgeMillis())
         .log("another router has read later changes; reading on anew");
     if (!peerPosition.isSameEra(state.position())) {
-      scheduleReadAll(pacer.nextDelayNanos());
+      scheduleCall(pacer.nextDelayNanos(), this::readAll);
       return;
     }
     // The answer may be under way on a slow link, where each further one delays it.
@@ -334,14 +335,8 @@
     }
   }
 
-  /** Reads all items later. No wait for changes is made before that, since it would be refused. */
-  private void scheduleReadAll(long delayNanos) {
-    readAllScheduled = true;
-    scheduleCall(delayNanos, this::readAll);
-  }
-
   private void readAll() {
-    readAllScheduled = false;
+    historyLost = false;
     if (!stopped) {
       readingAll = true;
       readingFrom = state.position();
@@ -352,7 +347,7 @@
   private void onReadAll(@Nullable Batch batch, @Nullable Throwable error) {
     readingAll = false;
     if (batch == null) {
-      readAllLater(error);
+      retryLater(error, this::readAll);
       return;
     }
     if (batch.position().era() < state.position().era()) {
@@ -361,7 +356,7 @@
           .addKeyValue("era", batch.position().era())
           .addKeyValue("known_era", state.position().era())
           .log("an answer of the store is of an earlier era; reading all items again");
-      scheduleReadAll(pacer.retryDelayNanos());
+      scheduleCall(pacer.retryDelayNanos(), this::readAll);
       return;
     }
     applyAll(batch);
@@ -431,8 +426,9 @@
   }
 
   private void awaitChanges(Duration wait) {
-    if (!stopped && !readAllScheduled) {
+    if (!stopped) {
       readingAll = false;
+      historyLost = false;
       currentWait = wait;
       StorePosition after = state.position();
       call(
@@ -449,7 +445,8 @@
             .addKeyValue("revision", after.revision())
             .addKeyValue("era", lost.era())
             .log("the store has discarded the changes; reading all items again");
-        scheduleReadAll(pacer.nextDelayNanos());
+        historyLost = true;
+        scheduleCall(pacer.nextDelayNanos(), this::readAll);
       } else {
         onWatchFailed(error);
       }
@@ -458,7 +455,7 @@
     recordContact();
     if (!batch.position().isSameEra(after) || !after.isSameEra(state.position())) {
       // What was asked for means something else in another era.
-      scheduleReadAll(pacer.nextDelayNanos());
+      scheduleCall(pacer.nextDelayNanos(), this::readAll);
       return;
     }
     boolean overtaken =
@@ -526,7 +523,7 @@
       pacer.recordSuccess();
       watch();
     } else {
-      scheduleReadAll(pacer.retryDelayNanos());
+      scheduleCall(pacer.retryDelayNanos(), this::readAll);
     }
   }
 
@@ -562,9 +559,9 @@
     directory.recordStoreReconnected(at);
   }
 
-  private void readAllLater(@Nullable Throwable error) {
+  private void retryLater(@Nullable Throwable error, Runnable action) {
     recordLost(error);
-    scheduleReadAll(pacer.retryDelayNanos());
+    scheduleCall(pacer.retryDelayNanos(), action);
   }
 
   private void recordLost(@Nullable Throwable error) {
@@ -649,7 +646,7 @@
           .addKeyValue("reason", String.valueOf(e))
           .setCause(e)
           .log("applying an answer of the store failed; reading all items again");
-      readAllLater(e);
+      retryLater(e, this::readAll);
     }
   }
 
