Send remembered streams only to routers that ask for them

Cause: a router answers each message of a router it doesn't know with its state, and since all streams are told also with up to 2,000 of them. With many routers most first messages are forwarded summaries of routers that have run for long.

Change: streams follow only a message that asks for an answer, which routers send that have just started or have lost sight of a peer.

Tests: PeerGossipTest#routerThatStartsLearnsOfStreamsAndVersionsFromItsPeers passes. The bytes were not measured again on the large site.

--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreFeedTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/feed/StoreFeedTest.java
@@ -627,7 +627,7 @@
     fail(new IOException("refused"));
     timers.advanceMillis(200);
     fail(new IOException("refused"));
-    int before = calls.size();
+    final int before = calls.size();
     feed.onPeerReader(IN_CONTACT);
     feed.onPeerChanges(new StoreChanges(at(5), at(6), false, List.of()));
     timers.advanceMillis(60);
--- a/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerGossip.java
+++ b/org.wigeonwharf.gateway/src/main/java/org/wigeonwharf/gateway/peer/PeerGossip.java
@@ -483,9 +483,6 @@
           versions.isEmpty() ? 0 : versionHistory.watchedNanos() / Clock.NANOS_PER_MILLI);
     }
     sender.send(receiver, codec.encode(b.build()));
-    if (!replyRequested) {
-      sendOriginsTo(receiver, domain.equals(itsDomain));
-    }
   }
 
   /**
@@ -589,6 +586,9 @@
     if (unknown || state.getReplyRequested()) {
       sendStateTo(sender, senderDomain, false);
     }
+    if (state.getReplyRequested()) {
+      sendOriginsTo(sender, sameDomain);
+    }
     mergeQuarantine(state, sameDomain, now);
     limits.merge(GossipCodec.decodeLimits(state.getLimitsList()), now);
     endedServers.merge(GossipCodec.decodeEndedServers(state.getEndedServersList()), now);
