--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/SoftwareVersionTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/http/SoftwareVersionTest.java
@@ -270,7 +270,7 @@
     assertTrue(caller.completed);
   }
 
-  // Guards against a store that can't tell who left, and is taken for one where nobody did.
+  // Guards against taking unknown removals of servers for none.
   @Test
   void streamBegunBeforeRestartIsRefusedIfTheStoreDoesNotTellWhichServersHaveLeft() {
     String id = nextId();
--- a/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
+++ b/org.wigeonwharf.gateway.test/src/test/java/org/wigeonwharf/gateway/peer/PeerGossipTest.java
@@ -766,7 +766,8 @@
     assertEquals("v1", originAt(b, "r"));
   }
 
-  // Guards against streams that nobody knows because their router stopped as a release began.
+  // Guards against streams that are unknown to peers because their router stopped as a release
+  // began.
   @Test
   void streamsOfRouterThatStopsBeforeAnotherVersionShowsUpAreKnown() {
     Node a = addNode(1, "d");
